--- /dev/null
+++ b/src/rosearch/core/resources.h
@@ -0,0 +1,34 @@
+#ifndef ROSEARCH_CORE_RESOURCES_H_
+#define ROSEARCH_CORE_RESOURCES_H_
+
+#include <compare>
+#include <cstdint>
+
+namespace rosearch {
+
+/// What a VM holds or a task needs.
+struct resources {
+  std::int64_t processors_milli{0};  ///< thousandths of a processor
+  std::int64_t memory_mb{0};         ///< megabytes
+  std::int64_t accelerators{0};      ///< whole accelerators
+
+  /// @return whether every part is at most that of `room`.
+  [[nodiscard]] constexpr bool FitsIn(const resources& room) const noexcept {
+    return processors_milli <= room.processors_milli && memory_mb <= room.memory_mb &&
+           accelerators <= room.accelerators;
+  }
+
+  friend constexpr resources operator+(const resources& a, const resources& b) noexcept {
+    return {a.processors_milli + b.processors_milli, a.memory_mb + b.memory_mb,
+            a.accelerators + b.accelerators};
+  }
+  friend constexpr resources operator-(const resources& a, const resources& b) noexcept {
+    return {a.processors_milli - b.processors_milli, a.memory_mb - b.memory_mb,
+            a.accelerators - b.accelerators};
+  }
+  friend constexpr bool operator==(const resources&, const resources&) = default;
+};
+
+}  // namespace rosearch
+
+#endif  // ROSEARCH_CORE_RESOURCES_H_
