--- /dev/null
+++ b/src/rosearch/shard/task_key.cc
@@ -0,0 +1,53 @@
+#include "rosearch/shard/task_key.h"
+
+#include <algorithm>
+#include <boost/crc.hpp>
+#include <charconv>
+
+namespace rosearch {
+namespace {
+
+constexpr std::size_t kLongestName = 128;
+
+constexpr bool IsNameCharacter(char c) noexcept {
+  return (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '.' ||
+         c == '_' || c == ':' || c == '-';
+}
+
+}  // namespace
+
+std::string ToText(const task_key& key) {
+  return key.job.customer + '/' + key.job.job + '#' + std::to_string(key.index);
+}
+
+std::optional<task_key> ParseTaskKey(std::string_view text) {
+  const auto slash = text.find('/');
+  const auto hash = text.rfind('#');
+  if (slash == std::string_view::npos || hash == std::string_view::npos || hash < slash) {
+    return std::nullopt;
+  }
+  task_key key;
+  key.job.customer = text.substr(0, slash);
+  key.job.job = text.substr(slash + 1, hash - slash - 1);
+  const char* const end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data() + hash + 1, end, key.index);
+  if (parsed.ec != std::errc{} || parsed.ptr != end) {
+    return std::nullopt;
+  }
+  return key;
+}
+
+bool IsValidName(std::string_view name) noexcept {
+  return !name.empty() && name.size() <= kLongestName && std::ranges::all_of(name, IsNameCharacter);
+}
+
+shard_number HomeShard(std::string_view customer, std::string_view name,
+                       shard_number shards) noexcept {
+  boost::crc_32_type crc;
+  crc.process_bytes(customer.data(), customer.size());
+  crc.process_byte('/');
+  crc.process_bytes(name.data(), name.size());
+  return crc.checksum() % shards;
+}
+
+}  // namespace rosearch
--- /dev/null
+++ b/src/rosearch/shard/task_key.h
@@ -0,0 +1,48 @@
+#ifndef ROSEARCH_SHARD_TASK_KEY_H_
+#define ROSEARCH_SHARD_TASK_KEY_H_
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "rosearch/core/id.h"
+
+namespace rosearch {
+
+/// One job of one customer.
+struct job_key {
+  std::string customer;
+  std::string job;
+
+  friend auto operator<=>(const job_key&, const job_key&) = default;
+};
+
+/// One task of a job. As text it is `customer/job#index`; names hold neither of the two separators.
+struct task_key {
+  job_key job;
+  std::uint32_t index{0};
+
+  friend auto operator<=>(const task_key&, const task_key&) = default;
+};
+
+/// @return the key as text, as it stands in messages, logs and on workers.
+[[nodiscard]] std::string ToText(const task_key& key);
+
+/// @return the key, or none where the text is no task's name.
+[[nodiscard]] std::optional<task_key> ParseTaskKey(std::string_view text);
+
+/// @return whether a customer, job or request may be called that: 1 to 128 of A-Z a-z 0-9 . _ : -
+[[nodiscard]] bool IsValidName(std::string_view name) noexcept;
+
+/// Where a key's state is kept.
+/// @param customer, name  the customer and its job or request.
+/// @param shards          the number of shards of the cell, at least 1.
+/// @return the same shard in every process and every release.
+[[nodiscard]] shard_number HomeShard(std::string_view customer, std::string_view name,
+                                     shard_number shards) noexcept;
+
+}  // namespace rosearch
+
+#endif  // ROSEARCH_SHARD_TASK_KEY_H_
