Draft the shard and the node's tables

Cause: the whole path needs an owner that ties rights, records, jobs, requests and VMs together. Ruled out: one big state machine (each part can be tested by itself). Not built into a process yet.

--- /dev/null
+++ b/src/rosearch/net/http_server.h
@@ -0,0 +1,78 @@
+#ifndef ROSEARCH_NET_HTTP_SERVER_H_
+#define ROSEARCH_NET_HTTP_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace rosearch {
+
+/// Limits of an HTTP server: a slow or broken client costs only its own connection.
+struct http_server_settings {
+  std::string host{"127.0.0.1"};
+  std::uint16_t port{0};  ///< 0: a free one
+  std::size_t max_body_bytes{1U << 20U};
+  std::uint32_t max_header_bytes{16U << 10U};
+  std::size_t max_connections{2000};
+  /// A connection that sends no whole request for so long is closed.
+  std::chrono::milliseconds idle{std::chrono::seconds{60}};
+  /// A client that takes in no bytes for so long is cut off.
+  std::chrono::milliseconds write{std::chrono::seconds{30}};
+};
+
+/// An answer to one HTTP request.
+struct http_response {
+  unsigned status{200};
+  std::string body;
+  std::string content_type{"application/json"};
+  std::map<std::string, std::string> headers{};
+};
+
+/// One request from a client.
+struct http_call {
+  std::string method;
+  std::string path;                          ///< without the query
+  std::map<std::string, std::string> query;  ///< percent-decoded
+  std::map<std::string, std::string> headers;  ///< names in lower case
+  std::string body;
+};
+
+/// Answers one call; called once, from any thread.
+using http_respond = std::function<void(http_response)>;
+
+/// Takes one call; called on a thread of the server's io_context.
+using http_handler = std::function<void(http_call, http_respond)>;
+
+/// An HTTP/1.1 server with keep-alive.
+class http_server {
+ public:
+  /// Binds and begins to accept.
+  /// @throws boost::system::system_error where the address can't be bound.
+  http_server(boost::asio::io_context& io, http_server_settings settings, http_handler handler);
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  /// @return the port that is bound.
+  [[nodiscard]] std::uint16_t port() const noexcept;
+
+  /// Accepts no more connections and closes idle ones; calls under way are answered.
+  void Drain();
+
+  /// @return connections that have a call under way.
+  [[nodiscard]] std::size_t Busy() const noexcept;
+
+ private:
+  class impl;
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace rosearch
+
+#endif  // ROSEARCH_NET_HTTP_SERVER_H_
--- /dev/null
+++ b/src/rosearch/net/peer_transport.cc
@@ -0,0 +1,166 @@
+#include "rosearch/net/peer_transport.h"
+
+#include <glog/logging.h>
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+#include <vector>
+#include <zmq.hpp>
+
+namespace rosearch {
+namespace {
+
+constexpr int kQueuedMessages = 10'000;
+constexpr int kLargestMessage = 32 << 20;
+
+/// Written bytes that a peer hasn't taken for so long break the connection: what they say must not
+/// arrive after its sender has been given up.
+constexpr int kLongestTransitMs = 5'000;
+
+constexpr const char* kWakeAddress = "inproc://wake";
+
+void SetOptions(zmq::socket_t& socket) {
+  socket.set(zmq::sockopt::linger, 0);
+  socket.set(zmq::sockopt::sndhwm, kQueuedMessages);
+  socket.set(zmq::sockopt::rcvhwm, kQueuedMessages);
+  socket.set(zmq::sockopt::maxmsgsize, std::int64_t{kLargestMessage});
+  socket.set(zmq::sockopt::immediate, true);
+  socket.set(zmq::sockopt::tcp_maxrt, kLongestTransitMs);
+  socket.set(zmq::sockopt::reconnect_ivl, 50);
+  socket.set(zmq::sockopt::reconnect_ivl_max, 1'000);
+}
+
+}  // namespace
+
+class peer_transport::impl {
+ public:
+  impl(const std::string& address, receive on_message)
+      : on_message_{std::move(on_message)},
+        receiver_{context_, zmq::socket_type::router},
+        wake_in_{context_, zmq::socket_type::pair},
+        wake_out_{context_, zmq::socket_type::pair} {
+    SetOptions(receiver_);
+    receiver_.bind("tcp://" + address);
+    address_ = receiver_.get(zmq::sockopt::last_endpoint).substr(std::string{"tcp://"}.size());
+    wake_in_.bind(kWakeAddress);
+    wake_out_.connect(kWakeAddress);
+    thread_ = std::thread{[this] { Run(); }};
+  }
+
+  ~impl() {
+    stopping_ = true;
+    Wake();
+    thread_.join();
+  }
+
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
+  [[nodiscard]] const std::string& address() const noexcept { return address_; }
+
+  void Send(const std::string& to, std::string bytes) {
+    const std::scoped_lock lock{mutex_};
+    outgoing_.emplace_back(to, std::move(bytes));
+    if (outgoing_.size() == 1) {
+      WakeLocked();
+    }
+  }
+
+  [[nodiscard]] transport_counters Counters() const {
+    const std::scoped_lock lock{counters_mutex_};
+    return counters_;
+  }
+
+ private:
+  void Wake() {
+    const std::scoped_lock lock{mutex_};
+    WakeLocked();
+  }
+
+  void WakeLocked() { (void)wake_out_.send(zmq::message_t{}, zmq::send_flags::dontwait); }
+
+  void Run() {
+    while (!stopping_) {
+      std::vector<zmq::pollitem_t> items{{receiver_.handle(), 0, ZMQ_POLLIN, 0},
+                                         {wake_in_.handle(), 0, ZMQ_POLLIN, 0}};
+      zmq::poll(items, std::chrono::milliseconds{-1});
+      ReceiveAll();
+      SendAll();
+    }
+  }
+
+  void ReceiveAll() {
+    zmq::message_t wake;
+    while (wake_in_.recv(wake, zmq::recv_flags::dontwait)) {
+    }
+    zmq::message_t part;
+    while (receiver_.recv(part, zmq::recv_flags::dontwait)) {
+      if (part.more()) {
+        continue;  // the identity that a ROUTER puts before each message
+      }
+      {
+        const std::scoped_lock lock{counters_mutex_};
+        ++counters_.messages_received;
+        counters_.bytes_received += part.size();
+      }
+      on_message_(part.to_string());
+    }
+  }
+
+  void SendAll() {
+    std::vector<std::pair<std::string, std::string>> batch;
+    {
+      const std::scoped_lock lock{mutex_};
+      batch.swap(outgoing_);
+    }
+    for (auto& [to, bytes] : batch) {
+      const auto sent =
+          SocketTo(to).send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+      const std::scoped_lock lock{counters_mutex_};
+      counters_.messages_sent += sent ? 1 : 0;
+      counters_.bytes_sent += sent ? bytes.size() : 0;
+      counters_.dropped += sent ? 0 : 1;
+    }
+  }
+
+  zmq::socket_t& SocketTo(const std::string& to) {
+    const auto found = senders_.find(to);
+    if (found != senders_.end()) {
+      return found->second;
+    }
+    zmq::socket_t socket{context_, zmq::socket_type::dealer};
+    SetOptions(socket);
+    socket.connect("tcp://" + to);
+    return senders_.emplace(to, std::move(socket)).first->second;
+  }
+
+  zmq::context_t context_;
+  receive on_message_;
+  zmq::socket_t receiver_;
+  zmq::socket_t wake_in_;
+  zmq::socket_t wake_out_;  ///< guarded by `mutex_`
+  std::string address_;
+  std::map<std::string, zmq::socket_t> senders_;
+  std::atomic<bool> stopping_{false};
+  std::mutex mutex_;
+  std::vector<std::pair<std::string, std::string>> outgoing_;
+  mutable std::mutex counters_mutex_;
+  transport_counters counters_;
+  std::thread thread_;
+};
+
+peer_transport::peer_transport(const std::string& address, receive on_message)
+    : impl_{std::make_unique<impl>(address, std::move(on_message))} {}
+
+peer_transport::~peer_transport() = default;
+
+const std::string& peer_transport::address() const noexcept { return impl_->address(); }
+void peer_transport::Send(const std::string& to, std::string bytes) {
+  impl_->Send(to, std::move(bytes));
+}
+transport_counters peer_transport::Counters() const { return impl_->Counters(); }
+
+}  // namespace rosearch
--- /dev/null
+++ b/src/rosearch/net/peer_transport.h
@@ -0,0 +1,52 @@
+#ifndef ROSEARCH_NET_PEER_TRANSPORT_H_
+#define ROSEARCH_NET_PEER_TRANSPORT_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace rosearch {
+
+/// Bytes sent and received since the start.
+struct transport_counters {
+  std::uint64_t messages_sent{0};
+  std::uint64_t bytes_sent{0};
+  std::uint64_t messages_received{0};
+  std::uint64_t bytes_received{0};
+  std::uint64_t dropped{0};  ///< no connection, or its queue was full
+};
+
+/// Messages between entries over ZeroMQ. A message to a peer that is not connected is dropped, not
+/// kept: whoever needs an answer asks again, and a message that was kept would arrive when what it
+/// says is long past.
+class peer_transport {
+ public:
+  /// Called for each message, on the transport's own thread.
+  using receive = std::function<void(std::string)>;
+
+  /// Binds at once.
+  /// @param address  host:port; port 0 binds a free one.
+  /// @throws zmq::error_t where the address can't be bound.
+  peer_transport(const std::string& address, receive on_message);
+  ~peer_transport();
+  peer_transport(const peer_transport&) = delete;
+  peer_transport& operator=(const peer_transport&) = delete;
+
+  /// @return host:port that is bound.
+  [[nodiscard]] const std::string& address() const noexcept;
+
+  /// Sends to the peer at an address; safe from any thread. Messages from one thread to one peer
+  /// arrive in order or not at all.
+  void Send(const std::string& to, std::string bytes);
+
+  [[nodiscard]] transport_counters Counters() const;
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace rosearch
+
+#endif  // ROSEARCH_NET_PEER_TRANSPORT_H_
--- /dev/null
+++ b/src/rosearch/node/shard_balance.cc
@@ -0,0 +1,62 @@
+#include "rosearch/node/shard_balance.h"
+
+#include <algorithm>
+#include <boost/crc.hpp>
+#include <cstdint>
+#include <tuple>
+
+namespace rosearch {
+namespace {
+
+/// A member's weight for a shard, by highest random weight hashing.
+std::uint32_t Weight(shard_number shard, const entry_id& entry) {
+  boost::crc_32_type crc;
+  crc.process_bytes(&shard, sizeof shard);
+  crc.process_bytes(entry.value().data(), entry.value().size());
+  return crc.checksum();
+}
+
+}  // namespace
+
+const member& Claimant(shard_number shard, const std::vector<const member*>& live) {
+  return **std::ranges::max_element(live, {}, [shard](const member* each) {
+    return std::pair{Weight(shard, each->who.entry), each->who.entry};
+  });
+}
+
+std::vector<party> WitnessCandidates(shard_number shard, const member& self,
+                                     const std::vector<const member*>& live) {
+  std::vector<std::tuple<bool, std::uint32_t, party>> ranked;
+  for (const auto* const each : live) {
+    if (each->who.entry != self.who.entry && each->region == self.region) {
+      ranked.emplace_back(each->failure_domain == self.failure_domain,
+                          Weight(shard, each->who.entry), each->who);
+    }
+  }
+  std::ranges::sort(ranked);
+  std::vector<party> candidates;
+  candidates.reserve(ranked.size());
+  for (const auto& item : ranked) {
+    candidates.push_back(std::get<party>(item));
+  }
+  return candidates;
+}
+
+std::optional<shard_move> NextMove(const party& owner,
+                                   const std::map<party, std::vector<shard_number>>& owned) {
+  if (owned.empty()) {
+    return std::nullopt;
+  }
+  const auto by_count = [](const auto& a, const auto& b) {
+    return a.second.size() < b.second.size();
+  };
+  const auto [fewest, most] = std::ranges::minmax_element(owned, by_count);
+  const auto giver = std::ranges::max_element(owned, by_count);
+  (void)most;
+  if (giver->first != owner || giver->second.size() < fewest->second.size() + 2) {
+    return std::nullopt;
+  }
+  return shard_move{giver->second.back(), fewest->first};
+}
+
+}  // namespace rosearch
--- a/src/rosearch/shard/cell_view.h
+++ b/src/rosearch/shard/cell_view.h
@@ -48,8 +48,7 @@
       const resources& needs, const region_id& region) const;
 
   /// @return the shard with most free slots, or none.
-  [[nodiscard]] std::optional<shard_number> ChooseSlots(
-      const std::set<shard_number>& avoid) const;
+  [[nodiscard]] std::optional<shard_number> ChooseSlots(const std::set<shard_number>& avoid) const;
 
   /// @return what all entries have committed for a customer, as far as known.
   [[nodiscard]] resources UsageOf(const std::string& customer) const;
@@ -79,7 +78,8 @@
   std::map<std::string, resources> quotas_;
 };
 
-/// Orders what may follow within a shard: a takeover by the witness keeps the epoch and raises this.
+/// Orders what may follow within a shard: a takeover by the witness keeps the epoch and raises
+/// this.
 [[nodiscard]] constexpr std::uint64_t TermNumber(epoch_number epoch, bool taken_over) noexcept {
   return epoch * 2 + (taken_over ? 1 : 0);
 }
--- a/src/rosearch/shard/job_settings.h
+++ b/src/rosearch/shard/job_settings.h
@@ -10,7 +10,7 @@
 
 /// How a shard drives its jobs.
 struct job_settings {
-  duration ask_again{std::chrono::seconds{1}};         ///< until a capacity shard has answered
+  duration ask_again{std::chrono::seconds{1}};          ///< until a capacity shard has answered
   duration retry_room{std::chrono::milliseconds{200}};  ///< until room is looked for again
   duration retry_failed{std::chrono::seconds{1}};       ///< until a failed task is tried again
   duration hold{std::chrono::seconds{5}};               ///< a gang's holds lapse after this
--- a/src/rosearch/shard/job_table.cc
+++ b/src/rosearch/shard/job_table.cc
@@ -16,9 +16,7 @@
 
 bool MayRunAgain(const job_entry& job) { return !job.accepted.spec().at_most_once(); }
 
-bool IsService(const job_entry& job) {
-  return job.accepted.spec().kind() == wire::JOB_SERVICE;
-}
+bool IsService(const job_entry& job) { return job.accepted.spec().kind() == wire::JOB_SERVICE; }
 
 std::uint32_t PriorityOf(const shard_state& state, const task_key& key) {
   const auto* const job = state.FindJob(key.job);
@@ -184,8 +182,7 @@
       slot->state == wire::TASK_QUEUED || slot->state == wire::TASK_ENDED) {
     // An attempt that this shard has settled before, or doesn't know: nobody waits for it. While
     // the record that settled it is not durable yet, the acknowledgement has to wait.
-    const bool settling = slot != nullptr &&
-                          DriveOf(key->job).tasks[key->index].ack.has_value();
+    const bool settling = slot != nullptr && DriveOf(key->job).tasks[key->index].ack.has_value();
     if (settling) {
       return;
     }
@@ -257,7 +254,9 @@
   const bool ran = lost || EffectOf(how) != outcome::kNotRun;
 
   if (job.cancelled) {
-    EndTask(key, done ? how : EndingOf(ran ? error_kind::kInterrupted : error_kind::kCancelled, "cancelled"));
+    EndTask(key,
+            done ? how
+                 : EndingOf(ran ? error_kind::kInterrupted : error_kind::kCancelled, "cancelled"));
     return;
   }
   if (IsService(job)) {
@@ -265,8 +264,7 @@
             context.now + (failed ? settings_.retry_failed : settings_.retry_room));
     return;
   }
-  if (done || (ran && !MayRunAgain(job)) ||
-      (failed && slot.charged >= treatment.retries())) {
+  if (done || (ran && !MayRunAgain(job)) || (failed && slot.charged >= treatment.retries())) {
     EndTask(key, how);
     return;
   }
@@ -531,7 +529,8 @@
   }
   if (targets.size() < members.size() || context.cell.OverQuota(spec.customer(), together)) {
     // Two gangs that were refused at the same moment must not come back at the same moment.
-    const auto wait = settings_.retry_room + duration{random_.Between(0, settings_.retry_room.count())};
+    const auto wait =
+        settings_.retry_room + duration{random_.Between(0, settings_.retry_room.count())};
     SetDue({key, members.front()}, job.tasks[members.front()], context.now + wait);
     return;
   }
@@ -582,7 +581,8 @@
     auto& task = job.tasks[index];
     const task_key name{key, index};
     const bool only_held = SlotOf(name).held;
-    if (only_held && (task.at == stage::kHeld || task.at == stage::kAsked || task.at == stage::kSettling)) {
+    if (only_held &&
+        (task.at == stage::kHeld || task.at == stage::kAsked || task.at == stage::kSettling)) {
       // A hold never runs without a commit, and none was recorded: it may be given up at once.
       Stop(name, out);
       SetStage(task, stage::kIdle);
--- a/src/rosearch/shard/request_table.cc
+++ b/src/rosearch/shard/request_table.cc
@@ -36,7 +36,8 @@
   if (answer.body().size() <= kLargestKept) {
     how.set_body(answer.body());
   } else {
-    *how.mutable_error() = ToWire(error{error_kind::kTooOld, "it ran; its answer was too large to keep"});
+    *how.mutable_error() =
+        ToWire(error{error_kind::kTooOld, "it ran; its answer was too large to keep"});
   }
   how.set_vm(answer.vm());
   return how;
--- /dev/null
+++ b/src/rosearch/shard/shard.h
@@ -0,0 +1,175 @@
+#ifndef ROSEARCH_SHARD_SHARD_H_
+#define ROSEARCH_SHARD_SHARD_H_
+
+#include <boost/json/value.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "rosearch/capacity/vm_pool.h"
+#include "rosearch/core/id.h"
+#include "rosearch/core/result.h"
+#include "rosearch/core/time.h"
+#include "rosearch/ownership/party.h"
+#include "rosearch/ownership/shard_rights.h"
+#include "rosearch/shard/cell_view.h"
+#include "rosearch/shard/executor_lane.h"
+#include "rosearch/shard/job_table.h"
+#include "rosearch/shard/request_table.h"
+#include "rosearch/shard/shard_journal.h"
+#include "rosearch/shard/shard_log_view.h"
+#include "rosearch/shard/shard_output.h"
+#include "rosearch/shard/shard_settings.h"
+#include "rosearch/shard/witness_copy.h"
+
+namespace rosearch {
+
+/// When a step is taken: by the monotonic clock, and by the wall clock in Unix milliseconds. The
+/// wall clock is only compared with callers' issue times.
+struct step_time {
+  time_point now;
+  std::uint64_t unix_ms{0};
+};
+
+/// One shard as one entry holds it: the right to act, the records, and what is done with them while
+/// the right lasts. Reads no clock, socket or global randomness. Not for use by two threads at a
+/// time.
+class shard {
+ public:
+  /// @param number  of this shard.
+  /// @param region  where its VMs lie.
+  /// @param self    this run of this entry.
+  /// @param seed    of its random choices.
+  shard(shard_number number, region_id region, party self, const shard_settings& settings,
+        std::uint64_t seed);
+
+  // From the control stream and the VM list; see `shard_rights` for the order that is required.
+  void OnAssignment(const assignment& next, const step_time& at, shard_output& out);
+  void OnLogEnd(time_point asked_at, const step_time& at, shard_output& out);
+  void OnListProof(time_point asked_at, const step_time& at, shard_output& out);
+  void OnPartyGone(const party& who, time_point since, time_point asked_at, const step_time& at,
+                   shard_output& out);
+  void OnPartySeen(const party& who);
+  void SetCandidates(std::vector<party> candidates);
+  void BeginFirstClaim(const step_time& at, shard_output& out);
+  void BeginClaim(const step_time& at, shard_output& out);
+
+  /// Takes in the shard's workers and executors as now listed.
+  void OnVmList(const std::vector<wire::vm_record>& vms, const step_time& at, shard_output& out);
+  void OnDrain(const vm_id& vm, bool leaving, const step_time& at, shard_output& out);
+
+  // From peers.
+  void OnPair(const party& from, const wire::pair_message& message, const step_time& at,
+              shard_output& out);
+  void OnReplicate(const party& from, const wire::replicate& message, const step_time& at,
+                   shard_output& out);
+  void OnReplicateAck(const party& from, const wire::replicate_ack& ack, const step_time& at,
+                      shard_output& out);
+  void OnCall(const call_origin& from, const wire::call& call, const step_time& at,
+              shard_output& out);
+  void OnCapacity(const wire::capacity_message& message, const step_time& at, shard_output& out);
+  void OnSummary(const wire::shard_summary& summary, const region_id& region, const step_time& at);
+  void OnUsage(const entry_id& entry, const std::vector<wire::customer_usage>& usage);
+  void OnEntryGone(const entry_id& entry);
+  void SetQuotas(std::map<std::string, resources> quotas);
+
+  // From targets.
+  void OnWorkerReport(const vm_id& vm, const wire::worker_report& report, time_point sent_at,
+                      const step_time& at, shard_output& out);
+  void OnWorkerFailed(const vm_id& vm, const error& failure, time_point sent_at,
+                      const step_time& at, shard_output& out);
+  void OnExecutorAnswer(std::uint64_t ticket, std::uint32_t attempt,
+                        const result<wire::call_answer>& answer, const step_time& at,
+                        shard_output& out);
+  void OnDelegated(std::uint64_t ticket, const wire::call_answer& answer, const step_time& at,
+                   shard_output& out);
+
+  // The shard's stream on the log.
+  /// @return the next batch to append, or none. While one is under way, none must be asked for.
+  [[nodiscard]] std::optional<wire::shard_batch> TakeForLog();
+  void OnLogDurable(std::uint64_t sequence, const step_time& at, shard_output& out);
+  void SetLogUp(bool up) noexcept { log_up_ = up; }
+  /// @return whether the stream has to be read from its oldest record before this shard can serve.
+  [[nodiscard]] bool WantsStream() const noexcept { return phase_ == phase::kReading; }
+  void OnStreamBatch(const std::string& author, const wire::shard_batch& batch);
+  /// The stream was read to its end by a read begun at `asked_at`.
+  void OnStreamEnd(time_point asked_at, const step_time& at, shard_output& out);
+
+  // Planned stop.
+  /// Gives the right to the witness; what is in flight must have ended before.
+  void HandOver(const step_time& at, shard_output& out);
+  void Resign(const step_time& at, shard_output& out);
+  /// Takes no new calls from now on.
+  void BeginDrain() noexcept { draining_ = true; }
+
+  void Tick(const step_time& at, shard_output& out);
+
+  [[nodiscard]] shard_number number() const noexcept { return number_; }
+  [[nodiscard]] const region_id& region() const noexcept { return region_; }
+  [[nodiscard]] const shard_rights& rights() const noexcept { return rights_; }
+  [[nodiscard]] bool Serving(time_point now) const noexcept {
+    return phase_ == phase::kServing && rights_.MayAct(now);
+  }
+  /// @return what this owner tells everybody, or none where it doesn't serve.
+  [[nodiscard]] std::optional<wire::shard_summary> Summary(time_point now) const;
+  [[nodiscard]] std::map<customer_id, resources> Usage() const { return pool_.Usage(); }
+  [[nodiscard]] std::size_t OpenRequests() const noexcept { return requests_.size(); }
+  [[nodiscard]] const shard_state& state() const noexcept { return journal_.state(); }
+  [[nodiscard]] boost::json::value Dump(time_point now) const;
+  [[nodiscard]] std::vector<vm_explanation> Explain(const placement_request& request) const {
+    return pool_.Explain(request);
+  }
+
+ private:
+  enum class phase {
+    kIdle,     ///< not the holder
+    kReading,  ///< holds the right, reads the stream first
+    kServing,
+  };
+
+  void TakeRights(rights_output& rights, const step_time& at, shard_output& out);
+  void OnAcquired(const right_event& event, const step_time& at, shard_output& out);
+  void OnLost(const step_time& at, shard_output& out);
+  void Serve(bool complete, const step_time& at, shard_output& out);
+  void Pump(pool_output& pool, const step_time& at, shard_output& out);
+  void Settle(const step_time& at, shard_output& out);
+  void DeliverDurable(const step_time& at, shard_output& out);
+  void Replicate(const step_time& at, shard_output& out);
+  void LoopBack(const step_time& at, shard_output& out);
+  void TakeCapacity(const wire::capacity_message& message, const step_time& at, shard_output& out);
+  void Dispatch(const step_time& at, shard_output& out);
+  void Refuse(const call_origin& from, error why, shard_output& out) const;
+  [[nodiscard]] bool CanAccept(time_point now) const;
+  [[nodiscard]] std::uint64_t Term() const noexcept;
+  [[nodiscard]] job_context JobContext(const step_time& at) { return {at.now, cell_}; }
+
+  shard_number number_;
+  region_id region_;
+  shard_settings settings_;
+  party self_;
+  shard_rights rights_;
+  shard_journal journal_;
+  witness_copy copy_;
+  shard_log_view log_view_;
+  cell_view cell_;
+  vm_pool pool_;
+  job_table jobs_;
+  request_table requests_;
+  executor_lane executors_;
+
+  phase phase_{phase::kIdle};
+  bool log_up_{false};
+  bool draining_{false};
+  bool held_before_{false};  ///< has held the right without a gap up to now
+  bool replicating_{false};
+  epoch_number replicating_epoch_{0};
+  time_point reading_since_{};
+  std::map<shard_number, std::uint64_t> newest_terms_;  ///< of shards that sent messages
+};
+
+}  // namespace rosearch
+
+#endif  // ROSEARCH_SHARD_SHARD_H_
--- a/src/rosearch/shard/shard_journal.cc
+++ b/src/rosearch/shard/shard_journal.cc
@@ -17,6 +17,11 @@
 /// Records of one message or one batch.
 constexpr std::uint64_t kLargestBatch = 2'000;
 
+/// A caller is told that such a record will not be lost.
+bool AcceptsWork(const wire::shard_record& record) {
+  return record.has_accepted() || record.has_admitted() || record.has_cancelled();
+}
+
 }  // namespace
 
 void shard_journal::Start(epoch_number epoch, shard_state state, std::uint64_t sequence) {
@@ -140,8 +145,25 @@
   log_durable_ = std::max(log_durable_, std::min(sequence, sequence_));
 }
 
-std::vector<wire::shard_record> shard_journal::TakeDurable(bool witness_active) {
-  const auto durable = witness_active && in_step_ ? witness_acked_ : log_durable_;
+std::uint64_t shard_journal::DurableBy(durable_by holder) const {
+  switch (holder) {
+    case durable_by::kWitness:
+      return in_step_ ? witness_acked_ : delivered_;
+    case durable_by::kLog:
+      return log_durable_;
+    case durable_by::kNobody: {
+      auto last = delivered_;
+      while (last < sequence_ && !AcceptsWork(tail_[last + 1 - FirstKept()])) {
+        ++last;
+      }
+      return last;
+    }
+  }
+  return delivered_;
+}
+
+std::vector<wire::shard_record> shard_journal::TakeDurable(durable_by holder) {
+  const auto durable = DurableBy(holder);
   std::vector<wire::shard_record> records;
   for (; delivered_ < durable; ++delivered_) {
     records.push_back(tail_[delivered_ + 1 - FirstKept()]);
--- a/src/rosearch/shard/shard_journal.h
+++ b/src/rosearch/shard/shard_journal.h
@@ -13,6 +13,15 @@
 
 namespace rosearch {
 
+/// Who keeps the second copy of a shard's records at the moment.
+enum class durable_by {
+  kWitness,
+  kLog,
+  /// The log is down and there is no witness: the shard goes on with what was accepted before, and
+  /// accepts nothing.
+  kNobody,
+};
+
 /// The owner's side of a shard's records: takes them into the state, hands them to the witness and
 /// to the log, and tells which are durable.
 ///
@@ -60,9 +69,11 @@
   /// The next batch for the log begins with a snapshot.
   void RequestLogSnapshot() noexcept { log_needs_snapshot_ = true; }
 
-  /// @param witness_active  whether a witness could take over at this moment.
-  /// @return records that became durable since the last call, in order.
-  [[nodiscard]] std::vector<wire::shard_record> TakeDurable(bool witness_active);
+  /// @param holder  who keeps the second copy; the witness from the moment on at which it could take
+  ///   over.
+  /// @return records that became durable since the last call, in order. With `kNobody` these are the
+  ///   records up to the first one that accepts work.
+  [[nodiscard]] std::vector<wire::shard_record> TakeDurable(durable_by holder);
 
   [[nodiscard]] const shard_state& state() const noexcept { return state_; }
   [[nodiscard]] shard_state& mutable_state() noexcept { return state_; }
@@ -71,6 +82,7 @@
 
  private:
   [[nodiscard]] wire::shard_record MakeSnapshot() const;
+  [[nodiscard]] std::uint64_t DurableBy(durable_by holder) const;
   [[nodiscard]] std::uint64_t FirstKept() const noexcept { return sequence_ - tail_.size() + 1; }
   void DropUnneeded();
 
--- a/src/rosearch/shard/shard_output.h
+++ b/src/rosearch/shard/shard_output.h
@@ -8,6 +8,8 @@
 #include "rosearch/core/error.h"
 #include "rosearch/core/id.h"
 #include "rosearch/core/time.h"
+#include "rosearch/ownership/assignment.h"
+#include "rosearch/ownership/party.h"
 #include "rosearch/wire/peer.pb.h"
 #include "rosearch/wire/platform.pb.h"
 
@@ -56,6 +58,12 @@
   time_point answer_by;
 };
 
+/// A message to one run of one entry.
+struct peer_send {
+  party to;
+  wire::peer_message message;
+};
+
 /// What one step of a shard asks the process to do, in order within each kind.
 struct shard_output {
   std::vector<wire::capacity_message> capacity;  ///< to the owners of `to_shard`
@@ -63,6 +71,8 @@
   std::vector<executor_send> executors;
   std::vector<worker_send> workers;
   std::vector<delegated_send> delegated;
+  std::vector<peer_send> peers;
+  std::vector<assignment> claims;  ///< to the control stream
 };
 
 /// @return an error as it travels between processes.
--- a/src/rosearch/shard/shard_state.cc
+++ b/src/rosearch/shard/shard_state.cc
@@ -21,8 +21,8 @@
 }  // namespace
 
 bool job_entry::Ended() const {
-  return std::ranges::all_of(
-      tasks, [](const task_slot& task) { return task.state == wire::TASK_ENDED; });
+  return std::ranges::all_of(tasks,
+                             [](const task_slot& task) { return task.state == wire::TASK_ENDED; });
 }
 
 void shard_state::Apply(const wire::shard_record& record) {
