--- /dev/null
+++ b/src/rosearch/ownership/rights_output.h
@@ -0,0 +1,46 @@
+#ifndef ROSEARCH_OWNERSHIP_RIGHTS_OUTPUT_H_
+#define ROSEARCH_OWNERSHIP_RIGHTS_OUTPUT_H_
+
+#include <vector>
+
+#include "rosearch/core/id.h"
+#include "rosearch/ownership/assignment.h"
+#include "rosearch/ownership/party.h"
+#include "rosearch/wire/pair.pb.h"
+
+namespace rosearch {
+
+/// How this process came to the right to act.
+enum class right_change {
+  kClaimed,      ///< by its own claim, with all consents
+  kTakenOver,    ///< as the witness, the owner's right having lapsed
+  kTransferred,  ///< the former holder gave it up to this process
+  kActivated,    ///< the witness's first renewal after own right; nobody acted in between
+  kResumed,      ///< it lapsed and came back: recover as after a takeover
+  kLost,         ///< it lapsed or was given up
+};
+
+/// One change of the right to act, in the order in which they happened.
+struct right_event {
+  right_change change{};
+  epoch_number epoch{};
+
+  friend bool operator==(const right_event&, const right_event&) = default;
+};
+
+/// A message for the process that runs `to`.
+struct pair_envelope {
+  party to;
+  wire::pair_message message;
+};
+
+/// What one input leads to. The caller sends, appends and reports it, and clears it.
+struct rights_output {
+  std::vector<pair_envelope> messages;
+  std::vector<assignment> appends;  ///< to the control stream
+  std::vector<right_event> events;
+};
+
+}  // namespace rosearch
+
+#endif  // ROSEARCH_OWNERSHIP_RIGHTS_OUTPUT_H_
