--- a/src/rosearch/config/configuration.cc
+++ b/src/rosearch/config/configuration.cc
@@ -4,17 +4,22 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <chrono>
-#include <limits>
 #include <optional>
 #include <set>
 #include <utility>
 
 #include "rosearch/config/document_reader.h"
+#include "rosearch/config/json_values.h"
 
 namespace rosearch::config {
 namespace {
 
 namespace json = boost::json;
+using internal::Count;
+using internal::Number;
+using internal::OptionalFlag;
+using internal::Span;
+using internal::Text;
 
 constexpr std::int64_t kMaxName = 64;
 constexpr std::int64_t kMaxRules = 10'000;
@@ -106,27 +111,6 @@
 };
 constexpr schema kRoot{kRootFields};
 
-std::int64_t Number(const json::object& from, std::string_view key) {
-  return from.at(key).as_int64();
-}
-
-std::uint32_t Count(const json::object& from, std::string_view key) {
-  return static_cast<std::uint32_t>(Number(from, key));
-}
-
-std::string Text(const json::object& from, std::string_view key) {
-  return std::string{std::string_view{from.at(key).as_string()}};
-}
-
-std::optional<bool> OptionalFlag(const json::object& from, std::string_view key) {
-  const auto* const value = from.if_contains(key);
-  return value == nullptr ? std::nullopt : std::optional{value->as_bool()};
-}
-
-duration Span(const json::object& from, std::string_view key) {
-  return std::chrono::milliseconds{Number(from, key)};
-}
-
 std::int64_t Milliseconds(duration span) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
--- a/src/rosearch/config/document_reader.cc
+++ b/src/rosearch/config/document_reader.cc
@@ -7,6 +7,8 @@
 #include <string>
 #include <utility>
 
+#include "rosearch/config/duplicate_keys.h"
+
 namespace rosearch::config {
 namespace {
 
@@ -230,6 +232,9 @@
   boost::system::error_code failure;
   const json::value root = json::parse({text.data(), text.size()}, failure);
   checker check;
+  for (auto& path : internal::FindDuplicateKeys(text)) {
+    check.Add(std::move(path), "the key a second time", "a key that is given once");
+  }
   if (failure || !root.is_object()) {
     check.Add("", failure ? failure.message() : Show(root), "a JSON object");
     return {{}, check.Release()};
--- a/src/rosearch/config/rule.h
+++ b/src/rosearch/config/rule.h
@@ -33,8 +33,8 @@
 struct work_kind {
   customer_id customer;
   work_class kind{work_class::kRequest};
-  std::string label;
-  std::string service;  ///< the executors' service; empty for jobs
+  std::string label{};
+  std::string service{};  ///< the executors' service; empty for jobs
   bool urgent{false};
 
   friend bool operator==(const work_kind&, const work_kind&) = default;
@@ -42,11 +42,11 @@
 
 /// Which work a rule is for.
 struct rule_match {
-  std::optional<customer_id> customer;  ///< none: every customer
-  std::optional<work_class> kind;       ///< none: every class
-  text_pattern label;
-  text_pattern service;
-  std::optional<bool> urgent;  ///< none: urgent or not
+  std::optional<customer_id> customer{};  ///< none: every customer
+  std::optional<work_class> kind{};       ///< none: every class
+  text_pattern label{};
+  text_pattern service{};
+  std::optional<bool> urgent{};  ///< none: urgent or not
 
   [[nodiscard]] bool Matches(const work_kind& work) const noexcept;
 
@@ -62,8 +62,8 @@
 /// How matching work is treated.
 struct treatment {
   admission action{admission::kAdmit};
-  std::string reason;         ///< told to the caller of rejected work
-  std::string policy;         ///< pack, spread, quick or urgent; empty: that of its class
+  std::string reason{};       ///< told to the caller of rejected work
+  std::string policy{};       ///< pack, spread, quick or urgent; empty: that of its class
   std::uint32_t priority{0};  ///< higher goes first
   std::uint32_t retries{0};   ///< further attempts after the first, for each task or request
   std::optional<duration> deadline{};  ///< how long work may wait for its start; none: no limit
@@ -76,8 +76,8 @@
 /// When work of this kind arrives from this customer, then treat it so.
 struct rule {
   std::string name;
-  rule_match match;
-  treatment treat;
+  rule_match match{};
+  treatment treat{};
 
   friend bool operator==(const rule&, const rule&) = default;
 };
--- a/src/rosearch/config/rule_set.cc
+++ b/src/rosearch/config/rule_set.cc
@@ -49,12 +49,12 @@
 }
 
 const rule* rule_set::Match(const work_kind& work) const noexcept {
-  static const positions kNone;
+  static const positions none;
   const auto known = by_customer_.find(work.customer);
   const auto& index = known == by_customer_.end() ? any_customer_ : known->second;
   const auto& at = index[static_cast<std::size_t>(work.kind)];
   const auto exact = at.by_label.find(work.label);
-  return First(exact == at.by_label.end() ? kNone : exact->second, at.others, work);
+  return First(exact == at.by_label.end() ? none : exact->second, at.others, work);
 }
 
 const rule* rule_set::CoveredBy(std::size_t index) const noexcept {
