--- /dev/null
+++ b/src/rosearch/placement/room_index.h
@@ -0,0 +1,66 @@
+#ifndef ROSEARCH_PLACEMENT_ROOM_INDEX_H_
+#define ROSEARCH_PLACEMENT_ROOM_INDEX_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <tuple>
+#include <utility>
+
+#include "rosearch/core/id.h"
+#include "rosearch/core/resources.h"
+#include "rosearch/placement/vm_state.h"
+
+namespace rosearch::internal {
+
+/// Orders VMs by free processors, then free memory, then name.
+struct by_room {
+  struct key {
+    std::int64_t processors_milli{};
+    std::int64_t memory_mb{};
+    const vm_state* vm{};
+  };
+  [[nodiscard]] bool operator()(const key& a, const key& b) const noexcept;
+};
+
+/// Orders VMs by load, then name.
+struct by_load {
+  struct key {
+    std::int64_t load{};
+    const vm_state* vm{};
+  };
+  [[nodiscard]] bool operator()(const key& a, const key& b) const noexcept;
+};
+
+/// The open VMs of a ledger in the orders in which policies look for them.
+class room_index {
+ public:
+  using room_set = std::set<by_room::key, by_room>;
+  using load_set = std::set<by_load::key, by_load>;
+  /// Accelerators held (none or some), then accelerators free.
+  using room_class = std::pair<bool, std::int64_t>;
+  using rack_key = std::pair<failure_domain_id, rack_id>;
+
+  /// Adds an open VM as it is now. The caller removes it before it changes the VM.
+  void Add(const vm_state& vm);
+  void Remove(const vm_state& vm);
+
+  [[nodiscard]] const std::map<room_class, room_set>& rooms() const noexcept { return rooms_; }
+  [[nodiscard]] const load_set& loads() const noexcept { return loads_; }
+  [[nodiscard]] const std::map<rack_key, load_set>& racks() const noexcept { return racks_; }
+
+  /// @return the largest free amount of each part over the open VMs, not necessarily of one VM.
+  [[nodiscard]] resources Largest() const noexcept;
+
+ private:
+  std::map<room_class, room_set> rooms_;
+  load_set loads_;
+  std::map<rack_key, load_set> racks_;
+  std::map<std::int64_t, std::int64_t> processors_;
+  std::map<std::int64_t, std::int64_t> memory_;
+  std::map<std::int64_t, std::int64_t> accelerators_;
+};
+
+}  // namespace rosearch::internal
+
+#endif  // ROSEARCH_PLACEMENT_ROOM_INDEX_H_
