--- a/src/rosearch/placement/vm_health.h
+++ b/src/rosearch/placement/vm_health.h
@@ -30,6 +30,8 @@
   std::uint32_t times_peers{3};      ///< the share of failures is at least so many times the peers'
   std::uint32_t job_vms{3};          ///< a job that failed on so many VMs and succeeded on none
   std::uint32_t probe_successes{3};  ///< successes in a row that end the probing
+  std::uint32_t known_jobs{4096};    ///< jobs remembered, the oldest forgotten first
+  duration probe_patience{std::chrono::seconds{60}};  ///< a probe that runs so long succeeded
   duration first_pause{std::chrono::seconds{30}};
   duration longest_pause{std::chrono::minutes{10}};
 
@@ -50,7 +52,7 @@
   /// Counts a task that failed on the VM.
   void OnFailed(const vm_id& vm, const std::string& job, time_point now);
   /// Forgets a task that ended without a result, for example one that was cancelled.
-  void OnAbandoned(const vm_id& vm);
+  void OnAbandoned(const vm_id& vm, const std::string& job);
   /// Forgets a VM that was replaced.
   void Remove(const vm_id& vm);
 
@@ -70,12 +72,16 @@
     std::string job;
     bool failed{};
   };
+  struct probe {
+    std::string job;
+    time_point trusted_at;
+  };
   struct record {
     std::deque<sample> window;
     vm_condition condition{vm_condition::kHealthy};
     time_point probe_at{};
     duration pause{};
-    std::uint32_t in_flight{};
+    std::optional<probe> running;
     std::uint32_t successes{};
   };
   struct job_record {
@@ -83,10 +89,15 @@
     bool succeeded{};
   };
 
-  void AddSample(record& vm, const std::string& job, bool failed);
-  [[nodiscard]] bool IsJobsFault(const std::string& job) const;
-  [[nodiscard]] bool IsBad(const record& vm) const;
+  job_record& JobOf(const std::string& job);
+  [[nodiscard]] bool IsJobsFault(const job_record& job) const;
+  void ExcuseJob(const std::string& job);
+  void AddSample(record& entry, const std::string& job, bool failed);
+  void DropOldest(record& entry);
+  [[nodiscard]] bool IsBad(const record& entry) const;
   void Suspect(const vm_id& vm, record& entry, time_point now);
+  void Trust(const vm_id& vm, record& entry);
+  void OnProbeSucceeded(const vm_id& vm, record& entry);
 
   vm_health_settings settings_;
   std::map<vm_id, record> vms_;
