Test and measure placement; walk failure domains by load in spread

spread built a list of all racks for each decision: 24 us p50 at 760 VMs, and growing with the racks.

--- /dev/null
+++ b/benchmark/main.cc
@@ -0,0 +1,3 @@
+#include <benchmark/benchmark.h>
+
+BENCHMARK_MAIN();
--- a/src/rosearch/placement/room_index.cc
+++ b/src/rosearch/placement/room_index.cc
@@ -30,8 +30,6 @@
   return {room.processors_milli, room.memory_mb, &vm};
 }
 
-room_index::rack_key RackOf(const vm_state& vm) { return {vm.facts.failure_domain, vm.facts.rack}; }
-
 /// Erases a key and, where it was the last, its set.
 template <typename Map, typename Key, typename Entry>
 void EraseFrom(Map& sets, const Key& key, const Entry& entry) {
@@ -67,7 +65,9 @@
   const by_load::key load{vm.Load(), &vm};
   rooms_[ClassOf(vm)].insert(RoomKeyOf(vm));
   loads_.insert(load);
-  racks_[RackOf(vm)].insert(load);
+  auto& in_domain = domains_[vm.facts.failure_domain];
+  in_domain.vms.insert(load);
+  ++in_domain.racks[vm.facts.rack];
   Count(processors_, room.processors_milli);
   Count(memory_, room.memory_mb);
   Count(accelerators_, room.accelerators);
@@ -78,12 +78,26 @@
   const by_load::key load{vm.Load(), &vm};
   EraseFrom(rooms_, ClassOf(vm), RoomKeyOf(vm));
   CHECK_EQ(loads_.erase(load), 1U) << "event=index_out_of_step vm=" << vm.facts.vm;
-  EraseFrom(racks_, RackOf(vm), load);
+  RemoveFromDomain(vm, load);
   Uncount(processors_, room.processors_milli);
   Uncount(memory_, room.memory_mb);
   Uncount(accelerators_, room.accelerators);
 }
 
+void room_index::RemoveFromDomain(const vm_state& vm, const by_load::key& load) {
+  const auto found = domains_.find(vm.facts.failure_domain);
+  CHECK(found != domains_.end() && found->second.vms.erase(load) == 1)
+      << "event=index_out_of_step vm=" << vm.facts.vm;
+  auto& racks = found->second.racks;
+  const auto rack = racks.find(vm.facts.rack);
+  if (--rack->second == 0) {
+    racks.erase(rack);
+  }
+  if (found->second.vms.empty()) {
+    domains_.erase(found);
+  }
+}
+
 resources room_index::Largest() const noexcept {
   return {LargestOf(processors_), LargestOf(memory_), LargestOf(accelerators_)};
 }
--- a/src/rosearch/placement/room_index.h
+++ b/src/rosearch/placement/room_index.h
@@ -1,10 +1,10 @@
 #ifndef ROSEARCH_PLACEMENT_ROOM_INDEX_H_
 #define ROSEARCH_PLACEMENT_ROOM_INDEX_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <set>
-#include <tuple>
 #include <utility>
 
 #include "rosearch/core/id.h"
@@ -39,7 +39,12 @@
   using load_set = std::set<by_load::key, by_load>;
   /// Accelerators held (none or some), then accelerators free.
   using room_class = std::pair<bool, std::int64_t>;
-  using rack_key = std::pair<failure_domain_id, rack_id>;
+
+  /// The open VMs of one failure domain, and how many stand in each rack.
+  struct domain {
+    load_set vms;
+    std::map<rack_id, std::size_t> racks;
+  };
 
   /// Adds an open VM as it is now. The caller removes it before it changes the VM.
   void Add(const vm_state& vm);
@@ -47,15 +52,19 @@
 
   [[nodiscard]] const std::map<room_class, room_set>& rooms() const noexcept { return rooms_; }
   [[nodiscard]] const load_set& loads() const noexcept { return loads_; }
-  [[nodiscard]] const std::map<rack_key, load_set>& racks() const noexcept { return racks_; }
+  [[nodiscard]] const std::map<failure_domain_id, domain>& domains() const noexcept {
+    return domains_;
+  }
 
   /// @return the largest free amount of each part over the open VMs, not necessarily of one VM.
   [[nodiscard]] resources Largest() const noexcept;
 
  private:
+  void RemoveFromDomain(const vm_state& vm, const by_load::key& load);
+
   std::map<room_class, room_set> rooms_;
   load_set loads_;
-  std::map<rack_key, load_set> racks_;
+  std::map<failure_domain_id, domain> domains_;
   std::map<std::int64_t, std::int64_t> processors_;
   std::map<std::int64_t, std::int64_t> memory_;
   std::map<std::int64_t, std::int64_t> accelerators_;
--- a/src/rosearch/placement/spread_counts.cc
+++ b/src/rosearch/placement/spread_counts.cc
@@ -19,7 +19,11 @@
 
 void spread_counts::Add(const vm_facts& where, std::int64_t by) {
   AddTo(domains, where.failure_domain, by);
-  AddTo(racks, std::pair{where.failure_domain, where.rack}, by);
+  const auto in_domain = racks.try_emplace(where.failure_domain).first;
+  AddTo(in_domain->second, where.rack, by);
+  if (in_domain->second.empty()) {
+    racks.erase(in_domain);
+  }
   AddTo(vms, where.vm, by);
 }
 
--- a/src/rosearch/placement/spread_counts.h
+++ b/src/rosearch/placement/spread_counts.h
@@ -3,7 +3,6 @@
 
 #include <cstdint>
 #include <map>
-#include <utility>
 
 #include "rosearch/core/id.h"
 #include "rosearch/placement/vm_facts.h"
@@ -13,7 +12,7 @@
 /// How many tasks of one spread group run in each place.
 struct spread_counts {
   std::map<failure_domain_id, std::int64_t> domains;
-  std::map<std::pair<failure_domain_id, rack_id>, std::int64_t> racks;
+  std::map<failure_domain_id, std::map<rack_id, std::int64_t>> racks;
   std::map<vm_id, std::int64_t> vms;
 
   /// Adds `by` tasks, which may be negative, to the places of a VM; places at 0 are dropped.
--- a/src/rosearch/placement/spread_policy.cc
+++ b/src/rosearch/placement/spread_policy.cc
@@ -1,4 +1,5 @@
-#include <functional>
+#include <algorithm>
+#include <limits>
 #include <tuple>
 
 #include "rosearch/placement/policy.h"
@@ -7,52 +8,70 @@
 namespace rosearch {
 namespace {
 
+using rack_counts = std::map<rack_id, std::int64_t>;
+
 template <typename Map, typename Key>
 std::int64_t CountAt(const Map& counts, const Key& key) {
   const auto found = counts.find(key);
   return found == counts.end() ? 0 : found->second;
 }
 
-/// A rack as a place for one more task of a group; the smallest is the best.
-struct rack_choice {
-  std::int64_t in_domain{};
-  std::int64_t in_rack{};
+/// A failure domain as a place for one more task of a group.
+struct domain_choice {
+  std::int64_t count{};
   std::int64_t least_load{};
-  std::size_t position{};  ///< in the order of names
-  const internal::room_index::load_set* vms{};
-
-  [[nodiscard]] auto Rank() const { return std::tie(in_domain, in_rack, least_load, position); }
-  friend bool operator>(const rack_choice& a, const rack_choice& b) { return a.Rank() > b.Rank(); }
+  const internal::room_index::domain* place{};
+  const rack_counts* racks{};
 };
 
-std::vector<rack_choice> RacksOf(const ledger& book, const internal::spread_counts& counts) {
-  std::vector<rack_choice> racks;
-  racks.reserve(book.index().racks().size());
-  const failure_domain_id* domain = nullptr;
-  std::int64_t in_domain = 0;
-  for (const auto& [key, vms] : book.index().racks()) {
-    if (domain == nullptr || *domain != key.first) {
-      domain = &key.first;
-      in_domain = CountAt(counts.domains, key.first);
-    }
-    racks.push_back({in_domain, CountAt(counts.racks, key), vms.begin()->load, racks.size(), &vms});
+/// @return the failure domains with the fewest tasks of the group first; there are a handful.
+std::vector<domain_choice> DomainsOf(const ledger& book, const internal::spread_counts& counts) {
+  static const rack_counts kNone;
+  std::vector<domain_choice> domains;
+  for (const auto& [id, place] : book.index().domains()) {
+    const auto racks = counts.racks.find(id);
+    domains.push_back({CountAt(counts.domains, id), place.vms.begin()->load, &place,
+                       racks == counts.racks.end() ? &kNone : &racks->second});
+  }
+  std::ranges::stable_sort(domains, {}, [](const domain_choice& each) {
+    return std::tuple{each.count, each.least_load};
+  });
+  return domains;
+}
+
+/// @return the fewest tasks of the group that any rack of the failure domain has. Nearly always
+///   some rack has none, which the numbers of racks tell without a look at each.
+std::int64_t FewestInARack(const domain_choice& domain) {
+  const auto& racks = domain.place->racks;
+  if (domain.racks->size() < racks.size()) {
+    return 0;
   }
-  return racks;
+  auto fewest = std::numeric_limits<std::int64_t>::max();
+  for (const auto& [rack, vms] : racks) {
+    fewest = std::min(fewest, CountAt(*domain.racks, rack));
+  }
+  return fewest;
 }
 
-const vm_state* BestIn(const internal::room_index::load_set& vms, const placement_request& request,
+/// Walks the VMs of a failure domain by load and ends at the first that can't be improved on.
+const vm_state* BestIn(const domain_choice& domain, const placement_request& request,
                        const internal::spread_counts& counts) {
   const vm_state* best = nullptr;
-  std::int64_t fewest = 0;
-  for (const auto& each : vms) {
+  std::tuple<std::int64_t, std::int64_t> fewest;
+  const std::tuple ideal{FewestInARack(domain), std::int64_t{0}};
+  for (const auto& each : domain.place->vms) {
     if (!internal::CanTake(request, *each.vm)) {
       continue;
     }
-    const auto count = CountAt(counts.vms, each.vm->facts.vm);
+    const auto& facts = each.vm->facts;
+    const std::tuple count{CountAt(*domain.racks, facts.rack), CountAt(counts.vms, facts.vm)};
     if (best == nullptr || count < fewest) {
       best = each.vm;
       fewest = count;
     }
+    if (fewest <= ideal) {
+      break;
+    }
   }
   return best;
 }
@@ -70,12 +89,8 @@
       const auto* const vm = internal::FirstByLoad(book.index().loads(), request);
       return vm == nullptr ? std::nullopt : std::optional{vm->facts.vm};
     }
-    auto racks = RacksOf(book, *counts);
-    // A heap instead of a sorted list: nearly always the first rack or two have room.
-    std::ranges::make_heap(racks, std::greater<>{});
-    for (; !racks.empty(); racks.pop_back()) {
-      std::ranges::pop_heap(racks, std::greater<>{});
-      const auto* const vm = BestIn(*racks.back().vms, request, *counts);
+    for (const auto& domain : DomainsOf(book, *counts)) {
+      const auto* const vm = BestIn(domain, request, *counts);
       if (vm != nullptr) {
         return vm->facts.vm;
       }
