--- a/src/rosearch/ownership/party.h
+++ b/src/rosearch/ownership/party.h
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <ostream>
+#include <string>
 
 #include "rosearch/core/id.h"
 #include "rosearch/wire/common.pb.h"
@@ -20,6 +21,11 @@
   }
 };
 
+/// @return the party as text, unique to this run.
+[[nodiscard]] inline std::string ToText(const party& who) {
+  return who.entry.value() + '#' + std::to_string(who.incarnation);
+}
+
 /// @return the party that a message names.
 [[nodiscard]] inline party FromWire(const wire::party& from) {
   return {entry_id{from.entry()}, from.incarnation()};
--- a/src/rosearch/ownership/rights_output.h
+++ b/src/rosearch/ownership/rights_output.h
@@ -1,6 +1,7 @@
 #ifndef ROSEARCH_OWNERSHIP_RIGHTS_OUTPUT_H_
 #define ROSEARCH_OWNERSHIP_RIGHTS_OUTPUT_H_
 
+#include <string_view>
 #include <vector>
 
 #include "rosearch/core/id.h"
@@ -20,6 +21,13 @@
   kLost,         ///< it lapsed or was given up
 };
 
+/// @return the word for a change in logs and dumps.
+[[nodiscard]] constexpr std::string_view RightChangeName(right_change change) noexcept {
+  constexpr std::string_view kNames[]{"claimed",   "taken_over", "transferred",
+                                      "activated", "resumed",    "lost"};
+  return kNames[static_cast<int>(change)];
+}
+
 /// One change of the right to act, in the order in which they happened.
 struct right_event {
   right_change change{};
--- a/src/rosearch/ownership/shard_rights.h
+++ b/src/rosearch/ownership/shard_rights.h
@@ -72,6 +72,13 @@
     return rights_role::kNone;
   }
 
+  /// @return whether this process acts by its witness's renewals, so that the witness may take over.
+  [[nodiscard]] bool WitnessActive() const noexcept {
+    const auto at = parts_.find(held_epoch_);
+    return at != parts_.end() && at->second.is_owner &&
+           at->second.stage == internal::rights_stage::kGranted;
+  }
+
   /// @return the newest epoch known, zero for none.
   [[nodiscard]] epoch_number epoch() const noexcept {
     return history_.empty() ? 0 : history_.rbegin()->first;
--- a/src/rosearch/shard/cell_view.cc
+++ b/src/rosearch/shard/cell_view.cc
@@ -4,9 +4,13 @@
 #include <limits>
 #include <tuple>
 
+#include "rosearch/capacity/amounts.h"
+
 namespace rosearch {
 namespace {
 
+using internal::FromWire;
+
 /// How many tasks of a size a room holds at most; the sum of several VMs' room may hold fewer.
 std::uint32_t CountThatFit(const resources& needs, const resources& room) noexcept {
   auto count = std::numeric_limits<std::int64_t>::max();
@@ -125,16 +129,4 @@
   return found == shards_.end() ? 0 : found->second.term;
 }
 
-resources FromWire(const wire::resource_amounts& amounts) noexcept {
-  return {amounts.processors_milli(), amounts.memory_mb(), amounts.accelerators()};
-}
-
-wire::resource_amounts ToWire(const resources& amounts) {
-  wire::resource_amounts made;
-  made.set_processors_milli(static_cast<std::uint32_t>(amounts.processors_milli));
-  made.set_memory_mb(static_cast<std::uint32_t>(amounts.memory_mb));
-  made.set_accelerators(static_cast<std::uint32_t>(amounts.accelerators));
-  return made;
-}
-
 }  // namespace rosearch
--- a/src/rosearch/shard/cell_view.h
+++ b/src/rosearch/shard/cell_view.h
@@ -84,9 +84,6 @@
   return epoch * 2 + (taken_over ? 1 : 0);
 }
 
-[[nodiscard]] resources FromWire(const wire::resource_amounts& amounts) noexcept;
-[[nodiscard]] wire::resource_amounts ToWire(const resources& amounts);
-
 }  // namespace rosearch
 
 #endif  // ROSEARCH_SHARD_CELL_VIEW_H_
--- a/src/rosearch/shard/job_table.cc
+++ b/src/rosearch/shard/job_table.cc
@@ -4,9 +4,13 @@
 #include <chrono>
 #include <utility>
 
+#include "rosearch/capacity/amounts.h"
+
 namespace rosearch {
 namespace {
 
+using internal::FromWire;
+
 /// A shard that refused a gang is passed over for this long.
 constexpr duration kAvoidFor = std::chrono::seconds{2};
 
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -82,6 +82,16 @@
   TakeRights(rights, at, out);
 }
 
+void shard::BeginClaimWith(const party& witness, const step_time& at, shard_output& out) {
+  const auto newest = rights_.newest();
+  if (!newest) {
+    return;
+  }
+  rights_output rights;
+  rights_.BeginClaim(*newest, witness, at.now, rights);
+  TakeRights(rights, at, out);
+}
+
 void shard::OnPair(const party& from, const wire::pair_message& message, const step_time& at,
                    shard_output& out) {
   rights_output rights;
@@ -95,6 +105,12 @@
   TakeRights(rights, at, out);
 }
 
+void shard::GiveUp(const step_time& at, shard_output& out) {
+  rights_output rights;
+  rights_.GiveUp(at.now, rights);
+  TakeRights(rights, at, out);
+}
+
 void shard::Resign(const step_time& at, shard_output& out) {
   rights_output rights;
   rights_.Resign(at.now, rights);
@@ -407,7 +423,7 @@
 
 void shard::OnCall(const call_origin& from, const wire::call& call, const step_time& at,
                    shard_output& out) {
-  if (!Serving(at.now)) {
+  if (!Serving(at.now) || draining_) {
     Refuse(from, {error_kind::kNoOwner, "this entry doesn't serve the shard", kComeBack}, out);
     return;
   }
--- a/src/rosearch/shard/shard.h
+++ b/src/rosearch/shard/shard.h
@@ -56,6 +56,8 @@
   void SetCandidates(std::vector<party> candidates);
   void BeginFirstClaim(const step_time& at, shard_output& out);
   void BeginClaim(const step_time& at, shard_output& out);
+  /// The owner claims the next epoch with another witness.
+  void BeginClaimWith(const party& witness, const step_time& at, shard_output& out);
 
   /// Takes in the shard's workers and executors as now listed.
   void OnVmList(const std::vector<wire::vm_record>& vms, const step_time& at, shard_output& out);
@@ -102,8 +104,13 @@
   /// Gives the right to the witness; what is in flight must have ended before.
   void HandOver(const step_time& at, shard_output& out);
   void Resign(const step_time& at, shard_output& out);
+  /// Gives the right to the witness and stays a member.
+  void GiveUp(const step_time& at, shard_output& out);
   /// Takes no new calls from now on.
   void BeginDrain() noexcept { draining_ = true; }
+  void EndDrain() noexcept { draining_ = false; }
+  /// @return whether the witness holds every record.
+  [[nodiscard]] bool WitnessHasAll() const noexcept { return journal_.WitnessHasAll(); }
 
   void Tick(const step_time& at, shard_output& out);
 
--- a/src/rosearch/shard/shard_journal.h
+++ b/src/rosearch/shard/shard_journal.h
@@ -59,6 +59,11 @@
   /// @return whether the witness has acknowledged the snapshot.
   [[nodiscard]] bool WitnessInStep() const noexcept { return in_step_; }
 
+  /// @return whether the witness has acknowledged every record.
+  [[nodiscard]] bool WitnessHasAll() const noexcept {
+    return in_step_ && witness_acked_ == sequence_;
+  }
+
   /// @return the records that the log hasn't been given yet, or none. Call it only while no other
   ///   append of this shard is under way.
   [[nodiscard]] std::optional<wire::shard_batch> TakeForLog();
