--- a/benchmark/placement_bench.cc
+++ b/benchmark/placement_bench.cc
@@ -199,11 +199,12 @@
 void Preempt(benchmark::State& state) {
   busy_cell cell{static_cast<int>(state.range(0)), "pack"};
   const auto mean = cell.mix().processors_milli;
-  const placement_request request{{mean * 8, mean * 16, 0}, 9, true, {}, "service-1"};
+  const placement_request request{
+      {mean * state.range(1), mean * state.range(1) * 2, 0}, 9, true, {}, "service-1"};
   auto filler = cell.Draw();
   do {
     filler = cell.Draw();
-    filler.needs = request.needs;
+    filler.needs = {mean, mean * 2, 0};
   } while (cell.Place(filler));
   std::vector<std::int64_t> plans;
   std::size_t victims = 0;
@@ -243,9 +244,7 @@
   }
   benchmark::RegisterBenchmark("cancel_5000", CancelWave)->Iterations(3)->UseManualTime();
   benchmark::RegisterBenchmark("preempt", Preempt)
-      ->Arg(50)
-      ->Arg(190)
-      ->Arg(760)
+      ->ArgsProduct({{50, 190, 760}, {2, 24}})
       ->Iterations(2000)
       ->UseManualTime();
   benchmark::RegisterBenchmark("never_fits", CheckNeverFits)
--- a/src/rosearch/placement/ledger.cc
+++ b/src/rosearch/placement/ledger.cc
@@ -13,6 +13,18 @@
          std::to_string(amount.accelerators);
 }
 
+void CountPreemptible(vm_state& vm, const commitment& task, const resources& by) {
+  if (!task.preemptible) {
+    return;
+  }
+  const auto level = vm.preemptible.try_emplace(task.priority).first;
+  level->second = level->second + by;
+  // A level of tasks that need nothing may go early: stopping them makes no room.
+  if (level->second == resources{}) {
+    vm.preemptible.erase(level);
+  }
+}
+
 bool IsNegative(const resources& amount) {
   return amount.processors_milli < 0 || amount.memory_mb < 0 || amount.accelerators < 0;
 }
@@ -106,6 +118,7 @@
   vm.tasks.push_back(&found->second.what);
   Enter(vm);
   committed_ = committed_ + added.needs;
+  CountPreemptible(vm, added, added.needs);
   CountSpread(vm.facts, added.spread_group, 1);
 }
 
@@ -158,6 +171,7 @@
   std::erase(vm.tasks, &what);
   Enter(vm);
   committed_ = committed_ - what.needs;
+  CountPreemptible(vm, what, resources{} - what.needs);
   CountSpread(vm.facts, what.spread_group, -1);
   CHECK(!IsNegative(vm.committed))
       << "event=invariant_breach invariant=no_overcommit vm=" << vm.facts.vm
--- a/src/rosearch/placement/preemption.h
+++ b/src/rosearch/placement/preemption.h
@@ -20,7 +20,8 @@
 };
 
 /// Finds the VM where an urgent request costs the least: first the lowest priority of the most
-/// important victim, then the fewest victims, then the least processors stopped.
+/// important victim over all VMs, then the fewest victims and the least processors stopped over the
+/// least loaded VMs of that priority.
 /// @return nothing where the request isn't urgent, or where stopping all preemptible work of lower
 ///   priority makes room on no open VM.
 [[nodiscard]] std::optional<preemption_plan> PlanPreemption(const ledger& book,
--- a/src/rosearch/placement/vm_state.h
+++ b/src/rosearch/placement/vm_state.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <vector>
 
 #include "rosearch/placement/commitment.h"
@@ -15,7 +16,8 @@
   vm_facts facts;
   resources committed;
   bool open{true};
-  std::vector<const commitment*> tasks;  ///< in the order of their start
+  std::vector<const commitment*> tasks;            ///< in the order of their start
+  std::map<std::uint32_t, resources> preemptible;  ///< what may be stopped, by priority
 
   /// @return what is left; a part is negative where a VM shrank below what is committed.
   [[nodiscard]] resources Room() const noexcept { return facts.holds - committed; }
