--- a/src/rosearch/capacity/vm_pool.cc
+++ b/src/rosearch/capacity/vm_pool.cc
@@ -209,7 +209,7 @@
 
 void vm_pool::Commit(const attempt_key& key, shard_number home, time_point now, pool_output& out) {
   if (auto held = holds_.Take(key)) {
-    health_.OnAbandoned(vm_id{held->made.vm()});
+    health_.OnAbandoned(vm_id{held->made.vm()}, JobOf(key.task));
     return Journal(key, std::move(held->made), now, out);
   }
   if (AnswerKnown(key, home, nullptr, now, out) || AnswerUnproved(key, home, now, out)) return;
@@ -381,7 +381,7 @@
   const bool failed =
       *how.failure == error_kind::kTargetFailed || *how.failure == error_kind::kTargetRefused;
   if (failed) return health_.OnFailed(vm, job, now);
-  health_.OnAbandoned(vm);
+  health_.OnAbandoned(vm, job);
 }
 
 void vm_pool::DropHold(const attempt_key& key, verdict how, time_point now, pool_output& out) {
@@ -389,7 +389,7 @@
   CHECK(held) << "no such hold: task=" << key << " shard=" << shard_;
   const vm_id vm{held->made.vm()};
   ledger_.Free(key.task, key.attempt);
-  health_.OnAbandoned(vm);
+  health_.OnAbandoned(vm, JobOf(key.task));
   touched_.insert(vm);
   Refuse(key, held->made.home_shard(), std::move(how), now, out);
 }
--- /dev/null
+++ b/src/rosearch/metrics/metric_set.h
@@ -0,0 +1,47 @@
+#ifndef ROSEARCH_METRICS_METRIC_SET_H_
+#define ROSEARCH_METRICS_METRIC_SET_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "rosearch/core/time.h"
+
+namespace rosearch {
+
+/// Counters and histograms of one process, under their own lock.
+class metric_set {
+ public:
+  metric_set();
+  ~metric_set();
+  metric_set(const metric_set&) = delete;
+  metric_set& operator=(const metric_set&) = delete;
+
+  /// Adds to a counter.
+  /// @param name  with labels, as `rosearch_calls_total{kind="request"}`.
+  void Count(const std::string& name, std::uint64_t by = 1);
+
+  /// Sets a value that may go up and down.
+  void Set(const std::string& name, double value);
+
+  /// Takes one span of time into a histogram.
+  /// @param name  without labels.
+  void Observe(const std::string& name, duration span);
+
+  /// @return everything in the Prometheus text format.
+  [[nodiscard]] std::string Text() const;
+
+ private:
+  struct histogram_box;
+
+  mutable std::mutex mutex_;
+  std::map<std::string, std::uint64_t> counters_;
+  std::map<std::string, double> gauges_;
+  std::map<std::string, std::unique_ptr<histogram_box>> histograms_;
+};
+
+}  // namespace rosearch
+
+#endif  // ROSEARCH_METRICS_METRIC_SET_H_
--- a/src/rosearch/net/http_server.cc
+++ b/src/rosearch/net/http_server.cc
@@ -86,16 +86,17 @@
   }
 
   void Accept() {
-    acceptor_.async_accept(asio::make_strand(io_), [self = shared_from_this()](
-                                                       beast::error_code failed, tcp::socket socket) {
-      if (self->draining_) {
-        return;
-      }
-      if (!failed) {
-        self->Begin(std::move(socket));
-      }
-      self->Accept();
-    });
+    acceptor_.async_accept(
+        asio::make_strand(io_),
+        [self = shared_from_this()](beast::error_code failed, tcp::socket socket) {
+          if (self->draining_) {
+            return;
+          }
+          if (!failed) {
+            self->Begin(std::move(socket));
+          }
+          self->Accept();
+        });
   }
 
   void Drain() {
@@ -175,8 +176,8 @@
       keep_alive_ = parser_->get().keep_alive();
       in_call_ = true;
       ++server_->busy_;
-      auto respond = [self = shared_from_this(), once = std::make_shared<std::atomic_flag>()](
-                         http_response response) {
+      auto respond = [self = shared_from_this(),
+                      once = std::make_shared<std::atomic_flag>()](http_response response) {
         if (once->test_and_set()) {
           return;
         }
--- a/src/rosearch/net/http_server.h
+++ b/src/rosearch/net/http_server.h
@@ -37,8 +37,8 @@
 /// One request from a client.
 struct http_call {
   std::string method;
-  std::string path;                          ///< without the query
-  std::map<std::string, std::string> query;  ///< percent-decoded
+  std::string path;                            ///< without the query
+  std::map<std::string, std::string> query;    ///< percent-decoded
   std::map<std::string, std::string> headers;  ///< names in lower case
   std::string body;
 };
--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -105,8 +105,8 @@
   wire::log_entry entry;
   *entry.mutable_batch() = std::move(*batch);
   const std::scoped_lock lock{cell_.mutex};
-  const auto ticket = cell_.appender.Add(internal::ShardStream(from.value.number()),
-                                         std::move(entry), at.now);
+  const auto ticket =
+      cell_.appender.Add(internal::ShardStream(from.value.number()), std::move(entry), at.now);
   if (ticket.has_error()) {
     LOG(ERROR) << "event=append_refused shard=" << from.value.number()
                << " detail=" << ticket.error().detail;
@@ -465,9 +465,8 @@
 }
 
 template <node_ports Ports>
-void basic_node<Ports>::OnLogRead(const log_question& question,
-                                  const wire::log_read_answer& answer, time_point asked_at,
-                                  const step_time& at) {
+void basic_node<Ports>::OnLogRead(const log_question& question, const wire::log_read_answer& answer,
+                                  time_point asked_at, const step_time& at) {
   std::vector<journal::stream_event> events;
   switch (question.what) {
     case log_question::use::kReadBack: {
@@ -520,9 +519,8 @@
       }
       if (end) {
         for (shard_number number = 0; number < slots_.size(); ++number) {
-          WithShard(number, at, [&](shard& value, shard_output& out) {
-            value.OnLogEnd(*end, at, out);
-          });
+          WithShard(number, at,
+                    [&](shard& value, shard_output& out) { value.OnLogEnd(*end, at, out); });
         }
       }
       break;
@@ -878,8 +876,8 @@
 
 template <node_ports Ports>
 void basic_node<Ports>::LearnConfigurationFromPeers(time_point now) {
-  // The log is down since this process began. Whatever the highest of its peers has is in force: the
-  // log took it, and no peer forgets it.
+  // The log is down since this process began. Whatever the highest of its peers has is in force:
+  // the log took it, and no peer forgets it.
   const bool waited = now - cell_.started_at >= settings_.peer_config_wait;
   if (!cell_.config_known && waited && cell_.control.configuration().version() > 0) {
     cell_.config_known = true;
@@ -1114,8 +1112,7 @@
 bool basic_node<Ports>::Stopped() const {
   for (const auto& item : slots_) {
     const std::scoped_lock lock{item->mutex};
-    if (item->value.OpenRequests() > 0 ||
-        item->value.rights().ActDeadline() != time_point::min()) {
+    if (item->value.OpenRequests() > 0 || item->value.rights().ActDeadline() != time_point::min()) {
       return false;
     }
   }
@@ -1128,7 +1125,7 @@
 template <node_ports Ports>
 bool basic_node<Ports>::Ready() const {
   const std::scoped_lock lock{cell_.mutex};
-  return cell_.config_known && !cell_.stopping && !cell_.history_lost;
+  return cell_.config_known && !cell_.history_lost;
 }
 
 template <node_ports Ports>
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -70,8 +70,8 @@
   // From targets.
   void OnWorkerReport(shard_number shard, const vm_id& vm, const wire::worker_report& report,
                       time_point sent_at, const step_time& at);
-  void OnWorkerFailed(shard_number shard, const vm_id& vm, const error& failure,
-                      time_point sent_at, const step_time& at);
+  void OnWorkerFailed(shard_number shard, const vm_id& vm, const error& failure, time_point sent_at,
+                      const step_time& at);
   void OnExecutorAnswer(shard_number shard, std::uint64_t ticket, std::uint32_t attempt,
                         const result<wire::call_answer>& answer, const step_time& at);
 
@@ -118,7 +118,7 @@
     std::optional<journal::stream_reader> reader;  ///< while the shard reads its stream
     bool read_under_way{false};
     bool append_under_way{false};
-    std::string listed;             ///< the VM list that was passed on last, serialized
+    std::string listed;  ///< the VM list that was passed on last, serialized
     time_point next_claim{};
     std::optional<party> moving_to;
     time_point move_until{kNever};
--- a/src/rosearch/node/node_ports.h
+++ b/src/rosearch/node/node_ports.h
@@ -26,16 +26,16 @@
 /// question is answered exactly once by the matching input of the node.
 template <typename Ports>
 concept node_ports = requires(Ports ports, const std::string& address,
-                              const wire::peer_message& message, const journal::append_request& append,
-                              const log_question& question, const journal::read_request& read,
-                              duration wait, shard_number shard, const worker_send& worker,
-                              const executor_send& executor) {
-  ports.SendPeer(address, message);      // no answer
-  ports.Append(append);                  // OnAppended or OnAppendFailed
-  ports.Read(question, read, wait);      // OnLogRead or OnLogReadFailed
-  ports.GetVmList();                     // OnVmList or OnVmListFailed
-  ports.Exchange(shard, worker);         // OnWorkerReport or OnWorkerFailed
-  ports.Run(shard, executor);            // OnExecutorAnswer
+                              const wire::peer_message& message,
+                              const journal::append_request& append, const log_question& question,
+                              const journal::read_request& read, duration wait, shard_number shard,
+                              const worker_send& worker, const executor_send& executor) {
+  ports.SendPeer(address, message);  // no answer
+  ports.Append(append);              // OnAppended or OnAppendFailed
+  ports.Read(question, read, wait);  // OnLogRead or OnLogReadFailed
+  ports.GetVmList();                 // OnVmList or OnVmListFailed
+  ports.Exchange(shard, worker);     // OnWorkerReport or OnWorkerFailed
+  ports.Run(shard, executor);        // OnExecutorAnswer
 };
 
 }  // namespace rosearch
--- a/src/rosearch/node/shard_balance.h
+++ b/src/rosearch/node/shard_balance.h
@@ -31,7 +31,8 @@
 };
 
 /// @param owned  shards of one region by owner; members without shards have an empty row.
-/// @return the move that the given owner should begin, or none. At most one owner is told to move at
+/// @return the move that the given owner should begin, or none. At most one owner is told to move
+/// at
 ///   a time, and only while the difference is two or more, so that nothing is moved to and fro.
 [[nodiscard]] std::optional<shard_move> NextMove(
     const party& owner, const std::map<party, std::vector<shard_number>>& owned);
--- a/src/rosearch/ownership/shard_rights.h
+++ b/src/rosearch/ownership/shard_rights.h
@@ -72,7 +72,8 @@
     return rights_role::kNone;
   }
 
-  /// @return whether this process acts by its witness's renewals, so that the witness may take over.
+  /// @return whether this process acts by its witness's renewals, so that the witness may take
+  /// over.
   [[nodiscard]] bool WitnessActive() const noexcept {
     const auto at = parts_.find(held_epoch_);
     return at != parts_.end() && at->second.is_owner &&
@@ -177,9 +178,15 @@
 
   /// Planned stop of a holder: it never acts at its epochs again, and the witness may at once.
   void HandOver(time_point now, rights_output& out) {
+    leaving_ = true;
+    GiveUp(now, out);
+  }
+
+  /// Gives the right to the witness and stays: this process never acts at its epochs again, but may
+  /// be named at a later one.
+  void GiveUp(time_point now, rights_output& out) {
     using internal::rights_stage;
     Begin(now, out);
-    leaving_ = true;
     claim_epoch_ = 0;
     for (auto& [epoch, mine] : parts_) {
       if (!mine.is_owner && mine.stage != rights_stage::kActing) continue;
@@ -699,7 +706,7 @@
   }
 
   void RepeatFarewells(time_point now, rights_output& out) {
-    if (!leaving_ || now < farewell_at_) return;
+    if (now < farewell_at_) return;
     farewell_at_ = now + settings_.renew_interval;
     for (auto& [epoch, mine] : parts_) {
       if (mine.is_owner && mine.handed_over) {
--- a/src/rosearch/shard/shard_journal.h
+++ b/src/rosearch/shard/shard_journal.h
@@ -74,9 +74,11 @@
   /// The next batch for the log begins with a snapshot.
   void RequestLogSnapshot() noexcept { log_needs_snapshot_ = true; }
 
-  /// @param holder  who keeps the second copy; the witness from the moment on at which it could take
+  /// @param holder  who keeps the second copy; the witness from the moment on at which it could
+  /// take
   ///   over.
-  /// @return records that became durable since the last call, in order. With `kNobody` these are the
+  /// @return records that became durable since the last call, in order. With `kNobody` these are
+  /// the
   ///   records up to the first one that accepts work.
   [[nodiscard]] std::vector<wire::shard_record> TakeDurable(durable_by holder);
 
--- a/src/rosearch/shard/shard_state.h
+++ b/src/rosearch/shard/shard_state.h
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "rosearch/capacity/attempt_key.h"
 #include "rosearch/core/id.h"
 #include "rosearch/shard/task_key.h"
 #include "rosearch/wire/record.pb.h"
@@ -40,8 +41,7 @@
   wire::ending how;
 };
 
-using request_key = std::pair<std::string, std::string>;    ///< customer, request
-using attempt_key = std::pair<std::string, std::uint32_t>;  ///< task, attempt
+using request_key = std::pair<std::string, std::string>;  ///< customer, request
 
 /// All that a shard must not forget: a function of its records alone, so that the owner, its
 /// witness and a reader of the log come to the same state.
