--- a/src/rosearch/journal/appender.cc
+++ b/src/rosearch/journal/appender.cc
@@ -148,7 +148,8 @@
   }
   // An append takes effect as a whole. A record found behind one that is missing would mean that
   // the log broke this, and the order of the stream could no longer be kept.
-  CHECK(std::ranges::none_of(state.waiting, [](const auto& each) { return each.found; }))
+  CHECK(
+      std::ranges::none_of(state.waiting, [](const auto& each) { return each.found.has_value(); }))
       << "stream=" << stream << " first_missing=" << state.waiting.front().id;
   state.sent = 0;
   state.phase = stream_phase::kIdle;
--- a/src/rosearch/journal/appender.h
+++ b/src/rosearch/journal/appender.h
@@ -1,6 +1,7 @@
 #ifndef ROSEARCH_JOURNAL_APPENDER_H_
 #define ROSEARCH_JOURNAL_APPENDER_H_
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
--- a/src/rosearch/journal/snapshot_schedule.h
+++ b/src/rosearch/journal/snapshot_schedule.h
@@ -1,6 +1,7 @@
 #ifndef ROSEARCH_JOURNAL_SNAPSHOT_SCHEDULE_H_
 #define ROSEARCH_JOURNAL_SNAPSHOT_SCHEDULE_H_
 
+#include <chrono>
 #include <cstdint>
 #include <optional>
 
