--- a/src/rosearch/api/service.cc
+++ b/src/rosearch/api/service.cc
@@ -257,9 +257,8 @@
   const auto rest = call.path.substr(kRequestsPath.size());
   const auto service = rest.substr(0, rest.find('/'));
   const auto in_force = access_.configuration();
-  const auto matched =
-      RuleFor(*in_force, {customer_id{said.customer}, config::work_class::kRequest, said.label,
-                          service, said.urgent});
+  const auto matched = RuleFor(*in_force, {customer_id{said.customer}, config::work_class::kRequest,
+                                           said.label, service, said.urgent});
   if (matched.has_error()) {
     respond(ErrorResponse(matched.error()));
     return;
@@ -304,8 +303,8 @@
   auto& spec = *parsed.value;
   const auto in_force = access_.configuration();
   const auto kind = ClassOf(spec.kind());
-  const auto matched = RuleFor(
-      *in_force, {customer_id{spec.customer()}, kind, spec.label(), "", spec.urgent()});
+  const auto matched =
+      RuleFor(*in_force, {customer_id{spec.customer()}, kind, spec.label(), "", spec.urgent()});
   if (matched.has_error()) {
     respond(ErrorResponse(matched.error()));
     return;
@@ -326,8 +325,7 @@
   wire::call made;
   made.set_shard(access_.home_of(spec.customer(), spec.job()));
   auto& job = *made.mutable_submit()->mutable_job();
-  *job.mutable_treatment() =
-      TreatmentOf(rule, kind, access_.configuration_record().version());
+  *job.mutable_treatment() = TreatmentOf(rule, kind, access_.configuration_record().version());
   *job.mutable_spec() = std::move(spec);
   access_.call(std::move(made), access_.now().now + kJobCallLimit,
                [respond = std::move(respond)](wire::call_answer answer) {
@@ -353,9 +351,8 @@
   }
   access_.call(std::move(made), access_.now().now + kJobCallLimit,
                [respond = std::move(respond)](wire::call_answer answer) {
-                 respond(answer.error().kind().empty()
-                             ? JsonResponse(kOk, JobJson(answer.job()))
-                             : ErrorResponse(FromWire(answer.error())));
+                 respond(answer.error().kind().empty() ? JsonResponse(kOk, JobJson(answer.job()))
+                                                       : ErrorResponse(FromWire(answer.error())));
                });
 }
 
@@ -382,11 +379,11 @@
   const auto wait = call.query.find("wait_ms");
   const auto wait_ms = wait == call.query.end() ? std::nullopt : NumberOf(wait->second);
   const auto wait_until = now + milliseconds{std::min(wait_ms.value_or(0), kLongestDeadlineMs)};
-  access_.publish(std::move(record), now + kPublishLimit,
-                  [this, wait_until, respond = std::move(respond)](
-                      const result<config_version>& version) {
-                    Published(version, wait_until, respond);
-                  });
+  access_.publish(
+      std::move(record), now + kPublishLimit,
+      [this, wait_until, respond = std::move(respond)](const result<config_version>& version) {
+        Published(version, wait_until, respond);
+      });
 }
 
 void api_service::Published(const result<config_version>& version, time_point wait_until,
--- a/src/rosearch/api/service.h
+++ b/src/rosearch/api/service.h
@@ -22,8 +22,8 @@
 
 namespace rosearch {
 
-/// What the administration API needs of the entry that it runs in: a set of functions, so that tests
-/// answer them without a node.
+/// What the administration API needs of the entry that it runs in: a set of functions, so that
+/// tests answer them without a node.
 struct entry_access {
   std::function<step_time()> now;
   std::function<bool()> ready;      ///< whether a balancer should send calls
--- a/src/rosearch/cli/serve_command.cc
+++ b/src/rosearch/cli/serve_command.cc
@@ -13,8 +13,9 @@
 namespace {
 
 int RunServe(const std::vector<std::string>& words) {
-  cxxopts::Options options{"rosearch serve", "Runs an entry until SIGTERM.\n\nExample: rosearch "
-                                             "serve --settings entry.json --instance 17\n"};
+  cxxopts::Options options{"rosearch serve",
+                           "Runs an entry until SIGTERM.\n\nExample: rosearch "
+                           "serve --settings entry.json --instance 17\n"};
   options.add_options()("settings", "settings file (JSON)", cxxopts::value<std::string>())(
       "instance", "instance of this VM, as the platform's VM list shows it",
       cxxopts::value<std::uint64_t>())("help", "show this text");
--- a/src/rosearch/node/call_table.cc
+++ b/src/rosearch/node/call_table.cc
@@ -57,6 +57,13 @@
   }
 }
 
+void call_table::TryAgain(std::uint64_t number, time_point now) {
+  const auto found = open_.find(number);
+  if (found != open_.end()) {
+    SetDue(number, found->second, now + kNoOwnerAgain);
+  }
+}
+
 void call_table::OnAnswer(const wire::call_answer& answer, time_point now) {
   const auto found = open_.find(answer.number());
   if (found == open_.end()) {
--- a/src/rosearch/node/call_table.h
+++ b/src/rosearch/node/call_table.h
@@ -41,6 +41,9 @@
   /// The call was handed to a shard's owner.
   void OnSent(std::uint64_t number, shard_number shard);
 
+  /// The call could not be handed to anybody now.
+  void TryAgain(std::uint64_t number, time_point now);
+
   /// An answer arrived. An owner that doesn't serve the shard is asked again, or another is.
   void OnAnswer(const wire::call_answer& answer, time_point now);
 
--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -71,7 +71,12 @@
   for (const auto& send : out.executors) {
     ports_.Run(number, send);
   }
+  const bool serves = from.value.Serving(at.now);
   const std::scoped_lock lock{cell_.mutex};
+  if (std::exchange(from.served, serves) != serves) {
+    // Everybody who looks for this shard learns at once where it is served now.
+    cell_.beat_at = at.now;
+  }
   for (auto& send : out.peers) {
     SendTo(send.to, std::move(send.message));
   }
@@ -246,13 +251,17 @@
     if (call->request().delegated()) {
       avoid.insert(call->shard());
     }
-    const auto chosen = cell_.view.ChooseSlots(avoid);
-    if (chosen) {
-      call->set_shard(*chosen);
+    const auto chosen = cell_.view.ChooseSlots(call->request().service(), avoid);
+    if (!chosen) {
+      cell_.calls.TryAgain(number, now);
+      return;
     }
+    call->set_shard(*chosen);
+    cell_.view.OnSlotAsked(*chosen);
   }
   const auto server = ServerOf(call->shard());
   if (!server) {
+    cell_.calls.TryAgain(number, now);
     return;
   }
   cell_.calls.OnSent(number, call->shard());
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -118,6 +118,7 @@
     std::optional<journal::stream_reader> reader;  ///< while the shard reads its stream
     bool read_under_way{false};
     bool append_under_way{false};
+    bool served{false};
     std::string listed;  ///< the VM list that was passed on last, serialized
     time_point next_claim{};
     std::optional<party> moving_to;
--- a/src/rosearch/node/shard_balance.cc
+++ b/src/rosearch/node/shard_balance.cc
@@ -1,19 +1,22 @@
 #include "rosearch/node/shard_balance.h"
 
 #include <algorithm>
+#include <boost/container_hash/hash.hpp>
 #include <boost/crc.hpp>
-#include <cstdint>
+#include <cstddef>
 #include <tuple>
 
 namespace rosearch {
 namespace {
 
-/// A member's weight for a shard, by highest random weight hashing.
-std::uint32_t Weight(shard_number shard, const entry_id& entry) {
+/// A member's weight for a shard, by highest random weight hashing. The checksum alone would not
+/// do: it is linear, so that one member would outweigh the others for every shard.
+std::size_t Weight(shard_number shard, const entry_id& entry) {
   boost::crc_32_type crc;
-  crc.process_bytes(&shard, sizeof shard);
   crc.process_bytes(entry.value().data(), entry.value().size());
-  return crc.checksum();
+  std::size_t weight = shard;
+  boost::hash_combine(weight, crc.checksum());
+  return weight;
 }
 
 }  // namespace
@@ -26,7 +29,7 @@
 
 std::vector<party> WitnessCandidates(shard_number shard, const member& self,
                                      const std::vector<const member*>& live) {
-  std::vector<std::tuple<bool, std::uint32_t, party>> ranked;
+  std::vector<std::tuple<bool, std::size_t, party>> ranked;
   for (const auto* const each : live) {
     if (each->who.entry != self.who.entry && each->region == self.region) {
       ranked.emplace_back(each->failure_domain == self.failure_domain,
--- a/src/rosearch/serve/entry_ports.cc
+++ b/src/rosearch/serve/entry_ports.cc
@@ -24,7 +24,7 @@
   }
 }
 
-void entry_ports::Connect(node& target, peer_transport& transport) noexcept {
+void entry_ports::Connect(entry_node& target, peer_transport& transport) noexcept {
   node_ = &target;
   transport_ = &transport;
 }
@@ -89,16 +89,16 @@
   ++counters_.exchanges;
   counters_.exchange_bytes += send.command.ByteSizeLong();
   const auto sent_at = SteadyNow();
-  workers_.Exchange(send.address, send.command, send.valid_until,
-                    sent_at + settings_.platform.answer_timeout,
-                    [this, shard, vm = send.vm, sent_at](const result<wire::worker_report>& report) {
-                      if (report.has_value()) {
-                        counters_.exchange_bytes += report.value().ByteSizeLong();
-                        node_->OnWorkerReport(shard, vm, report.value(), sent_at, StepNow());
-                      } else {
-                        node_->OnWorkerFailed(shard, vm, report.error(), sent_at, StepNow());
-                      }
-                    });
+  workers_.Exchange(
+      send.address, send.command, send.valid_until, sent_at + settings_.platform.answer_timeout,
+      [this, shard, vm = send.vm, sent_at](const result<wire::worker_report>& report) {
+        if (report.has_value()) {
+          counters_.exchange_bytes += report.value().ByteSizeLong();
+          node_->OnWorkerReport(shard, vm, report.value(), sent_at, StepNow());
+        } else {
+          node_->OnWorkerFailed(shard, vm, report.error(), sent_at, StepNow());
+        }
+      });
 }
 
 void entry_ports::Run(shard_number shard, const executor_send& send) {
--- a/src/rosearch/serve/entry_ports.h
+++ b/src/rosearch/serve/entry_ports.h
@@ -29,16 +29,16 @@
   std::atomic<std::uint64_t> read_records{0};
 };
 
+class entry_node;
+
 /// Ties a node to the real world: HTTP towards platform and targets, ZeroMQ towards peers.
 class entry_ports {
  public:
-  using node = basic_node<entry_ports>;
-
   /// @param http, transport  outlive the ports.
   entry_ports(const config::settings& settings, http_client& http);
 
   /// Must be called before anything else.
-  void Connect(node& target, peer_transport& transport) noexcept;
+  void Connect(entry_node& target, peer_transport& transport) noexcept;
 
   void SendPeer(const std::string& address, const wire::peer_message& message);
   void Append(const journal::append_request& request);
@@ -59,11 +59,17 @@
   vm_list_client vm_list_;
   worker_client workers_;
   executor_client executors_;
-  node* node_{nullptr};
+  entry_node* node_{nullptr};
   peer_transport* transport_{nullptr};
   port_counters counters_;
 };
 
+/// The node of a real entry.
+class entry_node : public basic_node<entry_ports> {
+ public:
+  using basic_node::basic_node;
+};
+
 /// @return the present moment by both clocks.
 [[nodiscard]] step_time StepNow();
 
--- a/src/rosearch/serve/serve.cc
+++ b/src/rosearch/serve/serve.cc
@@ -105,11 +105,11 @@
     transport_ = std::make_unique<peer_transport>(
         settings.peer.host + ':' + std::to_string(settings.peer.port),
         [this](const std::string& bytes) { OnPeerBytes(bytes); });
-    server_ = std::make_unique<http_server>(
-        io_, ServerSettings(settings), [this](http_call call, http_respond respond) {
-          api_.Handle(std::move(call), std::move(respond));
-        });
-    node_ = std::make_unique<entry_ports::node>(
+    server_ = std::make_unique<http_server>(io_, ServerSettings(settings),
+                                            [this](http_call call, http_respond respond) {
+                                              api_.Handle(std::move(call), std::move(respond));
+                                            });
+    node_ = std::make_unique<entry_node>(
         NodeSettings(settings, incarnation, transport_->address(), server_->port()), ports_);
     ports_.Connect(*node_, *transport_);
     FillAccess();
@@ -256,7 +256,7 @@
   api_service api_;
   asio::signal_set signals_;
   asio::steady_timer timer_;
-  std::unique_ptr<entry_ports::node> node_;
+  std::unique_ptr<entry_node> node_;
   std::unique_ptr<http_server> server_;
   std::unique_ptr<peer_transport> transport_;
   std::atomic<bool> node_ready_{false};
--- a/src/rosearch/shard/cell_view.cc
+++ b/src/rosearch/shard/cell_view.cc
@@ -34,7 +34,12 @@
     return false;
   }
   const bool is_new = term > known.term;
-  known = {summary, region, FromWire(summary.largest_room()), FromWire(summary.total_room()), term};
+  known = {summary,
+           region,
+           FromWire(summary.largest_room()),
+           FromWire(summary.total_room()),
+           summary.free_slots(),
+           term};
   return is_new;
 }
 
@@ -95,19 +100,28 @@
   return room;
 }
 
-std::optional<shard_number> cell_view::ChooseSlots(const std::set<shard_number>& avoid) const {
+std::optional<shard_number> cell_view::ChooseSlots(const std::string& service,
+                                                   const std::set<shard_number>& avoid) const {
   std::optional<shard_number> best;
-  std::uint32_t best_free = 0;
+  std::int64_t best_free = 0;
   for (const auto& [number, known] : shards_) {
-    const auto free = known.summary.free_slots();
-    if (!avoid.contains(number) && free > best_free) {
+    const auto& services = known.summary.services();
+    const bool serves = std::ranges::find(services, service) != services.end();
+    if (serves && !avoid.contains(number) && (!best || known.free_slots > best_free)) {
       best = number;
-      best_free = free;
+      best_free = known.free_slots;
     }
   }
   return best;
 }
 
+void cell_view::OnSlotAsked(shard_number shard) {
+  const auto found = shards_.find(shard);
+  if (found != shards_.end()) {
+    --found->second.free_slots;
+  }
+}
+
 resources cell_view::UsageOf(const std::string& customer) const {
   resources sum;
   for (const auto& [entry, usage] : usage_) {
--- a/src/rosearch/shard/cell_view.h
+++ b/src/rosearch/shard/cell_view.h
@@ -47,8 +47,12 @@
   [[nodiscard]] std::vector<std::pair<shard_number, std::uint32_t>> RoomFor(
       const resources& needs, const region_id& region) const;
 
-  /// @return the shard with most free slots, or none.
-  [[nodiscard]] std::optional<shard_number> ChooseSlots(const std::set<shard_number>& avoid) const;
+  /// @return the shard whose executors of a service have most free slots, or none that runs it.
+  [[nodiscard]] std::optional<shard_number> ChooseSlots(const std::string& service,
+                                                        const std::set<shard_number>& avoid) const;
+
+  /// A request was sent to a shard: takes up a slot until its owner's next summary.
+  void OnSlotAsked(shard_number shard);
 
   /// @return what all entries have committed for a customer, as far as known.
   [[nodiscard]] resources UsageOf(const std::string& customer) const;
@@ -70,6 +74,7 @@
     region_id region;
     resources largest;
     resources total;
+    std::int64_t free_slots{0};
     std::uint64_t term{0};
   };
 
--- a/src/rosearch/shard/executor_lane.cc
+++ b/src/rosearch/shard/executor_lane.cc
@@ -53,8 +53,10 @@
 }
 
 void executor_lane::Submit(std::uint64_t ticket, const open_request& request, time_point /*now*/) {
-  items_[ticket] = {request.call.service(), request.call.idempotent(),
-                    request.call.delegated(), request.call.retries(),
+  items_[ticket] = {request.call.service(),
+                    request.call.idempotent(),
+                    request.call.delegated(),
+                    request.call.retries(),
                     0,
                     request.deadline,
                     {},
@@ -88,9 +90,8 @@
   auto& request = found->second;
   request.tried.insert(request.at);
   Free(request);
-  const bool may_retry =
-      (request.idempotent || AnswerFor(why.kind).effect == outcome::kNotRun) &&
-      request.retries_left > 0 && now < request.deadline;
+  const bool may_retry = (request.idempotent || AnswerFor(why.kind).effect == outcome::kNotRun) &&
+                         request.retries_left > 0 && now < request.deadline;
   if (may_retry) {
     --request.retries_left;
     queue_.push_back(ticket);
@@ -181,6 +182,16 @@
   return free;
 }
 
+std::set<std::string> executor_lane::Services() const {
+  std::set<std::string> services;
+  for (const auto& [vm, each] : executors_) {
+    if (Open(vm, each)) {
+      services.insert(each.service);
+    }
+  }
+  return services;
+}
+
 boost::json::value executor_lane::Dump() const {
   boost::json::array rows;
   for (const auto& [vm, each] : executors_) {
--- a/src/rosearch/shard/executor_lane.h
+++ b/src/rosearch/shard/executor_lane.h
@@ -58,6 +58,9 @@
   void Drop();
 
   [[nodiscard]] std::uint32_t FreeSlots() const;
+
+  /// @return the services that open executors run.
+  [[nodiscard]] std::set<std::string> Services() const;
   [[nodiscard]] boost::json::value Dump() const;
 
  private:
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -533,6 +533,9 @@
     *summary.mutable_largest_room() = pool_.LargestRoom();
     *summary.mutable_total_room() = pool_.TotalRoom();
     summary.set_free_slots(executors_.FreeSlots());
+    for (const auto& service : executors_.Services()) {
+      summary.add_services(service);
+    }
   }
   summary.set_queued(static_cast<std::uint32_t>(jobs_.Waiting() + requests_.size()));
   return summary;
--- a/src/rosearch/shard/shard_state.cc
+++ b/src/rosearch/shard/shard_state.cc
@@ -5,8 +5,6 @@
 namespace rosearch {
 namespace {
 
-attempt_key KeyOf(const wire::task_ref& ref) { return {ref.task(), ref.attempt()}; }
-
 task_slot SlotOf(const wire::task_snapshot& snapshot) {
   task_slot slot;
   slot.state = snapshot.state();
