--- a/src/rosearch/platform/executor_client.cc
+++ b/src/rosearch/platform/executor_client.cc
@@ -18,6 +18,7 @@
                        .headers = call.headers,
                        .valid_until = call.valid_until,
                        .answer_by = call.answer_by,
+                       .max_answer_bytes = call.max_answer_bytes,
                        .idempotent = call.idempotent};
   request.headers.push_back({std::string{kRequestIdHeader}, call.request_id});
   http_.Send(std::move(request), [done = std::move(done)](result<http_reply> answer) {
--- a/src/rosearch/platform/log_client.cc
+++ b/src/rosearch/platform/log_client.cc
@@ -36,7 +36,6 @@
                        .target = "/v1/streams/" + stream + "/append",
                        .body = ToJson(body),
                        .content_type = std::string{kJsonType},
-                       .valid_until = deadline,
                        .answer_by = deadline};
   http_.Send(std::move(request), [done = std::move(done)](const result<http_reply>& answer) {
     const auto message = internal::ReadAnswer<wire::log_append_answer>(answer);
--- a/src/rosearch/platform/ports.h
+++ b/src/rosearch/platform/ports.h
@@ -1,6 +1,7 @@
 #ifndef ROSEARCH_PLATFORM_PORTS_H_
 #define ROSEARCH_PLATFORM_PORTS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -30,6 +31,7 @@
   std::string content_type{"application/json"};
   time_point valid_until{kNever};  ///< past this moment not one byte may be written
   time_point answer_by{kNever};    ///< the whole answer must be here by then
+  std::size_t max_answer_bytes{std::size_t{16} << 20};
   bool idempotent{false};
 
   friend bool operator==(const executor_call&, const executor_call&) = default;
