Keep answers apart and close idle connections

An executor that sends an interim answer (100) would have had it passed on as the whole answer, and the real one left in the kept connection for the next caller. A new fault row shows it. Ruled out: pruning at the next use, which never comes for a VM that is gone.

--- a/src/rosearch/platform/http_client.cc
+++ b/src/rosearch/platform/http_client.cc
@@ -11,6 +11,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -39,9 +40,9 @@
 
 /// Asio's clock counts nanoseconds, so the latest moments of ours would overflow it.
 std::chrono::steady_clock::time_point ToSteady(time_point moment) {
-  constexpr auto kLatest = std::chrono::duration_cast<duration>(
+  constexpr auto latest = std::chrono::duration_cast<duration>(
       std::chrono::steady_clock::time_point::max().time_since_epoch());
-  return std::chrono::steady_clock::time_point{std::min(moment.time_since_epoch(), kLatest)};
+  return std::chrono::steady_clock::time_point{std::min(moment.time_since_epoch(), latest)};
 }
 
 std::optional<tcp::endpoint> ParseAddress(std::string_view address) {
@@ -137,13 +138,22 @@
 class host_pool : public std::enable_shared_from_this<host_pool> {
  public:
   host_pool(asio::io_context& io, const http_options& options)
-      : strand_{asio::make_strand(io)}, options_{options} {}
+      : strand_{asio::make_strand(io)}, options_{options}, sweep_timer_{strand_} {}
 
   void Send(http_request request, http_callback done) {
     asio::co_spawn(strand_, Run(shared_from_this(), std::move(request), std::move(done)),
                    asio::detached);
   }
 
+  /// Closes idle connections now, and others as soon as their requests end.
+  void Close() {
+    asio::post(strand_, [self = shared_from_this()] {
+      self->closed_ = true;
+      self->idle_.clear();
+      self->sweep_timer_.cancel();
+    });
+  }
+
  private:
   struct waiter {
     asio::steady_timer timer;
@@ -237,9 +247,26 @@
   void Keep(std::unique_ptr<connection> open) {
     open->idle_since = SteadyNow();
     open->stream.expires_never();
-    const auto too_old = open->idle_since - options_.idle_limit;
-    std::erase_if(idle_, [&](const auto& other) { return other->idle_since < too_old; });
+    if (closed_) {
+      return;
+    }
     idle_.push_back(std::move(open));
+    if (!sweeping_) {
+      sweeping_ = true;
+      asio::co_spawn(strand_, Sweep(shared_from_this()), asio::detached);
+    }
+  }
+
+  /// Closes connections that were idle for too long. Without it every VM that was ever replaced
+  /// would leave its connections behind, until the process ran out of descriptors.
+  static asio::awaitable<void> Sweep(std::shared_ptr<host_pool> self) {
+    while (!self->idle_.empty()) {
+      self->sweep_timer_.expires_after(self->options_.idle_limit);
+      co_await self->sweep_timer_.async_wait(kAwait);
+      const auto too_old = SteadyNow() - self->options_.idle_limit;
+      std::erase_if(self->idle_, [&](const auto& open) { return open->idle_since <= too_old; });
+    }
+    self->sweeping_ = false;
   }
 
   asio::awaitable<result<std::unique_ptr<connection>>> Connect(const http_request& request) {
@@ -292,6 +319,20 @@
   }
 
   static asio::awaitable<attempt> ReadAnswer(connection& open, const http_request& request) {
+    // An interim answer (1xx) precedes the real one. Taken for it, it would leave the real one
+    // behind in the connection, as the answer to the next caller's request.
+    attempt tried = co_await ReadOne(open, request);
+    while (tried.outcome.has_value() && IsInterim(tried.outcome.value())) {
+      tried = co_await ReadOne(open, request);
+    }
+    co_return tried;
+  }
+
+  static bool IsInterim(const http_reply& reply) {
+    return http::to_status_class(reply.status) == http::status_class::informational;
+  }
+
+  static asio::awaitable<attempt> ReadOne(connection& open, const http_request& request) {
     http::response_parser<http::string_body> parser;
     parser.body_limit(request.max_answer_bytes);
     parser.skip(request.method == "HEAD");
@@ -317,6 +358,9 @@
   std::size_t in_use_{0};
   std::list<waiter*> waiting_;
   std::vector<std::unique_ptr<connection>> idle_;
+  asio::steady_timer sweep_timer_;
+  bool sweeping_{false};
+  bool closed_{false};
 };
 
 }  // namespace
@@ -335,24 +379,39 @@
  public:
   impl(asio::io_context& io, const http_options& options) : io_{io}, options_{options} {}
 
+  ~impl() {
+    for (const auto& [address, known] : pools_) {
+      if (const auto pool = known.lock()) {
+        pool->Close();
+      }
+    }
+  }
+
+  impl(const impl&) = delete;
+  impl& operator=(const impl&) = delete;
+
   std::shared_ptr<host_pool> PoolOf(const std::string& address) {
     const std::lock_guard lock{mutex_};
-    auto& pool = pools_[address];
-    if (pool == nullptr) {
-      pool = std::make_shared<host_pool>(io_, options_);
+    if (auto known = pools_[address].lock()) {
+      return known;
     }
-    return pool;
+    // Addresses of replaced VMs would otherwise add up.
+    std::erase_if(pools_, [](const auto& entry) { return entry.second.expired(); });
+    auto made = std::make_shared<host_pool>(io_, options_);
+    pools_[address] = made;
+    return made;
   }
 
  private:
   asio::io_context& io_;
   const http_options options_;
   std::mutex mutex_;
-  std::map<std::string, std::shared_ptr<host_pool>> pools_;
+  /// A pool lives for as long as it has requests or idle connections.
+  std::map<std::string, std::weak_ptr<host_pool>> pools_;
 };
 
 http_client::http_client(asio::io_context& io, const http_options& options)
-    : impl_{std::make_shared<impl>(io, options)} {}
+    : impl_{std::make_unique<impl>(io, options)} {}
 
 http_client::~http_client() = default;
 
--- a/src/rosearch/platform/http_client.h
+++ b/src/rosearch/platform/http_client.h
@@ -98,7 +98,7 @@
 
  private:
   class impl;
-  std::shared_ptr<impl> impl_;
+  std::unique_ptr<impl> impl_;
 };
 
 }  // namespace rosearch
--- a/test/rosearch/platform/executor_client_test.cc
+++ b/test/rosearch/platform/executor_client_test.cc
@@ -55,6 +55,7 @@
   return {
       {"none", "{}", std::nullopt, 1},
       {"chunked", R"({"chunked":true})", std::nullopt, 1},
+      {"after an interim answer", R"({"interim":true})", std::nullopt, 1},
       {"ran and failed", R"({"fail_all":true})", std::nullopt, 1},
       {"refused connection", "{}", kTargetUnreachable, 0, {}, {}, 1000, kClosedAddress},
       {"no address", "{}", kTargetUnreachable, 0, {}, {}, 1000, "somewhere"},
@@ -178,14 +179,14 @@
 // another's answer, or half of one, would act on the wrong order.
 TEST_CASE("concurrent requests each get their own whole answer",
           "[whole-answer][truthful-not-run]") {
-  constexpr std::size_t kRequests = 300;
+  constexpr std::size_t request_count = 300;
   executor target{0, kSlots};
   REQUIRE(target.Post("/fault", R"({"chunked":true,"late_ms":3})") == 200);
   running_client client{{.connections_per_address = 2 * kSlots}};
   executor_client executors{client.http()};
   std::vector<executor_call> calls;
-  std::vector<std::promise<result<http_reply>>> answers(kRequests);
-  for (std::size_t i = 0; i < kRequests; ++i) {
+  std::vector<std::promise<result<http_reply>>> answers(request_count);
+  for (std::size_t i = 0; i < request_count; ++i) {
     calls.push_back({.address = target.address(),
                      .path = "/quote",
                      .request_id = "quote-" + std::to_string(i),
@@ -195,7 +196,7 @@
                   [&answers, i](result<http_reply> r) { answers[i].set_value(std::move(r)); });
   }
   std::uint64_t done = 0;
-  for (std::size_t i = 0; i < kRequests; ++i) {
+  for (std::size_t i = 0; i < request_count; ++i) {
     const auto answer = answers[i].get_future().get();
     CAPTURE(i);
     CHECK(RunsOf(target, calls[i].request_id) == (answer.has_value() ? 1 : 0));
--- a/test/rosearch/platform/served.h
+++ b/test/rosearch/platform/served.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "rosearch/platform/clock.h"
 #include "rosearch/platform/http_client.h"
@@ -41,42 +42,45 @@
   return future.get();
 }
 
-/// An io_context with one thread of its own. Members that use it are declared after `io` and before
-/// the thread starts; `Stop` comes before they are destroyed.
-class io_thread {
+/// An io_context with threads of its own. Members that use it are declared after `io` and before
+/// the threads start; `Stop` comes before they are destroyed.
+class io_threads {
  public:
-  io_thread() = default;
-  ~io_thread() { Stop(); }
-  io_thread(const io_thread&) = delete;
-  io_thread& operator=(const io_thread&) = delete;
+  io_threads() = default;
+  ~io_threads() { Stop(); }
+  io_threads(const io_threads&) = delete;
+  io_threads& operator=(const io_threads&) = delete;
 
   [[nodiscard]] boost::asio::io_context& io() noexcept { return io_; }
 
-  void Start() {
-    thread_ = std::thread{[this] { io_.run(); }};
+  void Start(int count) {
+    for (int i = 0; i < count; ++i) {
+      threads_.emplace_back([this] { io_.run(); });
+    }
   }
 
   void Stop() {
     io_.stop();
-    if (thread_.joinable()) {
-      thread_.join();
+    for (auto& thread : threads_) {
+      thread.join();
     }
+    threads_.clear();
   }
 
  private:
   boost::asio::io_context io_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_{
       io_.get_executor()};
-  std::thread thread_;
+  std::vector<std::thread> threads_;
 };
 
-/// An HTTP client on a thread of its own.
+/// An HTTP client on two threads of its own.
 class running_client {
  public:
-  explicit running_client(const http_options& options = {}) : http_{thread_.io(), options} {
-    thread_.Start();
+  explicit running_client(const http_options& options = {}) : http_{threads_.io(), options} {
+    threads_.Start(2);
   }
-  ~running_client() { thread_.Stop(); }
+  ~running_client() { threads_.Stop(); }
   running_client(const running_client&) = delete;
   running_client& operator=(const running_client&) = delete;
 
@@ -89,7 +93,7 @@
   }
 
  private:
-  io_thread thread_;
+  io_threads threads_;
   http_client http_;
 };
 
@@ -99,10 +103,10 @@
  public:
   /// @param port  0 picks a free port.
   template <typename... Args>
-  explicit served(std::uint16_t port, const Args&... args) : server_{thread_.io(), port, args...} {
-    thread_.Start();
+  explicit served(std::uint16_t port, const Args&... args) : server_{threads_.io(), port, args...} {
+    threads_.Start(1);
   }
-  ~served() { thread_.Stop(); }
+  ~served() { threads_.Stop(); }
   served(const served&) = delete;
   served& operator=(const served&) = delete;
 
@@ -124,7 +128,7 @@
 
  private:
   running_client control_;
-  io_thread thread_;
+  io_threads threads_;
   testbed::stand_in<Logic> server_;
 };
 
--- a/testbed/executor_stand_in.cc
+++ b/testbed/executor_stand_in.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <charconv>
 #include <chrono>
@@ -18,10 +19,17 @@
 
 constexpr std::string_view kRunTimeHeader = "x-run-ms";
 
+/// @return the run time in the header, or else in the field run_ms of a JSON body, or else none.
 std::chrono::milliseconds RunTime(const server_request& request) {
   const auto text = FindHeader(request.headers, kRunTimeHeader);
   std::uint32_t count = 0;
   std::from_chars(text.data(), text.data() + text.size(), count);
+  json::error_code failed;
+  const auto body = json::parse(request.body, failed);
+  const auto* const field = body.is_object() ? body.get_object().if_contains("run_ms") : nullptr;
+  if (text.empty() && field != nullptr) {
+    count = field->to_number<std::uint32_t>(failed);
+  }
   return std::chrono::milliseconds{count};
 }
 
--- a/testbed/executor_stand_in.h
+++ b/testbed/executor_stand_in.h
@@ -11,7 +11,8 @@
 namespace rosearch::testbed {
 
 /// An executor with a fixed number of slots.
-///   POST any path runs a request for `x-run-ms` and echoes {"request", "path", "body"}; beyond the
+///   POST any path runs a request for the time in the header `x-run-ms` or the JSON field
+///   `run_ms` of its body, and echoes {"request", "path", "body"}; beyond the
 ///   slots it answers 429 with the header that says that it did not run.
 ///   GET /stats, GET /runs: {"runs": {request id: how often}}
 class executor_stand_in {
--- a/testbed/fault.cc
+++ b/testbed/fault.cc
@@ -1,7 +1,10 @@
 #include "testbed/fault.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
+#include <string_view>
 
 namespace rosearch::testbed {
 namespace {
@@ -27,22 +30,33 @@
   return is_number;
 }
 
-bool ReadField(const std::string& name, const json::value& value, fault_settings& fault) {
-  if (name == "down") return Read(value, fault.down);
-  if (name == "slow_ms") return Read(value, fault.slow_ms);
-  if (name == "lose_answers") return Read(value, fault.lose_answers);
-  if (name == "cut_answers") return Read(value, fault.cut_answers);
-  if (name == "garbage_answers") return Read(value, fault.garbage_answers);
-  if (name == "chunked") return Read(value, fault.chunked);
-  if (name == "retention") return Read(value, fault.retention);
-  if (name == "retention_ms") return Read(value, fault.retention_ms);
-  if (name == "lag_ms") return Read(value, fault.lag_ms);
-  if (name == "fail_all") return Read(value, fault.fail_all);
-  if (name == "refuse") return Read(value, fault.refuse);
-  if (name == "late_ms") return Read(value, fault.late_ms);
-  return false;
+template <auto Member>
+bool ReadMember(const json::value& value, fault_settings& fault) {
+  return Read(value, fault.*Member);
 }
 
+struct fault_field {
+  std::string_view name;
+  bool (*read)(const json::value& value, fault_settings& fault);
+};
+
+constexpr std::array kFields{
+    fault_field{"down", ReadMember<&fault_settings::down>},
+    fault_field{"slow_ms", ReadMember<&fault_settings::slow_ms>},
+    fault_field{"lose_answers", ReadMember<&fault_settings::lose_answers>},
+    fault_field{"cut_answers", ReadMember<&fault_settings::cut_answers>},
+    fault_field{"garbage_answers", ReadMember<&fault_settings::garbage_answers>},
+    fault_field{"chunked", ReadMember<&fault_settings::chunked>},
+    fault_field{"interim", ReadMember<&fault_settings::interim>},
+    fault_field{"retention", ReadMember<&fault_settings::retention>},
+    fault_field{"retention_ms", ReadMember<&fault_settings::retention_ms>},
+    fault_field{"lag_ms", ReadMember<&fault_settings::lag_ms>},
+    fault_field{"fail_all", ReadMember<&fault_settings::fail_all>},
+    fault_field{"usage_percent", ReadMember<&fault_settings::usage_percent>},
+    fault_field{"refuse", ReadMember<&fault_settings::refuse>},
+    fault_field{"late_ms", ReadMember<&fault_settings::late_ms>},
+};
+
 }  // namespace
 
 std::optional<fault_settings> ParseFault(const std::string& text) {
@@ -53,7 +67,9 @@
   }
   fault_settings fault;
   for (const auto& [name, value] : parsed.get_object()) {
-    if (!ReadField(std::string{name.data(), name.size()}, value, fault)) {
+    const std::string_view wanted{name.data(), name.size()};
+    const auto* const field = std::ranges::find(kFields, wanted, &fault_field::name);
+    if (field == kFields.end() || !field->read(value, fault)) {
       return std::nullopt;
     }
   }
--- a/testbed/fault.h
+++ b/testbed/fault.h
@@ -10,18 +10,34 @@
 
 /// How a stand-in misbehaves. `POST /fault` replaces all of it: what the JSON does not name is off.
 struct fault_settings {
-  bool down{false};                      ///< drops every connection before anything takes effect
-  std::chrono::milliseconds slow_ms{0};  ///< takes effect at once and answers later
-  std::uint64_t lose_answers{0};         ///< so many take effect and get no answer
-  std::uint64_t cut_answers{0};          ///< so many are answered in part
-  std::uint64_t garbage_answers{0};      ///< so many are answered by broken JSON
-  bool chunked{false};                   ///< answers in chunks
-  std::uint64_t retention{0};            ///< log: records kept; 0 is all
-  std::chrono::milliseconds retention_ms{0};  ///< log: how long records are kept; 0 is for ever
-  std::chrono::milliseconds lag_ms{0};        ///< VM list: shows the state of so long ago
-  bool fail_all{false};                       ///< worker, executor: all that is started fails
-  bool refuse{false};                         ///< executor: runs nothing and says so
-  std::chrono::milliseconds late_ms{0};       ///< executor: every second answer comes so much later
+  /// Drops every connection before anything takes effect.
+  bool down{false};
+  /// Takes effect at once and answers so much later.
+  std::chrono::milliseconds slow_ms{0};
+  /// So many requests take effect and get no answer.
+  std::uint64_t lose_answers{0};
+  /// So many are answered in part.
+  std::uint64_t cut_answers{0};
+  /// So many are answered by broken JSON.
+  std::uint64_t garbage_answers{0};
+  /// Answers in chunks.
+  bool chunked{false};
+  /// Sends an interim answer (status 100) ahead of each.
+  bool interim{false};
+  /// Log: how many records are kept; 0 is all.
+  std::uint64_t retention{0};
+  /// Log: how long records are kept; 0 is for ever.
+  std::chrono::milliseconds retention_ms{0};
+  /// VM list: shows the state of so long ago.
+  std::chrono::milliseconds lag_ms{0};
+  /// Worker, executor: all that is started fails.
+  bool fail_all{false};
+  /// Worker: what tasks use, in percent of what they declared.
+  std::uint64_t usage_percent{100};
+  /// Executor: runs nothing and says so.
+  bool refuse{false};
+  /// Executor: every second answer comes so much later.
+  std::chrono::milliseconds late_ms{0};
 
   friend bool operator==(const fault_settings&, const fault_settings&) = default;
 };
--- a/testbed/http_server.cc
+++ b/testbed/http_server.cc
@@ -30,6 +30,7 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t kMaxRequestBytes = std::size_t{64} << 20;
 constexpr std::size_t kChunkBytes = 7;
+constexpr std::chrono::milliseconds kAcceptPause{10};
 
 std::map<std::string, std::string> ParseQuery(std::string_view text) {
   std::map<std::string, std::string> query;
@@ -73,6 +74,9 @@
 std::string Serialize(const server_reply& reply, bool keep_alive) {
   auto message = ToBeast(reply, keep_alive);
   std::ostringstream out;
+  if (reply.how == delivery::kAfterInterim) {
+    out << "HTTP/1.1 100 Continue\r\n\r\n";
+  }
   if (reply.how != delivery::kChunked) {
     message.body() = reply.body;
     message.prepare_payload();
@@ -120,10 +124,13 @@
   static asio::awaitable<void> Accept(std::shared_ptr<impl> self) {
     while (self->acceptor_.is_open()) {
       auto [failed, socket] = co_await self->acceptor_.async_accept(kAwait);
-      if (!failed) {
-        asio::co_spawn(self->io_, Serve(self, beast::tcp_stream{std::move(socket)}),
-                       asio::detached);
+      if (failed) {
+        // Out of descriptors, say: trying again at once would only burn the processor.
+        asio::steady_timer pause{self->io_, kAcceptPause};
+        co_await pause.async_wait(kAwait);
+        continue;
       }
+      asio::co_spawn(self->io_, Serve(self, beast::tcp_stream{std::move(socket)}), asio::detached);
     }
   }
 
@@ -131,34 +138,45 @@
     boost::system::error_code ignored;
     stream.socket().set_option(tcp::no_delay{true}, ignored);
     beast::flat_buffer buffer;
-    while (true) {
+    bool open = true;
+    while (open) {
       http::request_parser<http::string_body> parser;
       parser.body_limit(kMaxRequestBytes);
-      const auto [read_failed, read] = co_await http::async_read(stream, buffer, parser, kAwait);
-      if (read_failed || self->handler_ == nullptr) {
+      const auto [failed, read] = co_await http::async_read(stream, buffer, parser, kAwait);
+      if (failed || self->handler_ == nullptr) {
         co_return;
       }
       const bool keep_alive = parser.keep_alive();
-      const auto pending = std::make_shared<pending_reply>(self->io_);
-      self->handler_(FromBeast(parser.release()), [pending](server_reply reply) {
-        pending->reply = std::move(reply);
-        pending->ready.cancel();
-      });
-      if (!pending->reply) {
-        co_await pending->ready.async_wait(kAwait);
-      }
-      if (pending->reply->how == delivery::kDropped) {
-        co_return;
-      }
-      auto bytes = Serialize(*pending->reply, keep_alive);
-      const bool partial = pending->reply->how == delivery::kPartial;
-      bytes.resize(partial ? bytes.size() - pending->reply->body.size() / 2 - 1 : bytes.size());
-      const auto [failed, written] =
-          co_await asio::async_write(stream, asio::buffer(bytes), kAwait);
-      if (failed || partial || !keep_alive) {
-        co_return;
-      }
+      const auto reply = co_await self->Ask(FromBeast(parser.release()));
+      open = co_await Answer(stream, reply, keep_alive);
+    }
+  }
+
+  asio::awaitable<server_reply> Ask(server_request request) {
+    const auto pending = std::make_shared<pending_reply>(io_);
+    handler_(request, [pending](server_reply reply) {
+      pending->reply = std::move(reply);
+      pending->ready.cancel();
+    });
+    if (!pending->reply) {
+      co_await pending->ready.async_wait(kAwait);
+    }
+    co_return *std::move(pending->reply);
+  }
+
+  /// @return whether the connection stays open.
+  static asio::awaitable<bool> Answer(beast::tcp_stream& stream, const server_reply& reply,
+                                      bool keep_alive) {
+    if (reply.how == delivery::kDropped) {
+      co_return false;
+    }
+    auto bytes = Serialize(reply, keep_alive);
+    const bool partial = reply.how == delivery::kPartial;
+    if (partial) {
+      bytes.resize(bytes.size() - reply.body.size() / 2 - 1);
     }
+    const auto [failed, written] = co_await asio::async_write(stream, asio::buffer(bytes), kAwait);
+    co_return !failed && !partial && keep_alive;
   }
 
   asio::io_context& io_;
--- a/testbed/http_server.h
+++ b/testbed/http_server.h
@@ -28,9 +28,10 @@
 /// How an answer goes out.
 enum class delivery {
   kWhole,
-  kChunked,  ///< in several chunks
-  kPartial,  ///< cut off midway, then the connection is closed
-  kDropped,  ///< none: the connection is closed
+  kChunked,       ///< in several chunks
+  kAfterInterim,  ///< after an interim answer
+  kPartial,       ///< cut off midway, then the connection is closed
+  kDropped,       ///< none: the connection is closed
 };
 
 struct server_reply {
--- a/testbed/stand_in.cc
+++ b/testbed/stand_in.cc
@@ -25,6 +25,8 @@
       reply.body = "{\"broken\": ";
     } else if (fault_.chunked) {
       reply.how = delivery::kChunked;
+    } else if (fault_.interim) {
+      reply.how = delivery::kAfterInterim;
     }
     if (fault_.slow_ms.count() == 0) {
       respond(std::move(reply));
--- a/testbed/vm_list_stand_in.cc
+++ b/testbed/vm_list_stand_in.cc
@@ -18,7 +18,7 @@
 vm_list_stand_in::vm_list_stand_in(boost::asio::io_context& /*io*/, const fault_settings& fault)
     : fault_{fault}, history_{{time_point::min(), {}}} {}
 
-void vm_list_stand_in::Handle(const server_request& request, respond_function respond) {
+void vm_list_stand_in::Handle(const server_request& request, const respond_function& respond) {
   if (request.path == "/v1/vms") {
     ++reads_;
     respond({.body = List()});
--- a/testbed/vm_list_stand_in.h
+++ b/testbed/vm_list_stand_in.h
@@ -19,7 +19,7 @@
  public:
   vm_list_stand_in(boost::asio::io_context& io, const fault_settings& fault);
 
-  void Handle(const server_request& request, respond_function respond);
+  void Handle(const server_request& request, const respond_function& respond);
 
   /// @return {"vms", "reads"}
   [[nodiscard]] std::string Stats() const;
--- a/testbed/worker_stand_in.cc
+++ b/testbed/worker_stand_in.cc
@@ -44,6 +44,10 @@
       std::chrono::duration_cast<std::chrono::microseconds>(since_epoch).count());
 }
 
+std::uint32_t Share(std::uint32_t whole, std::uint64_t percent) {
+  return static_cast<std::uint32_t>(whole * percent / 100);
+}
+
 duration Milliseconds(std::uint32_t count) { return std::chrono::milliseconds{count}; }
 
 }  // namespace
@@ -52,7 +56,7 @@
                                  const resources& holds)
     : fault_{fault}, holds_{holds}, first_version_{FirstVersion()}, version_{first_version_} {}
 
-void worker_stand_in::Handle(const server_request& request, respond_function respond) {
+void worker_stand_in::Handle(const server_request& request, const respond_function& respond) {
   const auto now = SteadyNow();
   Advance(now);
   if (request.path == "/starts") {
@@ -94,7 +98,11 @@
     if (task.phase != wire::TASK_RUNNING || std::min(task.ends_at, task.lease_until) > now) {
       continue;
     }
-    End(task, task.ends_at <= task.lease_until ? wire::TASK_DONE : wire::TASK_LAPSED);
+    if (task.lease_until < task.ends_at) {
+      End(task, wire::TASK_LAPSED);
+    } else {
+      End(task, task.start.payload() == kFailPayload ? wire::TASK_FAILED : wire::TASK_DONE);
+    }
   }
 }
 
@@ -187,8 +195,9 @@
     const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(task.lease_until - now);
     line.set_lease_left_ms(static_cast<std::uint32_t>(left.count()));
     if (now - task.started >= kUsageLag) {
-      line.set_used_memory_mb(task.start.needs().memory_mb());
-      line.set_used_processors_milli(task.start.needs().processors_milli());
+      line.set_used_memory_mb(Share(task.start.needs().memory_mb(), fault_.usage_percent));
+      line.set_used_processors_milli(
+          Share(task.start.needs().processors_milli(), fault_.usage_percent));
     }
   }
   return report;
--- a/testbed/worker_stand_in.h
+++ b/testbed/worker_stand_in.h
@@ -1,10 +1,11 @@
 #ifndef ROSEARCH_TESTBED_WORKER_STAND_IN_H_
 #define ROSEARCH_TESTBED_WORKER_STAND_IN_H_
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
+#include <tuple>
 #include <vector>
 
 #include "rosearch/core/resources.h"
@@ -24,7 +25,10 @@
  public:
   worker_stand_in(boost::asio::io_context& io, const fault_settings& fault, const resources& holds);
 
-  void Handle(const server_request& request, respond_function respond);
+  void Handle(const server_request& request, const respond_function& respond);
+
+  /// A task whose payload is this word runs and then fails.
+  static constexpr std::string_view kFailPayload = "fail";
 
   /// @return {"starts", "doubled", "overcommitted_starts", "overcommitted_peak": resources,
   ///         "used_peak": resources, "running"}; doubled counts starts of a task that was running.
@@ -34,7 +38,10 @@
   struct task_key {
     std::string task;
     std::uint32_t attempt;
-    friend auto operator<=>(const task_key&, const task_key&) = default;
+    friend bool operator==(const task_key&, const task_key&) = default;
+    friend bool operator<(const task_key& a, const task_key& b) {
+      return std::tie(a.task, a.attempt) < std::tie(b.task, b.attempt);
+    }
   };
   struct held_task {
     wire::task_start start;
