--- a/benchmark/quality_bench.cc
+++ b/benchmark/quality_bench.cc
@@ -15,6 +15,9 @@
 constexpr int kArrivals = 20000;
 constexpr std::int64_t kSecond = 1000;
 constexpr std::int64_t kMinute = 60 * kSecond;
+/// About so many tasks run at once, each for 1 to 10 minutes as declared.
+constexpr std::int64_t kRunning = 1000;
+constexpr std::int64_t kMeanDeclared = 5 * kMinute + kMinute / 2;
 /// Queued tasks that are tried each time that something ends: work behind one that doesn't fit may
 /// pass it.
 constexpr std::size_t kTried = 32;
@@ -31,8 +34,6 @@
 std::vector<arrival> DrawArrivals(int vms, std::int64_t percent, std::uint64_t seed) {
   const auto book = EmptyCell(vms);
   random_source random{seed};
-  constexpr std::int64_t kRunning = 1000;
-  constexpr std::int64_t kMeanDeclared = 5 * kMinute + kMinute / 2;
   const auto mix = MixFor(book, kRunning, percent);
   std::vector<arrival> list;
   std::int64_t now = 0;
--- a/src/rosearch/placement/pack_policy.cc
+++ b/src/rosearch/placement/pack_policy.cc
@@ -19,6 +19,7 @@
 
 constexpr std::int64_t kWhole = 1000;
 constexpr std::int64_t kLeast = 100;
+constexpr auto kSmallest = std::numeric_limits<std::int64_t>::min();
 
 std::int64_t ScarcityOf(std::int64_t committed, std::int64_t held) {
   return kLeast + (held > 0 ? committed * kWhole / held : 0);
@@ -47,8 +48,7 @@
 void Improve(best_so_far& best, const room_class& size, const room_set& vms,
              const placement_request& request, const scarcity& scarce) {
   const auto& needs = request.needs;
-  const internal::by_room::key least_room{needs.processors_milli,
-                                          std::numeric_limits<std::int64_t>::min(), nullptr};
+  const internal::by_room::key least_room{needs.processors_milli, kSmallest, nullptr};
   for (auto each = vms.lower_bound(least_room); each != vms.end(); ++each) {
     const auto processors = Waste(each->processors_milli - needs.processors_milli,
                                   size.held_processors_milli, scarce.processors);
@@ -77,7 +77,6 @@
     }
     const auto scarce = ScarcityIn(book);
     const auto& classes = book.index().rooms();
-    constexpr auto kSmallest = std::numeric_limits<std::int64_t>::min();
     best_so_far best;
     auto free_accelerators = request.needs.accelerators;
     for (auto each = classes.lower_bound({free_accelerators, kSmallest, kSmallest});
--- a/src/rosearch/placement/preemption.cc
+++ b/src/rosearch/placement/preemption.cc
@@ -18,7 +18,10 @@
   std::size_t victims{};
   std::int64_t processors_milli{};
 
-  friend auto operator<=>(const loss&, const loss&) = default;
+  friend bool operator<(const loss& a, const loss& b) {
+    return std::tie(a.priority, a.victims, a.processors_milli) <
+           std::tie(b.priority, b.victims, b.processors_milli);
+  }
 };
 
 loss LossOf(const victim_list& victims) {
--- a/src/rosearch/placement/spread_policy.cc
+++ b/src/rosearch/placement/spread_policy.cc
@@ -26,12 +26,12 @@
 
 /// @return the failure domains with the fewest tasks of the group first; there are a handful.
 std::vector<domain_choice> DomainsOf(const ledger& book, const internal::spread_counts& counts) {
-  static const rack_counts kNone;
+  static const rack_counts none;
   std::vector<domain_choice> domains;
   for (const auto& [id, place] : book.index().domains()) {
     const auto racks = counts.racks.find(id);
     domains.push_back({CountAt(counts.domains, id), place.vms.begin()->load, &place,
-                       racks == counts.racks.end() ? &kNone : &racks->second});
+                       racks == counts.racks.end() ? &none : &racks->second});
   }
   std::ranges::stable_sort(domains, {}, [](const domain_choice& each) {
     return std::tuple{each.count, each.least_load};
--- a/test/rosearch/placement/policy_test.cc
+++ b/test/rosearch/placement/policy_test.cc
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
-#include <ranges>
+#include <set>
+#include <tuple>
 
 #include "rosearch/core/random_source.h"
 #include "rosearch/placement/explain.h"
@@ -150,8 +151,11 @@
         *chosen, TaskOf("r" + std::to_string(replica), {1000, 1000, 0}, 0, false, "web")));
     const auto& facts = book.FindVm(*chosen)->facts;
     const auto most_apart = [](const auto& counts) {
-      const auto [low, high] = std::ranges::minmax(counts | std::views::values);
-      return high - low <= 1;
+      std::set<int> numbers;
+      for (const auto& [place, number] : counts) {
+        numbers.insert(number);
+      }
+      return *numbers.rbegin() - *numbers.begin() <= 1;
     };
     ++domains[facts.failure_domain];
     ++racks[facts.failure_domain.value() + "/" + facts.rack.value()];
@@ -160,9 +164,7 @@
     CHECK(most_apart(racks));
     CHECK(most_apart(vms));
   }
-  CHECK(domains.size() == 3);
-  CHECK(racks.size() == 12);
-  CHECK(vms.size() == 24);
+  CHECK(std::tuple{domains.size(), racks.size(), vms.size()} == std::tuple{3U, 12U, 24U});
 }
 
 TEST_CASE("a request larger than every VM is told at once what is missing") {
