--- a/src/rosearch/ownership/rights_rules.h
+++ b/src/rosearch/ownership/rights_rules.h
@@ -26,6 +26,8 @@
   static constexpr bool kProof = true;
   /// 7: a party is taken as gone only after the list's lag and the longest lease.
   static constexpr bool kGoneWait = true;
+  /// 7: and only once the claim has been on the log for the longest lease.
+  static constexpr bool kGoneAfterClaim = true;
   /// 7: with the witness gone, the owner must consent or be gone as well.
   static constexpr bool kGoneOwner = true;
   /// 7: a witness renews only while it has a proof of its own.
--- a/src/rosearch/ownership/shard_rights.h
+++ b/src/rosearch/ownership/shard_rights.h
@@ -336,9 +336,10 @@
 
   void TakeAssignment(const assignment& next, time_point now) {
     if constexpr (!Rules::kFirstClaimOnly) {
-      if (next.epoch <= epoch()) return;
+      if (next.epoch <= epoch() || IsBlocked(next.epoch)) return;
     }
-    if (next.shard != shard_ || (!history_.empty() && next.epoch != epoch() + 1)) {
+    const bool follows = history_.empty() || next.epoch == epoch() + 1;
+    if (Rules::kFirstClaimOnly && (next.shard != shard_ || !follows)) {
       internal::FailRights("assignment of epoch " + std::to_string(next.epoch) + " of shard " +
                            std::to_string(next.shard) + " out of log order: " + Dump());
     }
@@ -466,9 +467,10 @@
   [[nodiscard]] bool IsGone(const party& who, time_point now) const {
     const auto at = absent_.find(who);
     if (at == absent_.end()) return false;
-    if constexpr (!Rules::kGoneWait) return true;
     const auto& [since, asked_at] = at->second;
-    return asked_at - since >= settings_.Widened(settings_.list_lag + settings_.longest_lease) &&
+    const auto list_wait = settings_.Widened(settings_.list_lag + settings_.longest_lease);
+    if (Rules::kGoneWait && asked_at - since < list_wait) return false;
+    return !Rules::kGoneAfterClaim ||
            now - claim_seen_ >= settings_.Widened(settings_.longest_lease);
   }
 
--- a/test/rosearch/ownership/pair_world.h
+++ b/test/rosearch/ownership/pair_world.h
@@ -83,10 +83,10 @@
     duration next_read{};
     duration next_list{};
     duration frozen_until{};
+    duration log_cut_until{};
     duration stop_at{duration::max()};
     std::map<party, time_point> absent_since{};
     bool fenced{};  // an acquired event came after the last moment without the right
-    int lapses{};
   };
   struct listing {
     duration from;
@@ -115,8 +115,7 @@
   }
 
   void Start(std::size_t index) {
-    const party self{entry_id{"e" + std::to_string(index)},
-                     static_cast<incarnation_number>(++incarnations_)};
+    const party self{NameOf(index), ++incarnations_};
     const auto rate = 1.0 + static_cast<double>(random_.Between(-49, 49)) / 10000.0;
     entries_[index].run.emplace(process{self, rate, Upto(1000s), rights{0, self, settings_}});
     listed_[self] = {now_};
@@ -200,6 +199,7 @@
       run.fenced = event.change != right_change::kLost;
     }
     for (const auto& claim : out.appends) {
+      if (run.log_cut_until > now_) continue;
       if (log_down_until_ > now_ && !random_.Chance(0.1)) continue;
       const auto slow = random_.Chance(0.1) ? Upto(8s) : Upto(100ms);
       appends_.push_back({now_ + slow, claim});
@@ -242,7 +242,8 @@
       }
       run.machine.OnLogEnd(Local(run, done.asked_at), local, out);
     }
-    if (run.log_read || now_ < run.next_read || log_down_until_ > now_) return;
+    if (run.log_read || now_ < run.next_read || std::max(log_down_until_, run.log_cut_until) > now_)
+      return;
     const auto slow = random_.Chance(0.03) ? Upto(5s) : Upto(60ms);
     run.log_read = read{now_ + slow, now_, log_.size()};
     run.next_read = now_ + 50ms + Upto(300ms);
@@ -345,6 +346,7 @@
       if (auto* const run = AnyAwake()) Claim(*run);
     }
     if (random_.Chance(0.001)) ClaimTwice();
+    if (random_.Chance(0.002)) CutPairOff(index);
   }
 
   void Freeze(process& run) {
@@ -363,13 +365,36 @@
     const auto other = static_cast<std::size_t>(
         random_.Between(0, static_cast<std::int64_t>(entries_.size()) - 1));
     const auto until = now_ + Upto(random_.Chance(0.5) ? duration{4s} : duration{30s});
-    const entry_id one{"e" + std::to_string(index)};
-    const entry_id two{"e" + std::to_string(other)};
+    const auto one = NameOf(index);
+    const auto two = NameOf(other);
     cuts_[{one, two}] = until;
     if (random_.Chance(0.5)) cuts_[{two, one}] = until;
     if (random_.Chance(0.1) && entries_[index].run) Delist(*entries_[index].run);
   }
 
+  // Two entries lose everybody else and sometimes the log, and the platform takes their VMs for
+  // gone, but they run on and hear each other.
+  void CutPairOff(std::size_t index) {
+    const auto other = (index + 1) % entries_.size();
+    const auto until = now_ + 10s + Upto(50s);
+    const bool without_log = random_.Chance(0.7);
+    for (const auto one : {index, other}) {
+      auto& run = entries_[one].run;
+      if (!run) continue;
+      Delist(*run);
+      if (without_log) run->log_cut_until = until;
+      for (std::size_t far = 0; far < entries_.size(); ++far) {
+        if (far == index || far == other) continue;
+        cuts_[{NameOf(one), NameOf(far)}] = until;
+        cuts_[{NameOf(far), NameOf(one)}] = until;
+      }
+    }
+  }
+
+  [[nodiscard]] static entry_id NameOf(std::size_t index) {
+    return entry_id{"e" + std::to_string(index)};
+  }
+
   void Stop(process& run) {
     if (run.frozen_until > now_) return;
     rights_output out;
@@ -407,6 +432,7 @@
       auto& one = entries_[i];
       if (!one.run) continue;
       one.run->frozen_until = std::min(one.run->frozen_until, now_);
+      one.run->log_cut_until = now_;
       if (one.run->stop_at != duration::max() || listed_[one.run->self].to != duration::max()) {
         Kill(i);
       }
@@ -419,7 +445,7 @@
   duration now_{};
   duration last_acted_{};
   duration last_claim_{-10s};
-  int incarnations_{};
+  incarnation_number incarnations_{};
   double loss_{0.02};
   duration log_down_until_{};
   duration list_down_until_{};
