--- a/src/rosearch/config/configuration.cc
+++ b/src/rosearch/config/configuration.cc
@@ -22,8 +22,12 @@
 using internal::Text;
 
 constexpr std::int64_t kMaxName = 64;
-constexpr std::int64_t kMaxRules = 10'000;
-constexpr std::int64_t kMaxCustomers = 1'000;
+// Anybody who may write to the log can make every entry read a document, and the look for rules
+// that never decide costs the square of their number: these bounds keep it at some tens of
+// milliseconds.
+constexpr std::int64_t kMaxRules = 2'000;
+constexpr std::int64_t kMaxCustomers = 200;
+constexpr std::size_t kMaxDocumentBytes = 1 << 20;
 constexpr std::int64_t kMaxCount = 10'000'000;
 constexpr std::int64_t kMaxSpanMs = 86'400'000;
 
@@ -334,6 +338,11 @@
 const schema& ConfigurationSchema() noexcept { return kRoot; }
 
 checked<configuration> ParseConfiguration(std::string_view text) {
+  if (text.size() > kMaxDocumentBytes) {
+    return {std::nullopt,
+            {{"", std::to_string(text.size()) + " bytes",
+              "at most " + std::to_string(kMaxDocumentBytes)}}};
+  }
   document read = document_reader{kRoot}.Read(text);
   if (read.value.empty()) {
     return {std::nullopt, std::move(read.faults)};
--- a/src/rosearch/config/document_reader.cc
+++ b/src/rosearch/config/document_reader.cc
@@ -17,8 +17,10 @@
 /// Longer values are cut in reports.
 constexpr std::size_t kShownBytes = 60;
 
-std::string Show(const json::value& value) {
-  std::string text = json::serialize(value);
+/// Further faults are not told: the list is kept with the verdict on a change.
+constexpr std::size_t kMaxFaults = 200;
+
+std::string Cut(std::string text) {
   if (text.size() > kShownBytes) {
     text.resize(kShownBytes);
     text += "...";
@@ -26,6 +28,12 @@
   return text;
 }
 
+std::string MemberPath(std::string path, std::string_view key) {
+  return path.append(path.empty() ? "" : ".").append(key);
+}
+
+std::string Show(const json::value& value) { return Cut(json::serialize(value)); }
+
 std::string Range(const field& key, std::string_view what) {
   return std::string{what} + " from " + std::to_string(key.least) + " to " +
          std::to_string(key.most);
@@ -129,8 +137,7 @@
     RefuseUnknown(given, keys, path);
     json::object all;
     for (const auto& key : keys.fields()) {
-      const std::string at =
-          path.empty() ? std::string{key.key} : path + "." + std::string{key.key};
+      const std::string at = MemberPath(path, key.key);
       json::value value = Take(given.if_contains(key.key), key, at);
       if (!value.is_null()) {
         all.emplace(key.key, std::move(value));
@@ -140,7 +147,9 @@
   }
 
   void Add(std::string path, std::string found, std::string allowed) {
-    faults_.push_back({std::move(path), std::move(found), std::move(allowed)});
+    if (faults_.size() < kMaxFaults) {
+      faults_.push_back({std::move(path), std::move(found), std::move(allowed)});
+    }
   }
 
   std::vector<fault> Release() { return std::move(faults_); }
@@ -205,7 +214,7 @@
         continue;
       }
       const std::string_view near = NearestKey(name, keys);
-      Add(path.empty() ? std::string{name} : path + "." + std::string{name}, "an unknown key",
+      Add(MemberPath(path, Cut(std::string{name})), "an unknown key",
           near.empty() ? "no such key" : "did you mean " + std::string{near} + "?");
     }
   }
@@ -217,6 +226,9 @@
 
 std::string_view NearestKey(std::string_view word, const schema& keys) {
   std::string_view nearest;
+  if (word.size() > kShownBytes) {
+    return nearest;
+  }
   std::size_t least = std::max<std::size_t>(2, word.size() / 2) + 1;
   for (const auto& key : keys.fields()) {
     const std::size_t distance = EditDistance(word, key.key);
--- a/test/rosearch/config/configuration_test.cc
+++ b/test/rosearch/config/configuration_test.cc
@@ -127,6 +127,7 @@
        {"rules[0].name"},
        "given once"},
   };
+  CHECK_FALSE(ParseConfiguration(std::string(2 << 20, ' ')).value);
   for (const auto& row : rows) {
     INFO(row.what);
     const auto read = ParseConfiguration(row.text);
