--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -13,6 +13,7 @@
 
 fail() {
   echo "demo: $*" >&2
+  for number in "${!http[@]}"; do curl -s "http://127.0.0.1:${http[$number]}/v1/dump" >&2 || true; done
   tail -n 20 "$work"/*.log >&2
   exit 1
 }
@@ -21,7 +22,7 @@
 wait_for() {
   local what=$1
   shift
-  for _ in $(seq 300); do
+  for _ in $(seq ${WAIT_TENTHS:-300}); do
     "$@" >/dev/null 2>&1 && return 0
     sleep 0.1
   done
@@ -111,12 +112,12 @@
 
 echo "== a batch task and a gang of three"
 submit() {
-  curl -sf -X POST "$one/v1/jobs" -d "{\"customer\": \"calandria\", \"job\": \"$1\", \"kind\": \"$2\", \"count\": $3,
+  curl -sf --max-time 12 -X POST "$one/v1/jobs" -d "{\"customer\": \"calandria\", \"job\": \"$1\", \"kind\": \"$2\", \"count\": $3,
     \"needs\": {\"processors_milli\": 2000, \"memory_mb\": 4096}, \"run_ms\": 500}" >/dev/null || fail "submit $1"
 }
 submit reconciliation batch 1
 submit plan gang 3
-ended() { curl -sf "$two/v1/jobs/calandria/$1" | grep -q "\"counts\":{\"ended\":$2}"; }
+ended() { curl -sf --max-time 3 "$two/v1/jobs/calandria/$1" | grep -q "\"counts\":{\"ended\":$2}"; }
 wait_for "end of the batch task" ended reconciliation 1
 wait_for "end of the gang" ended plan 3
 for job in reconciliation plan; do
