--- a/src/rosearch/journal/appender.cc
+++ b/src/rosearch/journal/appender.cc
@@ -132,6 +132,19 @@
   Confirm(stream, state, out);
 }
 
+void appender::FillForgotten(stream_state& state) {
+  // An append takes effect as a whole. Where the log has forgotten its first records before the
+  // read-back, as after a pause longer than the retention, a later one shows that they were there;
+  // written again they would stand behind their successors, and no reader would take them.
+  for (std::size_t later = state.sent; later-- > 1;) {
+    const auto& next = state.waiting[later].found;
+    auto& record = state.waiting[later - 1];
+    if (next && !record.found) {
+      record.found = *next - 1;
+    }
+  }
+}
+
 void appender::Confirm(const stream_id& stream, stream_state& state, appender_output& out) {
   while (state.sent > 0) {
     const auto& record = state.waiting.front();
@@ -146,11 +159,6 @@
     state.failures = 0;
     state.retry_at = {};
   }
-  // An append takes effect as a whole. A record found behind one that is missing would mean that
-  // the log broke this, and the order of the stream could no longer be kept.
-  CHECK(
-      std::ranges::none_of(state.waiting, [](const auto& each) { return each.found.has_value(); }))
-      << "stream=" << stream << " first_missing=" << state.waiting.front().id;
   state.sent = 0;
   state.phase = stream_phase::kIdle;
 }
@@ -212,6 +220,7 @@
     return;
   }
   state.end = std::max(state.end, answer.end_offset());
+  FillForgotten(state);
   Confirm(stream, state, out);
 }
 
--- a/src/rosearch/journal/appender.h
+++ b/src/rosearch/journal/appender.h
@@ -159,6 +159,7 @@
   void Ask(const stream_id& stream, stream_state& state, appender_output& out);
   void Send(const stream_id& stream, stream_state& state, appender_output& out);
   void BackOff(stream_state& state, time_point now);
+  static void FillForgotten(stream_state& state);
   void Confirm(const stream_id& stream, stream_state& state, appender_output& out);
 
   appender_options options_;
--- a/src/rosearch/journal/stream_reader.cc
+++ b/src/rosearch/journal/stream_reader.cc
@@ -6,6 +6,17 @@
 #include <utility>
 
 namespace rosearch::journal {
+namespace {
+
+/// @return the entry in a record; none where no reader can make sense of it.
+std::optional<wire::log_entry> ReadableEntry(const wire::log_record& record) {
+  wire::log_entry entry;
+  const bool is_readable = entry.ParseFromString(record.payload()) && !entry.id().empty() &&
+                           entry.body_case() != wire::log_entry::BODY_NOT_SET;
+  return is_readable ? std::optional{std::move(entry)} : std::nullopt;
+}
+
+}  // namespace
 
 stream_reader::stream_reader(stream_id stream, reader_options options)
     : stream_{std::move(stream)}, options_{options}, known_{options.known_ids} {}
@@ -81,9 +92,8 @@
       continue;
     }
     ++window_at_;
-    wire::log_entry entry;
-    if (entry.ParseFromString(record.payload())) {
-      finder_->Show(record.offset(), entry);
+    if (const auto entry = ReadableEntry(record)) {
+      finder_->Show(record.offset(), *entry);
     }
   }
   if (window_at_ < window_end_) {
@@ -104,9 +114,10 @@
   if (!is_there) {
     return Restart();
   }
-  auto entry = Parse(answer.records(0));
-  CHECK(entry) << "stream=" << stream_
-               << " a snapshot was readable and is not: offset=" << snapshot_->at;
+  auto entry = ReadableEntry(answer.records(0));
+  if (!entry) {
+    return Restart();
+  }
   first_ = answer.first_offset();
   Begin({snapshot_->resume, true, snapshot_->resume < first_}, out);
   out.emplace_back(stream_entry{snapshot_->at, std::move(*entry)});
@@ -173,10 +184,7 @@
 }
 
 std::optional<wire::log_entry> stream_reader::Parse(const wire::log_record& record) {
-  wire::log_entry entry;
-  const bool is_readable = entry.ParseFromString(record.payload()) && !entry.id().empty() &&
-                           entry.body_case() != wire::log_entry::BODY_NOT_SET;
-  if (is_readable) {
+  if (auto entry = ReadableEntry(record)) {
     return entry;
   }
   // A reader that stopped here would stop for good, and with it every entry alike. Skipping it has
--- a/test/rosearch/journal/appender_test.cc
+++ b/test/rosearch/journal/appender_test.cc
@@ -222,19 +222,22 @@
   struct lost_row {
     std::string_view what;
     bool took_effect;
-    std::uint64_t appends;
+    std::uint64_t forgotten;  ///< by the log before it is asked
   };
-  for (const auto& row : {lost_row{"took effect", true, 1}, lost_row{"did not", false, 1}}) {
+  for (const auto& row : {lost_row{"took effect", true, 0}, lost_row{"did not", false, 0},
+                          lost_row{"took effect, half of it forgotten", true, 3}}) {
     INFO(row.what);
     test::fake_log log;
     log.Append("s0", {"somebody else's", "and another one"});
     auto writer = MakeAppender();
     REQUIRE(writer.Add(kStream, Drain("a"), {}));
+    REQUIRE(writer.Add(kStream, Drain("b"), {}));
     appender_output out;
     writer.Tick(time_point{1s}, out);
     if (row.took_effect) {
       log.Append("s0", out.appends[0].records);
     }
+    log.Forget("s0", row.forgotten);
     writer.OnFailed(out.appends[0].number, true, time_point{2s});
     CHECK(writer.Status().uncertain_streams == 1);
     out = {};
@@ -243,7 +246,8 @@
     CHECK(out.appends.empty());
     const auto ask = out.read_backs[0];
     writer.OnReadBack(ask.number, *log.Read("s0", ask.from, 100), time_point{3s}, out);
-    CHECK(out.durable.size() == (row.took_effect ? 1 : 0));
+    const std::vector<record_durable> durable{{1, kStream, 2}, {2, kStream, 3}};
+    CHECK(out.durable == (row.took_effect ? durable : std::vector<record_durable>{}));
     writer.Tick(time_point{4s}, out);
     CHECK(out.appends.size() == (row.took_effect ? 0 : 1));
   }
--- a/test/rosearch/journal/stream_reader_test.cc
+++ b/test/rosearch/journal/stream_reader_test.cc
@@ -173,6 +173,7 @@
        0,
        {"e/1/2", "e/1/3"},
        false},
+      {"without an id", {Batch("e/1/1", 1, true), Batch("", 1, true)}, 0, {"e/1/1"}, false},
       {"of an overtaken owner",
        {Batch("e/1/1", 1, true), Batch("f/1/1", 2, true), Batch("f/1/2", 2, false),
         Batch("e/1/2", 1, true)},
