Keep what is in flight while a witness is activated; end the planned stop

Cause: activating a witness gives up the owner's own right for a round trip. The shard took that for a loss, dropped everything and never served again: every job call hung. The last entry's stop waited for a witness that no longer existed until its grace ran out. Change: a shard pauses and goes on when the same epoch is activated; a stop gives a lonely shard up.

--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -21,6 +21,10 @@
 /// A cell that starts waits so long for its members to be heard before any of them claims.
 inline constexpr duration kSettleFirst = std::chrono::milliseconds{1500};
 
+/// An owner that stops waits so long for a witness to hand its shard to. Without one, the shard is
+/// claimed through the log once this entry is gone.
+inline constexpr duration kWaitForWitness = std::chrono::seconds{5};
+
 /// Farewell messages are repeated so often: one that is lost costs its peers a lapse.
 inline constexpr std::uint32_t kFarewells = 3;
 
@@ -1096,11 +1100,14 @@
 
 template <node_ports Ports>
 void basic_node<Ports>::StopShard(slot& item, const step_time& at, shard_output& out) {
+  bool alone = false;
   {
     const std::scoped_lock lock{cell_.mutex};
     if (!cell_.stopping) {
       return;
     }
+    alone =
+        cell_.members.Live(at.now).empty() || at.now >= cell_.stop_at + internal::kWaitForWitness;
   }
   auto& value = item.value;
   const auto role = value.rights().role();
@@ -1108,11 +1115,12 @@
     value.Resign(at, out);
     return;
   }
-  if (!value.Serving(at.now)) {
+  if (role == rights_role::kNone) {
     return;
   }
   value.BeginDrain();
-  if (value.OpenRequests() == 0 && value.WitnessHasAll() && value.rights().WitnessActive()) {
+  const bool paired = value.WitnessHasAll() && value.rights().WitnessActive();
+  if (value.OpenRequests() == 0 && (paired || alone)) {
     value.HandOver(at, out);
   }
 }
--- a/src/rosearch/serve/entry_ports.cc
+++ b/src/rosearch/serve/entry_ports.cc
@@ -14,6 +14,17 @@
   return {SteadyNow(), static_cast<std::uint64_t>(ms)};
 }
 
+namespace {
+
+/// A command that was not written, because the right to act had lapsed or its time was up, did not
+/// arrive; the pool knows one kind for that.
+error NothingSent(const error& why) {
+  const bool unsent = why.kind == error_kind::kNoOwner || why.kind == error_kind::kDeadlinePassed;
+  return unsent ? error{error_kind::kTargetUnreachable, why.detail} : why;
+}
+
+}  // namespace
+
 entry_ports::entry_ports(const config::settings& settings, http_client& http)
     : settings_{settings},
       vm_list_{http, settings.platform.vm_list},
@@ -96,7 +107,7 @@
           counters_.exchange_bytes += report.value().ByteSizeLong();
           node_->OnWorkerReport(shard, vm, report.value(), sent_at, StepNow());
         } else {
-          node_->OnWorkerFailed(shard, vm, report.error(), sent_at, StepNow());
+          node_->OnWorkerFailed(shard, vm, NothingSent(report.error()), sent_at, StepNow());
         }
       });
 }
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -130,8 +130,8 @@
     LOG(INFO) << "event=right_changed shard=" << number_ << " epoch=" << event.epoch
               << " change=" << RightChangeName(event.change);
     if (event.change == right_change::kLost) {
-      OnLost(at, out);
-    } else if (event.change != right_change::kActivated) {
+      Pause(at);
+    } else {
       OnAcquired(event, at, out);
     }
   }
@@ -139,13 +139,19 @@
 }
 
 void shard::OnAcquired(const right_event& event, const step_time& at, shard_output& out) {
-  const bool kept = std::exchange(held_before_, true);
-  if (kept && phase_ == phase::kServing) {
+  if (phase_ == phase::kPaused && event.change == right_change::kActivated) {
+    phase_ = phase::kServing;
+    return;
+  }
+  if (phase_ == phase::kServing) {
     // The same holder at a later epoch, without a moment in which another could have acted.
     journal_.ContinueAt(event.epoch);
     replicating_ = false;
     return;
   }
+  if (phase_ == phase::kPaused) {
+    OnLost(at, out);
+  }
   if (event.change == right_change::kResumed && event.epoch == journal_.epoch()) {
     Serve(true, at, out);
     return;
@@ -160,8 +166,16 @@
   phase_ = phase::kReading;
 }
 
+void shard::Pause(const step_time& at) {
+  if (phase_ == phase::kServing) {
+    phase_ = phase::kPaused;
+    paused_until_ = at.now + settings_.rights.right_length;
+  } else {
+    phase_ = phase::kIdle;
+  }
+}
+
 void shard::OnLost(const step_time& at, shard_output& out) {
-  held_before_ = false;
   phase_ = phase::kIdle;
   replicating_ = false;
   journal_.StopReplication();
@@ -224,7 +238,7 @@
 // ---- records
 
 std::optional<wire::shard_batch> shard::TakeForLog() {
-  if (phase_ != phase::kServing) {
+  if (!Holds()) {
     return std::nullopt;
   }
   return journal_.TakeForLog();
@@ -242,6 +256,11 @@
   if (!owner || *owner != from || message.epoch() != rights_.epoch()) {
     return;
   }
+  if (rights_.role() == rights_role::kActingWitness) {
+    // The owner was paused and doesn't know yet that its shard was taken over: what it writes now
+    // is void.
+    return;
+  }
   wire::peer_message answer;
   *answer.mutable_acked() = copy_.OnReplicate(message);
   out.peers.push_back({from, std::move(answer)});
@@ -258,10 +277,13 @@
 
 /// Does what follows from a step until nothing more does.
 void shard::Settle(const step_time& at, shard_output& out) {
-  if (phase_ != phase::kServing) {
+  if (!Holds()) {
     return;
   }
   Replicate(at, out);
+  if (!rights_.MayAct(at.now)) {
+    return;
+  }
   DeliverDurable(at, out);
   Dispatch(at, out);
   LoopBack(at, out);
@@ -366,7 +388,7 @@
 
 void shard::OnCapacity(const wire::capacity_message& message, const step_time& at,
                        shard_output& out) {
-  if (phase_ != phase::kServing || message.to_shard() != number_) {
+  if (!Serving(at.now) || message.to_shard() != number_) {
     return;
   }
   auto& newest = newest_terms_[message.from_shard()];
@@ -545,7 +567,10 @@
   rights_output rights;
   rights_.Tick(at.now, rights);
   TakeRights(rights, at, out);
-  if (phase_ != phase::kServing || !rights_.MayAct(at.now)) {
+  if (phase_ == phase::kPaused && at.now >= paused_until_) {
+    OnLost(at, out);
+  }
+  if (!Serving(at.now)) {
     return;
   }
   pool_output pool;
--- a/src/rosearch/shard/shard.h
+++ b/src/rosearch/shard/shard.h
@@ -134,12 +134,19 @@
   enum class phase {
     kIdle,     ///< not the holder
     kReading,  ///< holds the right, reads the stream first
+    /// Gave up its own right to activate the witness, or missed a renewal: does nothing, but keeps
+    /// what is in flight, because nobody else may have acted when the right is back.
+    kPaused,
     kServing,
   };
 
   void TakeRights(rights_output& rights, const step_time& at, shard_output& out);
   void OnAcquired(const right_event& event, const step_time& at, shard_output& out);
+  void Pause(const step_time& at);
   void OnLost(const step_time& at, shard_output& out);
+  [[nodiscard]] bool Holds() const noexcept {
+    return phase_ == phase::kServing || phase_ == phase::kPaused;
+  }
   void Serve(bool complete, const step_time& at, shard_output& out);
   void Pump(pool_output& pool, const step_time& at, shard_output& out);
   void Settle(const step_time& at, shard_output& out);
@@ -170,10 +177,10 @@
   phase phase_{phase::kIdle};
   bool log_up_{false};
   bool draining_{false};
-  bool held_before_{false};  ///< has held the right without a gap up to now
   bool replicating_{false};
   epoch_number replicating_epoch_{0};
   time_point reading_since_{};
+  time_point paused_until_{};
   std::map<shard_number, std::uint64_t> newest_terms_;  ///< of shards that sent messages
 };
 
