--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -6,7 +6,8 @@
 pids=()
 
 cleanup() {
-  for pid in "${pids[@]}"; do kill -KILL "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  wait 2>/dev/null || true
   rm -rf "$work"
 }
 trap cleanup EXIT
