--- a/test/rosearch/ownership/pair_random_test.cc
+++ b/test/rosearch/ownership/pair_random_test.cc
@@ -15,7 +15,8 @@
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
     CAPTURE(seed);
     const auto report = pair_world<full_rules>{seed}.Run(4000);
-    REQUIRE(report.breach == "");
+    INFO(report.breach);
+    REQUIRE(report.breach.empty());
     REQUIRE(report.alive_at_end);
     for (const auto& [how, count] : report.events) all.events[how] += count;
     all.acting_steps += report.acting_steps;
--- a/test/rosearch/ownership/pair_world.h
+++ b/test/rosearch/ownership/pair_world.h
@@ -291,10 +291,9 @@
     for (const auto& one : entries_) {
       if (one.run && one.run->self != run.self) all.push_back(one.run->self);
     }
-    if (!all.empty())
-      std::rotate(all.begin(),
-                  all.begin() + random_.Between(0, static_cast<std::int64_t>(all.size()) - 1),
-                  all.end());
+    if (all.empty()) return all;
+    const auto first = random_.Between(0, static_cast<std::int64_t>(all.size()) - 1);
+    std::rotate(all.begin(), all.begin() + first, all.end());
     return all;
   }
 
