--- a/src/rosearch/capacity/ended_memory.cc
+++ b/src/rosearch/capacity/ended_memory.cc
@@ -4,7 +4,7 @@
 
 namespace rosearch {
 
-void ended_memory::Add(const attempt_key& key, ended_attempt added) {
+void ended_memory::Add(const attempt_key& key, ended_attempt&& added) {
   ended_.try_emplace(key, std::move(added));
 }
 
--- a/src/rosearch/capacity/ended_memory.h
+++ b/src/rosearch/capacity/ended_memory.h
@@ -26,7 +26,7 @@
 class ended_memory {
  public:
   /// Keeps an end. The first word on an attempt stands: a second one is dropped.
-  void Add(const attempt_key& key, ended_attempt added);
+  void Add(const attempt_key& key, ended_attempt&& added);
   /// @return the end, valid until the next change, or null.
   [[nodiscard]] ended_attempt* Find(const attempt_key& key);
   /// @return the events to send at `now`; each is due again after `retry`. Drops what is too old.
--- a/src/rosearch/capacity/placement_record.h
+++ b/src/rosearch/capacity/placement_record.h
@@ -2,13 +2,18 @@
 #define ROSEARCH_CAPACITY_PLACEMENT_RECORD_H_
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 
+#include "rosearch/core/id.h"
 #include "rosearch/core/time.h"
 #include "rosearch/wire/record.pb.h"
 
 namespace rosearch {
 
+/// The home shard of a task that was found on a worker and that no home shard has asked for yet.
+inline constexpr shard_number kUnknownHome = std::numeric_limits<shard_number>::max();
+
 /// How far a placement has come.
 enum class placement_phase {
   kJournaling,  ///< its record isn't durable yet: no start was sent
@@ -32,7 +37,6 @@
   bool journaled{false};     ///< a `placement_made` was written, durable or not
   bool rated{false};         ///< counted by `vm_health`
   bool start_queued{false};  ///< durable, and waiting for the next exchange
-  bool start_in_flight{false};
   /// The last moment at which a start may have been written; none: certainly not sent.
   std::optional<time_point> start_sent;
   stop_cause stopping{stop_cause::kNone};
--- a/src/rosearch/capacity/pool_settings.h
+++ b/src/rosearch/capacity/pool_settings.h
@@ -22,6 +22,8 @@
   duration checkpoint_limit{std::chrono::seconds{2}};  ///< from a checkpoint command to a stop
   duration urgent_limit{std::chrono::seconds{5}};  ///< urgent work waits so long for preempted room
   duration long_running{std::chrono::minutes{1}};  ///< declared longer: moved off a leaving VM
+  /// After records were lost, home shards have asked by then for all that they still wait for.
+  duration proof_span{std::chrono::minutes{10}};
   vm_health_settings health;
 
   friend bool operator==(const pool_settings&, const pool_settings&) = default;
--- a/src/rosearch/capacity/vm_pool.cc
+++ b/src/rosearch/capacity/vm_pool.cc
@@ -44,12 +44,14 @@
   complete_ = complete;
   acquired_at_ = now;
   proved_at_ = now + LeaseSpan(settings_);
+  complete_at_ = complete ? now : proved_at_ + settings_.proof_span;
   for (const auto& [vm, listed] : listed_) UpdateListed(listed, now, out);
   for (const auto& made : placements) {
     const auto key = KeyOf(made.ref());
     placement_record record;
     record.made = made;
     record.phase = placement_phase::kStarting;
+    record.home_known = made.home_shard() != kUnknownHome;
     record.journaled = true;
     record.start_sent = now;  // the predecessor may have sent it until now
     if (!placements_.try_emplace(key, std::move(record)).second) continue;
@@ -107,16 +109,14 @@
     auto& record = found->second;
     if (!record.home_known) {
       record.home_known = true;
-      record.made.set_home_shard(home);
       if (want != nullptr) {
-        const auto vm = record.made.vm();
-        record.made = *want;
-        record.made.set_vm(vm);
-        record.made.set_home_shard(home);
-        *record.made.mutable_needs() = internal::ToWire(ledger_.Find(key.task, key.attempt)->needs);
-        record.journaled = true;
-        *out.records.emplace_back().mutable_placed() = record.made;
+        auto made = *want;
+        made.set_vm(record.made.vm());
+        *made.mutable_needs() = record.made.needs();  // as committed
+        record.made = std::move(made);
       }
+      record.made.set_home_shard(home);
+      *out.records.emplace_back().mutable_placed() = record.made;
     }
     if (record.phase == placement_phase::kRunning) {
       Send(EventOf(key, home, record.made.vm(), {.kind = wire::PLACE_STARTED}), out);
@@ -222,8 +222,7 @@
   const verdict cancelled{
       .kind = wire::PLACE_REFUSED, .failure = error_kind::kCancelled, .detail = "stopped"};
   if (placements_.contains(key)) {
-    placements_.at(key).home_known = true;
-    placements_.at(key).made.set_home_shard(home);
+    static_cast<void>(AnswerKnown(key, home, nullptr, now, out));
     return StopPlacement(key, stop_cause::kCancelled, now, out);
   }
   if (AnswerKnown(key, home, nullptr, now, out)) return;
@@ -242,15 +241,24 @@
   if (ended == nullptr || ended->acknowledged) return;
   ended->acknowledged = true;
   ended->drop_at = now + settings_.remember;
-  if (!ended->journaled) return;
+  if (!ended->journaled) return Forget(key, *ended);
   // Written only now: a successor that knew of no placement would take the home shard's repeated
   // message for a new one and run the attempt again.
+  JournalFreed(key, ended->event.how(), out);
+}
+
+void vm_pool::Forget(const attempt_key& key, const ended_attempt& ended) {
+  const auto vm = vms_.find(vm_id{ended.event.vm()});
+  if (vm != vms_.end()) vm->second.session.AddForget(key, ended.forget_after);
+}
+
+void vm_pool::JournalFreed(const attempt_key& key, const wire::ending& how, pool_output& out) {
   auto& freed = *out.records.emplace_back().mutable_freed();
   *freed.mutable_ref() = RefOf(key);
-  *freed.mutable_how() = ended->event.how();
+  *freed.mutable_how() = how;
 }
 
-void vm_pool::Refuse(const attempt_key& key, shard_number home, verdict how, time_point now,
+void vm_pool::Refuse(const attempt_key& key, shard_number home, const verdict& how, time_point now,
                      pool_output& out) {
   stop_wishes_.erase(key);
   ended_attempt ended;
@@ -292,10 +300,7 @@
   if (!acting_) return;
   if (record.has_freed()) {
     const auto key = KeyOf(record.freed().ref());
-    const auto* const ended = ended_.Find(key);
-    if (ended == nullptr) return;
-    const auto vm = vms_.find(vm_id{ended->event.vm()});
-    if (vm != vms_.end()) vm->second.session.AddForget(key, ended->forget_after);
+    if (const auto* const ended = ended_.Find(key)) Forget(key, *ended);
     return;
   }
   if (!record.has_placed()) return;
@@ -343,7 +348,7 @@
          now, out);
 }
 
-void vm_pool::Finish(const attempt_key& key, verdict how, time_point now, pool_output& out) {
+void vm_pool::Finish(const attempt_key& key, const verdict& how, time_point now, pool_output& out) {
   const auto found = placements_.find(key);
   CHECK(found != placements_.end()) << "ended twice: task=" << key << " shard=" << shard_;
   const auto record = std::move(found->second);
@@ -368,6 +373,8 @@
     Send(ended.event, out);
   } else {
     ended.drop_at = now + settings_.remember;
+    ended.journaled = false;
+    if (record.journaled) JournalFreed(key, ended.event.how(), out);
     vms_.at(vm).session.AddForget(key, ended.drop_at);
   }
   ended_.Add(key, std::move(ended));
@@ -384,14 +391,15 @@
   health_.OnAbandoned(vm, job);
 }
 
-void vm_pool::DropHold(const attempt_key& key, verdict how, time_point now, pool_output& out) {
+void vm_pool::DropHold(const attempt_key& key, const verdict& how, time_point now,
+                       pool_output& out) {
   const auto held = holds_.Take(key);
   CHECK(held) << "no such hold: task=" << key << " shard=" << shard_;
   const vm_id vm{held->made.vm()};
   ledger_.Free(key.task, key.attempt);
   health_.OnAbandoned(vm, JobOf(key.task));
   touched_.insert(vm);
-  Refuse(key, held->made.home_shard(), std::move(how), now, out);
+  Refuse(key, held->made.home_shard(), how, now, out);
 }
 
 void vm_pool::Send(wire::place_event event, pool_output& out) const {
--- a/src/rosearch/capacity/vm_pool.h
+++ b/src/rosearch/capacity/vm_pool.h
@@ -70,6 +70,9 @@
   void Tick(time_point now, pool_output& out);
 
   [[nodiscard]] bool acting() const noexcept { return acting_; }
+  /// @return whether the shard's records hold all that runs. While they don't, a successor is
+  ///   incomplete too, whatever it read: the caller keeps this with the shard.
+  [[nodiscard]] bool complete() const noexcept { return complete_; }
   /// @return the largest free amount of each part over the open VMs.
   [[nodiscard]] wire::resource_amounts LargestRoom() const;
   /// @return what is left on all open VMs together.
@@ -109,17 +112,19 @@
                                     pool_output& out);
   void Preempt(const wire::place_task& place, wire::placement_made made,
                const placement_request& request, time_point now, pool_output& out);
-  void Refuse(const attempt_key& key, shard_number home, verdict how, time_point now,
+  void Refuse(const attempt_key& key, shard_number home, const verdict& how, time_point now,
               pool_output& out);
 
   // Placements.
   [[nodiscard]] commitment CommitmentOf(const wire::placement_made& made,
                                         const std::string& group) const;
   void Journal(const attempt_key& key, wire::placement_made made, time_point now, pool_output& out);
+  void Forget(const attempt_key& key, const ended_attempt& ended);
+  static void JournalFreed(const attempt_key& key, const wire::ending& how, pool_output& out);
   void StopPlacement(const attempt_key& key, stop_cause cause, time_point now, pool_output& out);
-  void Finish(const attempt_key& key, verdict how, time_point now, pool_output& out);
+  void Finish(const attempt_key& key, const verdict& how, time_point now, pool_output& out);
   void FinishNotSent(const attempt_key& key, time_point now, pool_output& out);
-  void DropHold(const attempt_key& key, verdict how, time_point now, pool_output& out);
+  void DropHold(const attempt_key& key, const verdict& how, time_point now, pool_output& out);
   void Rate(const placement_record& record, const verdict& how, time_point now);
 
   // VMs.
@@ -159,6 +164,7 @@
   epoch_number epoch_{};
   time_point acquired_at_{};
   time_point proved_at_{};  ///< from here on nothing unknown runs on a worker not heard of
+  time_point complete_at_{};
   bool acting_{false};
   bool complete_{false};
 
--- a/src/rosearch/capacity/vm_pool_vms.cc
+++ b/src/rosearch/capacity/vm_pool_vms.cc
@@ -13,7 +13,6 @@
 vm_pool::worker_vm& vm_pool::AddVm(const vm_id& vm, time_point now) {
   const auto found = vms_.find(vm);
   if (found != vms_.end()) return found->second;
-  const bool after_takeover = now == acquired_at_;
   // A start that an earlier owner wrote may arrive late; where its record may be missing, only a
   // report from after that shows all that runs. A VM that was listed later was the earlier owner's
   // too, as far as this one can tell.
@@ -24,7 +23,7 @@
                   .session = {verify_after, complete_},
                   .tasks = {},
                   .strays = {}};
-  if (after_takeover) added.session.set_renewed_at(now);
+  added.session.set_renewed_at(acquired_at_);
   ledger_.SetVm({.vm = vm, .region = {}, .failure_domain = {}, .rack = {}, .holds = {}});
   ledger_.SetOpen(vm, false);
   touched_.insert(vm);
@@ -202,8 +201,12 @@
            now, out);
   }
   for (auto& event : ended_.Due(now, settings_.event_retry)) Send(std::move(event), out);
-  health_.Tick(now);
-  for (const auto& [vm, state] : vms_) touched_.insert(vm);
+  complete_ = complete_ || now >= complete_at_;
+  for (const auto& vm : health_.Tick(now)) touched_.insert(vm);
+  for (const auto& [vm, state] : vms_) {
+    const bool steady = state.present && state.session.verified() && !state.Leaving();
+    if (!steady || state.session.IsDue(now)) touched_.insert(vm);
+  }
   Settle(now, out);
 }
 
--- a/src/rosearch/capacity/vm_pool_workers.cc
+++ b/src/rosearch/capacity/vm_pool_workers.cc
@@ -13,7 +13,7 @@
 session_wants vm_pool::WantsOf(const worker_vm& vm, time_point now) const {
   session_wants wants;
   wants.stops = vm.strays;
-  wants.watching = !vm.strays.empty();
+  if (!vm.strays.empty()) wants.change_at = now;
   for (const auto& key : vm.tasks) {
     const auto& record = placements_.at(key);
     if (record.start_queued) wants.starts.push_back(StartOf(key, record, vm));
@@ -21,7 +21,8 @@
     wants.has_tasks = true;
     const bool stops = record.stopping != stop_cause::kNone;
     if (stops) (now >= record.stop_at ? wants.stops : wants.checkpoints).insert(key);
-    wants.watching |= stops || record.phase == placement_phase::kStarting || record.ends_by <= now;
+    const bool expected = stops || record.phase == placement_phase::kStarting;
+    wants.change_at = std::min(wants.change_at, expected ? now : record.ends_by);
   }
   return wants;
 }
@@ -53,7 +54,6 @@
   for (const auto& start : command->starts()) {
     auto& record = placements_.at(KeyOf(start.ref()));
     record.start_queued = false;
-    record.start_in_flight = true;
     record.start_sent = now;
   }
   const bool carries_starts = command->starts_size() > 0;
@@ -66,7 +66,6 @@
     const auto found = placements_.find(key);
     if (found == placements_.end()) continue;
     auto& record = found->second;
-    record.start_in_flight = false;
     if (arrived) {
       record.start_sent = sent_at;
       continue;
@@ -165,7 +164,7 @@
       break;
   }
   state.strays.erase(key);
-  Finish(key, std::move(how), now, out);
+  Finish(key, how, now, out);
 }
 
 void vm_pool::ApplyRunning(const attempt_key& key, placement_record& record, time_point now,
@@ -192,9 +191,15 @@
     }
     return;
   }
+  if (!runs && complete_) {
+    // Its home shard has acknowledged its end, but the worker wasn't told to forget it.
+    return state.session.AddForget(key, now + settings_.transit);
+  }
   placement_record record;
   record.phase = placement_phase::kRunning;
   record.home_known = false;
+  record.journaled = runs;
+  record.made.set_home_shard(kUnknownHome);
   record.start_sent = sent_at;
   *record.made.mutable_ref() = report.ref();
   record.made.set_vm(vm.value());
@@ -208,6 +213,7 @@
   }
   LOG(WARNING) << "event=task_adopted shard=" << shard_ << " vm=" << vm << " task=" << key
                << " runs=" << runs << " complete=" << complete_;
+  if (runs) *out.records.emplace_back().mutable_placed() = record.made;
   ledger_.ForceCommit(vm, CommitmentOf(record.made, {}), true);
   state.tasks.insert(key);
   placements_.emplace(key, std::move(record));
--- a/src/rosearch/capacity/worker_session.cc
+++ b/src/rosearch/capacity/worker_session.cc
@@ -55,7 +55,7 @@
     *command.add_starts() = start;
     flight.starts.push_back(KeyOf(start.ref()));
   }
-  due_at_ = now + (wants.watching ? settings.poll : settings.renew_interval);
+  due_at_ = std::min(std::max(wants.change_at, now + settings.poll), now + settings.renew_interval);
   told_ = wants.stops;
   told_.insert(wants.checkpoints.begin(), wants.checkpoints.end());
   if (whole) whole_at_ = kNever;
--- a/src/rosearch/capacity/worker_session.h
+++ b/src/rosearch/capacity/worker_session.h
@@ -22,8 +22,8 @@
   std::uint64_t since{};
   bool renews{};
   bool stale{};  ///< the VM was replaced meanwhile: the report says nothing
-  std::vector<attempt_key> starts;
-  std::vector<attempt_key> forgets;
+  std::vector<attempt_key> starts{};
+  std::vector<attempt_key> forgets{};
 };
 
 /// What is wanted of the next command.
@@ -31,8 +31,8 @@
   std::vector<wire::task_start> starts;
   std::set<attempt_key> stops;
   std::set<attempt_key> checkpoints;
-  bool has_tasks{};  ///< something may run there
-  bool watching{};   ///< a change is expected soon
+  bool has_tasks{};              ///< something may run there
+  time_point change_at{kNever};  ///< a change is expected then; past: at any moment
 };
 
 /// The state of the exchanges with one worker: at most one in flight, and what the worker's reports
@@ -52,9 +52,11 @@
   void AddForget(const attempt_key& key, time_point after) { forgets_.try_emplace(key, after); }
   /// The VM was replaced: what is in flight proves nothing.
   void Replace(time_point verify_after);
-  /// Lets the next exchange go out at once.
-  void Hurry(time_point now) noexcept { due_at_ = std::min(due_at_, now); }
 
+  /// @return whether `Next` may have something to send though nothing new is wanted.
+  [[nodiscard]] bool IsDue(time_point now) const noexcept {
+    return !flight_ && now >= std::min({due_at_, renew_due_, whole_at_});
+  }
   /// @return the next command; nothing where one is in flight or nothing is due.
   [[nodiscard]] std::optional<wire::worker_command> Next(const session_wants& wants, time_point now,
                                                          const pool_settings& settings);
