Test a write that breaks off midway

With the kind of a failed write changed to "nothing was sent", all tests still passed: no row broke a connection while the request was being written. The stand-in now cuts off requests over 16 MB, which no kernel buffers whole, and a new row expects target_lost; with the fault put back in it fails.

--- a/test/rosearch/platform/executor_client_test.cc
+++ b/test/rosearch/platform/executor_client_test.cc
@@ -17,6 +17,8 @@
 using executor = served<testbed::executor_stand_in>;
 
 constexpr std::uint64_t kSlots = 8;
+/// The stand-in breaks off a request of so many bytes, and no kernel buffers them all.
+constexpr std::size_t kTooLong = std::size_t{20} << 20;
 constexpr auto kRequest = "order-1";
 
 result<http_reply> Run(http_client& http, const executor_call& call) {
@@ -46,7 +48,7 @@
   std::optional<duration> answer_within{};
   std::size_t max_answer_bytes{1000};
   std::string address{};
-  bool idempotent{false};
+  std::size_t body_bytes{8};
 };
 
 std::vector<fault_row> FaultRows() {
@@ -60,6 +62,7 @@
       {"refused connection", "{}", kTargetUnreachable, 0, {}, {}, 1000, kClosedAddress},
       {"no address", "{}", kTargetUnreachable, 0, {}, {}, 1000, "somewhere"},
       {"dropped after the write", R"({"down":true})", kTargetLost, 0},
+      {"broken in the middle of the write", "{}", kTargetLost, 0, {}, {}, 1000, {}, kTooLong},
       {"lost answer", R"({"lose_answers":1})", kTargetLost, 1},
       {"answer cut off", R"({"cut_answers":1})", kTargetLost, 1},
       {"slow past the deadline", R"({"slow_ms":60000})", kTimeout, 1, {}, kShortWhile},
@@ -75,9 +78,8 @@
   executor_call call{.address = row.address.empty() ? target.address() : row.address,
                      .path = "/order",
                      .request_id = kRequest,
-                     .body = "jet fuel",
-                     .max_answer_bytes = row.max_answer_bytes,
-                     .idempotent = row.idempotent};
+                     .body = std::string(row.body_bytes, 'q'),
+                     .max_answer_bytes = row.max_answer_bytes};
   const auto now = SteadyNow();
   call.valid_until = row.valid_for ? now + *row.valid_for : kNever;
   call.answer_by = row.answer_within ? now + *row.answer_within : kNever;
--- a/testbed/http_server.cc
+++ b/testbed/http_server.cc
@@ -28,7 +28,8 @@
 using asio::ip::tcp;
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
-constexpr std::size_t kMaxRequestBytes = std::size_t{64} << 20;
+/// A longer request is cut off while it is still being written.
+constexpr std::size_t kMaxRequestBytes = std::size_t{16} << 20;
 constexpr std::size_t kChunkBytes = 7;
 constexpr std::chrono::milliseconds kAcceptPause{10};
 
