Carry an incomplete recovery on to later owners

Ruled out: asking the workers alone (ended tasks may be gone from their reports). Change: the state keeps whether recovery is settled and the fence for request ids; events of an older term are dropped by what summaries say too. Conclusion: the next owner knows what it can't prove.

--- a/src/rosearch/api/service.cc
+++ b/src/rosearch/api/service.cc
@@ -184,7 +184,7 @@
 api_service::api_service(const entry_access& access, metric_set& metrics)
     : access_{access}, metrics_{metrics} {}
 
-void api_service::Handle(http_call call, http_respond respond) {
+void api_service::Handle(const http_call& call, http_respond respond) {
   const auto begun = access_.now().now;
   auto measured = [this, begun, respond = std::move(respond)](http_response response) {
     metrics_.Count("rosearch_http_answers_total{status=\"" + std::to_string(response.status) +
@@ -289,7 +289,7 @@
   request.set_label(said.label);
   made.set_shard(access_.home_of(said.customer, said.request));
   access_.call(std::move(made), at.now + limit,
-               [respond = std::move(respond), name = rule.name](wire::call_answer answer) {
+               [respond = std::move(respond), name = rule.name](const wire::call_answer& answer) {
                  respond(RequestResponse(answer, name));
                });
 }
@@ -328,7 +328,7 @@
   *job.mutable_treatment() = TreatmentOf(rule, kind, access_.configuration_record().version());
   *job.mutable_spec() = std::move(spec);
   access_.call(std::move(made), access_.now().now + kJobCallLimit,
-               [respond = std::move(respond)](wire::call_answer answer) {
+               [respond = std::move(respond)](const wire::call_answer& answer) {
                  respond(answer.error().kind().empty()
                              ? JsonResponse(kAccepted, JobJson(answer.job()))
                              : ErrorResponse(FromWire(answer.error())));
@@ -350,7 +350,7 @@
     return;
   }
   access_.call(std::move(made), access_.now().now + kJobCallLimit,
-               [respond = std::move(respond)](wire::call_answer answer) {
+               [respond = std::move(respond)](const wire::call_answer& answer) {
                  respond(answer.error().kind().empty() ? JsonResponse(kOk, JobJson(answer.job()))
                                                        : ErrorResponse(FromWire(answer.error())));
                });
--- a/src/rosearch/api/service.h
+++ b/src/rosearch/api/service.h
@@ -53,7 +53,7 @@
   api_service(const entry_access& access, metric_set& metrics);
 
   /// Answers one HTTP call; `respond` is called once, from any thread.
-  void Handle(http_call call, http_respond respond);
+  void Handle(const http_call& call, http_respond respond);
 
   /// Does what waits for time to pass: publishes that wait until they are in force everywhere.
   void Tick(time_point now);
--- a/src/rosearch/serve/serve.cc
+++ b/src/rosearch/serve/serve.cc
@@ -106,8 +106,8 @@
         settings.peer.host + ':' + std::to_string(settings.peer.port),
         [this](const std::string& bytes) { OnPeerBytes(bytes); });
     server_ = std::make_unique<http_server>(io_, ServerSettings(settings),
-                                            [this](http_call call, http_respond respond) {
-                                              api_.Handle(std::move(call), std::move(respond));
+                                            [this](const http_call& call, http_respond respond) {
+                                              api_.Handle(call, std::move(respond));
                                             });
     node_ = std::make_unique<entry_node>(
         NodeSettings(settings, incarnation, transport_->address(), server_->port()), ports_);
--- a/src/rosearch/shard/request_table.cc
+++ b/src/rosearch/shard/request_table.cc
@@ -45,9 +45,7 @@
 
 }  // namespace
 
-void request_table::Start(bool complete, std::uint64_t unix_ms) {
-  const auto skew = static_cast<std::uint64_t>(settings_.clock_skew.count());
-  fence_ms_ = complete ? fence_ms_ : unix_ms + skew;
+void request_table::Start() {
   open_.clear();
   by_key_.clear();
   ready_.clear();
@@ -123,7 +121,7 @@
     if (AnswerKnown(from, call, body_hash, out)) {
       return;
     }
-    if (call.issued_ms() < fence_ms_) {
+    if (call.issued_ms() < journal_.state().recovery().fence_ms()) {
       // The records of the term before may be incomplete. An id from before the takeover that isn't
       // known may have been sent by the former owner: sending it now could run it twice.
       out.answers.push_back(
--- a/src/rosearch/shard/request_table.h
+++ b/src/rosearch/shard/request_table.h
@@ -37,10 +37,14 @@
   request_table(request_settings settings, shard_journal& journal)
       : settings_{settings}, journal_{journal} {}
 
-  /// Begins a term.
-  /// @param complete  whether the state holds every record of the terms before. If not, an id that
-  ///   was issued before now and is unknown may have run, and is answered so.
-  void Start(bool complete, std::uint64_t unix_ms);
+  /// Begins a term. An id that was issued before the fence of the state's recovery and is unknown
+  /// may have run, and is answered so.
+  void Start();
+
+  /// @return the fence to be recorded by an owner that may miss records of the terms before.
+  [[nodiscard]] std::uint64_t FenceAt(std::uint64_t unix_ms) const {
+    return unix_ms + static_cast<std::uint64_t>(settings_.clock_skew.count());
+  }
 
   /// Ends a term: answers everyone who waits, truthfully for what was sent and what was not.
   void Drop(shard_output& out);
@@ -86,7 +90,6 @@
   std::map<std::uint64_t, tracked> open_;
   std::map<request_key, std::uint64_t> by_key_;  ///< non-idempotent ones under way
   std::vector<std::uint64_t> ready_;
-  std::uint64_t fence_ms_{0};  ///< unknown ids issued before it may have run
 };
 
 }  // namespace rosearch
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -224,10 +224,18 @@
   LOG(INFO) << "event=shard_served shard=" << number_ << " epoch=" << rights_.act_epoch()
             << " jobs=" << journal_.state().jobs().size() << " placements=" << placements.size()
             << " complete=" << complete;
+  if (!complete) {
+    wire::shard_record record;
+    record.mutable_recovery()->set_incomplete(true);
+    record.mutable_recovery()->set_fence_ms(requests_.FenceAt(at.unix_ms));
+    journal_.Propose(std::move(record));
+  }
+  // An owner before this one may have missed records too, and not have settled what they told.
+  const bool settled = complete && !journal_.state().recovery().incomplete();
   pool_output pool;
-  pool_.OnAcquired(Term(), placements, complete, at.now, pool);
+  pool_.OnAcquired(Term(), placements, settled, at.now, pool);
   Pump(pool, at, out);
-  requests_.Start(complete, at.unix_ms);
+  requests_.Start();
   jobs_.Rebuild(at.now);
 }
 
@@ -392,6 +400,7 @@
     return;
   }
   auto& newest = newest_terms_[message.from_shard()];
+  newest = std::max(newest, cell_.TermOf(message.from_shard()));
   if (message.from_epoch() < newest) {
     // From an owner that has been replaced since: its word on an attempt may be out of date.
     return;
@@ -437,7 +446,7 @@
   return Serving(now) && (rights_.WitnessActive() || log_up_);
 }
 
-void shard::Refuse(const call_origin& from, error why, shard_output& out) const {
+void shard::Refuse(const call_origin& from, const error& why, shard_output& out) const {
   wire::call_answer answer;
   *answer.mutable_error() = ToWire(why);
   out.answers.push_back({from, std::move(answer)});
@@ -576,6 +585,12 @@
   pool_output pool;
   pool_.Tick(at.now, pool);
   Pump(pool, at, out);
+  if (journal_.state().recovery().incomplete() && pool_.complete()) {
+    wire::shard_record record;
+    *record.mutable_recovery() = journal_.state().recovery();
+    record.mutable_recovery()->set_incomplete(false);
+    journal_.Propose(std::move(record));
+  }
   if (const auto summary = Summary(at.now)) {
     (void)cell_.OnSummary(*summary, region_);
   }
--- a/src/rosearch/shard/shard.h
+++ b/src/rosearch/shard/shard.h
@@ -155,7 +155,7 @@
   void LoopBack(const step_time& at, shard_output& out);
   void TakeCapacity(const wire::capacity_message& message, const step_time& at, shard_output& out);
   void Dispatch(const step_time& at, shard_output& out);
-  void Refuse(const call_origin& from, error why, shard_output& out) const;
+  void Refuse(const call_origin& from, const error& why, shard_output& out) const;
   [[nodiscard]] bool CanAccept(time_point now) const;
   [[nodiscard]] std::uint64_t Term() const noexcept;
   [[nodiscard]] job_context JobContext(const step_time& at) { return {at.now, cell_}; }
--- a/src/rosearch/shard/shard_state.cc
+++ b/src/rosearch/shard/shard_state.cc
@@ -82,6 +82,9 @@
     case wire::shard_record::kSnapshot:
       Load(record.snapshot());
       return;
+    case wire::shard_record::kRecovery:
+      recovery_ = record.recovery();
+      return;
     case wire::shard_record::BODY_NOT_SET:
       return;
   }
@@ -91,6 +94,7 @@
   jobs_.clear();
   placements_.clear();
   requests_.clear();
+  recovery_ = snapshot.recovery();
   for (const auto& job : snapshot.jobs()) {
     auto& entry = jobs_[{job.job().spec().customer(), job.job().spec().job()}];
     entry.accepted = job.job();
@@ -129,6 +133,7 @@
 
 wire::shard_snapshot shard_state::Snapshot() const {
   wire::shard_snapshot snapshot;
+  *snapshot.mutable_recovery() = recovery_;
   for (const auto& [key, entry] : jobs_) {
     *snapshot.add_jobs() = Describe(entry);
   }
--- a/src/rosearch/shard/shard_state.h
+++ b/src/rosearch/shard/shard_state.h
@@ -72,6 +72,9 @@
     return requests_;
   }
 
+  /// @return how complete the state is.
+  [[nodiscard]] const wire::shard_recovery& recovery() const noexcept { return recovery_; }
+
   /// @return the job, or null.
   [[nodiscard]] const job_entry* FindJob(const job_key& key) const;
 
@@ -86,6 +89,7 @@
   std::map<job_key, job_entry> jobs_;
   std::map<attempt_key, wire::placement_made> placements_;
   std::map<request_key, request_entry> requests_;
+  wire::shard_recovery recovery_;
 };
 
 }  // namespace rosearch
