--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -18,6 +18,11 @@
 /// A claim that has not led to a right by then is tried again.
 inline constexpr duration kClaimAgain = std::chrono::seconds{5};
 
+/// A shard that nobody says it serves for so long is claimed although its owner or witness lives: a
+/// witness that was never activated can't take over, and a claimant may die before it acts. Longer
+/// than a takeover takes, because a claim makes the witness give its copy of the state up.
+inline constexpr duration kUnservedFor = std::chrono::seconds{8};
+
 /// A cell that starts waits so long for its members to be heard before any of them claims.
 inline constexpr duration kSettleFirst = std::chrono::milliseconds{1500};
 
@@ -843,6 +848,9 @@
       const auto live = cell_.members.Live(at.now);
       const bool first = !live.empty() && live.front()->who == settings_.self;
       if (first) {
+        for (shard_number number = 0; number < slots_.size(); ++number) {
+          cell_.control.Settle(number, cell_.settled[number]);
+        }
         wire::control_record record;
         *record.mutable_snapshot() = cell_.control.Snapshot(cell_.reader.next_offset());
         AppendControl(std::move(record), at.now);
@@ -862,6 +870,10 @@
     WithShard(number, at, [&](shard& value, shard_output& out) {
       value.SetLogUp(log_up);
       value.Tick(at, out);
+      {
+        const std::scoped_lock lock{cell_.mutex};
+        cell_.settled[number] = value.rights().settled_epoch();
+      }
       ContinueMove(*slots_[number], at, out);
       StopShard(*slots_[number], at, out);
     });
@@ -1033,22 +1045,32 @@
 void basic_node<Ports>::BalanceShard(shard_number number, const std::vector<const member*>& live,
                                      const std::vector<party>& candidates, bool claims,
                                      const step_time& at) {
-  std::optional<assignment> newest;
   bool orphaned = false;
+  bool served = false;
   {
     const std::scoped_lock lock{cell_.mutex};
-    newest = cell_.control.Newest(number);
+    const auto newest = cell_.control.Newest(number);
+    const auto lists = [number](const member* each) {
+      return std::ranges::find(each->owned, number, &wire::shard_summary::shard) !=
+             each->owned.end();
+    };
+    served = std::ranges::any_of(live, lists);
     const auto gone = [&](const party& who) {
       return who != settings_.self && !cell_.members.IsListed(who) &&
              !cell_.members.IsLive(who, at.now);
     };
-    orphaned = newest && gone(newest->owner) && (!newest->witness || gone(*newest->witness));
+    orphaned = !newest || (gone(newest->owner) && (!newest->witness || gone(*newest->witness)));
   }
   const bool claimant = Claimant(number, live).who == settings_.self;
   WithShard(number, at, [&](shard& value, shard_output& out) {
     auto& item = *slots_[number];
     value.SetCandidates(candidates);
-    if (!claims || !claimant || at.now < item.next_claim || (newest && !orphaned)) {
+    if (served || value.Serving(at.now) || item.served_at == time_point{}) {
+      item.served_at = at.now;
+    }
+    const bool due = orphaned || at.now - item.served_at >= internal::kUnservedFor;
+    const bool wanted = claims && claimant && due && at.now >= item.next_claim;
+    if (!wanted || value.Serving(at.now) || !value.rights().IsClaimable(at.now)) {
       return;
     }
     item.next_claim = at.now + internal::kClaimAgain;
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -121,6 +121,7 @@
     bool served{false};
     std::string listed;  ///< the VM list that was passed on last, serialized
     time_point next_claim{};
+    time_point served_at{};  ///< when somebody last said that it serves the shard
     std::optional<party> moving_to;
     time_point move_until{kNever};
   };
@@ -150,6 +151,7 @@
     std::map<std::string, pending_publish> publishes;
     std::vector<wire::vm_record> vms;
     std::map<shard_number, std::pair<std::uint64_t, entry_id>> routes;  ///< term and server
+    std::map<shard_number, epoch_number> settled;  ///< below it nobody can act any more
     bool control_read_under_way{false};
     time_point control_read_at{};
     time_point log_read_at{time_point::min()};  ///< last read that was answered
