--- a/src/rosearch/config/settings.cc
+++ b/src/rosearch/config/settings.cc
@@ -73,10 +73,10 @@
     {"connect_timeout_ms", kNumber, "1000", "ms", "Until a connection counts as failed.", 10,
      kMinuteMs},
     {"answer_timeout_ms", kNumber, "3000", "ms", "Until an answer counts as lost.", 10, kMinuteMs},
-    {"log_poll_ms", kNumber, "2000", "ms", "How long one read of the log waits for a record.", 10,
+    {"log_poll_ms", kNumber, "1000", "ms", "How long one read of the log waits for a record.", 10,
      kMinuteMs},
-    {"vm_list_poll_ms", kNumber, "2000", "ms", "Between two reads of the VM list.", 10, kMinuteMs},
-    {"vm_list_lag_ms", kNumber, "30000", "ms",
+    {"vm_list_poll_ms", kNumber, "1000", "ms", "Between two reads of the VM list.", 10, kMinuteMs},
+    {"vm_list_lag_ms", kNumber, "10000", "ms",
      "By how much the VM list may lag; never set it below the platform's word.", 0, kHourMs},
 };
 constexpr schema kPlatform{kPlatformFields};
@@ -121,7 +121,7 @@
      "rate.",
      1, 1000},
     {"burst", kNumber, "10", "", "Appends that may follow each other at once.", 1, 1000},
-    {"max_append_bytes", kNumber, "262144", "bytes", "Records of one append.", 1024, kMaxBytes},
+    {"max_append_bytes", kNumber, "4194304", "bytes", "Records of one append.", 1024, kMaxBytes},
     {"max_waiting_bytes", kNumber, "16777216", "bytes",
      "Records that wait for the log; beyond it work that must be recorded is refused.", 1024,
      kMaxBytes},
@@ -139,7 +139,7 @@
 constexpr schema kHeartbeat{kHeartbeatFields};
 
 constexpr field kLeaseFields[] = {
-    {"lease_ms", kNumber, "15000", "ms", "How long a task runs without a renewal.", 100, kHourMs},
+    {"lease_ms", kNumber, "30000", "ms", "How long a task runs without a renewal.", 100, kHourMs},
     {"renew_ms", kNumber, "5000", "ms", "Between two renewals to a worker.", 10, kHourMs},
 };
 constexpr schema kLeases{kLeaseFields};
--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -12,7 +12,8 @@
   return journal::stream_id{"shard-" + std::to_string(shard)};
 }
 
-/// The log counts as up while the control stream was read so lately.
+/// The log counts as up while the control stream was read so lately, besides the time that one read
+/// may wait.
 inline constexpr duration kLogUpFor = std::chrono::seconds{2};
 
 /// A claim that has not led to a right by then is tried again.
@@ -690,7 +691,8 @@
 
 template <node_ports Ports>
 bool basic_node<Ports>::LogUp(time_point now) const {
-  return cell_.log_read_at != time_point::min() && now - cell_.log_read_at <= internal::kLogUpFor;
+  return cell_.log_read_at != time_point::min() &&
+         now - cell_.log_read_at <= internal::kLogUpFor + settings_.log_wait;
 }
 
 template <node_ports Ports>
@@ -869,6 +871,7 @@
   for (shard_number number = 0; number < slots_.size(); ++number) {
     WithShard(number, at, [&](shard& value, shard_output& out) {
       value.SetLogUp(log_up);
+      KeepSnapshot(*slots_[number], at);
       value.Tick(at, out);
       {
         const std::scoped_lock lock{cell_.mutex};
@@ -975,6 +978,21 @@
   }
 }
 
+/// A shard's records are forgotten after the log's retention: whoever reads the stream later needs
+/// a snapshot that is younger. Shards are spread over the interval so that they don't write
+/// together.
+template <node_ports Ports>
+void basic_node<Ports>::KeepSnapshot(slot& item, const step_time& at) {
+  if (item.snapshot_at == time_point{}) {
+    const auto share = settings_.snapshot_interval / static_cast<duration::rep>(slots_.size());
+    item.snapshot_at = at.now + settings_.snapshot_interval + share * item.value.number();
+  }
+  if (at.now >= item.snapshot_at) {
+    item.snapshot_at = at.now + settings_.snapshot_interval;
+    item.value.RequestLogSnapshot();
+  }
+}
+
 // ---- who owns what
 
 template <node_ports Ports>
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -121,6 +121,7 @@
     bool served{false};
     std::string listed;  ///< the VM list that was passed on last, serialized
     time_point next_claim{};
+    time_point snapshot_at{};
     time_point served_at{};  ///< when somebody last said that it serves the shard
     std::optional<party> moving_to;
     time_point move_until{kNever};
@@ -204,6 +205,7 @@
   void Balance(const step_time& at);
   void BalanceShard(shard_number number, const std::vector<const member*>& live,
                     const std::vector<party>& candidates, bool claims, const step_time& at);
+  void KeepSnapshot(slot& item, const step_time& at);
   void ContinueMove(slot& item, const step_time& at, shard_output& out);
   void StopShard(slot& item, const step_time& at, shard_output& out);
   [[nodiscard]] shard_number ShardOfVm(const wire::vm_record& vm) const;
--- a/src/rosearch/shard/shard.h
+++ b/src/rosearch/shard/shard.h
@@ -94,6 +94,8 @@
   [[nodiscard]] std::optional<wire::shard_batch> TakeForLog();
   void OnLogDurable(std::uint64_t sequence, const step_time& at, shard_output& out);
   void SetLogUp(bool up) noexcept { log_up_ = up; }
+  /// The next batch for the log begins with a snapshot.
+  void RequestLogSnapshot() noexcept { journal_.RequestLogSnapshot(); }
   /// @return whether the stream has to be read from its oldest record before this shard can serve.
   [[nodiscard]] bool WantsStream() const noexcept { return phase_ == phase::kReading; }
   void OnStreamBatch(const std::string& author, const wire::shard_batch& batch);
