Send a request that nobody remembers to one owner only

For requests whose ids the receiver doesn't keep (idempotent ones and delegated ones) a request of over a second ran once more per second; a delegated non-idempotent one could have run twice. Ruled out: calls by id (the home shard knows their repeats). Change: such a call goes to another entry only when the one that has it is gone, and a delegated one then ends "unknown".

--- a/src/rosearch/node/call_table.cc
+++ b/src/rosearch/node/call_table.cc
@@ -21,7 +21,7 @@
   const auto number = next_++;
   call.set_number(number);
   auto& item = open_[number];
-  item = {std::move(call), std::move(done), deadline, kNever, 0};
+  item = {std::move(call), std::move(done), deadline, kNever, 0, {}};
   deadlines_.emplace(deadline, number);
   SetDue(number, item, now);
   return number;
@@ -49,14 +49,31 @@
   return call;
 }
 
-void call_table::OnSent(std::uint64_t number, shard_number shard) {
+void call_table::OnSent(std::uint64_t number, shard_number shard, const party& owner) {
   const auto found = open_.find(number);
   if (found != open_.end()) {
     found->second.call.set_shard(shard);
+    found->second.sent_to = owner;
     ++found->second.unanswered;
   }
 }
 
+std::optional<party> call_table::Awaited(std::uint64_t number) const {
+  const auto found = open_.find(number);
+  if (found == open_.end() || found->second.unanswered == 0) {
+    return std::nullopt;
+  }
+  return found->second.sent_to;
+}
+
+void call_table::Abandon(std::uint64_t number) {
+  wire::call_answer answer;
+  answer.set_number(number);
+  *answer.mutable_error() =
+      ToWire(error{error_kind::kInterrupted, "the entry that ran it is gone"});
+  Finish(number, std::move(answer));
+}
+
 void call_table::TryAgain(std::uint64_t number, time_point now) {
   const auto found = open_.find(number);
   if (found != open_.end()) {
--- a/src/rosearch/node/call_table.h
+++ b/src/rosearch/node/call_table.h
@@ -12,6 +12,7 @@
 
 #include "rosearch/core/id.h"
 #include "rosearch/core/time.h"
+#include "rosearch/ownership/party.h"
 #include "rosearch/wire/peer.pb.h"
 
 namespace rosearch {
@@ -21,8 +22,8 @@
 
 /// The calls of one entry's own callers, each on its way to the owner of a shard.
 ///
-/// A call may be sent again until it is answered: its effect is that of one. It is given up at its
-/// deadline, and the caller learns at once whether it may have taken effect.
+/// A call may be sent again until it is answered, where its effect is that of one. It is given up
+/// at its deadline, and the caller learns at once whether it may have taken effect.
 class call_table {
  public:
   /// @param first_number  numbers go up from here.
@@ -39,7 +40,13 @@
   [[nodiscard]] std::optional<wire::call> Prepare(std::uint64_t number, time_point now) const;
 
   /// The call was handed to a shard's owner.
-  void OnSent(std::uint64_t number, shard_number shard);
+  void OnSent(std::uint64_t number, shard_number shard, const party& owner);
+
+  /// @return whom the call was sent to last and has no answer from, or none.
+  [[nodiscard]] std::optional<party> Awaited(std::uint64_t number) const;
+
+  /// Ends a call that may have taken effect with an owner that is gone.
+  void Abandon(std::uint64_t number);
 
   /// The call could not be handed to anybody now.
   void TryAgain(std::uint64_t number, time_point now);
@@ -59,6 +66,7 @@
     time_point deadline;
     time_point due;
     std::uint32_t unanswered{0};  ///< times sent that no "not run" has come back for
+    party sent_to{};
   };
 
   void SetDue(std::uint64_t number, open_call& item, time_point due);
--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -256,6 +256,16 @@
   const bool anywhere =
       call->has_request() && (call->request().idempotent() || call->request().delegated());
   if (anywhere) {
+    // Nobody remembers the ids of such requests: sent again while the first one runs, it would run
+    // twice. Only where the entry that has it is gone is an idempotent one sent to another.
+    const auto awaited = cell_.calls.Awaited(number);
+    if (awaited && cell_.members.IsLive(*awaited, now)) {
+      return;
+    }
+    if (awaited && call->request().delegated()) {
+      cell_.calls.Abandon(number);
+      return;
+    }
     // Any shard with a free slot will do; a delegated request goes to another shard than its own.
     std::set<shard_number> avoid;
     if (call->request().delegated()) {
@@ -274,16 +284,18 @@
     cell_.calls.TryAgain(number, now);
     return;
   }
-  cell_.calls.OnSent(number, call->shard());
   if (*server == settings_.self.entry) {
+    cell_.calls.OnSent(number, call->shard(), settings_.self);
     const call_origin from{settings_.self.entry.value(), settings_.self.incarnation, number};
     cell_.inbox.push_back({call->shard(), std::pair{from, *call}});
     return;
   }
   const auto* const known = cell_.members.Find(*server);
   if (known == nullptr) {
+    cell_.calls.TryAgain(number, now);
     return;
   }
+  cell_.calls.OnSent(number, call->shard(), known->who);
   wire::peer_message message;
   *message.mutable_ask() = std::move(*call);
   SendTo(known->who, std::move(message));
--- a/src/rosearch/shard/job_table.cc
+++ b/src/rosearch/shard/job_table.cc
@@ -122,7 +122,7 @@
     auto& submitters = DriveOf(key).submitters;
     if (submitters.empty()) {
       Answer(from, key, out);
-    } else {
+    } else if (std::ranges::find(submitters, from) == submitters.end()) {
       submitters.push_back(from);
     }
     return;
--- a/src/rosearch/shard/request_table.cc
+++ b/src/rosearch/shard/request_table.cc
@@ -1,5 +1,6 @@
 #include "rosearch/shard/request_table.h"
 
+#include <algorithm>
 #include <boost/crc.hpp>
 #include <utility>
 
@@ -92,7 +93,10 @@
   }
   const auto under_way = by_key_.find(KeyOf(call));
   if (under_way != by_key_.end()) {
-    open_.at(under_way->second).request.waiting.push_back(from);
+    auto& waiting = open_.at(under_way->second).request.waiting;
+    if (std::ranges::find(waiting, from) == waiting.end()) {
+      waiting.push_back(from);
+    }
     return true;
   }
   wire::call_answer answer;
