--- a/src/rosearch/cli/fwd.h
+++ b/src/rosearch/cli/fwd.h
@@ -3,6 +3,11 @@
 
 namespace rosearch {
 
+class api_client;
+class command_line;
+class job_options;
+struct api_request;
+struct client_options;
 struct command;
 
 }  // namespace rosearch
