Keep an entry alive whatever it is sent; explain, commitments and gauges

A POST to /v1/jobs of '{"customer":' ended the entry: ParseJob read keys of a document that had already been found faulty, and the exception left the io thread. Names are looked at only where they are there as text. Paths are matched by their parts: POST /v1/vms/a/b/drain had drained VM a. Labels that are no printable ASCII and customers that are no name are refused: the message to another entry could not be read there and the caller waited its deadline. Two publishes of one change id under way at one entry are both answered; the first had never been. GET /v1/jobs/C/J/explain, commitments in /v1/vms, gauges in /metrics; the last bucket of a histogram is +Inf, as Prometheus reads it.

--- a/src/rosearch/api/job_document.cc
+++ b/src/rosearch/api/job_document.cc
@@ -1,5 +1,6 @@
 #include "rosearch/api/job_document.h"
 
+#include <boost/json/serialize.hpp>
 #include <iterator>
 #include <limits>
 #include <string>
@@ -11,6 +12,8 @@
 namespace rosearch {
 namespace {
 
+namespace json = boost::json;
+
 using config::field;
 using config::schema;
 using config::internal::Count;
@@ -63,9 +66,10 @@
   config::checked<wire::job_spec> parsed{std::nullopt, std::move(document.faults)};
   const auto& value = document.value;
   for (const auto* const key : {"customer", "job"}) {
-    const auto name = Text(value, key);
-    if (!config::HasError(parsed.faults) && !IsValidName(name)) {
-      parsed.faults.push_back({key, name, "letters, digits and . _ : -"});
+    // Of a text that is no job, a key may be absent or of another type; those are faults already.
+    const auto* const name = value.if_contains(key);
+    if (name != nullptr && name->is_string() && !IsValidName(std::string_view{name->as_string()})) {
+      parsed.faults.push_back({key, json::serialize(*name), "letters, digits and . _ : -"});
     }
   }
   if (config::HasError(parsed.faults)) {
--- a/src/rosearch/api/service.cc
+++ b/src/rosearch/api/service.cc
@@ -36,7 +36,9 @@
 
 constexpr std::string_view kRequestsPath = "/v1/requests/";
 constexpr std::string_view kJobsPath = "/v1/jobs";
+constexpr std::string_view kJobPath = "/v1/jobs/";
 constexpr std::string_view kVmsPath = "/v1/vms";
+constexpr std::string_view kVmPath = "/v1/vms/";
 
 std::string HeaderOf(const http_call& call, const std::string& name) {
   const auto found = call.headers.find(name);
@@ -74,6 +76,13 @@
 };
 
 constexpr std::uint64_t kLongestDeadlineMs = 3'600'000;
+constexpr std::size_t kLongestLabel = 64;
+
+/// Header values may hold any byte, but between entries a text that is not UTF-8 can't be read: the
+/// message would be dropped and the caller would wait for its whole deadline.
+bool IsPlainText(std::string_view text) {
+  return std::ranges::all_of(text, [](char each) { return each >= ' ' && each <= '~'; });
+}
 
 result<request_headers> ReadHeaders(const http_call& call) {
   request_headers read;
@@ -83,6 +92,12 @@
   if (read.customer.empty()) {
     return Invalid("header Rosearch-Customer is missing");
   }
+  if (!IsValidName(read.customer)) {
+    return Invalid("header Rosearch-Customer: letters, digits and . _ : - only, at most 128");
+  }
+  if (read.label.size() > kLongestLabel || !IsPlainText(read.label)) {
+    return Invalid("header Rosearch-Label: printable ASCII only, at most 64");
+  }
   if (!read.request.empty() && !IsValidName(read.request)) {
     return Invalid("header Rosearch-Request: letters, digits and . _ : - only, at most 128");
   }
@@ -168,6 +183,44 @@
           {"accelerators", amounts.accelerators}};
 }
 
+/// What the owner of a worker's shard knows of it.
+struct owned_vm {
+  json::object committed;
+  std::size_t tasks{0};
+  bool open{false};
+  std::string condition;
+};
+
+json::object SumOfNeeds(const json::array& tasks) {
+  resources sum;
+  for (const auto& task : tasks) {
+    const auto& needs = task.at("needs").as_object();
+    sum.processors_milli += needs.at("processors_milli").as_int64();
+    sum.memory_mb += needs.at("memory_mb").as_int64();
+    sum.accelerators += needs.at("accelerators").as_int64();
+  }
+  return AmountsJson(sum);
+}
+
+/// @param dump  of this entry.
+/// @return the workers of the shards that it serves now, by name.
+std::map<std::string, owned_vm> OwnedVms(const json::value& dump) {
+  std::map<std::string, owned_vm> all;
+  for (const auto& shard : dump.at("shards").as_array()) {
+    const auto* const pool = shard.as_object().if_contains("vms");
+    if (pool == nullptr) {
+      continue;
+    }
+    for (const auto& vm : pool->at("vms").as_array()) {
+      const auto& tasks = vm.at("tasks").as_array();
+      all[std::string{vm.at("vm").as_string()}] = {SumOfNeeds(tasks), tasks.size(),
+                                                   vm.at("open").as_bool(),
+                                                   std::string{vm.at("condition").as_string()}};
+    }
+  }
+  return all;
+}
+
 std::string_view KindName(wire::vm_kind kind) {
   switch (kind) {
     case wire::VM_EXECUTOR:
@@ -201,12 +254,16 @@
     return;
   }
   const auto parts = PathParts(call.path);
-  if (call.path.starts_with(kRequestsPath) && call.method == "POST" && parts.size() >= 3) {
+  const bool is_job = parts.size() >= 4 && call.path.starts_with(kJobPath);
+  if (call.path.starts_with(kRequestsPath) && call.method == "POST" && parts.size() >= 3 &&
+      !parts[2].empty()) {
     Request(call, std::move(measured));
   } else if (call.path == kJobsPath && call.method == "POST") {
     Submit(call, std::move(measured));
-  } else if (call.path.starts_with(kJobsPath) && parts.size() == 4) {
+  } else if (is_job && parts.size() == 4) {
     Job(call, parts[2], parts[3], std::move(measured));
+  } else if (is_job && parts.size() == 5 && parts[4] == "explain" && call.method == "GET") {
+    ExplainJob(parts[2], parts[3], std::move(measured));
   } else if (call.path == "/v1/configuration" && call.method == "POST") {
     Publish(call, std::move(measured));
   } else {
@@ -223,7 +280,7 @@
     respond(JsonResponse(ready ? kOk : AnswerFor(error_kind::kNotReady).http_status,
                          json::object{{"ready", ready}}));
   } else if (is_get && call.path == "/metrics") {
-    respond({kOk, metrics_.Text(), "text/plain; version=0.0.4"});
+    respond(Metrics());
   } else if (is_get && call.path == "/v1/dump") {
     respond(JsonResponse(kOk, access_.dump()));
   } else if (is_get && call.path == "/v1/configuration") {
@@ -238,9 +295,12 @@
     respond(Vms());
   } else if (call.path == "/v1/explain" && call.method == "POST") {
     respond(Explain(call));
-  } else if (call.path.starts_with(kVmsPath) && call.path.ends_with("/drain") &&
-             (call.method == "POST" || call.method == "DELETE")) {
-    respond(Drain(PathParts(call.path).at(2), call.method == "POST"));
+  } else if (call.path.starts_with(kVmPath) && (call.method == "POST" || call.method == "DELETE")) {
+    const auto parts = PathParts(call.path);
+    if (parts.size() != 4 || parts[3] != "drain") {
+      return false;
+    }
+    respond(Drain(parts[2], call.method == "POST"));
   } else {
     return false;
   }
@@ -314,6 +374,10 @@
     respond(ErrorResponse(Invalid("count: at most limits.max_tasks_per_job")));
     return;
   }
+  if (spec.payload().size() > in_force->bounds().max_payload_bytes) {
+    respond(ErrorResponse(Invalid("payload: at most limits.max_payload_bytes")));
+    return;
+  }
   if (!access_.fits_somewhere(internal::FromWire(spec.needs()))) {
     respond(ErrorResponse({error_kind::kNeverFits, "larger than every worker that is listed"}));
     return;
@@ -397,6 +461,14 @@
 }
 
 void api_service::Tick(time_point now) {
+  std::vector<std::function<void()>> due;
+  {
+    const std::scoped_lock lock{mutex_};
+    due.swap(later_);
+  }
+  for (const auto& each : due) {
+    each();
+  }
   const auto lowest = access_.lowest_version();
   const std::scoped_lock lock{mutex_};
   std::erase_if(waiting_, [&](const waiting_publish& item) {
@@ -410,6 +482,13 @@
   });
 }
 
+http_response api_service::Metrics() const {
+  for (const auto& [name, value] : access_.gauges()) {
+    metrics_.Set(name, value);
+  }
+  return {kOk, metrics_.Text(), "text/plain; version=0.0.4"};
+}
+
 http_response api_service::Configuration() const {
   const auto record = access_.configuration_record();
   return JsonResponse(kOk, json::object{{"version", record.version()},
@@ -457,18 +536,28 @@
 
 http_response api_service::Vms() const {
   const auto drains = access_.drains();
+  const auto owned = OwnedVms(access_.dump());
   json::array rows;
   for (const auto& vm : access_.vms()) {
     const auto drain = drains.find(vm.vm());
     const bool drained = drain != drains.end() && drain->second.leaving();
-    rows.push_back(json::object{{"vm", vm.vm()},
-                                {"kind", KindName(vm.kind())},
-                                {"region", vm.region()},
-                                {"failure_domain", vm.failure_domain()},
-                                {"rack", vm.rack()},
-                                {"holds", AmountsJson(internal::FromWire(vm.holds()))},
-                                {"leaving", vm.leaving() || drained},
-                                {"drained", drained}});
+    json::object row{{"vm", vm.vm()},
+                     {"kind", KindName(vm.kind())},
+                     {"region", vm.region()},
+                     {"failure_domain", vm.failure_domain()},
+                     {"rack", vm.rack()},
+                     {"holds", AmountsJson(internal::FromWire(vm.holds()))},
+                     {"leaving", vm.leaving() || drained},
+                     {"drained", drained}};
+    const auto known = owned.find(vm.vm());
+    if (known != owned.end()) {
+      const auto& [name, state] = *known;
+      row["committed"] = state.committed;
+      row["tasks"] = state.tasks;
+      row["open"] = state.open;
+      row["condition"] = state.condition;
+    }
+    rows.push_back(std::move(row));
   }
   return JsonResponse(kOk, json::object{{"vms", std::move(rows)}});
 }
@@ -500,9 +589,16 @@
     return ErrorResponse(matched.error());
   }
   const auto& rule = *matched.value();
+  return JsonResponse(kOk, json::object{{"rule", rule.name},
+                                        {"policy", config::PolicyFor(rule.treat, kind)},
+                                        {"priority", rule.treat.priority},
+                                        {"vms", VmsFor(spec, rule.treat.priority)}});
+}
+
+json::array api_service::VmsFor(const wire::job_spec& spec, std::uint32_t priority) const {
   placement_request request;
   request.needs = internal::FromWire(spec.needs());
-  request.priority = rule.treat.priority;
+  request.priority = priority;
   request.urgent = spec.urgent();
   json::array rows;
   for (const auto& each : access_.explain(request)) {
@@ -510,10 +606,34 @@
                                 {"reason", PassReasonName(each.reason)},
                                 {"missing", AmountsJson(each.missing)}});
   }
-  return JsonResponse(kOk, json::object{{"rule", rule.name},
-                                        {"policy", config::PolicyFor(rule.treat, kind)},
-                                        {"priority", rule.treat.priority},
-                                        {"vms", std::move(rows)}});
+  return rows;
+}
+
+void api_service::ExplainJob(const std::string& customer, const std::string& job,
+                             http_respond respond) {
+  wire::call made;
+  made.set_shard(access_.home_of(customer, job));
+  made.mutable_status()->set_customer(customer);
+  made.mutable_status()->set_job(job);
+  access_.call(std::move(made), access_.now().now + kJobCallLimit,
+               [this, respond = std::move(respond)](const wire::call_answer& answer) {
+                 if (!answer.error().kind().empty()) {
+                   respond(ErrorResponse(FromWire(answer.error())));
+                   return;
+                 }
+                 // Answers come while the node is locked; looking at its VMs from here would lock
+                 // it a second time and stop the entry.
+                 const std::scoped_lock lock{mutex_};
+                 later_.emplace_back([this, respond, found = answer.job()] {
+                   const auto& how = found.job().treatment();
+                   auto shape = JobJson(found).as_object();
+                   shape["policy"] = how.policy();
+                   shape["priority"] = how.priority();
+                   shape["needs"] = AmountsJson(internal::FromWire(found.job().spec().needs()));
+                   shape["vms"] = VmsFor(found.job().spec(), how.priority());
+                   respond(JsonResponse(kOk, shape));
+                 });
+               });
 }
 
 }  // namespace rosearch
--- a/src/rosearch/api/service.h
+++ b/src/rosearch/api/service.h
@@ -1,7 +1,9 @@
 #ifndef ROSEARCH_API_SERVICE_H_
 #define ROSEARCH_API_SERVICE_H_
 
+#include <boost/json/array.hpp>
 #include <boost/json/value.hpp>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,6 +45,7 @@
   std::function<bool(const resources&)> fits_somewhere;
   std::function<boost::json::value()> dump;
   std::function<std::vector<vm_explanation>(const placement_request&)> explain;
+  std::function<std::map<std::string, double>()> gauges;  ///< by name of the metric
 };
 
 /// The HTTP interface of an entry towards callers and operators; docs/API.md lists its paths. Safe
@@ -72,6 +75,10 @@
   void Publish(const http_call& call, http_respond respond);
   void Published(const result<config_version>& version, time_point wait_until,
                  const http_respond& respond);
+  void ExplainJob(const std::string& customer, const std::string& job, http_respond respond);
+  /// @return for each VM of the shards served here, whether it could take a task now.
+  [[nodiscard]] boost::json::array VmsFor(const wire::job_spec& spec, std::uint32_t priority) const;
+  [[nodiscard]] http_response Metrics() const;
   [[nodiscard]] http_response Configuration() const;
   [[nodiscard]] http_response History() const;
   [[nodiscard]] http_response CheckConfiguration(const http_call& call) const;
@@ -85,6 +92,7 @@
   metric_set& metrics_;
   std::mutex mutex_;
   std::vector<waiting_publish> waiting_;
+  std::vector<std::function<void()>> later_;  ///< for the next tick
 };
 
 }  // namespace rosearch
--- a/src/rosearch/cli/job_commands.cc
+++ b/src/rosearch/cli/job_commands.cc
@@ -19,10 +19,11 @@
 namespace json = boost::json;
 
 /// @return CUSTOMER/JOB words of the command line and of the lines of --names.
-std::vector<std::string> JobNames(const cxxopts::ParseResult& parsed) {
-  auto names = WordsOf(parsed, "job", 0);
-  if (parsed.count("names") > 0) {
-    std::istringstream lines{ReadFile(parsed["names"].as<std::string>())};
+std::vector<std::string> JobNames(const cxxopts::ParseResult& parsed, const std::string& words,
+                                  const std::string& file = {}) {
+  auto names = WordsOf(parsed, words, 0);
+  if (!file.empty() && parsed.count(file) > 0) {
+    std::istringstream lines{ReadFile(parsed[file].as<std::string>())};
     for (std::string line; lines >> line;) {
       names.push_back(line);
     }
@@ -44,7 +45,7 @@
 int AskJobs(const cxxopts::ParseResult& parsed, const std::string& method,
             const std::string& done) {
   const auto client = ClientOptions(parsed);
-  const auto names = JobNames(parsed);
+  const auto names = JobNames(parsed, "jobs", "names");
   std::vector<std::optional<result<http_reply>>> answers(names.size());
   progress_line line{done, names.size()};
   api_client{client.entries}.AskAll(
@@ -83,7 +84,7 @@
 command_line JobsLine(const std::string& name, const std::string& about) {
   command_line line{name, about, name + " calandria/uplift-1 calandria/uplift-2"};
   line.AsksEntries()
-      .Words("job", "jobs, as CUSTOMER/JOB")
+      .Words("jobs", "jobs, as CUSTOMER/JOB")
       .Option("names", "file with more of them; - for the standard input",
               cxxopts::value<std::string>());
   return line;
@@ -102,8 +103,27 @@
       });
 }
 
+/// Tells of a job that was accepted: what decided on it, where its tasks are, and for those that
+/// wait, which VMs could take them.
+int ExplainAccepted(const client_options& client, const std::string& name) {
+  const auto answer = api_client{client.entries}.Ask({"GET", "/v1/jobs/" + name + "/explain"});
+  return PrintAnswer(answer, client.output, [](const json::object& body) {
+    std::cout << "rule " << CellText(body, "rule") << " of version "
+              << CellText(body, "config_version") << ", policy " << CellText(body, "policy")
+              << ", priority " << CellText(body, "priority") << ", each task needs "
+              << CellText(body, "needs") << "\n\n";
+    PrintTable(std::cout, RowsOf(body, "tasks",
+                                 {"task", "state", "attempt", "vm", "outcome", "kind", "detail"}));
+    std::cout << '\n';
+    PrintTable(std::cout, RowsOf(body, "vms", {"vm", "reason", "missing"}));
+  });
+}
+
 int Explain(const cxxopts::ParseResult& parsed) {
   const auto client = ClientOptions(parsed);
+  if (parsed.count("accepted") > 0) {
+    return ExplainAccepted(client, JobNames(parsed, "accepted").front());
+  }
   const auto read = JobOf(parsed);
   for (const auto& [source, faults] : read.faults) {
     PrintFaults(source, faults, output_format::kTable);
@@ -128,7 +148,9 @@
       "explain --customer calandria --job uplift-1 --processors-milli 2000 "
       "--memory-mb 4096"};
   AddJobOptions(line);
-  return line.AsksEntries().Run(words, Explain);
+  return line.AsksEntries()
+      .Words("accepted", "or a job that was accepted, as CUSTOMER/JOB")
+      .Run(words, Explain);
 }
 
 const command_registrar kStatus{{"status", "show jobs", RunStatus}};
--- a/src/rosearch/metrics/metric_set.cc
+++ b/src/rosearch/metrics/metric_set.cc
@@ -3,6 +3,7 @@
 #include <boost/histogram.hpp>
 #include <boost/histogram/ostream.hpp>
 #include <chrono>
+#include <cmath>
 #include <sstream>
 
 namespace rosearch {
@@ -64,7 +65,10 @@
     double below = 0;
     for (const auto& bin : bh::indexed(box->values, bh::coverage::all)) {
       below += *bin;
-      out << name << "_bucket{le=\"" << bin.bin().upper() << "\"} " << below << '\n';
+      const auto upper = bin.bin().upper();
+      out << name << "_bucket{le=\"";
+      std::isinf(upper) ? out << "+Inf" : out << upper;
+      out << "\"} " << below << '\n';
     }
     out << name << "_count " << below << '\n' << name << "_sum " << box->sum_ms << '\n';
   }
--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -645,7 +645,12 @@
     done(verdict.version);
     return;
   }
-  cell_.publishes[record.change_id()] = {std::move(done), deadline};
+  // An operator who repeats a publish may have both under way; each of them is answered.
+  const bool under_way = cell_.publishes.contains(record.change_id());
+  cell_.publishes.emplace(record.change_id(), pending_publish{std::move(done), deadline});
+  if (under_way) {
+    return;
+  }
   wire::control_record control;
   *control.mutable_configuration() = std::move(record);
   AppendControl(std::move(control), at.now);
@@ -656,17 +661,16 @@
   if (!change.configuration) {
     return;
   }
-  const auto found = cell_.publishes.find(change.configuration->change_id);
-  if (found == cell_.publishes.end()) {
-    return;
-  }
-  const auto done = std::move(found->second.done);
-  cell_.publishes.erase(found);
-  if (change.configuration->effect == config::change_effect::kVoid) {
-    done(change.configuration->cause.value_or(error{error_kind::kVersionConflict, "void"}));
-  } else {
-    done(change.configuration->version);
+  const auto [first, last] = cell_.publishes.equal_range(change.configuration->change_id);
+  for (auto item = first; item != last; ++item) {
+    if (change.configuration->effect == config::change_effect::kVoid) {
+      item->second.done(
+          change.configuration->cause.value_or(error{error_kind::kVersionConflict, "void"}));
+    } else {
+      item->second.done(change.configuration->version);
+    }
   }
+  cell_.publishes.erase(first, last);
 }
 
 template <node_ports Ports>
@@ -1283,6 +1287,25 @@
   return dump;
 }
 
+template <node_ports Ports>
+node_figures basic_node<Ports>::Figures(time_point now) const {
+  node_figures figures;
+  for (const auto& item : slots_) {
+    const std::scoped_lock lock{item->mutex};
+    figures.shards_served += item->value.Serving(now) ? 1 : 0;
+  }
+  const std::scoped_lock lock{cell_.mutex};
+  const auto status = cell_.appender.Status();
+  figures.open_calls = cell_.calls.size();
+  figures.live_members = cell_.members.Live(now).size();
+  figures.log_waiting_records = status.waiting_records;
+  figures.log_waiting_bytes = status.waiting_bytes;
+  figures.version = cell_.control.configuration().version();
+  figures.ready = cell_.config_known && !cell_.stopping;
+  figures.log_up = LogUp(now);
+  return figures;
+}
+
 template <node_ports Ports>
 std::vector<vm_explanation> basic_node<Ports>::Explain(const placement_request& request,
                                                        const step_time& at) {
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -34,6 +34,20 @@
 /// What became of a publish: the version now in force on the log, or why it has no effect.
 using publish_done = std::function<void(result<config_version>)>;
 
+/// What an entry counts of itself.
+struct node_figures {
+  std::size_t open_calls{0};
+  std::size_t shards_served{0};
+  std::size_t live_members{0};
+  std::size_t log_waiting_records{0};
+  std::size_t log_waiting_bytes{0};
+  config_version version{0};  ///< of the configuration
+  bool ready{false};
+  bool log_up{false};
+
+  friend bool operator==(const node_figures&, const node_figures&) = default;
+};
+
 /// One entry: its shards, each under its own lock, and what it knows of the cell under another.
 ///
 /// Inputs may come from several threads. What a step asks for is handed to the ports while the lock
@@ -104,6 +118,8 @@
   /// @return whether some VM that is listed could hold a task of that size when empty.
   [[nodiscard]] bool FitsSomewhere(const resources& needs) const;
   [[nodiscard]] boost::json::value Dump(const step_time& at);
+  /// @return figures for the metrics, cheaper than a dump.
+  [[nodiscard]] node_figures Figures(time_point now) const;
   [[nodiscard]] std::vector<vm_explanation> Explain(const placement_request& request,
                                                     const step_time& at);
 
@@ -149,7 +165,7 @@
     cell_view view;
     std::deque<local_message> inbox;
     std::map<journal::ticket, std::pair<shard_number, std::uint64_t>> tickets;
-    std::map<std::string, pending_publish> publishes;
+    std::multimap<std::string, pending_publish> publishes;  ///< by change id
     std::vector<wire::vm_record> vms;
     std::map<shard_number, std::pair<std::uint64_t, entry_id>> routes;  ///< term and server
     std::map<shard_number, epoch_number> settled;  ///< below it nobody can act any more
--- a/src/rosearch/serve/entry_ports.cc
+++ b/src/rosearch/serve/entry_ports.cc
@@ -25,6 +25,18 @@
 
 }  // namespace
 
+std::map<std::string, double> GaugesOf(const port_counters& counters) {
+  const auto value = [](const std::atomic<std::uint64_t>& counter) {
+    return static_cast<double>(counter.load());
+  };
+  return {{"rosearch_worker_exchanges_total", value(counters.exchanges)},
+          {"rosearch_worker_exchange_bytes_total", value(counters.exchange_bytes)},
+          {"rosearch_log_appends_total", value(counters.appends)},
+          {"rosearch_log_append_bytes_total", value(counters.append_bytes)},
+          {"rosearch_log_reads_total", value(counters.reads)},
+          {"rosearch_log_read_records_total", value(counters.read_records)}};
+}
+
 entry_ports::entry_ports(const config::settings& settings, http_client& http)
     : settings_{settings},
       vm_list_{http, settings.platform.vm_list},
--- a/src/rosearch/serve/entry_ports.h
+++ b/src/rosearch/serve/entry_ports.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <string>
 
 #include "rosearch/config/settings.h"
@@ -64,6 +65,9 @@
   port_counters counters_;
 };
 
+/// @return the counters by name of their metric.
+[[nodiscard]] std::map<std::string, double> GaugesOf(const port_counters& counters);
+
 /// The node of a real entry.
 class entry_node : public basic_node<entry_ports> {
  public:
--- a/src/rosearch/serve/serve.cc
+++ b/src/rosearch/serve/serve.cc
@@ -182,11 +182,33 @@
     access_.drains = [&node] { return node.Drains(); };
     access_.fits_somewhere = [&node](const resources& needs) { return node.FitsSomewhere(needs); };
     access_.dump = [&node] { return node.Dump(StepNow()); };
+    access_.gauges = [this] { return Gauges(); };
     access_.explain = [&node](const placement_request& request) {
       return node.Explain(request, StepNow());
     };
   }
 
+  std::map<std::string, double> Gauges() const {
+    const auto figures = node_->Figures(SteadyNow());
+    const auto peers = transport_->Counters();
+    auto gauges = GaugesOf(ports_.counters());
+    gauges["rosearch_ready"] = figures.ready && !leaving_ ? 1 : 0;
+    gauges["rosearch_log_up"] = figures.log_up ? 1 : 0;
+    gauges["rosearch_open_calls"] = static_cast<double>(figures.open_calls);
+    gauges["rosearch_shards_served"] = static_cast<double>(figures.shards_served);
+    gauges["rosearch_live_members"] = static_cast<double>(figures.live_members);
+    gauges["rosearch_log_waiting_records"] = static_cast<double>(figures.log_waiting_records);
+    gauges["rosearch_log_waiting_bytes"] = static_cast<double>(figures.log_waiting_bytes);
+    gauges["rosearch_configuration_version"] = static_cast<double>(figures.version);
+    gauges["rosearch_http_busy_connections"] = static_cast<double>(server_->Busy());
+    gauges["rosearch_peer_messages_sent_total"] = static_cast<double>(peers.messages_sent);
+    gauges["rosearch_peer_bytes_sent_total"] = static_cast<double>(peers.bytes_sent);
+    gauges["rosearch_peer_messages_received_total"] = static_cast<double>(peers.messages_received);
+    gauges["rosearch_peer_bytes_received_total"] = static_cast<double>(peers.bytes_received);
+    gauges["rosearch_peer_messages_dropped_total"] = static_cast<double>(peers.dropped);
+    return gauges;
+  }
+
   void OnPeerBytes(const std::string& bytes) {
     wire::peer_message message;
     if (!message.ParseFromString(bytes)) {
