Dispatch a shard's requests by executor_pool instead of the plain lane

Cause: executor_lane was a stand-in with a first-in first-out queue: no shedding before the deadline, no shares, no retry budget, no health. A request answered for an attempt that had been given up was handed on.

Change: the lane keeps one executor_pool for each service and only the decisions that a shard alone can take (delegation, the list, drains, weights from the configuration). After a takeover nothing waits for the former owner's slots: an executor that refuses is the last choice for the mean time of a request, doubled for each refusal in a row, until it answers. Answers from 500 on count against the executor. An executor that the list drops keeps what it runs; a replaced one loses it.

Ruled out: closing executors after a takeover (a fixed wait without service); skipping refused executors altogether, which would hold back retries that the budget allows. What was tried before isn't delegated: the other shard would give it its retries anew.

--- a/src/rosearch/dispatch/completion_rate.h
+++ b/src/rosearch/dispatch/completion_rate.h
@@ -27,6 +27,9 @@
     saturated_ = saturated;
   }
 
+  /// @return how long a request lasts, by the last ones.
+  [[nodiscard]] duration Service() const noexcept { return service_; }
+
   /// @return the time from one free slot to the next. Where executors hang there are no answers to
   ///   time: then it is at least the time since the last one, so that shedding begins all the same.
   [[nodiscard]] duration Interval(std::uint64_t slots, time_point now) const noexcept {
--- a/src/rosearch/dispatch/executor_pool.cc
+++ b/src/rosearch/dispatch/executor_pool.cc
@@ -37,8 +37,10 @@
       rate_{settings.expected_service},
       health_{settings.health} {}
 
-void executor_pool::SetExecutor(const executor_facts& facts, time_point now, dispatch_output& out) {
+void executor_pool::SetExecutor(const executor_facts& facts, time_point now, dispatch_output& out,
+                                bool open) {
   executors_.Set(facts);
+  executors_.SetOpen(facts.vm, open);
   Pump(now, out);
 }
 
@@ -156,13 +158,18 @@
 }
 
 bool executor_pool::OnAnswered(std::uint64_t ticket, std::uint32_t attempt, time_point now,
-                               dispatch_output& out) {
+                               dispatch_output& out, bool faulty) {
   auto* const found = FindAttempt(ticket, attempt);
   if (found == nullptr) {
     return false;
   }
   rate_.OnCompleted(now - found->sent_at, now);
-  health_.OnSucceeded(*found->with, found->request.kind, now);
+  if (faulty) {
+    health_.OnFailed(*found->with, found->request.kind, now);
+  } else {
+    health_.OnSucceeded(*found->with, found->request.kind, now);
+  }
+  executors_.OnAnswered(*found->with);
   executors_.Release(*found->with);
   requests_.erase(ticket);
   Pump(now, out);
@@ -186,6 +193,9 @@
   } else {
     executors_.Release(*left.with);
   }
+  if (kind == error_kind::kTargetRefused) {
+    executors_.OnRefused(*left.with, rate_.Service(), now);
+  }
   left.tried.push_back(*left.with);
   left.with.reset();
 }
@@ -247,6 +257,32 @@
   return cancel_effect::kFinished;
 }
 
+std::vector<std::uint64_t> executor_pool::WithdrawUnsent() {
+  std::vector<std::uint64_t> unsent;
+  for (const auto& [ticket, each] : requests_) {
+    if (each.attempt == 0) {
+      unsent.push_back(ticket);
+    }
+  }
+  for (const auto ticket : unsent) {
+    queue_.Erase(ticket);
+    requests_.erase(ticket);
+  }
+  return unsent;
+}
+
+void executor_pool::DropRequests(time_point now) {
+  for (const auto& [ticket, each] : requests_) {
+    if (each.with) {
+      health_.OnAbandoned(*each.with, each.request.kind);
+      executors_.ReleaseAt(*each.with, now + settings_.linger);
+    } else {
+      queue_.Erase(ticket);
+    }
+  }
+  requests_.clear();
+}
+
 void executor_pool::Expire(time_point now, dispatch_output& out) {
   while (const auto ticket = queue_.Expired(now)) {
     queue_.Erase(*ticket);
--- a/src/rosearch/dispatch/executor_pool.h
+++ b/src/rosearch/dispatch/executor_pool.h
@@ -36,7 +36,10 @@
   explicit executor_pool(dispatch_settings settings = {});
 
   /// Adds or updates an executor.
-  void SetExecutor(const executor_facts& facts, time_point now, dispatch_output& out);
+  /// @param open  false: gets nothing until opened. A new executor that is leaving must not get
+  ///   what waits in the moment before it is closed.
+  void SetExecutor(const executor_facts& facts, time_point now, dispatch_output& out,
+                   bool open = true);
   /// Forgets an executor that is gone: what is with it counts as lost (`kTargetLost`).
   void RemoveExecutor(const vm_id& vm, time_point now, dispatch_output& out);
   /// @param open  false: gets nothing new until opened again.
@@ -51,15 +54,22 @@
   /// process where the ticket is in use.
   void Submit(const queued_request& request, time_point now, dispatch_output& out);
   /// Takes an executor's whole answer to an attempt.
+  /// @param faulty  the answer is the executor's own failure: handed on, but counted against it.
   /// @return whether it is the answer to hand on; false for an attempt that was given up.
   [[nodiscard]] bool OnAnswered(std::uint64_t ticket, std::uint32_t attempt, time_point now,
-                                dispatch_output& out);
+                                dispatch_output& out, bool faulty = false);
   /// Takes the failure of an attempt: tries again elsewhere or adds the final answer.
   void OnFailed(std::uint64_t ticket, std::uint32_t attempt, error_kind kind, time_point now,
                 dispatch_output& out);
   /// Cancels a request. One that waits and may have run before is answered with that, not with
   /// `kCancelled`.
   [[nodiscard]] cancel_effect Cancel(std::uint64_t ticket, dispatch_output& out);
+  /// Takes out what waits and was never sent, without an answer.
+  /// @return the tickets, in ascending order.
+  [[nodiscard]] std::vector<std::uint64_t> WithdrawUnsent();
+  /// Forgets every request without an answer. The slots of those in flight stay taken for `linger`:
+  /// executors go on with them.
+  void DropRequests(time_point now);
   /// Answers what waited past its deadline, frees slots that are due and sends what can go.
   void Tick(time_point now, dispatch_output& out);
 
@@ -69,6 +79,11 @@
   [[nodiscard]] std::size_t Queued() const noexcept { return queue_.size(); }
   /// @return requests that are with executors.
   [[nodiscard]] std::size_t InFlight() const noexcept { return requests_.size() - queue_.size(); }
+  /// @return requests that an executor has, those included whose end is not known.
+  [[nodiscard]] std::uint32_t TakenOn(const vm_id& vm) const { return executors_.TakenOn(vm); }
+  [[nodiscard]] bool IsOpen(const vm_id& vm) const { return executors_.IsOpen(vm); }
+  /// @return whether any executor takes work, with a free slot or without.
+  [[nodiscard]] bool AnyOpen() const { return executors_.AnyOpen(); }
   [[nodiscard]] const vm_health& health() const noexcept { return health_; }
 
  private:
--- a/src/rosearch/dispatch/executor_table.cc
+++ b/src/rosearch/dispatch/executor_table.cc
@@ -5,6 +5,12 @@
 #include <algorithm>
 
 namespace rosearch::internal {
+namespace {
+
+/// Doublings of the time for which an executor that refuses is passed over.
+constexpr std::uint32_t kMostDoublings = 6;
+
+}  // namespace
 
 executor_table::load_key executor_table::KeyOf(const executor& each) {
   const auto capacity = std::max<std::uint32_t>(1, each.facts.Capacity());
@@ -58,19 +64,39 @@
 
 std::optional<vm_id> executor_table::Choose(const vm_health& health,
                                             const std::vector<vm_id>& avoid, time_point now) const {
-  std::optional<vm_id> last_resort;
+  std::optional<vm_id> refused;
+  std::optional<vm_id> avoided;
   for (const auto& [load, vm] : by_load_) {
     if (!health.MayTake(vm, now)) {
       continue;
     }
-    if (std::ranges::find(avoid, vm) == avoid.end()) {
+    if (std::ranges::find(avoid, vm) != avoid.end()) {
+      avoided = avoided ? avoided : vm;
+    } else if (executors_.at(vm).last_choice_until > now) {
+      refused = refused ? refused : vm;
+    } else {
       return vm;
     }
-    if (!last_resort) {
-      last_resort = vm;
-    }
   }
-  return last_resort;
+  return refused ? refused : avoided;
+}
+
+void executor_table::OnRefused(const vm_id& vm, duration pause, time_point now) {
+  const auto found = executors_.find(vm);
+  if (found == executors_.end()) {
+    return;
+  }
+  auto& each = found->second;
+  each.last_choice_until = now + pause * (1U << std::min(each.refusals, kMostDoublings));
+  ++each.refusals;
+}
+
+void executor_table::OnAnswered(const vm_id& vm) {
+  const auto found = executors_.find(vm);
+  if (found != executors_.end()) {
+    found->second.refusals = 0;
+    found->second.last_choice_until = {};
+  }
 }
 
 void executor_table::Take(const vm_id& vm) {
@@ -139,6 +165,15 @@
   return slots;
 }
 
+std::uint32_t executor_table::TakenOn(const vm_id& vm) const {
+  const auto found = executors_.find(vm);
+  return found == executors_.end() ? 0 : found->second.taken;
+}
+
+bool executor_table::AnyOpen() const {
+  return std::ranges::any_of(executors_, [](const auto& each) { return each.second.TakesWork(); });
+}
+
 bool executor_table::IsOpen(const vm_id& vm) const {
   const auto found = executors_.find(vm);
   return found != executors_.end() && found->second.TakesWork();
--- a/src/rosearch/dispatch/executor_table.h
+++ b/src/rosearch/dispatch/executor_table.h
@@ -24,14 +24,20 @@
   /// Closes an executor for good: it opens again only after `Remove` and `Set`.
   void SetLeaving(const vm_id& vm);
 
-  /// @return the least loaded open executor with a free slot that its health lets take more; one of
-  ///   `avoid` only where there is no other.
+  /// @return the least loaded open executor with a free slot that its health lets take more; one
+  ///   that refused lately only where there is no other, and one of `avoid` as the last.
   [[nodiscard]] std::optional<vm_id> Choose(const vm_health& health,
                                             const std::vector<vm_id>& avoid, time_point now) const;
   /// Takes a slot; ends the process where the executor is closed or has none free.
   void Take(const vm_id& vm);
   /// Frees a slot; an executor that was removed is fine.
   void Release(const vm_id& vm);
+  /// The executor refused a request: others go before it until `pause` has passed, twice as long
+  /// for each further refusal in a row. Its slots may be filled by a former owner of the shard, of
+  /// which nobody here knows.
+  void OnRefused(const vm_id& vm, duration pause, time_point now);
+  /// The executor answered a request: it takes work.
+  void OnAnswered(const vm_id& vm);
   /// Frees a slot at a later time.
   void ReleaseAt(const vm_id& vm, time_point when);
   /// Frees the slots that are due.
@@ -42,6 +48,10 @@
   /// @return slots, taken or not, of open executors that are not suspected.
   [[nodiscard]] std::uint64_t UsableSlots(const vm_health& health, time_point now) const;
   [[nodiscard]] bool IsOpen(const vm_id& vm) const;
+  /// @return slots that are taken on an executor, 0 for one that isn't known.
+  [[nodiscard]] std::uint32_t TakenOn(const vm_id& vm) const;
+  /// @return whether any executor takes work, with a free slot or without.
+  [[nodiscard]] bool AnyOpen() const;
 
  private:
   struct executor {
@@ -49,6 +59,8 @@
     std::uint32_t taken{};
     bool open{true};
     bool leaving{};
+    std::uint32_t refusals{};        ///< in a row
+    time_point last_choice_until{};  ///< others go before it until then
 
     [[nodiscard]] bool TakesWork() const noexcept { return open && !leaving; }
     [[nodiscard]] std::uint32_t Free() const noexcept {
--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -617,12 +617,17 @@
 template <node_ports Ports>
 void basic_node<Ports>::TellQuotas(const step_time& at) {
   std::map<std::string, resources> quotas;
+  std::map<std::string, std::uint32_t> weights;
   for (const auto& each : Configuration()->customers()) {
     quotas[each.name.value()] = each.quota.most;
+    weights[each.name.value()] = each.weight;
   }
   LOG(INFO) << "event=configuration_in_force version=" << ConfigurationRecord().version();
   for (shard_number number = 0; number < slots_.size(); ++number) {
-    WithShard(number, at, [&](shard& value, shard_output&) { value.SetQuotas(quotas); });
+    WithShard(number, at, [&](shard& value, shard_output&) {
+      value.SetQuotas(quotas);
+      value.SetWeights(weights);
+    });
   }
 }
 
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -180,7 +180,7 @@
   replicating_ = false;
   journal_.StopReplication();
   pool_.OnLost(at.now);
-  executors_.Drop();
+  executors_.Drop(at.now);
   requests_.Drop(out);
   jobs_.Drop(out);
 }
@@ -350,7 +350,7 @@
   pool_output pool;
   pool_.OnDrain(vm, leaving, at.now, pool);
   Pump(pool, at, out);
-  executors_.SetDrained(vm, leaving);
+  executors_.SetDrained(vm, leaving, at.now);
   Settle(at, out);
 }
 
@@ -482,7 +482,7 @@
   for (const auto ticket : requests_.TakeReady()) {
     executors_.Submit(ticket, *requests_.Find(ticket), at.now);
   }
-  auto actions = executors_.Take(at.now);
+  auto actions = executors_.Take();
   for (const auto& send : actions.sends) {
     const auto* const open = requests_.Find(send.ticket);
     if (open == nullptr) {
@@ -510,8 +510,10 @@
                              const result<wire::call_answer>& answer, const step_time& at,
                              shard_output& out) {
   if (answer.has_value()) {
-    executors_.OnAnswered(ticket, attempt, at.now);
-    requests_.Finish(ticket, answer.value(), out);
+    const auto status = answer.value().http_status();
+    if (executors_.OnAnswered(ticket, attempt, status, at.now)) {
+      requests_.Finish(ticket, answer.value(), out);
+    }
   } else {
     executors_.OnFailed(ticket, attempt, answer.error(), at.now);
   }
@@ -543,6 +545,10 @@
   cell_.SetQuotas(std::move(quotas));
 }
 
+void shard::SetWeights(std::map<std::string, std::uint32_t> weights) {
+  executors_.SetWeights(std::move(weights));
+}
+
 std::optional<wire::shard_summary> shard::Summary(time_point now) const {
   if (!Serving(now)) {
     return std::nullopt;
--- a/src/rosearch/shard/shard.h
+++ b/src/rosearch/shard/shard.h
@@ -77,6 +77,8 @@
   void OnUsage(const entry_id& entry, const std::vector<wire::customer_usage>& usage);
   void OnEntryGone(const entry_id& entry);
   void SetQuotas(std::map<std::string, resources> quotas);
+  /// @param weights  each customer's share of executor slots against the others'.
+  void SetWeights(std::map<std::string, std::uint32_t> weights);
 
   // From targets.
   void OnWorkerReport(const vm_id& vm, const wire::worker_report& report, time_point sent_at,
--- a/test/rosearch/dispatch/executor_pool_test.cc
+++ b/test/rosearch/dispatch/executor_pool_test.cc
@@ -221,6 +221,27 @@
   CHECK(pool.health().ConditionOf(vm_id{"ex0"}, At(400)) == vm_condition::kSuspect);
 }
 
+// A shard has a new owner, and its former one filled all slots of an executor. By the new owner's
+// count that executor is idle, so that each request would go there first and be refused.
+TEST_CASE("an executor that refuses is the last choice until it answers again") {
+  auto pool = PoolOf(2, 8);
+  dispatch_output out;
+  for (std::uint64_t ticket = 1; ticket <= 3; ++ticket) {
+    pool.Submit(Request(ticket, 1000, false), At(0), out);
+  }
+  pool.OnFailed(1, 1, error_kind::kTargetRefused, At(1), out);
+  pool.Submit(Request(4, 1000, false), At(2), out);
+  CHECK(out.sends[3] == dispatch_send{1, vm_id{"ex1"}, 2, At(1000)});
+  CHECK(out.sends[4].vm == vm_id{"ex1"});
+  pool.SetOpen(vm_id{"ex1"}, false, At(3), out);
+  pool.Submit(Request(5, 1000, false), At(3), out);
+  CHECK(out.sends[5].vm == vm_id{"ex0"});
+  pool.SetOpen(vm_id{"ex1"}, true, At(4), out);
+  REQUIRE(pool.OnAnswered(3, 1, At(5), out));
+  pool.Submit(Request(6, 1000, false), At(6), out);
+  CHECK(out.sends[6].vm == vm_id{"ex0"});
+}
+
 // A VM is drained or vanishes while requests wait. New ones there would be cut off by its stop.
 TEST_CASE("a leaving executor gets nothing new and a lost one gives its requests back",
           "[leaving-targets]") {
