Look for ended tasks where the room they leave is worth an exchange

Cause: a worker tells nothing by itself. Ends were found every second while any declared end was past, and otherwise only with the renewal after 5 s: a 2 s task alone on a VM was noticed after 5 s, while a VM full of long tasks with declared times that are off was asked every second without need.

Change: look_plan sets the next look by the rate at which tasks may end (elapsed times, declared times trusted within 4x) and at each declared end; look_budget allows one look in 500 ms on average per VM. Awaited stops are looked for after 100 ms, then in growing intervals to 1 s. A renewal goes along with a look shortly before it is due.

Ruled out: growing intervals after each declared end alone: with times off by 4x and 20 tasks on a VM most looks find nothing.

--- a/src/rosearch/capacity/placement_record.h
+++ b/src/rosearch/capacity/placement_record.h
@@ -41,7 +41,6 @@
   std::optional<time_point> start_sent;
   stop_cause stopping{stop_cause::kNone};
   time_point stop_at{kNever};  ///< a checkpoint becomes a stop
-  time_point ends_by{kNever};  ///< by its declared run time
   std::uint32_t peak_memory_mb{};
   std::uint32_t peak_processors_milli{};
 };
--- a/src/rosearch/capacity/pool_settings.h
+++ b/src/rosearch/capacity/pool_settings.h
@@ -14,11 +14,17 @@
   duration renew_interval{std::chrono::seconds{5}};  ///< one renewal of each worker
   duration transit{std::chrono::seconds{2}};         ///< a written command arrives by then or never
   double drift{0.01};                                ///< a worker's clock is at most so much slower
-  duration poll{std::chrono::seconds{1}};          ///< between exchanges while a change is expected
-  duration report_retry{std::chrono::seconds{1}};  ///< from a failed exchange to the next
-  duration renew_limit{std::chrono::seconds{10}};  ///< no renewal after failing for so long
-  duration event_retry{std::chrono::seconds{1}};   ///< until a final event is sent again
-  duration remember{std::chrono::minutes{2}};      ///< an acknowledged end is kept so long
+  /// Between exchanges while a stop or a start is awaited: from `first_poll` growing to `poll`.
+  duration first_poll{std::chrono::milliseconds{100}};
+  duration poll{std::chrono::seconds{1}};
+  /// What an exchange that finds an end is worth, in seconds of one idle place.
+  double look_worth{0.2};
+  /// On average at most one exchange of a VM in so long only to find ends.
+  duration look_every{std::chrono::milliseconds{500}};
+  duration report_retry{std::chrono::seconds{1}};      ///< from a failed exchange to the next
+  duration renew_limit{std::chrono::seconds{10}};      ///< no renewal after failing for so long
+  duration event_retry{std::chrono::seconds{1}};       ///< until a final event is sent again
+  duration remember{std::chrono::minutes{2}};          ///< an acknowledged end is kept so long
   duration checkpoint_limit{std::chrono::seconds{2}};  ///< from a checkpoint command to a stop
   duration urgent_limit{std::chrono::seconds{5}};  ///< urgent work waits so long for preempted room
   duration long_running{std::chrono::minutes{1}};  ///< declared longer: moved off a leaving VM
--- a/src/rosearch/capacity/vm_pool_workers.cc
+++ b/src/rosearch/capacity/vm_pool_workers.cc
@@ -6,14 +6,16 @@
 #include <utility>
 
 #include "rosearch/capacity/amounts.h"
+#include "rosearch/capacity/look_plan.h"
 #include "rosearch/capacity/vm_pool.h"
 
 namespace rosearch {
 
 session_wants vm_pool::WantsOf(const worker_vm& vm, time_point now) const {
   session_wants wants;
+  internal::look_plan plan{vm.session.looked_at()};
   wants.stops = vm.strays;
-  if (!vm.strays.empty()) wants.change_at = now;
+  wants.awaits = !vm.strays.empty();
   for (const auto& key : vm.tasks) {
     const auto& record = placements_.at(key);
     if (record.start_queued) wants.starts.push_back(StartOf(key, record, vm));
@@ -21,9 +23,10 @@
     wants.has_tasks = true;
     const bool stops = record.stopping != stop_cause::kNone;
     if (stops) (now >= record.stop_at ? wants.stops : wants.checkpoints).insert(key);
-    const bool expected = stops || record.phase == placement_phase::kStarting;
-    wants.change_at = std::min(wants.change_at, expected ? now : record.ends_by);
+    wants.awaits = wants.awaits || stops || record.phase == placement_phase::kStarting;
+    plan.AddRunning(*record.start_sent, std::chrono::milliseconds{record.made.run_ms()});
   }
+  wants.look_at = plan.Due(settings_);
   return wants;
 }
 
@@ -171,8 +174,6 @@
                            pool_output& out) {
   if (record.phase == placement_phase::kRunning) return;
   record.phase = placement_phase::kRunning;
-  if (record.made.run_ms() > 0)
-    record.ends_by = now + std::chrono::milliseconds{record.made.run_ms()};
   if (!record.home_known) return;
   Send(EventOf(key, record.made.home_shard(), record.made.vm(), {.kind = wire::PLACE_STARTED}),
        out);
--- a/src/rosearch/capacity/worker_session.cc
+++ b/src/rosearch/capacity/worker_session.cc
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace rosearch {
+namespace {
+
+/// A renewal goes with an exchange that comes at most this part of the interval before it is due.
+constexpr int kRenewalsEarly = 4;
+
+}  // namespace
 
 void worker_session::Unverify(time_point verify_after) {
   verified_ = false;
@@ -27,15 +33,31 @@
   return may_renew_ && !gave_up && now >= renew_due_;
 }
 
+void worker_session::PlanNext(const session_wants& wants, const pool_settings& settings) noexcept {
+  due_at_ = std::min(due_at_, std::max(wants.look_at, looks_.AllowedAt()));
+  if (!wants.awaits) {
+    awaits_since_ = kNever;
+    return;
+  }
+  awaits_since_ = std::min(awaits_since_, looked_at_);
+  const auto pause = std::clamp(looked_at_ - awaits_since_, settings.first_poll, settings.poll);
+  due_at_ = std::min(due_at_, looked_at_ + pause);
+}
+
 std::optional<wire::worker_command> worker_session::Next(const session_wants& wants, time_point now,
                                                          const pool_settings& settings) {
   if (flight_ || now < retry_at_) return std::nullopt;
+  PlanNext(wants, settings);
   const auto is_new = [this](const attempt_key& key) { return !told_.contains(key); };
   const bool whole = whole_at_ <= now;
   const bool urgent = whole || !wants.starts.empty() || std::ranges::any_of(wants.stops, is_new) ||
                       std::ranges::any_of(wants.checkpoints, is_new);
-  const bool renews = wants.has_tasks && Renews(now, settings);
-  if (!urgent && !renews && now < due_at_) return std::nullopt;
+  const bool renewal_due = wants.has_tasks && Renews(now, settings);
+  if (!urgent && !renewal_due && now < due_at_) return std::nullopt;
+  if (!urgent && !renewal_due && !wants.awaits) looks_.Take(now, settings.look_every);
+  // An exchange that is sent anyway saves the renewal that would follow soon.
+  const bool renews =
+      wants.has_tasks && Renews(now + settings.renew_interval / kRenewalsEarly, settings);
 
   worker_flight flight{.emitted_at = now, .since = whole ? 0 : version_, .renews = renews};
   wire::worker_command command;
@@ -55,7 +77,11 @@
     *command.add_starts() = start;
     flight.starts.push_back(KeyOf(start.ref()));
   }
-  due_at_ = std::min(std::max(wants.change_at, now + settings.poll), now + settings.renew_interval);
+  due_at_ = now + settings.renew_interval;
+  looked_at_ = now;
+  const auto sends_stops =
+      std::ranges::any_of(wants.stops, is_new) || std::ranges::any_of(wants.checkpoints, is_new);
+  if (sends_stops) awaits_since_ = now;
   told_ = wants.stops;
   told_.insert(wants.checkpoints.begin(), wants.checkpoints.end());
   if (whole) whole_at_ = kNever;
--- a/src/rosearch/capacity/worker_session.h
+++ b/src/rosearch/capacity/worker_session.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "rosearch/capacity/attempt_key.h"
+#include "rosearch/capacity/look_budget.h"
 #include "rosearch/capacity/pool_settings.h"
 #include "rosearch/core/time.h"
 #include "rosearch/wire/platform.pb.h"
@@ -31,8 +32,9 @@
   std::vector<wire::task_start> starts;
   std::set<attempt_key> stops;
   std::set<attempt_key> checkpoints;
-  bool has_tasks{};              ///< something may run there
-  time_point change_at{kNever};  ///< a change is expected then; past: at any moment
+  bool has_tasks{};            ///< something may run there
+  bool awaits{};               ///< a stop or a start was sent and is not reported yet
+  time_point look_at{kNever};  ///< a task may have ended by then
 };
 
 /// The state of the exchanges with one worker: at most one in flight, and what the worker's reports
@@ -73,6 +75,8 @@
   void Fail(const worker_flight& flight, time_point sent_at, time_point now,
             const pool_settings& settings);
 
+  /// @return when the last exchange was sent.
+  [[nodiscard]] time_point looked_at() const noexcept { return looked_at_; }
   [[nodiscard]] bool verified() const noexcept { return verified_; }
   [[nodiscard]] bool in_flight() const noexcept { return flight_.has_value(); }
   [[nodiscard]] bool failing() const noexcept { return failing_since_.has_value(); }
@@ -81,6 +85,8 @@
   void set_renewed_at(time_point at) noexcept { renewed_at_ = std::max(renewed_at_, at); }
 
  private:
+  /// Moves the next exchange forward to where it is wanted.
+  void PlanNext(const session_wants& wants, const pool_settings& settings) noexcept;
   [[nodiscard]] bool Renews(time_point now, const pool_settings& settings) const noexcept;
 
   std::optional<worker_flight> flight_;
@@ -91,6 +97,9 @@
   time_point verify_after_;
   time_point whole_at_;
   time_point due_at_{};
+  time_point looked_at_{};
+  time_point awaits_since_{kNever};
+  internal::look_budget looks_;
   time_point retry_at_{};
   time_point renew_due_{};
   time_point renewed_at_{time_point::min()};
--- a/test/rosearch/capacity/fake_worker.h
+++ b/test/rosearch/capacity/fake_worker.h
@@ -76,6 +76,7 @@
 
   bool broken{};   ///< fails what it runs
   bool refuses{};  ///< starts nothing
+  int stretch{1};  ///< tasks run so many times as long as declared
 
  private:
   static duration Ms(std::uint32_t count) { return std::chrono::milliseconds{count}; }
@@ -94,7 +95,7 @@
     held.report.set_phase(refuses ? wire::TASK_REFUSED : wire::TASK_RUNNING);
     held.changed = ++version_;
     held.lease_until = Own(now) + Ms(start.lease_ms());
-    if (start.run_ms() > 0) held.ends_at = Own(now) + Ms(start.run_ms());
+    if (start.run_ms() > 0) held.ends_at = Own(now) + Ms(start.run_ms()) * stretch;
     if (!refuses && on_start) on_start(key);
   }
 
--- a/test/rosearch/capacity/vm_pool_test.cc
+++ b/test/rosearch/capacity/vm_pool_test.cc
@@ -242,6 +242,39 @@
   CHECK(b.FreeProcessors() == 7000);
 }
 
+// A worker tells nothing by itself. Asked only with the renewals, a task of two seconds would keep
+// its room for five, and what waits for that room as well.
+TEST_CASE("an end is noticed soon after its declared time") {
+  bench b;
+  b.Acquire();
+  b.worker().stretch = GENERATE(1, 3);
+  auto place = b.Want("j/1");
+  place.mutable_want()->set_run_ms(2000);
+  b.Place(place);
+  b.Run(milliseconds{2000 * b.worker().stretch + 600});
+  CHECK(b.Told("j/1") == told{"STARTED", "ENDED"});
+}
+
+// Tasks are declared a hundred times too short. Looked for at every moment at which one may end,
+// they would keep the entry busy with nothing else.
+TEST_CASE("looks stay within the budget of a VM whatever was declared") {
+  bench b;
+  b.Acquire();
+  b.worker().stretch = 100;
+  for (int number = 1; number <= 8; ++number) {
+    auto place = b.Want("j/" + std::to_string(number));
+    place.mutable_want()->set_run_ms(static_cast<std::uint32_t>(1000 + number));
+    b.Place(place);
+  }
+  const auto before = b.commands.size();
+  b.Run(seconds{60});
+  const pool_settings settings;
+  const auto looks = seconds{60} / settings.look_every + 4;
+  const auto renewals = 2 * (seconds{60} / settings.renew_interval);
+  CHECK(b.commands.size() - before <= static_cast<std::size_t>(looks + renewals));
+  CHECK(b.FreeProcessors() == 0);
+}
+
 // Urgent work arrives at a full VM. Started before the preempted tasks have stopped it would
 // overcommit; with the freed room open to all it would wait for ever.
 TEST_CASE("urgent work starts in the room of preempted tasks", "[no-overcommit]") {
