--- a/src/rosearch/cli/serve_command.cc
+++ b/src/rosearch/cli/serve_command.cc
@@ -1,5 +1,7 @@
 #include <glog/logging.h>
 
+#include <exception>
+
 #include "rosearch/cli/command_line.h"
 #include "rosearch/cli/commands.h"
 #include "rosearch/cli/print.h"
@@ -21,7 +23,14 @@
   }
   FLAGS_log_dir = settings.value->log.dir;
   FLAGS_logtostderr = settings.value->log.dir.empty();
-  return Serve(*settings.value, parsed["instance"].as<std::uint64_t>());
+  try {
+    return Serve(*settings.value, parsed["instance"].as<std::uint64_t>());
+  } catch (const std::exception& failed) {
+    // An address that is taken: without a line that says so the process would end by a signal,
+    // which looks like a broken invariant.
+    LOG(ERROR) << "event=start_failed detail=" << failed.what();
+    return kExitFailed;
+  }
 }
 
 int RunServe(const std::vector<std::string>& words) {
