Name the event in place_ack, keep spread groups, preempt on other shards

Cause: place_ack named no event, so that one of a start could silence the end. Spread groups were only in place_task: a new owner didn't know them and put replicas side by side. Urgent work in a full cell asked its home shard again and again, also where that had nothing to preempt. A checkpoint became a stop at the next look, up to a second late. never_fits named no VM.

Change: place_ack.kind, compared with the final event; placement_made keeps spread_over (place_task's own field is reserved), and a task that was adopted gets its priority and group once its home shard asks; job_table asks one shard after the other to preempt (home, region, others), passing over for 2 s what refused; stop_at is a moment to look at; API errors name the worker that comes closest. The dump shows committed and peak used for each VM.

Ruled out: instance in worker_report (the platform has none); throttles: no promise asks for them and nothing was measured that they help.

--- a/benchmark/notice_bench.cc
+++ b/benchmark/notice_bench.cc
@@ -142,6 +142,7 @@
     ack.set_to_shard(kShard);
     ack.set_from_epoch(1);
     *ack.mutable_ack()->mutable_ref() = event.ref();
+    ack.mutable_ack()->set_kind(event.kind());
     pool_.OnMessage(ack, now_, out_);
   }
 
--- a/src/rosearch/api/service.cc
+++ b/src/rosearch/api/service.cc
@@ -183,6 +183,15 @@
           {"accelerators", amounts.accelerators}};
 }
 
+std::string NeverFitsText(const std::optional<closest_vm>& closest) {
+  std::string text = "larger than every worker that is listed";
+  if (closest) {
+    text += "; the closest is " + closest->vm.value() + ", which lacks " +
+            json::serialize(AmountsJson(closest->missing));
+  }
+  return text;
+}
+
 /// What the owner of a worker's shard knows of it.
 struct owned_vm {
   json::object committed;
@@ -379,7 +388,10 @@
     return;
   }
   if (!access_.fits_somewhere(internal::FromWire(spec.needs()))) {
-    respond(ErrorResponse({error_kind::kNeverFits, "larger than every worker that is listed"}));
+    const auto closest = access_.closest_worker
+                             ? access_.closest_worker(internal::FromWire(spec.needs()))
+                             : std::nullopt;
+    respond(ErrorResponse({error_kind::kNeverFits, NeverFitsText(closest)}));
     return;
   }
   if (rule.treat.deadline && spec.deadline_ms() == 0) {
--- a/src/rosearch/api/service.h
+++ b/src/rosearch/api/service.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 #include "rosearch/net/http_server.h"
 #include "rosearch/node/call_table.h"
 #include "rosearch/placement/explain.h"
+#include "rosearch/placement/never_fits.h"
 #include "rosearch/placement/placement_request.h"
 #include "rosearch/shard/shard.h"
 #include "rosearch/wire/peer.pb.h"
@@ -43,6 +45,7 @@
   std::function<std::vector<wire::vm_record>()> vms;
   std::function<std::map<std::string, wire::drain_order>()> drains;
   std::function<bool(const resources&)> fits_somewhere;
+  std::function<std::optional<closest_vm>(const resources&)> closest_worker;  ///< may be empty
   std::function<boost::json::value()> dump;
   std::function<std::vector<vm_explanation>(const placement_request&)> explain;
   std::function<std::map<std::string, double>()> gauges;  ///< by name of the metric
--- a/src/rosearch/capacity/urgent_queue.h
+++ b/src/rosearch/capacity/urgent_queue.h
@@ -18,7 +18,6 @@
 struct urgent_wait {
   attempt_key key;
   wire::placement_made made;  ///< with the VM on which room is being made
-  std::string spread_group;
   time_point give_up_at{kNever};
 };
 
--- a/src/rosearch/capacity/vm_pool.cc
+++ b/src/rosearch/capacity/vm_pool.cc
@@ -22,7 +22,7 @@
                             .priority = place.want().priority(),
                             .urgent = place.urgent(),
                             .avoid = {},
-                            .spread_group = place.spread_over()};
+                            .spread_group = place.want().spread_over()};
   for (const auto& vm : place.avoid_vms()) request.avoid.emplace_back(vm);
   return request;
 }
@@ -57,7 +57,7 @@
     if (!placements_.try_emplace(key, std::move(record)).second) continue;
     auto& vm = AddVm(vm_id{made.vm()}, now);
     vm.tasks.insert(key);
-    ledger_.ForceCommit(vm_id{made.vm()}, CommitmentOf(made, {}), true);
+    ledger_.ForceCommit(vm_id{made.vm()}, CommitmentOf(made), true);
   }
   LOG(INFO) << "event=capacity_acquired shard=" << shard_ << " epoch=" << epoch
             << " placements=" << placements_.size() << " complete=" << complete;
@@ -88,7 +88,7 @@
   if (message.has_place()) Place(message.place(), home, now, out);
   if (message.has_commit()) Commit(KeyOf(message.commit().ref()), home, now, out);
   if (message.has_stop()) Stop(KeyOf(message.stop().ref()), home, now, out);
-  if (message.has_ack()) Acknowledge(KeyOf(message.ack().ref()), now, out);
+  if (message.has_ack()) Acknowledge(message.ack(), now, out);
   Settle(now, out);
 }
 
@@ -116,6 +116,11 @@
         record.made = std::move(made);
       }
       record.made.set_home_shard(home);
+      // Adopted without its priority and its group, which count from now on.
+      const vm_id vm{record.made.vm()};
+      ledger_.Free(key.task, key.attempt);
+      ledger_.ForceCommit(vm, CommitmentOf(record.made), true);
+      touched_.insert(vm);
       *out.records.emplace_back().mutable_placed() = record.made;
     }
     if (record.phase == placement_phase::kRunning) {
@@ -176,7 +181,7 @@
     return refuse(error_kind::kOverloaded, "no room");
   }
   made.set_vm(vm->value());
-  auto wanted = CommitmentOf(made, place.spread_over());
+  auto wanted = CommitmentOf(made);
   if (place.hold()) wanted.preemptible = false;
   CHECK(ledger_.TryCommit(*vm, wanted))
       << "a policy chose a VM without room: vm=" << *vm << " task=" << key
@@ -200,7 +205,7 @@
                   now, out);
   }
   made.set_vm(plan->vm.value());
-  urgent_.Add({key, std::move(made), place.spread_over(), now + settings_.urgent_limit});
+  urgent_.Add({key, std::move(made), now + settings_.urgent_limit});
   touched_.insert(plan->vm);
   for (const auto& victim : plan->victims) {
     StopPlacement({victim.task, victim.attempt}, stop_cause::kPreempted, now, out);
@@ -236,9 +241,13 @@
   Refuse(key, home, cancelled, now, out);
 }
 
-void vm_pool::Acknowledge(const attempt_key& key, time_point now, pool_output& out) {
+void vm_pool::Acknowledge(const wire::place_ack& ack, time_point now, pool_output& out) {
+  const auto key = KeyOf(ack.ref());
   auto* const ended = ended_.Find(key);
   if (ended == nullptr || ended->acknowledged) return;
+  // An acknowledgement of PLACE_STARTED that was under way when the task ended: taken for one of
+  // the end, the home shard would never hear of it and the job would never end.
+  if (ack.kind() != ended->event.kind()) return;
   ended->acknowledged = true;
   ended->drop_at = now + settings_.remember;
   if (!ended->journaled) return Forget(key, *ended);
@@ -269,14 +278,14 @@
   ended_.Add(key, std::move(ended));
 }
 
-commitment vm_pool::CommitmentOf(const wire::placement_made& made, const std::string& group) const {
+commitment vm_pool::CommitmentOf(const wire::placement_made& made) {
   // Work that may never start a second time is never preempted: it could not be resumed.
   return {.task = made.ref().task(),
           .attempt = made.ref().attempt(),
           .needs = FromWire(made.needs()),
           .priority = made.priority(),
           .preemptible = made.preemptible() && !made.at_most_once(),
-          .spread_group = group};
+          .spread_group = made.spread_over()};
 }
 
 void vm_pool::Journal(const attempt_key& key, wire::placement_made made, time_point now,
--- a/src/rosearch/capacity/vm_pool.h
+++ b/src/rosearch/capacity/vm_pool.h
@@ -32,9 +32,9 @@
 /// tasks under leases, renews, checkpoints and stops them, and adopts what runs after a takeover.
 /// Reads no clock; the same calls always give the same output. Not thread-safe.
 ///
-/// Home shards acknowledge only final events (refused, ended, lost): an acknowledgement names no
-/// event, so that one of an earlier event would silence the final one. `PLACE_HELD` and
-/// `PLACE_STARTED` are sent again whenever the home shard repeats its message.
+/// Final events (refused, ended, lost) are repeated until the home shard acknowledges that very
+/// kind. `PLACE_HELD` and `PLACE_STARTED` are sent again whenever the home shard repeats its
+/// message.
 class vm_pool {
  public:
   vm_pool(shard_number shard, pool_settings settings);
@@ -104,7 +104,7 @@
   void PlaceNew(const wire::place_task& place, shard_number home, time_point now, pool_output& out);
   void Commit(const attempt_key& key, shard_number home, time_point now, pool_output& out);
   void Stop(const attempt_key& key, shard_number home, time_point now, pool_output& out);
-  void Acknowledge(const attempt_key& key, time_point now, pool_output& out);
+  void Acknowledge(const wire::place_ack& ack, time_point now, pool_output& out);
   [[nodiscard]] bool AnswerKnown(const attempt_key& key, shard_number home,
                                  const wire::placement_made* want, time_point now,
                                  pool_output& out);
@@ -116,8 +116,7 @@
               pool_output& out);
 
   // Placements.
-  [[nodiscard]] commitment CommitmentOf(const wire::placement_made& made,
-                                        const std::string& group) const;
+  [[nodiscard]] static commitment CommitmentOf(const wire::placement_made& made);
   void Journal(const attempt_key& key, wire::placement_made made, time_point now, pool_output& out);
   void Forget(const attempt_key& key, const ended_attempt& ended);
   static void JournalFreed(const attempt_key& key, const wire::ending& how, pool_output& out);
--- a/src/rosearch/capacity/vm_pool_dump.cc
+++ b/src/rosearch/capacity/vm_pool_dump.cc
@@ -94,7 +94,14 @@
   boost::json::array vms;
   for (const auto& [name, vm] : vms_) {
     boost::json::array tasks;
-    for (const auto& key : vm.tasks) tasks.push_back(TaskOf(key, placements_.at(key)));
+    resources committed;
+    resources peak_used;
+    for (const auto& key : vm.tasks) {
+      const auto& record = placements_.at(key);
+      tasks.push_back(TaskOf(key, record));
+      committed = committed + FromWire(record.made.needs());
+      peak_used = peak_used + resources{record.peak_processors_milli, record.peak_memory_mb, 0};
+    }
     vms.push_back({{"vm", name.value()},
                    {"present", vm.present},
                    {"leaving", vm.Leaving()},
@@ -104,6 +111,8 @@
                    {"condition", ConditionName(health_.ConditionOf(name, now))},
                    {"strays", vm.strays.size()},
                    {"room", AmountsOf(ledger_.Room(name))},
+                   {"committed", AmountsOf(committed)},
+                   {"peak_used", AmountsOf(peak_used)},
                    {"tasks", std::move(tasks)}});
   }
   boost::json::array holds;
--- a/src/rosearch/capacity/vm_pool_vms.cc
+++ b/src/rosearch/capacity/vm_pool_vms.cc
@@ -119,7 +119,7 @@
       return w.made.vm() == vm.value() && FromWire(w.made.needs()).FitsIn(room);
     });
     if (!wait) return;
-    ledger_.ForceCommit(vm, CommitmentOf(wait->made, wait->spread_group), false);
+    ledger_.ForceCommit(vm, CommitmentOf(wait->made), false);
     Journal(wait->key, std::move(wait->made), now, out);
   }
   while (const auto wait =
--- a/src/rosearch/capacity/vm_pool_workers.cc
+++ b/src/rosearch/capacity/vm_pool_workers.cc
@@ -23,6 +23,7 @@
     wants.has_tasks = true;
     const bool stops = record.stopping != stop_cause::kNone;
     if (stops) (now >= record.stop_at ? wants.stops : wants.checkpoints).insert(key);
+    if (stops && now < record.stop_at) wants.stop_at = std::min(wants.stop_at, record.stop_at);
     wants.awaits = wants.awaits || stops || record.phase == placement_phase::kStarting;
     plan.AddRunning(*record.start_sent, std::chrono::milliseconds{record.made.run_ms()});
   }
@@ -215,7 +216,7 @@
   LOG(WARNING) << "event=task_adopted shard=" << shard_ << " vm=" << vm << " task=" << key
                << " runs=" << runs << " complete=" << complete_;
   if (runs) *out.records.emplace_back().mutable_placed() = record.made;
-  ledger_.ForceCommit(vm, CommitmentOf(record.made, {}), true);
+  ledger_.ForceCommit(vm, CommitmentOf(record.made), true);
   state.tasks.insert(key);
   placements_.emplace(key, std::move(record));
   if (!runs) Apply(vm, report, sent_at, now, out);
--- a/src/rosearch/capacity/worker_session.cc
+++ b/src/rosearch/capacity/worker_session.cc
@@ -34,7 +34,7 @@
 }
 
 void worker_session::PlanNext(const session_wants& wants, const pool_settings& settings) noexcept {
-  due_at_ = std::min(due_at_, std::max(wants.look_at, looks_.AllowedAt()));
+  due_at_ = std::min({due_at_, wants.stop_at, std::max(wants.look_at, looks_.AllowedAt())});
   if (!wants.awaits) {
     awaits_since_ = kNever;
     return;
--- a/src/rosearch/capacity/worker_session.h
+++ b/src/rosearch/capacity/worker_session.h
@@ -34,6 +34,7 @@
   std::set<attempt_key> checkpoints;
   bool has_tasks{};            ///< something may run there
   bool awaits{};               ///< a stop or a start was sent and is not reported yet
+  time_point stop_at{kNever};  ///< a checkpoint that was not reported becomes a stop
   time_point look_at{kNever};  ///< a task may have ended by then
 };
 
--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -1264,6 +1264,22 @@
          });
 }
 
+template <node_ports Ports>
+std::optional<closest_vm> basic_node<Ports>::ClosestWorker(const resources& needs) const {
+  const std::scoped_lock lock{cell_.mutex};
+  ledger listed;
+  for (const auto& vm : cell_.vms) {
+    if (vm.kind() == wire::VM_WORKER) {
+      listed.SetVm({.vm = vm_id{vm.vm()},
+                    .region = region_id{vm.region()},
+                    .failure_domain = failure_domain_id{vm.failure_domain()},
+                    .rack = rack_id{vm.rack()},
+                    .holds = internal::FromWire(vm.holds())});
+    }
+  }
+  return ClosestVm(listed, needs);
+}
+
 template <node_ports Ports>
 boost::json::value basic_node<Ports>::Dump(const step_time& at) {
   boost::json::object dump;
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -27,6 +27,8 @@
 #include "rosearch/node/node_ports.h"
 #include "rosearch/node/node_settings.h"
 #include "rosearch/node/shard_balance.h"
+#include "rosearch/placement/ledger.h"
+#include "rosearch/placement/never_fits.h"
 #include "rosearch/shard/shard.h"
 
 namespace rosearch {
@@ -117,6 +119,8 @@
   [[nodiscard]] std::map<std::string, wire::drain_order> Drains() const;
   /// @return whether some VM that is listed could hold a task of that size when empty.
   [[nodiscard]] bool FitsSomewhere(const resources& needs) const;
+  /// @return the listed worker that comes closest to holding a task of that size, if there is any.
+  [[nodiscard]] std::optional<closest_vm> ClosestWorker(const resources& needs) const;
   [[nodiscard]] boost::json::value Dump(const step_time& at);
   /// @return figures for the metrics, cheaper than a dump.
   [[nodiscard]] node_figures Figures(time_point now) const;
--- a/src/rosearch/serve/serve.cc
+++ b/src/rosearch/serve/serve.cc
@@ -181,6 +181,7 @@
     access_.vms = [&node] { return node.Vms(); };
     access_.drains = [&node] { return node.Drains(); };
     access_.fits_somewhere = [&node](const resources& needs) { return node.FitsSomewhere(needs); };
+    access_.closest_worker = [&node](const resources& needs) { return node.ClosestWorker(needs); };
     access_.dump = [&node] { return node.Dump(StepNow()); };
     access_.gauges = [this] { return Gauges(); };
     access_.explain = [&node](const placement_request& request) {
--- a/src/rosearch/shard/cell_view.cc
+++ b/src/rosearch/shard/cell_view.cc
@@ -88,6 +88,24 @@
   return best;
 }
 
+std::optional<shard_number> cell_view::ChooseToPreempt(shard_number home, const region_id& region,
+                                                       const std::set<shard_number>& avoid) const {
+  if (!avoid.contains(home)) {
+    return home;
+  }
+  std::optional<shard_number> far;
+  for (const auto& [number, known] : shards_) {
+    if (avoid.contains(number)) {
+      continue;
+    }
+    if (known.region == region) {
+      return number;
+    }
+    far = far ? far : number;
+  }
+  return far;
+}
+
 std::vector<std::pair<shard_number, std::uint32_t>> cell_view::RoomFor(
     const resources& needs, const region_id& region) const {
   std::vector<std::pair<shard_number, std::uint32_t>> room;
--- a/src/rosearch/shard/cell_view.h
+++ b/src/rosearch/shard/cell_view.h
@@ -43,6 +43,12 @@
                                                       const region_id& region,
                                                       const std::set<shard_number>& avoid) const;
 
+  /// @param home    asked first, then those of the region.
+  /// @return the shard to ask to preempt others' work, room or none, or none where all known shards
+  ///   are to be avoided.
+  [[nodiscard]] std::optional<shard_number> ChooseToPreempt(
+      shard_number home, const region_id& region, const std::set<shard_number>& avoid) const;
+
   /// @return shards that may hold such tasks, in ascending order, with how many each.
   [[nodiscard]] std::vector<std::pair<shard_number, std::uint32_t>> RoomFor(
       const resources& needs, const region_id& region) const;
--- a/src/rosearch/shard/job_table.cc
+++ b/src/rosearch/shard/job_table.cc
@@ -11,7 +11,7 @@
 
 using internal::FromWire;
 
-/// A shard that refused a gang is passed over for this long.
+/// A shard that refused a gang, or had nothing to preempt, is passed over for this long.
 constexpr duration kAvoidFor = std::chrono::seconds{2};
 
 /// Questions to the owner of a new term are spread over this long, so that a takeover isn't met by
@@ -179,6 +179,7 @@
     auto message = MessageTo(from);
     *message.mutable_ack()->mutable_ref() = event.ref();
     message.mutable_ack()->set_home_shard(shard_);
+    message.mutable_ack()->set_kind(event.kind());
     out.capacity.push_back(std::move(message));
   };
   const auto* const slot = key ? journal_.state().FindTask(*key) : nullptr;
@@ -223,9 +224,9 @@
       SetStage(task, stage::kIdle);
       task.stopping = false;
       SetDue(*key, task, context.now + settings_.retry_room);
+      job.avoid.insert(from);
+      job.avoid_until = context.now + kAvoidFor;
       if (IsGang(*journal_.state().FindJob(key->job))) {
-        job.avoid.insert(from);
-        job.avoid_until = context.now + kAvoidFor;
         BreakGang(key->job, context, out);
       }
       return;
@@ -235,6 +236,7 @@
       task.ack.emplace();
       *task.ack->mutable_ref() = event.ref();
       task.ack->set_home_shard(shard_);
+      task.ack->set_kind(event.kind());
       return;
     default:
       return;
@@ -474,8 +476,11 @@
   }
   auto target = context.cell.ChooseFor(needs, shard_, region_, {});
   if (!target && spec.urgent()) {
-    // The cell is full: the home shard makes room by preemption.
-    target = shard_;
+    // The cell is full: the home shard makes room by preemption, or one that has what to preempt.
+    if (context.now >= job.avoid_until) {
+      job.avoid.clear();
+    }
+    target = context.cell.ChooseToPreempt(shard_, region_, job.avoid);
   }
   if (!target) {
     no_room_.push_back(needs);
@@ -639,7 +644,6 @@
     place.set_urgent(spec.urgent());
     place.set_hold_ms(static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(settings_.hold).count()));
-    place.set_spread_over(spec.customer() + '/' + spec.job());
   }
   out.capacity.push_back(std::move(message));
   task.asked_before = true;
@@ -721,6 +725,7 @@
   want.set_run_ms(spec.run_ms());
   want.set_payload(spec.payload());
   want.set_customer(spec.customer());
+  want.set_spread_over(spec.customer() + '/' + spec.job());
   return want;
 }
 
--- a/test/rosearch/capacity/fake_worker.h
+++ b/test/rosearch/capacity/fake_worker.h
@@ -34,7 +34,9 @@
   wire::worker_report Exchange(const wire::worker_command& command, time_point now) {
     Advance(now);
     for (const auto& ref : command.stops()) End(KeyOf(ref), wire::TASK_STOPPED);
-    for (const auto& ref : command.checkpoints()) End(KeyOf(ref), wire::TASK_CHECKPOINTED);
+    for (const auto& ref : command.checkpoints()) {
+      if (!never_checkpoints) End(KeyOf(ref), wire::TASK_CHECKPOINTED);
+    }
     for (const auto& ref : command.forgets()) tasks_.erase(KeyOf(ref));
     for (auto& [key, held] : tasks_) {
       if (command.renew_ms() > 0) held.lease_until = Own(now) + Ms(command.renew_ms());
@@ -74,9 +76,10 @@
   }
   [[nodiscard]] const resources& holds() const noexcept { return holds_; }
 
-  bool broken{};   ///< fails what it runs
-  bool refuses{};  ///< starts nothing
-  int stretch{1};  ///< tasks run so many times as long as declared
+  bool broken{};             ///< fails what it runs
+  bool refuses{};            ///< starts nothing
+  bool never_checkpoints{};  ///< goes on until it is stopped
+  int stretch{1};            ///< tasks run so many times as long as declared
 
  private:
   static duration Ms(std::uint32_t count) { return std::chrono::milliseconds{count}; }
--- a/test/rosearch/capacity/random_cell.cc
+++ b/test/rosearch/capacity/random_cell.cc
@@ -197,6 +197,7 @@
   if (final) {
     wire::capacity_message ack;
     *ack.mutable_ack()->mutable_ref() = event.ref();
+    ack.mutable_ack()->set_kind(event.kind());
     SendToPool(std::move(ack));
   }
   if (found == asked_.end()) return;
--- a/test/rosearch/capacity/vm_pool_test.cc
+++ b/test/rosearch/capacity/vm_pool_test.cc
@@ -36,6 +36,7 @@
       auto& vm = list.emplace_back();
       vm.set_vm(name);
       vm.set_address(name + ":1");
+      vm.set_failure_domain("domain of " + name);
       vm.set_leaving(leaving);
       vm.set_instance(instance);
       *vm.mutable_holds() = internal::ToWire(kHolds);
@@ -91,8 +92,11 @@
   void Commit(const std::string& task) {
     Name(task, [](auto& message) { return message.mutable_commit()->mutable_ref(); });
   }
-  void Ack(const std::string& task) {
-    Name(task, [](auto& message) { return message.mutable_ack()->mutable_ref(); });
+  void Ack(const std::string& task, wire::place_event_kind kind = wire::PLACE_ENDED) {
+    Name(task, [kind](auto& message) {
+      message.mutable_ack()->set_kind(kind);
+      return message.mutable_ack()->mutable_ref();
+    });
   }
 
   /// @return the events about a task as KIND or KIND:ERROR/DETAIL, repeats left out.
@@ -116,6 +120,14 @@
     earlier.mutable_starts(0)->set_lease_ms(20000);
     static_cast<void>(worker().Exchange(earlier, now));
   }
+  /// @return the VM that the last event about a task names.
+  [[nodiscard]] std::string VmOf(const std::string& task) const {
+    std::string vm;
+    for (const auto& event : events) {
+      if (event.ref().task() == task) vm = event.vm();
+    }
+    return vm;
+  }
   [[nodiscard]] int StartsSent() const {
     int count = 0;
     for (const auto& command : commands) count += command.starts_size();
@@ -275,6 +287,93 @@
   CHECK(b.FreeProcessors() == 0);
 }
 
+// The acknowledgement of a start is under way when the task ends. Taken for one of the end, it
+// would leave the home shard waiting for a task that is over, and its job would never end.
+TEST_CASE("an acknowledgement of an earlier event doesn't silence the end") {
+  bench b;
+  b.Acquire();
+  auto place = b.Want("j/1");
+  place.mutable_want()->set_run_ms(1000);
+  b.Place(place);
+  b.Run(seconds{2});
+  REQUIRE(b.Told("j/1") == told{"STARTED", "ENDED"});
+  b.Ack("j/1", wire::PLACE_STARTED);
+  const auto before = b.events.size();
+  b.Run(seconds{3});
+  CHECK(b.events.size() > before);
+  CHECK_FALSE(b.journal.back().has_freed());
+  b.Ack("j/1", wire::PLACE_ENDED);
+  CHECK(b.journal.back().has_freed());
+}
+
+// A service has a replica in one failure domain when its shard changes hands. A new owner that
+// doesn't know the group puts the next one beside it, and one failure stops both.
+TEST_CASE("tasks of a job stay spread after a takeover") {
+  bench b{{"w0", "w1"}};
+  auto replica = MadeOn("s/1", 1000);
+  replica.set_spread_over("s");
+  auto other = MadeOn("other/1", 5000);
+  other.set_vm("w1");
+  b.Acquire({replica, other});
+  auto next = b.Want("s/2");
+  next.mutable_want()->set_spread_over("s");
+  next.set_policy("spread");
+  b.Place(next);
+  CHECK(b.VmOf("s/2") == "w1");
+  CHECK(b.journal.back().placed().spread_over() == "s");
+}
+
+TEST_CASE("the policy that a rule names chooses the VM") {
+  const std::vector<std::pair<std::string, std::string>> rows{
+      {"pack", "w0"}, {"quick", "w1"}, {"spread", "w1"}, {"urgent", "w1"}};
+  for (const auto& [policy, vm] : rows) {
+    INFO(policy);
+    bench b{{"w0", "w1"}};
+    b.Acquire();
+    b.Place(b.Want("first/1", 3000));
+    REQUIRE(b.VmOf("first/1") == "w0");
+    auto place = b.Want("j/1");
+    place.set_policy(policy);
+    b.Place(place);
+    CHECK(b.VmOf("j/1") == vm);
+  }
+  bench b;
+  b.Acquire();
+  auto place = b.Want("j/1");
+  place.set_policy("none");
+  b.Place(place);
+  CHECK(b.Told("j/1").front().starts_with("REFUSED:invalid_request"));
+}
+
+// Every VM of the shard is full, and what runs there doesn't stop when told to save its progress.
+// Urgent work was promised to start within 5.2 s.
+TEST_CASE("urgent work starts within 5.2 s in a full shard") {
+  bench b{{"w0", "w1", "w2", "w3"}};
+  b.Acquire();
+  const bool slow = GENERATE(false, true);
+  for (const auto* const name : {"w0", "w1", "w2", "w3"}) {
+    b.worker(vm_id{name}).never_checkpoints = slow;
+  }
+  for (int number = 1; number <= 32; ++number) {
+    auto low = b.Want("low/" + std::to_string(number));
+    low.mutable_want()->set_preemptible(true);
+    low.mutable_want()->set_priority(1);
+    b.Place(low);
+  }
+  REQUIRE(b.FreeProcessors() == 0);
+  for (int number = 1; number <= 4; ++number) {
+    auto urgent = b.Want("u/" + std::to_string(number), 4000);
+    urgent.set_urgent(true);
+    urgent.set_policy("urgent");
+    urgent.mutable_want()->set_priority(9);
+    b.Place(urgent);
+  }
+  b.Run(slow ? milliseconds{2500} : milliseconds{300});
+  for (int number = 1; number <= 4; ++number) {
+    CHECK(b.Told("u/" + std::to_string(number)) == told{"STARTED"});
+  }
+}
+
 // Urgent work arrives at a full VM. Started before the preempted tasks have stopped it would
 // overcommit; with the freed room open to all it would wait for ever.
 TEST_CASE("urgent work starts in the room of preempted tasks", "[no-overcommit]") {
