--- a/soak/run.cc
+++ b/soak/run.cc
@@ -92,6 +92,9 @@
     Heal(all, work, mishaps);
   } catch (const breach& found) {
     result.breach = found.what();
+    if (options.trace) {
+      all.PrintDumps();
+    }
   }
   result.trace_hash = all.time.hash();
   result.counts = all.checks.Counts();
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -1,7 +1,9 @@
 #include "soak/world.h"
 
 #include <algorithm>
+#include <boost/json/serialize.hpp>
 #include <chrono>
+#include <iostream>
 
 #include "rosearch/capacity/amounts.h"
 
@@ -290,6 +292,14 @@
   checks.OnTaskStart(vm, start);
 }
 
+void world::PrintDumps() {
+  for (auto& host : entries) {
+    if (host.node) {
+      std::cout << host.name << ' ' << host.node->Dump(StepOf(host)) << '\n';
+    }
+  }
+}
+
 // ---- the platform
 
 void world::NoteListChange() {
--- a/soak/world.h
+++ b/soak/world.h
@@ -78,6 +78,7 @@
 
   /// Checks what can be seen only by looking.
   void Look();
+  void PrintDumps();
   void NoteListChange();
   [[nodiscard]] wire::vm_list_answer ListAt(moment when) const;
   [[nodiscard]] moment Soon(moment most) { return time.random.Between(200, most); }
