node: never send a delegated request a second time on silence

Cause: an entry repeats a call that is unanswered after 1 s. A delegated non-idempotent request keeps no record at the shard that runs it, so with an executor slower than 1 s the repeat ran it again (order doubled). Also, a call whose server's address was unknown counted as sent without being sent. Ruled out: the executor lane (retries only on a certain 'not run') and the request table (one record, one send). Change: a delegated call is due again only on the word that it did not run; OnSent only when sent.

--- a/src/rosearch/node/call_table.cc
+++ b/src/rosearch/node/call_table.cc
@@ -54,6 +54,12 @@
   if (found != open_.end()) {
     found->second.call.set_shard(shard);
     ++found->second.unanswered;
+    if (found->second.call.request().delegated()) {
+      // The shard that runs a delegated request keeps no record of it. A second copy, sent because
+      // an executor is slow, would run it again: the caller would see its order doubled. It goes
+      // out again only where the owner asked says that it did not run.
+      SetDue(number, found->second, kNever);
+    }
   }
 }
 
--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -273,16 +273,18 @@
     cell_.calls.TryAgain(number, now);
     return;
   }
-  cell_.calls.OnSent(number, call->shard());
   if (*server == settings_.self.entry) {
+    cell_.calls.OnSent(number, call->shard());
     const call_origin from{settings_.self.entry.value(), settings_.self.incarnation, number};
     cell_.inbox.push_back({call->shard(), std::pair{from, *call}});
     return;
   }
   const auto* const known = cell_.members.Find(*server);
   if (known == nullptr) {
+    cell_.calls.TryAgain(number, now);
     return;
   }
+  cell_.calls.OnSent(number, call->shard());
   wire::peer_message message;
   *message.mutable_ask() = std::move(*call);
   SendTo(known->who, std::move(message));
