shard: never tell 'not run' of a task whose earlier attempt may have run

Cause: an attempt that failed or was lost is queued again; ended then by a cancel or a deadline, the task was told as cancelled or deadline_passed, both of which mean 'not run'. Ruled out: the ending of a last attempt that ran (it was told as interrupted already).

--- a/src/rosearch/shard/job_table.cc
+++ b/src/rosearch/shard/job_table.cc
@@ -264,7 +264,7 @@
     return;
   }
   if (IsService(job)) {
-    Requeue(key, std::string{how.error().kind()}, false,
+    Requeue(key, std::string{how.error().kind()}, {.charged = false, .ran = ran},
             context.now + (failed ? settings_.retry_failed : settings_.retry_room));
     return;
   }
@@ -273,11 +273,17 @@
     return;
   }
   DriveOf(key.job).gang_broken = IsGang(job);
-  Requeue(key, how.error().kind(), failed,
+  Requeue(key, how.error().kind(), {.charged = failed, .ran = ran},
           context.now + (failed ? settings_.retry_failed : settings_.retry_room));
 }
 
 void job_table::EndTask(const task_key& key, wire::ending how) {
+  if (SlotOf(key).ran && EffectOf(how) == outcome::kNotRun) {
+    // The last attempt did not run, but one before it did: "not run" of the task would be untrue,
+    // and a caller who believes it sends the same work to somebody else as well.
+    how = EndingOf(error_kind::kInterrupted,
+                   how.error().kind() + " after an attempt that may have run");
+  }
   wire::shard_record record;
   *record.mutable_ended()->mutable_ref() = RefOf(key, SlotOf(key).attempt);
   *record.mutable_ended()->mutable_how() = std::move(how);
@@ -287,12 +293,13 @@
   SetDue(key, task, kNever);
 }
 
-void job_table::Requeue(const task_key& key, const std::string& cause, bool charged,
+void job_table::Requeue(const task_key& key, const std::string& cause, attempt_effect effect,
                         time_point due) {
   wire::shard_record record;
   *record.mutable_requeued()->mutable_ref() = RefOf(key, SlotOf(key).attempt);
   record.mutable_requeued()->set_cause(cause);
-  record.mutable_requeued()->set_charged(charged);
+  record.mutable_requeued()->set_charged(effect.charged);
+  record.mutable_requeued()->set_ran(effect.ran);
   journal_.Propose(std::move(record));
   auto& task = DriveOf(key.job).tasks[key.index];
   SetStage(task, stage::kIdle);
@@ -616,7 +623,7 @@
     }
     first_idle = index;
     if (entry.tasks[index].state != wire::TASK_QUEUED) {
-      Requeue({key, index}, "the gang is tried again", false, kNever);
+      Requeue({key, index}, "the gang is tried again", {}, kNever);
     }
   }
   SetDue({key, first_idle}, job.tasks[first_idle], context.now + settings_.retry_room);
--- a/src/rosearch/shard/job_table.h
+++ b/src/rosearch/shard/job_table.h
@@ -79,6 +79,12 @@
     kEnded,
   };
 
+  /// What an attempt that is over leaves behind.
+  struct attempt_effect {
+    bool charged{false};  ///< counts against the retries
+    bool ran{false};      ///< may have run
+  };
+
   struct drive {
     stage at{stage::kIdle};
     time_point due{kNever};
@@ -123,7 +129,8 @@
                                   shard_output& out);
   void Ended(const task_key& key, const wire::place_event& event, const job_context& context);
   void EndTask(const task_key& key, wire::ending how);
-  void Requeue(const task_key& key, const std::string& cause, bool charged, time_point due);
+  void Requeue(const task_key& key, const std::string& cause, attempt_effect effect,
+               time_point due);
   void ForgetIfOld(const job_key& key, job_drive& job, time_point now);
 
   [[nodiscard]] wire::capacity_message MessageTo(shard_number shard) const;
--- a/src/rosearch/shard/shard_state.cc
+++ b/src/rosearch/shard/shard_state.cc
@@ -12,6 +12,7 @@
   slot.target = snapshot.target_shard();
   slot.held = snapshot.held();
   slot.charged = snapshot.charged();
+  slot.ran = snapshot.ran();
   slot.how = snapshot.how();
   return slot;
 }
@@ -46,6 +47,7 @@
         slot->state = wire::TASK_QUEUED;
         slot->held = false;
         slot->charged += record.requeued().charged() ? 1 : 0;
+        slot->ran = slot->ran || record.requeued().ran();
       }
       return;
     case wire::shard_record::kEnded:
@@ -126,6 +128,7 @@
     task.set_target_shard(slot.target);
     task.set_held(slot.held);
     task.set_charged(slot.charged);
+    task.set_ran(slot.ran);
     *task.mutable_how() = slot.how;
   }
   return snapshot;
--- a/src/rosearch/shard/shard_state.h
+++ b/src/rosearch/shard/shard_state.h
@@ -21,6 +21,7 @@
   shard_number target{0};    ///< the capacity shard that was asked last
   bool held{false};          ///< a gang's hold, not yet a start
   std::uint32_t charged{0};  ///< attempts that count against the retries
+  bool ran{false};           ///< an attempt that is over may have run
   wire::ending how;          ///< once ended
 };
 
