--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -279,6 +279,13 @@
     return;
   }
   bool ended = true;
+  std::string states;
+  for (const auto& task : answer.job().tasks()) {
+    states += ' ' + wire::task_state_Name(task.state()) + '#' +
+              std::to_string(task.ref().attempt()) + '@' + std::to_string(task.target_shard()) +
+              task.how().error().kind();
+  }
+  world_.time.Trace("status " + name + states);
   for (const auto& task : answer.job().tasks()) {
     world_.checks.OnTaskSeen(task);
     ended = ended && task.state() == wire::TASK_ENDED;
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -64,10 +64,37 @@
 }
 
 void promises::OnRecord(const wire::shard_record& record) {
+  const auto note = [this](const wire::task_ref& ref, bool ended) {
+    auto& job = jobs_[JobOf(ref.task())];
+    job.committed.insert({ref.task(), ref.attempt()});
+    if (ended) {
+      job.ended.insert(ref.task());
+    }
+  };
   if (record.has_placing() && !record.placing().held()) {
-    const auto& task = record.placing().ref().task();
-    jobs_[JobOf(task)].committed.insert(task);
+    note(record.placing().ref(), false);
+  }
+  if (record.has_ended()) {
+    note(record.ended().ref(), true);
+  }
+  for (const auto& job : record.snapshot().jobs()) {
+    for (const auto& task : job.tasks()) {
+      const bool placed = task.state() == wire::TASK_PLACING || task.state() == wire::TASK_ACTIVE;
+      if ((placed && !task.held()) || task.state() == wire::TASK_ENDED) {
+        note(task.ref(), task.state() == wire::TASK_ENDED);
+      }
+    }
+  }
+}
+
+bool promises::WhollyCommitted(const job_facts& job, std::uint32_t attempt) const {
+  for (std::uint32_t index = 0; index < job.spec.count(); ++index) {
+    const auto task = Name(job.spec) + '#' + std::to_string(index);
+    if (!job.committed.contains({task, attempt}) && !job.ended.contains(task)) {
+      return false;
+    }
   }
+  return true;
 }
 
 void promises::OnTaskStart(const std::string& vm, const wire::task_start& start) {
@@ -83,7 +110,7 @@
   if (facts.ended) {
     time_.Breach("truthful-not-run", "a task started that a caller knows as ended: " + what);
   }
-  if (job.spec.kind() == wire::JOB_GANG && job.committed.size() < job.spec.count()) {
+  if (job.spec.kind() == wire::JOB_GANG && !WhollyCommitted(job, start.ref().attempt())) {
     time_.Breach("single-run", "a gang's member started before the gang was committed: " + what);
   }
 }
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "rosearch/config/config_chain.h"
@@ -26,10 +27,12 @@
 /// What the run knows of one job.
 struct job_facts {
   wire::job_spec spec;
-  bool accepted{false};             ///< a caller was told so
-  bool cancelled{false};            ///< a caller asked for it
-  bool over{false};                 ///< seen ended, or running as it should
-  std::set<std::string> committed;  ///< a gang's tasks whose start is on record
+  bool accepted{false};   ///< a caller was told so
+  bool cancelled{false};  ///< a caller asked for it
+  bool over{false};       ///< seen ended, or running as it should
+  /// A gang's tasks and attempts whose start is on record, and its tasks that have ended.
+  std::set<std::pair<std::string, std::uint32_t>> committed;
+  std::set<std::string> ended;
 };
 
 /// What the run knows of one task of a job.
@@ -51,6 +54,7 @@
 
   // Jobs.
   void OnSubmitted(const wire::job_spec& spec) { jobs_[Name(spec)].spec = spec; }
+  /// Takes in a record that leaves its author, for its witness or for the log.
   void OnRecord(const wire::shard_record& record);
   void OnTaskStart(const std::string& vm, const wire::task_start& start);
   void OnTaskSeen(const wire::task_snapshot& task);
@@ -72,6 +76,8 @@
   static std::string AnswerTo(const std::string& body);
 
  private:
+  [[nodiscard]] bool WhollyCommitted(const job_facts& job, std::uint32_t attempt) const;
+
   timeline& time_;
   std::map<std::string, request_facts> requests_;  ///< by body, which names each of them
   std::map<std::string, job_facts> jobs_;
