--- a/benchmark/notice_bench.cc
+++ b/benchmark/notice_bench.cc
@@ -18,8 +18,8 @@
 using std::chrono::milliseconds;
 
 constexpr shard_number kShard = 1;
-constexpr int kVms = 8;
-constexpr int kTasksPerVm = 20;
+constexpr std::int64_t kVms = 8;
+constexpr std::int64_t kTasksPerVm = 20;
 constexpr duration kTickEvery = milliseconds{50};
 constexpr duration kWarmUp = std::chrono::seconds{120};
 constexpr duration kMeasured = std::chrono::seconds{600};
--- a/src/rosearch/capacity/vm_pool.h
+++ b/src/rosearch/capacity/vm_pool.h
@@ -148,8 +148,7 @@
              pool_output& out);
   void ApplyUnknown(const vm_id& vm, const wire::task_report& report, time_point sent_at,
                     time_point now, pool_output& out);
-  void ApplyRunning(const attempt_key& key, placement_record& record, time_point now,
-                    pool_output& out);
+  void ApplyRunning(const attempt_key& key, placement_record& record, pool_output& out);
   void ApplyAbsent(worker_vm& vm, const wire::worker_report& report, time_point sent_at,
                    time_point now, pool_output& out);
 
--- a/src/rosearch/capacity/vm_pool_workers.cc
+++ b/src/rosearch/capacity/vm_pool_workers.cc
@@ -140,7 +140,7 @@
   verdict how;
   switch (report.phase()) {
     case wire::TASK_RUNNING:
-      return ApplyRunning(key, record, now, out);
+      return ApplyRunning(key, record, out);
     case wire::TASK_DONE:
       how.body = report.result();
       break;
@@ -171,8 +171,7 @@
   Finish(key, how, now, out);
 }
 
-void vm_pool::ApplyRunning(const attempt_key& key, placement_record& record, time_point now,
-                           pool_output& out) {
+void vm_pool::ApplyRunning(const attempt_key& key, placement_record& record, pool_output& out) {
   if (record.phase == placement_phase::kRunning) return;
   record.phase = placement_phase::kRunning;
   if (!record.home_known) return;
--- a/src/rosearch/platform/http_client.cc
+++ b/src/rosearch/platform/http_client.cc
@@ -40,9 +40,9 @@
 
 /// Asio's clock counts nanoseconds, so the latest moments of ours would overflow it.
 std::chrono::steady_clock::time_point ToSteady(time_point moment) {
-  constexpr auto latest = std::chrono::duration_cast<duration>(
+  constexpr auto kLatest = std::chrono::duration_cast<duration>(
       std::chrono::steady_clock::time_point::max().time_since_epoch());
-  return std::chrono::steady_clock::time_point{std::min(moment.time_since_epoch(), latest)};
+  return std::chrono::steady_clock::time_point{std::min(moment.time_since_epoch(), kLatest)};
 }
 
 std::optional<tcp::endpoint> ParseAddress(std::string_view address) {
--- a/test/process/requests_test.cc
+++ b/test/process/requests_test.cc
@@ -16,6 +16,7 @@
   cell cell;
   const auto issued = UnixMs();
   std::vector<std::future<reply>> answers;
+  answers.reserve(10);
   for (int copy = 0; copy < 10; ++copy) {
     answers.push_back(cell.Order(1 + copy % 3, "order-1", issued, R"({"run_ms": 300})"));
   }
--- a/test/rosearch/journal/stream_reader_test.cc
+++ b/test/rosearch/journal/stream_reader_test.cc
@@ -219,12 +219,12 @@
 TEST_CASE("readers that begin anywhere or fall behind are in the same state") {
   // Entries are replaced at any time, one is cut off until its place in the stream is forgotten,
   // and late copies come after snapshots. Entries whose states differ send work to a leaving VM.
-  constexpr reader_options options{.max_records = 5, .warm_up = 64};
+  constexpr reader_options kOptions{.max_records = 5, .warm_up = 64};
   for (std::uint64_t seed = 1; seed <= 40; ++seed) {
     INFO("seed " << seed);
     random_source random{seed};
     test::fake_log log;
-    auto writer = MakeFollower(options);
+    auto writer = MakeFollower(kOptions);
     std::vector<follower> others(1, writer);
     std::vector<std::string> recent;
     std::string prepared;
@@ -250,7 +250,7 @@
         recent.erase(recent.begin());
       }
       if (random.Chance(0.01)) {
-        others.push_back(MakeFollower(options));
+        others.push_back(MakeFollower(kOptions));
       }
       if (random.Chance(0.005) && snapshots.size() > 4) {
         writer.ReadToEnd(log);
--- a/test/rosearch/node/call_table_test.cc
+++ b/test/rosearch/node/call_table_test.cc
@@ -38,8 +38,8 @@
 
 }  // namespace
 
-// An owner dies with a call in hand, or the call never reached one. The caller wants to know whether
-// the work may have run, and must not be told "not run" of work that did.
+// An owner dies with a call in hand, or the call never reached one. The caller wants to know
+// whether the work may have run, and must not be told "not run" of work that did.
 TEST_CASE("a call that is given up tells what the caller may assume", "[truthful-not-run]") {
   struct row {
     int sent;
