--- a/src/rosearch/metrics/metric_set.cc
+++ b/src/rosearch/metrics/metric_set.cc
@@ -36,6 +36,11 @@
   counters_[name] += by;
 }
 
+void metric_set::SetTotal(const std::string& name, std::uint64_t value) {
+  const std::scoped_lock lock{mutex_};
+  counters_[name] = value;
+}
+
 void metric_set::Set(const std::string& name, double value) {
   const std::scoped_lock lock{mutex_};
   gauges_[name] = value;
--- a/src/rosearch/metrics/metric_set.h
+++ b/src/rosearch/metrics/metric_set.h
@@ -23,6 +23,9 @@
   /// @param name  with labels, as `rosearch_calls_total{kind="request"}`.
   void Count(const std::string& name, std::uint64_t by = 1);
 
+  /// Sets a counter that is kept elsewhere.
+  void SetTotal(const std::string& name, std::uint64_t value);
+
   /// Sets a value that may go up and down.
   void Set(const std::string& name, double value);
 
--- a/src/rosearch/platform/executor_client.cc
+++ b/src/rosearch/platform/executor_client.cc
@@ -19,7 +19,8 @@
                        .valid_until = call.valid_until,
                        .answer_by = call.answer_by,
                        .max_answer_bytes = call.max_answer_bytes,
-                       .idempotent = call.idempotent};
+                       .idempotent = call.idempotent,
+                       .traffic = &traffic_};
   request.headers.push_back({std::string{kRequestIdHeader}, call.request_id});
   http_.Send(std::move(request), [done = std::move(done)](result<http_reply> answer) {
     if (answer.has_value() && internal::SaysNotRun(answer.value())) {
--- a/src/rosearch/platform/executor_client.h
+++ b/src/rosearch/platform/executor_client.h
@@ -19,8 +19,12 @@
   ///              word that it did not run the request; or the error of `http_client::Send`.
   void Run(const executor_call& call, executor_callback done);
 
+  /// @return what its requests have cost so far.
+  [[nodiscard]] const http_traffic& traffic() const noexcept { return traffic_; }
+
  private:
   http_client& http_;
+  http_traffic traffic_;
 };
 
 static_assert(executor_port<executor_client>);
--- a/src/rosearch/platform/http_client.cc
+++ b/src/rosearch/platform/http_client.cc
@@ -298,6 +298,10 @@
       co_return attempt{NotSent(request, "its time passed before it was sent"), LooksOpen(open)};
     }
     const auto [write_failed, written] = co_await http::async_write(open.stream, message, kAwait);
+    if (request.traffic != nullptr) {
+      ++request.traffic->requests;
+      request.traffic->bytes_sent += written;
+    }
     if (write_failed) {
       co_return WriteFailure(request, write_failed, written);
     }
@@ -338,6 +342,9 @@
     parser.skip(request.method == "HEAD");
     const auto [failed, bytes] =
         co_await http::async_read(open.stream, open.buffer, parser, kAwait);
+    if (request.traffic != nullptr) {
+      request.traffic->bytes_received += bytes;
+    }
     if (failed == beast::error::timeout) {
       co_return attempt{MakeError(error_kind::kTimeout, request, "no whole answer in time")};
     }
--- a/src/rosearch/platform/http_client.h
+++ b/src/rosearch/platform/http_client.h
@@ -1,8 +1,10 @@
 #ifndef ROSEARCH_PLATFORM_HTTP_CLIENT_H_
 #define ROSEARCH_PLATFORM_HTTP_CLIENT_H_
 
+#include <atomic>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -31,6 +33,14 @@
 [[nodiscard]] std::string_view FindHeader(const std::vector<http_header>& headers,
                                           std::string_view name) noexcept;
 
+/// Requests and bytes, heads included, that one user of an `http_client` has caused. Bytes of TCP
+/// and IP are not in it.
+struct http_traffic {
+  std::atomic<std::uint64_t> requests{0};
+  std::atomic<std::uint64_t> bytes_sent{0};
+  std::atomic<std::uint64_t> bytes_received{0};
+};
+
 /// One HTTP request and the deadlines that bind it.
 struct http_request {
   std::string address;  ///< host:port, the host as an IP number
@@ -46,6 +56,8 @@
   std::size_t max_answer_bytes{std::size_t{16} << 20};
   /// Whether it may be sent a second time where a kept connection broke before any answer.
   bool idempotent{false};
+  /// Counts this request where it is set; must outlive it.
+  http_traffic* traffic{nullptr};
 
   friend bool operator==(const http_request&, const http_request&) = default;
 };
--- a/src/rosearch/platform/log_client.cc
+++ b/src/rosearch/platform/log_client.cc
@@ -36,7 +36,8 @@
                        .target = "/v1/streams/" + stream + "/append",
                        .body = ToJson(body),
                        .content_type = std::string{kJsonType},
-                       .answer_by = deadline};
+                       .answer_by = deadline,
+                       .traffic = &traffic_};
   http_.Send(std::move(request), [done = std::move(done)](const result<http_reply>& answer) {
     const auto message = internal::ReadAnswer<wire::log_append_answer>(answer);
     if (message.has_error()) {
@@ -55,7 +56,8 @@
                                  "&max=" + std::to_string(max) +
                                  "&wait_ms=" + std::to_string(wait_ms),
                        .answer_by = SteadyNow() + wait + kReadTimeout,
-                       .idempotent = true};
+                       .idempotent = true,
+                       .traffic = &traffic_};
   http_.Send(std::move(request), [done = std::move(done)](const result<http_reply>& answer) {
     auto message = internal::ReadAnswer<wire::log_read_answer>(answer);
     if (message.has_error()) {
--- a/src/rosearch/platform/log_client.h
+++ b/src/rosearch/platform/log_client.h
@@ -32,9 +32,13 @@
   void Read(const std::string& stream, std::uint64_t from, std::uint32_t max, duration wait,
             log_read_callback done);
 
+  /// @return what its requests have cost so far.
+  [[nodiscard]] const http_traffic& traffic() const noexcept { return traffic_; }
+
  private:
   http_client& http_;
   std::string address_;
+  http_traffic traffic_;
 };
 
 static_assert(log_port<log_client>);
--- a/src/rosearch/platform/vm_list_client.cc
+++ b/src/rosearch/platform/vm_list_client.cc
@@ -20,7 +20,8 @@
   http_request request{.address = address_,
                        .target = "/v1/vms",
                        .answer_by = SteadyNow() + kListTimeout,
-                       .idempotent = true};
+                       .idempotent = true,
+                       .traffic = &traffic_};
   http_.Send(std::move(request), [done = std::move(done)](const result<http_reply>& answer) {
     done(internal::ReadAnswer<wire::vm_list_answer>(answer));
   });
--- a/src/rosearch/platform/vm_list_client.h
+++ b/src/rosearch/platform/vm_list_client.h
@@ -20,9 +20,13 @@
   ///              error of the request. An error says nothing about any VM.
   void Get(vm_list_callback done);
 
+  /// @return what its requests have cost so far.
+  [[nodiscard]] const http_traffic& traffic() const noexcept { return traffic_; }
+
  private:
   http_client& http_;
   std::string address_;
+  http_traffic traffic_;
 };
 
 static_assert(vm_list_port<vm_list_client>);
--- a/src/rosearch/platform/worker_client.cc
+++ b/src/rosearch/platform/worker_client.cc
@@ -16,7 +16,8 @@
                        .body = ToJson(command),
                        .content_type = std::string{kJsonType},
                        .valid_until = valid_until,
-                       .answer_by = answer_by};
+                       .answer_by = answer_by,
+                       .traffic = &traffic_};
   http_.Send(std::move(request), [done = std::move(done)](const result<http_reply>& answer) {
     done(internal::ReadAnswer<wire::worker_report>(answer));
   });
--- a/src/rosearch/platform/worker_client.h
+++ b/src/rosearch/platform/worker_client.h
@@ -24,8 +24,12 @@
   void Exchange(const std::string& address, const wire::worker_command& command,
                 time_point valid_until, time_point answer_by, worker_callback done);
 
+  /// @return what its requests have cost so far.
+  [[nodiscard]] const http_traffic& traffic() const noexcept { return traffic_; }
+
  private:
   http_client& http_;
+  http_traffic traffic_;
 };
 
 static_assert(worker_port<worker_client>);
--- a/src/rosearch/serve/entry_ports.cc
+++ b/src/rosearch/serve/entry_ports.cc
@@ -52,6 +52,32 @@
   transport_ = &transport;
 }
 
+void entry_ports::WriteTraffic(metric_set& metrics) const {
+  const auto write = [&metrics](const std::string& with, std::uint64_t messages, std::uint64_t sent,
+                                std::uint64_t received) {
+    const auto labels = "{with=\"" + with + "\",way=";
+    metrics.SetTotal("rosearch_traffic_messages_total{with=\"" + with + "\"}", messages);
+    metrics.SetTotal("rosearch_traffic_bytes_total" + labels + "\"sent\"}", sent);
+    metrics.SetTotal("rosearch_traffic_bytes_total" + labels + "\"received\"}", received);
+  };
+  const auto write_http = [&write](const std::string& with, const http_traffic& traffic) {
+    write(with, traffic.requests, traffic.bytes_sent, traffic.bytes_received);
+  };
+  const auto peers = transport_->Counters();
+  write("peer", peers.messages_sent, peers.bytes_sent, peers.bytes_received);
+  write_http("worker", workers_.traffic());
+  write_http("executor", executors_.traffic());
+  write_http("vm_list", vm_list_.traffic());
+  for (std::size_t at = 0; at < logs_.size(); ++at) {
+    write_http("log-" + std::to_string(at), logs_[at].traffic());
+  }
+  metrics.SetTotal("rosearch_exchanges_total", counters_.exchanges);
+  metrics.SetTotal("rosearch_appends_total", counters_.appends);
+  metrics.SetTotal("rosearch_append_bytes_total", counters_.append_bytes);
+  metrics.SetTotal("rosearch_reads_total", counters_.reads);
+  metrics.SetTotal("rosearch_read_records_total", counters_.read_records);
+}
+
 void entry_ports::SendPeer(const std::string& address, const wire::peer_message& message) {
   transport_->Send(address, message.SerializeAsString());
 }
--- a/src/rosearch/serve/entry_ports.h
+++ b/src/rosearch/serve/entry_ports.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "rosearch/config/settings.h"
+#include "rosearch/metrics/metric_set.h"
 #include "rosearch/net/peer_transport.h"
 #include "rosearch/node/node.h"
 #include "rosearch/node/node_ports.h"
@@ -49,6 +50,8 @@
   void Run(shard_number shard, const executor_send& send);
 
   [[nodiscard]] const port_counters& counters() const noexcept { return counters_; }
+  /// Sets the totals of bytes and messages by whom they were exchanged with.
+  void WriteTraffic(metric_set& metrics) const;
 
  private:
   [[nodiscard]] log_client& Log() noexcept { return logs_[log_at_ % logs_.size()]; }
--- a/src/rosearch/serve/serve.cc
+++ b/src/rosearch/serve/serve.cc
@@ -30,6 +30,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTick{20};
+/// The totals of traffic in the metrics are so old at most.
+constexpr milliseconds kTrafficInterval{200};
 constexpr std::int64_t kMillion = 1'000'000;
 
 constexpr int kExitStopped = 0;
@@ -235,6 +237,10 @@
     const auto at = StepNow();
     node_->Tick(at);
     api_.Tick(at.now);
+    if (at.now >= traffic_at_) {
+      traffic_at_ = at.now + kTrafficInterval;
+      ports_.WriteTraffic(metrics_);
+    }
     if (node_->HistoryLost()) {
       LOG(ERROR) << "event=history_lost";
       End(kExitHistoryLost);
@@ -284,6 +290,7 @@
   std::atomic<bool> node_ready_{false};
   std::atomic<bool> leaving_{false};
   bool stopping_{false};
+  time_point traffic_at_{};
   time_point stop_at_{};
   time_point give_up_at_{kNever};
   int exit_code_{kExitStopped};
