Show totals of bytes with all their digits

The command line's gauges now cover appends, reads and exchanges, so the same totals under a second name are gone; scripts/measure/ reads those names. A gauge went out with the six digits that a stream writes by default: a total above 10 MB would stand still for seconds, and a rate taken from it would jump. Whole numbers are now written as such.

--- a/scripts/measure/cell.py
+++ b/scripts/measure/cell.py
@@ -133,7 +133,7 @@
             "rss_mb": round(self.memory / 1024, 1),
             **{f"{each}_B/s": round(self.bytes_with(each)) for each in partners},
             "total_kB/s": round(sum(self.bytes_with(each) for each in partners) / 1000, 2),
-            "appends/s": round(self.rates.get("rosearch_appends_total", 0), 2),
+            "appends/s": round(self.rates.get("rosearch_log_appends_total", 0), 2),
         }
 
 
--- a/scripts/measure/slopes.py
+++ b/scripts/measure/slopes.py
@@ -22,8 +22,8 @@
     for partner in ["peer", "worker", "executor", "log", "vm_list"]:
         total[f"{partner}_B/s"] = sum(each.bytes_with(partner) for each in spent)
         total[f"{partner}_msg/s"] = sum(each.messages_with(partner) for each in spent)
-    total["append_B/s"] = sum(each.rates.get("rosearch_append_bytes_total", 0) for each in spent)
-    total["read_records/s"] = sum(each.rates.get("rosearch_read_records_total", 0) for each in spent)
+    total["append_B/s"] = sum(each.rates.get("rosearch_log_append_bytes_total", 0) for each in spent)
+    total["read_records/s"] = sum(each.rates.get("rosearch_log_read_records_total", 0) for each in spent)
     return total, answers
 
 
--- a/src/rosearch/metrics/metric_set.cc
+++ b/src/rosearch/metrics/metric_set.cc
@@ -64,7 +64,10 @@
     out << name << ' ' << value << '\n';
   }
   for (const auto& [name, value] : gauges_) {
-    out << name << ' ' << value << '\n';
+    out << name << ' ';
+    // Six digits, as a stream writes them, would let a rate of bytes stand still at 10 MB.
+    std::trunc(value) == value ? out << static_cast<std::int64_t>(value) : out << value;
+    out << '\n';
   }
   for (const auto& [name, box] : histograms_) {
     double below = 0;
--- a/src/rosearch/serve/entry_ports.cc
+++ b/src/rosearch/serve/entry_ports.cc
@@ -71,11 +71,6 @@
   for (std::size_t at = 0; at < logs_.size(); ++at) {
     write_http("log-" + std::to_string(at), logs_[at].traffic());
   }
-  metrics.SetTotal("rosearch_exchanges_total", counters_.exchanges);
-  metrics.SetTotal("rosearch_appends_total", counters_.appends);
-  metrics.SetTotal("rosearch_append_bytes_total", counters_.append_bytes);
-  metrics.SetTotal("rosearch_reads_total", counters_.reads);
-  metrics.SetTotal("rosearch_read_records_total", counters_.read_records);
 }
 
 void entry_ports::SendPeer(const std::string& address, const wire::peer_message& message) {
