--- a/soak/fake_ports.cc
+++ b/soak/fake_ports.cc
@@ -17,6 +17,9 @@
   for (const auto& record : message.records().records()) {
     world_.checks.OnRecord(record);
   }
+  if (message.has_capacity()) {
+    time.Trace("capacity " + message.capacity().ShortDebugString());
+  }
   const auto bytes = message.SerializeAsString();
   time.TraceBytes("peer " + std::to_string(entry_) + " to " + address, bytes);
   const auto found = std::ranges::find(world_.entries, address, &entry_host::address);
