shard: don't lose a cancel when a start is confirmed just after it

Cause: a cancel makes each task due; an answer 'started' to an earlier question that arrives before the next tick made it due never, and no stop was ever sent. Change: on 'started' the task of a cancelled job is due at once.

--- a/src/rosearch/shard/job_table.cc
+++ b/src/rosearch/shard/job_table.cc
@@ -213,7 +213,10 @@
       if (task.at == stage::kAsked) {
         SetStage(task, stage::kRunning);
         task.vm = event.vm();
-        SetDue(*key, task, task.stopping ? context.now : kNever);
+        // A start may be confirmed between a cancel and the step that sends its stop. Not due again,
+        // the task would run on, seen by its caller as a cancelled job that never ends.
+        const bool stops = task.stopping || journal_.state().FindJob(key->job)->cancelled;
+        SetDue(*key, task, stops ? context.now : kNever);
       }
       return;
     case wire::PLACE_REFUSED:
