capacity: don't answer a stop with 'started'

Cause: told to stop an attempt that runs, the pool answered 'started' again. A home shard that doesn't know the attempt (its records were lost) answers that with a stop; with both shards at one entry the two messages went round within one step for ever and the entry hung; between two entries they go round at the speed of the network. Ruled out: the soak's own loop (stack taken in DrainInbox, no time passes). Change: a stop takes up the home shard's claim (AdoptHome) without an answer; the end of the attempt is the answer, repeated until acknowledged.

--- a/src/rosearch/capacity/vm_pool.cc
+++ b/src/rosearch/capacity/vm_pool.cc
@@ -92,6 +92,20 @@
   Settle(now, out);
 }
 
+void vm_pool::AdoptHome(placement_record& record, shard_number home,
+                        const wire::placement_made* want, pool_output& out) {
+  if (record.home_known) return;
+  record.home_known = true;
+  if (want != nullptr) {
+    auto made = *want;
+    made.set_vm(record.made.vm());
+    *made.mutable_needs() = record.made.needs();  // as committed
+    record.made = std::move(made);
+  }
+  record.made.set_home_shard(home);
+  *out.records.emplace_back().mutable_placed() = record.made;
+}
+
 bool vm_pool::AnswerKnown(const attempt_key& key, shard_number home,
                           const wire::placement_made* want, time_point now, pool_output& out) {
   if (auto* const ended = ended_.Find(key)) {
@@ -107,22 +121,7 @@
   const auto found = placements_.find(key);
   if (found != placements_.end()) {
     auto& record = found->second;
-    if (!record.home_known) {
-      record.home_known = true;
-      if (want != nullptr) {
-        auto made = *want;
-        made.set_vm(record.made.vm());
-        *made.mutable_needs() = record.made.needs();  // as committed
-        record.made = std::move(made);
-      }
-      record.made.set_home_shard(home);
-      // Adopted without its priority and its group, which count from now on.
-      const vm_id vm{record.made.vm()};
-      ledger_.Free(key.task, key.attempt);
-      ledger_.ForceCommit(vm, CommitmentOf(record.made), true);
-      touched_.insert(vm);
-      *out.records.emplace_back().mutable_placed() = record.made;
-    }
+    AdoptHome(record, home, want, out);
     if (record.phase == placement_phase::kRunning) {
       Send(EventOf(key, home, record.made.vm(), {.kind = wire::PLACE_STARTED}), out);
     }
@@ -227,7 +226,9 @@
   const verdict cancelled{
       .kind = wire::PLACE_REFUSED, .failure = error_kind::kCancelled, .detail = "stopped"};
   if (placements_.contains(key)) {
-    static_cast<void>(AnswerKnown(key, home, nullptr, now, out));
+    // Not answered with "started": a home shard that doesn't know the attempt answers that with
+    // another stop. Where one entry serves both shards, the two would go on for ever in one step.
+    AdoptHome(placements_.at(key), home, nullptr, out);
     return StopPlacement(key, stop_cause::kCancelled, now, out);
   }
   if (AnswerKnown(key, home, nullptr, now, out)) return;
--- a/src/rosearch/capacity/vm_pool.h
+++ b/src/rosearch/capacity/vm_pool.h
@@ -105,6 +105,8 @@
   void Commit(const attempt_key& key, shard_number home, time_point now, pool_output& out);
   void Stop(const attempt_key& key, shard_number home, time_point now, pool_output& out);
   void Acknowledge(const wire::place_ack& ack, time_point now, pool_output& out);
+  void AdoptHome(placement_record& record, shard_number home, const wire::placement_made* want,
+                 pool_output& out);
   [[nodiscard]] bool AnswerKnown(const attempt_key& key, shard_number home,
                                  const wire::placement_made* want, time_point now,
                                  pool_output& out);
