shard: tell callers of a job only what is durable

Cause: a status (or a repeated submit or cancel) was answered from records that only the owner held yet. An owner cut off from its witness went on for up to the rest of its right and told 'ended'; the witness took over without that record and started the task again. Ruled out: the right (no two owners acted), the capacity shard (one attempt at a time). Change: an answer is held until the newest record of its job at that time is durable; a lost right answers 'interrupted'.

--- a/src/rosearch/shard/job_table.cc
+++ b/src/rosearch/shard/job_table.cc
@@ -68,6 +68,10 @@
       }
     }
   }
+  for (const auto& held : std::exchange(held_answers_, {})) {
+    out.answers.push_back(
+        {held.answer.to, ErrorAnswer(error_kind::kInterrupted, "ownership changed")});
+  }
   drives_.clear();
   due_.clear();
   waiting_ = 0;
@@ -132,6 +136,7 @@
   journal_.Propose(std::move(record));
   TakeUp(key, *journal_.state().FindJob(key), context.now);
   auto& drive_of_job = DriveOf(key);
+  drive_of_job.changed = journal_.sequence();
   drive_of_job.submitters.push_back(from);
   for (std::uint32_t index = 0; index < drive_of_job.tasks.size(); ++index) {
     // Nothing is placed before the acceptance is durable: a start of a job that nobody remembers
@@ -140,7 +145,7 @@
   }
 }
 
-void job_table::OnStatus(const call_origin& from, const job_key& key, shard_output& out) const {
+void job_table::OnStatus(const call_origin& from, const job_key& key, shard_output& out) {
   if (journal_.state().FindJob(key) == nullptr) {
     out.answers.push_back({from, ErrorAnswer(error_kind::kNotFound, "no such job")});
     return;
@@ -162,7 +167,7 @@
   wire::shard_record record;
   record.mutable_cancelled()->set_customer(key.customer);
   record.mutable_cancelled()->set_job(key.job);
-  journal_.Propose(std::move(record));
+  Record(key, std::move(record));
   auto& drive_of_job = DriveOf(key);
   drive_of_job.cancellers.push_back(from);
   for (std::uint32_t index = 0; index < drive_of_job.tasks.size(); ++index) {
@@ -213,8 +218,8 @@
       if (task.at == stage::kAsked) {
         SetStage(task, stage::kRunning);
         task.vm = event.vm();
-        // A start may be confirmed between a cancel and the step that sends its stop. Not due again,
-        // the task would run on, seen by its caller as a cancelled job that never ends.
+        // A start may be confirmed between a cancel and the step that sends its stop. Not due
+        // again, the task would run on, seen by its caller as a cancelled job that never ends.
         const bool stops = task.stopping || journal_.state().FindJob(key->job)->cancelled;
         SetDue(*key, task, stops ? context.now : kNever);
       }
@@ -292,7 +297,7 @@
   wire::shard_record record;
   *record.mutable_ended()->mutable_ref() = RefOf(key, SlotOf(key).attempt);
   *record.mutable_ended()->mutable_how() = std::move(how);
-  journal_.Propose(std::move(record));
+  Record(key.job, std::move(record));
   auto& task = DriveOf(key.job).tasks[key.index];
   SetStage(task, stage::kEnded);
   SetDue(key, task, kNever);
@@ -305,7 +310,7 @@
   record.mutable_requeued()->set_cause(cause);
   record.mutable_requeued()->set_charged(effect.charged);
   record.mutable_requeued()->set_ran(effect.ran);
-  journal_.Propose(std::move(record));
+  Record(key.job, std::move(record));
   auto& task = DriveOf(key.job).tasks[key.index];
   SetStage(task, stage::kIdle);
   task.stopping = false;
@@ -315,6 +320,7 @@
 
 void job_table::OnDurable(const wire::shard_record& record, const job_context& context,
                           shard_output& out) {
+  SendDurableAnswers(out);
   const auto settle = [&](const wire::task_ref& ref) {
     const auto key = ParseTaskKey(ref.task());
     const auto found = key ? drives_.find(key->job) : drives_.end();
@@ -501,7 +507,7 @@
   wire::shard_record record;
   *record.mutable_placing()->mutable_ref() = RefOf(key, SlotOf(key).attempt + 1);
   record.mutable_placing()->set_target_shard(*target);
-  journal_.Propose(std::move(record));
+  Record(key.job, std::move(record));
   SetStage(task, stage::kSettling);
   task.asked_before = false;
 }
@@ -561,7 +567,7 @@
     *record.mutable_placing()->mutable_ref() = RefOf(task, attempt + 1);
     record.mutable_placing()->set_target_shard(targets[at]);
     record.mutable_placing()->set_held(true);
-    journal_.Propose(std::move(record));
+    Record(key, std::move(record));
     SetStage(job.tasks[members[at]], stage::kSettling);
     SetDue(task, job.tasks[members[at]], kNever);
     job.tasks[members[at]].asked_before = false;
@@ -587,7 +593,7 @@
     *record.mutable_placing()->mutable_ref() = RefOf(name, SlotOf(name).attempt);
     record.mutable_placing()->set_target_shard(SlotOf(name).target);
     record.mutable_placing()->set_held(false);
-    journal_.Propose(std::move(record));
+    Record(key, std::move(record));
     SetStage(task, stage::kSettling);
     SetDue(name, task, now + settings_.hold);
   }
@@ -739,7 +745,7 @@
   return want;
 }
 
-void job_table::Answer(const call_origin& to, const job_key& key, shard_output& out) const {
+void job_table::Answer(const call_origin& to, const job_key& key, shard_output& out) {
   const auto& entry = *journal_.state().FindJob(key);
   wire::call_answer answer;
   *answer.mutable_job() = shard_state::Describe(entry);
@@ -754,7 +760,38 @@
       }
     }
   }
-  out.answers.push_back({to, std::move(answer)});
+  const auto sequence = found == drives_.end() ? 0 : found->second.changed;
+  held_answers_.push_back({sequence, {to, std::move(answer)}});
+  SendDurableAnswers(out);
+}
+
+/// An owner that is cut off goes on until its right lapses. Told before the records that it rests
+/// on are durable, "ended" would be taken back by the successor, which starts the task again.
+void job_table::SendDurableAnswers(shard_output& out) {
+  const auto is_durable = [this](const held_answer& held) {
+    return held.sequence <= journal_.delivered();
+  };
+  for (auto& held : held_answers_) {
+    if (is_durable(held)) {
+      out.answers.push_back(held.answer);
+    }
+  }
+  std::erase_if(held_answers_, is_durable);
+}
+
+void job_table::Record(const job_key& key, wire::shard_record record) {
+  journal_.Propose(std::move(record));
+  DriveOf(key).changed = journal_.sequence();
+}
+
+/// Members that wait for the others have no time of their own to be looked at again.
+void job_table::WakeGang(const job_key& key, time_point due) {
+  auto& job = DriveOf(key);
+  for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+    if (job.tasks[index].at == stage::kIdle) {
+      SetDue({key, index}, job.tasks[index], due);
+    }
+  }
 }
 
 }  // namespace rosearch
--- a/src/rosearch/shard/job_table.h
+++ b/src/rosearch/shard/job_table.h
@@ -2,6 +2,7 @@
 #define ROSEARCH_SHARD_JOB_TABLE_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -50,7 +51,7 @@
   /// Accepts a job, or tells how it stands where it is known.
   void OnSubmit(const call_origin& from, const wire::job_accepted& job, const job_context& context,
                 shard_output& out);
-  void OnStatus(const call_origin& from, const job_key& key, shard_output& out) const;
+  void OnStatus(const call_origin& from, const job_key& key, shard_output& out);
   void OnCancel(const call_origin& from, const job_key& key, const job_context& context,
                 shard_output& out);
 
@@ -99,6 +100,7 @@
     std::vector<call_origin> submitters;  ///< told once the job is durable
     std::vector<call_origin> cancellers;
     time_point deadline{kNever};
+    std::uint64_t changed{0};  ///< sequence of the newest record of this job
     bool gang_committing{false};
     bool gang_broken{false};
     time_point forget_at{kNever};
@@ -133,16 +135,26 @@
                time_point due);
   void ForgetIfOld(const job_key& key, job_drive& job, time_point now);
 
+  void Record(const job_key& key, wire::shard_record record);
+  void WakeGang(const job_key& key, time_point due);
   [[nodiscard]] wire::capacity_message MessageTo(shard_number shard) const;
   [[nodiscard]] wire::placement_made WantOf(const task_key& key) const;
-  void Answer(const call_origin& to, const job_key& key, shard_output& out) const;
+  void Answer(const call_origin& to, const job_key& key, shard_output& out);
+  void SendDurableAnswers(shard_output& out);
 
   shard_number shard_;
   region_id region_;
   job_settings settings_;
   shard_journal& journal_;
   random_source random_;
+  /// An answer that tells of records that only this process may hold yet.
+  struct held_answer {
+    std::uint64_t sequence{0};  ///< of the newest of them
+    call_result answer;
+  };
+
   std::map<job_key, job_drive> drives_;
+  std::deque<held_answer> held_answers_;
   std::set<std::pair<time_point, task_key>> due_;
   std::vector<resources> no_room_;  ///< sizes that found none in this tick
   std::size_t waiting_{0};
--- a/src/rosearch/shard/shard_journal.h
+++ b/src/rosearch/shard/shard_journal.h
@@ -85,6 +85,8 @@
   [[nodiscard]] const shard_state& state() const noexcept { return state_; }
   [[nodiscard]] shard_state& mutable_state() noexcept { return state_; }
   [[nodiscard]] std::uint64_t sequence() const noexcept { return sequence_; }
+  /// @return the sequence up to which `TakeDurable` has given records out.
+  [[nodiscard]] std::uint64_t delivered() const noexcept { return delivered_; }
   [[nodiscard]] epoch_number epoch() const noexcept { return epoch_; }
 
  private:
