node: a refusal of one copy of a call doesn't speak for the others

Cause: a call unanswered for 1 s is sent again. Where the first copy ran and its answer was lost or late, and the owner meanwhile could take nothing new (not_ready), the caller was told 'not run' of a request that ran. Ruled out: the request table (the id was known there, the refusal came before the look). Change: 'not run' ends a call only when no other copy is unanswered; else the call goes on to another answer or to its deadline.

--- a/src/rosearch/node/call_table.cc
+++ b/src/rosearch/node/call_table.cc
@@ -93,6 +93,15 @@
     SetDue(answer.number(), item, now + kNoOwnerAgain);
     return;
   }
+  const bool says_not_run =
+      !answer.error().kind().empty() &&
+      AnswerFor(ErrorKindFromName(answer.error().kind())).effect == outcome::kNotRun;
+  if (says_not_run && item.unanswered > 1) {
+    // Another copy of the call is out: it may have run where its answer was lost, and this refusal
+    // knows nothing of it. The caller would be told "not run" of an order that ran.
+    --item.unanswered;
+    return;
+  }
   Finish(answer.number(), answer);
 }
 
