shard: begin at the oldest record whenever the stream is read again

Cause: a shard that reads its stream, loses the right and gets it again in one step forgot what it had read, while the node's reader went on from its offset: the shard served with an empty state or an old one of its own. Jobs were forgotten, and tasks placed that had run (at_most_once ones too). Ruled out: the log (all batches there), the log view's rules for void batches, the witness's copy; event=stream_read showed log_epoch=0 on a full stream. Change: each reading has a number; the node's reader is dropped when it changes. event=stream_read tells what a recovery was made from.

--- a/soak/world.cc
+++ b/soak/world.cc
@@ -328,6 +328,15 @@
       time.Breach("whole-answer", "unreadable record on " + stream);
     }
     time.TraceBytes("log " + stream, bytes);
+    const auto& batch = entry.batch();
+    if (batch.records_size() > 0) {
+      time.Trace("batch " + stream + " by " + entry.author().entry() + '#' +
+                 std::to_string(entry.author().incarnation()) +
+                 " epoch=" + std::to_string(batch.epoch()) +
+                 " first=" + std::to_string(batch.first_sequence()) +
+                 " records=" + std::to_string(batch.records_size()) +
+                 (batch.records(0).has_snapshot() ? " snapshot" : ""));
+    }
     if (entry.has_control()) {
       checks.OnControlAppended(entry);
     }
--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -137,6 +137,12 @@
     from.reader.reset();
     return;
   }
+  if (std::exchange(from.reading, from.value.Reading()) != from.value.Reading()) {
+    // The right was lost and got again while the stream was read: the shard has forgotten what it
+    // was given. Read on from the middle, it would serve without its jobs and requests, and run
+    // what ran before.
+    from.reader.reset();
+  }
   if (from.read_under_way) {
     return;
   }
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -136,6 +136,7 @@
     std::mutex mutex;
     shard value;
     std::optional<journal::stream_reader> reader;  ///< while the shard reads its stream
+    std::uint64_t reading{0};                      ///< which reading of the shard the reader is for
     bool read_under_way{false};
     bool append_under_way{false};
     bool served{false};
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -163,6 +163,7 @@
   }
   log_view_ = shard_log_view{};
   reading_since_ = at.now;
+  ++reading_;
   phase_ = phase::kReading;
 }
 
@@ -206,6 +207,11 @@
     state = copy_.state();
     sequence = copy_.sequence();
   }
+  LOG(INFO) << "event=stream_read shard=" << number_ << " epoch=" << epoch
+            << " log_epoch=" << log_view_.epoch() << " log_sequence=" << log_view_.sequence()
+            << " log_author=" << log_view_.author() << " copy_epoch=" << copy_.epoch()
+            << " copy_sequence=" << copy_.sequence() << " own_epoch=" << journal_.epoch()
+            << " own_sequence=" << journal_.sequence();
   const bool wrote_last = log_view_.author() == ToText(self_) || log_view_.author().empty();
   if (wrote_last && std::pair{journal_.epoch(), journal_.sequence()} > older) {
     state = journal_.state();
--- a/src/rosearch/shard/shard.h
+++ b/src/rosearch/shard/shard.h
@@ -100,6 +100,8 @@
   void RequestLogSnapshot() noexcept { journal_.RequestLogSnapshot(); }
   /// @return whether the stream has to be read from its oldest record before this shard can serve.
   [[nodiscard]] bool WantsStream() const noexcept { return phase_ == phase::kReading; }
+  /// @return which reading of the stream is wanted; each has to begin at its oldest record.
+  [[nodiscard]] std::uint64_t Reading() const noexcept { return reading_; }
   void OnStreamBatch(const std::string& author, const wire::shard_batch& batch);
   /// The stream was read to its end by a read begun at `asked_at`.
   void OnStreamEnd(time_point asked_at, const step_time& at, shard_output& out);
@@ -184,6 +186,7 @@
   bool replicating_{false};
   epoch_number replicating_epoch_{0};
   time_point reading_since_{};
+  std::uint64_t reading_{0};  ///< counts the readings begun
   time_point paused_until_{};
   std::map<shard_number, std::uint64_t> newest_terms_;  ///< of shards that sent messages
 };
