--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -81,13 +81,20 @@
 wait_for "ready entry" curl -sf "$two/readyz"
 
 echo "== publish rules"
-curl -sf -X POST "$one/v1/configuration?wait_ms=15000" -H 'Rosearch-Change: first' -H 'Rosearch-Replaces: 0' \
-  -H 'Rosearch-Author: demo' -d '{
-  "customers": [{"name": "calandria", "quota": {"processors_milli": 32000, "memory_mb": 131072}}],
-  "rules": [{"name": "quotes", "match": {"customer": "calandria", "kind": "request", "label": "quote"},
-             "treat": {"policy": "quick", "retries": 2, "idempotent": true}},
-            {"name": "orders", "match": {"customer": "calandria", "kind": "request"}, "treat": {"idempotent": false}},
-            {"name": "jobs", "match": {"customer": "calandria"}, "treat": {"retries": 1}}]}'
+cat >"$work/rules.json" <<'JSON'
+{"customers": [{"name": "calandria", "quota": {"processors_milli": 32000, "memory_mb": 131072}}],
+ "rules": [{"name": "quotes", "match": {"customer": "calandria", "kind": "request", "label": "quote"},
+            "treat": {"policy": "quick", "retries": 2, "idempotent": true}},
+           {"name": "orders", "match": {"customer": "calandria", "kind": "request"}, "treat": {"idempotent": false}},
+           {"name": "jobs", "match": {"customer": "calandria"}, "treat": {"retries": 1}}]}
+JSON
+rosearch() {
+  local command=$1
+  shift
+  "$bin/rosearch" "$command" "$@" --entry "${one#http://}" --entry "${two#http://}"
+}
+rosearch check --rules "$work/rules.json"
+rosearch publish "$work/rules.json" --replaces 0 --author demo || fail "publish"
 
 shards_served() {
   curl -sf "$one/v1/dump" "$two/v1/dump" | grep -o '"serving":true' | wc -l | grep -qx 4
@@ -112,20 +119,13 @@
 echo "$runs" | grep -o 'order-1' | wc -l | grep -qx 1 || fail "the order ran more than once: $runs"
 
 echo "== a batch task and a gang of three"
-submit() {
-  curl -sf --max-time 12 -X POST "$one/v1/jobs" -d "{\"customer\": \"calandria\", \"job\": \"$1\", \"kind\": \"$2\", \"count\": $3,
-    \"needs\": {\"processors_milli\": 2000, \"memory_mb\": 4096}, \"run_ms\": 500}" >/dev/null || fail "submit $1"
-}
-submit reconciliation batch 1
-submit plan gang 3
-ended() { curl -sf --max-time 3 "$two/v1/jobs/calandria/$1" | grep -q "\"counts\":{\"ended\":$2}"; }
-wait_for "end of the batch task" ended reconciliation 1
-wait_for "end of the gang" ended plan 3
-for job in reconciliation plan; do
-  answer=$(curl -sf "$two/v1/jobs/calandria/$job")
-  echo "$answer"
-  grep -q '"outcome":"unknown"\|"outcome":"not_run"' <<<"$answer" && fail "$job did not run whole"
+for job in reconciliation:batch:1 plan:gang:3; do
+  IFS=: read -r name kind count <<<"$job"
+  rosearch submit --customer calandria --job "$name" --kind "$kind" --count "$count" --processors-milli 2000 \
+    --memory-mb 4096 --run-ms 500 --wait 30 || fail "$name did not run whole"
 done
+rosearch status calandria/reconciliation calandria/plan
+rosearch vms
 
 echo "== planned stop"
 for pid in "${entries[@]}"; do
--- a/src/rosearch/cli/job_progress.cc
+++ b/src/rosearch/cli/job_progress.cc
@@ -60,7 +60,7 @@
 
 void progress_line::Step() {
   ++done_;
-  if (total_ > 1 && (done_ % kStep == 0 || done_ == total_)) {
+  if (total_ >= kStep && (done_ % kStep == 0 || done_ == total_)) {
     std::cerr << what_ << ' ' << done_ << '/' << total_ << '\n';
   }
 }
