Ask the next entry also where it is in doubt whether a repeatable call took effect

Seen with an entry killed by signal 9 during a submit of 600 jobs: jobs on the way to it ended as interrupted (unknown) although a second try under the same name tells what became of them. interrupted and timeout now lead on to the next entry, only for calls that are idempotent; the table of the test has both. Lint findings in the two test files are mended.

--- a/src/rosearch/cli/api_client.cc
+++ b/src/rosearch/cli/api_client.cc
@@ -95,7 +95,10 @@
     return false;
   }
   const auto& row = AnswerFor(told->kind);
-  return row.retryable && (idempotent || row.effect == outcome::kNotRun);
+  // These say that nobody knows whether it was done; asking again finds out.
+  const bool in_doubt =
+      told->kind == error_kind::kInterrupted || told->kind == error_kind::kTimeout;
+  return (row.retryable || in_doubt) && (idempotent || row.effect == outcome::kNotRun);
 }
 
 }  // namespace internal
--- a/test/rosearch/api/service_test.cc
+++ b/test/rosearch/api/service_test.cc
@@ -70,11 +70,11 @@
   }
 
   /// @return the answer, or none where it has not come yet.
-  const std::optional<http_response>& Ask(http_call call) {
+  const std::optional<http_response>& Ask(const http_call& call) {
     answered.reset();
-    service.Handle(std::move(call), [this](http_response response) {
+    service.Handle(call, [this](const http_response& response) {
       CHECK_FALSE(answered);
-      answered = std::move(response);
+      answered = response;
     });
     return answered;
   }
@@ -239,7 +239,7 @@
     entry.lowest = each.lowest;
     auto call = Post("/v1/configuration", kDocument, given);
     call.query["wait_ms"] = "1000";
-    const auto& response = entry.Ask(std::move(call));
+    const auto& response = entry.Ask(call);
     CHECK(response.has_value() == each.answer.has_error());
     entry.service.Tick(entry.now);
     CHECK(response.has_value() == (each.answer.has_error() || each.lowest == 4));
--- a/test/rosearch/cli/command_test.cc
+++ b/test/rosearch/cli/command_test.cc
@@ -52,7 +52,7 @@
  public:
   explicit temporary_file(const std::string& text)
       : path_{std::filesystem::temp_directory_path() /
-              ("rosearch_cli_test_" + std::to_string(getpid()) + '_' + std::to_string(++made_))} {
+              ("rosearch_cli_test_" + std::to_string(getpid()) + '_' + std::to_string(++made))} {
     std::ofstream{path_} << text;
   }
   ~temporary_file() { std::filesystem::remove(path_); }
@@ -62,7 +62,7 @@
   [[nodiscard]] std::string path() const { return path_.string(); }
 
  private:
-  static inline int made_ = 0;
+  static inline int made = 0;
   std::filesystem::path path_;
 };
 
@@ -197,7 +197,8 @@
       {Refusal("no_owner"), true, true},
       {Refusal("log_unavailable"), true, false},
       {Refusal("version_conflict"), false, false},
-      {Refusal("interrupted"), false, false},
+      {Refusal("interrupted"), true, false},
+      {Refusal("timeout"), true, false},
       {http_reply{500, "no JSON", {}}, false, false},
       {http_reply{200, "{}", {}}, false, false},
   };
