--- a/src/rosearch/capacity/vm_pool.cc
+++ b/src/rosearch/capacity/vm_pool.cc
@@ -174,7 +174,7 @@
   const auto request = RequestOf(place);
   const auto vm = policy.value()->Choose(ledger_, request);
   if (!vm) {
-    if (place.urgent() && !place.hold()) return Preempt(place, std::move(made), request, now, out);
+    if (place.urgent() && !place.hold()) return Preempt(std::move(made), request, now, out);
     if (ledger_.vm_count() > 0 && NeverFits(ledger_, request.needs)) {
       return refuse(error_kind::kNeverFits, "larger than every VM of the shard");
     }
@@ -193,8 +193,8 @@
   holds_.Add(key, {std::move(made), now + std::chrono::milliseconds{place.hold_ms()}});
 }
 
-void vm_pool::Preempt(const wire::place_task& place, wire::placement_made made,
-                      const placement_request& request, time_point now, pool_output& out) {
+void vm_pool::Preempt(wire::placement_made made, const placement_request& request, time_point now,
+                      pool_output& out) {
   const auto key = KeyOf(made.ref());
   const auto plan = PlanPreemption(ledger_, request);
   if (!plan) {
--- a/src/rosearch/capacity/vm_pool.h
+++ b/src/rosearch/capacity/vm_pool.h
@@ -110,8 +110,8 @@
                                  pool_output& out);
   [[nodiscard]] bool AnswerUnproved(const attempt_key& key, shard_number home, time_point now,
                                     pool_output& out);
-  void Preempt(const wire::place_task& place, wire::placement_made made,
-               const placement_request& request, time_point now, pool_output& out);
+  void Preempt(wire::placement_made made, const placement_request& request, time_point now,
+               pool_output& out);
   void Refuse(const attempt_key& key, shard_number home, const verdict& how, time_point now,
               pool_output& out);
 
