--- a/scripts/measure/failures.py
+++ b/scripts/measure/failures.py
@@ -3,6 +3,7 @@
 
 import collections
 import json
+import re
 import signal
 import sys
 import threading
@@ -55,14 +56,13 @@
     return {shard: sorted(each) for shard, each in moments.items()}
 
 
-def witnesses(cell):
-    """{shard: witness} as the owners say."""
-    found = {}
-    for number in cell.live():
-        for shard in cell.dump(number)["shards"]:
-            if shard.get("serving"):
-                witness = shard["rights"].get("witness")
-                found[shard["shard"]] = str(witness)
+def witnessed_by(cell, number):
+    """The shards whose newest part of this entry is that of the witness, with a promise that holds now."""
+    found = set()
+    for shard in cell.dump(number)["shards"]:
+        parts = re.findall(r"\[\d+ (owner|witness) .*?promise until (-?\d+)", shard["rights"])
+        if parts and parts[-1][0] == "witness" and int(parts[-1][1]) / 1e6 > c.time.monotonic():
+            found.add(shard["shard"])
     return found
 
 
@@ -71,12 +71,11 @@
         cell.wait_served(even=True)
         assert cell.publish(c.rules(), "first", 0)[0] == 200
         c.time.sleep(5)
-        owners, paired = cell.served(), witnesses(cell)
         victim = 6
         flood = Flood(cell, 40, [1, 2, 3, 4, 5])
         flood.start()
         c.time.sleep(8)
-        owners, paired = cell.served(), witnesses(cell)
+        owners, paired = cell.served(), witnessed_by(cell, victim)
         if log_down:
             c.ask(cell.ports["log"][0], "POST", "/fault", json.dumps({"down": True}))
             c.time.sleep(5)
@@ -88,7 +87,7 @@
         rows = []
         for shard, moments in sorted(starts_by_shard(cell).items()):
             role = ("owner" if owners.get(shard) == victim else
-                    "witness" if f"entry-{victim}" in paired.get(shard, "") else "neither")
+                    "witness" if shard in paired else "neither")
             near = [killed - 1] + [each for each in moments if killed - 1 <= each <= killed + 29]
             later = [each for each in moments if each > killed]
             gap = max([b - a for a, b in zip(near, near[1:])] + [killed + 29 - near[-1]])
