--- a/src/rosearch/shard/shard_journal.cc
+++ b/src/rosearch/shard/shard_journal.cc
@@ -66,7 +66,8 @@
   if (!replicating_) {
     return messages;
   }
-  if (now >= resend_at_ && witness_acked_ < witness_sent_) {
+  const bool behind = !in_step_ || witness_acked_ < witness_sent_;
+  if (now >= resend_at_ && behind) {
     // The records or their acknowledgement were lost: without this the shard would accept no more
     // work until its next epoch.
     witness_sent_ = witness_acked_;
--- /dev/null
+++ b/test/rosearch/shard/shard_journal_test.cc
@@ -0,0 +1,73 @@
+#include "rosearch/shard/shard_journal.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+
+#include "rosearch/shard/witness_copy.h"
+
+namespace rosearch {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr time_point kStart{std::chrono::seconds{100}};
+
+wire::shard_record Admitted(const std::string& request) {
+  wire::shard_record record;
+  record.mutable_admitted()->set_customer("calandria");
+  record.mutable_admitted()->set_request(request);
+  return record;
+}
+
+/// Passes everything that is due to the copy and the acknowledgements back.
+void Exchange(shard_journal& journal, witness_copy& copy, time_point now) {
+  for (const auto& message : journal.TakeForWitness(now)) {
+    journal.OnWitnessAck(copy.OnReplicate(message), now);
+  }
+}
+
+}  // namespace
+
+// The first snapshot reaches the witness before the record that names it as witness, and is ignored.
+// Without another one the shard never gets an active witness, and stops when the log is down.
+TEST_CASE("a snapshot that was lost is sent again, also of a shard without records",
+          "[single-run]") {
+  const int records = GENERATE(0, 1, 3);
+  shard_journal journal{0};
+  journal.Start(1, {}, 0);
+  for (int at = 0; at < records; ++at) {
+    journal.Propose(Admitted(std::to_string(at)));
+  }
+  journal.StartReplication(kStart);
+  REQUIRE_FALSE(journal.TakeForWitness(kStart).empty());
+  REQUIRE(journal.TakeForWitness(kStart + milliseconds{10}).empty());
+  witness_copy copy;
+  Exchange(journal, copy, kStart + milliseconds{400});
+  CHECK(journal.WitnessInStep());
+  CHECK(journal.WitnessHasAll());
+  CHECK(copy.WholeAt(1));
+  CHECK(copy.sequence() == static_cast<std::uint64_t>(records));
+}
+
+// The owner dies after it told a caller that its work is accepted. Whoever takes over has what the
+// second copy has: a record counts only where that copy is the one that would take over.
+TEST_CASE("a record is durable where the one who would take over has it", "[at-most-once]") {
+  shard_journal journal{0};
+  journal.Start(1, {}, 0);
+  journal.Propose(Admitted("a"));
+  CHECK(journal.TakeDurable(durable_by::kLog).empty());
+  CHECK(journal.TakeDurable(durable_by::kNobody).empty());
+  journal.StartReplication(kStart);
+  witness_copy copy;
+  Exchange(journal, copy, kStart);
+  CHECK(journal.TakeDurable(durable_by::kLog).empty());
+  CHECK(journal.TakeDurable(durable_by::kWitness).size() == 1);
+  journal.Propose(Admitted("b"));
+  REQUIRE(journal.TakeForLog().has_value());
+  journal.OnLogDurable(2);
+  CHECK(journal.TakeDurable(durable_by::kWitness).empty());
+  Exchange(journal, copy, kStart + milliseconds{1});
+  CHECK(journal.TakeDurable(durable_by::kWitness).size() == 1);
+}
+
+}  // namespace rosearch
