node: an idempotent request that was sent is never told as not run

Cause: an owner that lost its right answered a sent idempotent request with no_owner ('not run'), so that it be asked again; where no owner was found before the deadline, the caller was told 'not run' of a quote that ran. Change: such a request is answered 'interrupted', and the entry that asked sends it again without counting it as refused.

--- a/src/rosearch/node/call_table.cc
+++ b/src/rosearch/node/call_table.cc
@@ -93,6 +93,13 @@
     SetDue(answer.number(), item, now + kNoOwnerAgain);
     return;
   }
+  if (ErrorKindFromName(answer.error().kind()) == error_kind::kInterrupted &&
+      !answer.error().kind().empty() && item.call.request().idempotent()) {
+    // It may have run and may run again. Counted as answered, it would be told as "not run" where
+    // no owner is found before the deadline.
+    SetDue(answer.number(), item, now + kNoOwnerAgain);
+    return;
+  }
   const bool says_not_run =
       !answer.error().kind().empty() &&
       AnswerFor(ErrorKindFromName(answer.error().kind())).effect == outcome::kNotRun;
--- a/src/rosearch/shard/request_table.cc
+++ b/src/rosearch/shard/request_table.cc
@@ -54,8 +54,7 @@
 
 void request_table::Drop(shard_output& out) {
   for (const auto& [ticket, item] : open_) {
-    const bool may_have_run = item.sent && !item.request.call.idempotent();
-    const auto kind = may_have_run ? error_kind::kInterrupted : error_kind::kNoOwner;
+    const auto kind = item.sent ? error_kind::kInterrupted : error_kind::kNoOwner;
     for (const auto& to : item.request.waiting) {
       out.answers.push_back({to, ErrorAnswer(error{kind, "ownership of the shard changed"})});
     }
