--- a/scripts/measure/beats.py
+++ b/scripts/measure/beats.py
@@ -2,6 +2,7 @@
 """What heartbeats cost by the customers whose use of the VMs they tell: 7 entries, 28 shards."""
 
 import json
+import sys
 
 import cell as c
 
@@ -30,4 +31,4 @@
 
 
 if __name__ == "__main__":
-    c.report("heartbeats to 6 peers, by customers with running tasks, entry 1", [measure(each) for each in (1, 7, 21)])
+    c.report("heartbeats to 6 peers, by customers with running tasks, entry 1", [measure(int(each)) for each in sys.argv[1:] or (1, 7, 21)])
--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -394,12 +394,16 @@
   }
   const region_id region{beat.announcement().region()};
   std::vector<wire::drain_order> drains;
+  std::vector<wire::customer_usage> usage;
   bool is_new_configuration = false;
   {
     const std::scoped_lock lock{cell_.mutex};
     if (cell_.members.OnHeartbeat(beat, at.now)) {
       cell_.beat_at = at.now;
+      cell_.usage_told.TellAll();
     }
+    usage = cell_.usage_heard.Take(FromWire(beat.announcement().who()),
+                                   {beat.usage().begin(), beat.usage().end()});
     if (beat.has_configuration()) {
       is_new_configuration = cell_.control.AdoptConfiguration(beat.configuration());
     }
@@ -417,7 +421,6 @@
       }
     }
   }
-  const std::vector<wire::customer_usage> usage{beat.usage().begin(), beat.usage().end()};
   for (shard_number number = 0; number < slots_.size(); ++number) {
     WithShard(number, at, [&](shard& value, shard_output& out) {
       for (const auto& summary : beat.owned()) {
@@ -954,12 +957,12 @@
       }
     }
   }
+  std::vector<wire::customer_usage> own_usage;
   for (const auto& [customer, amount] : usage) {
-    auto& row = *beat.add_usage();
+    auto& row = own_usage.emplace_back();
     row.set_customer(customer);
     *row.mutable_committed() = internal::ToWire(amount);
   }
-  const std::vector<wire::customer_usage> own_usage{beat.usage().begin(), beat.usage().end()};
   for (const auto& item : slots_) {
     const std::scoped_lock lock{item->mutex};
     for (const auto& summary : beat.owned()) {
@@ -968,6 +971,9 @@
     item->value.OnUsage(settings_.self.entry, own_usage);
   }
   const std::scoped_lock lock{cell_.mutex};
+  for (auto& row : cell_.usage_told.Next(usage, now)) {
+    *beat.add_usage() = std::move(row);
+  }
   *beat.mutable_announcement() = Announcement();
   const auto& record = cell_.control.configuration().record();
   beat.set_ready(cell_.config_known && !cell_.stopping);
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -27,6 +27,7 @@
 #include "rosearch/node/node_ports.h"
 #include "rosearch/node/node_settings.h"
 #include "rosearch/node/shard_balance.h"
+#include "rosearch/node/usage_delta.h"
 #include "rosearch/placement/ledger.h"
 #include "rosearch/placement/never_fits.h"
 #include "rosearch/shard/shard.h"
@@ -180,6 +181,8 @@
     bool list_under_way{false};
     time_point list_at{};
     time_point beat_at{};
+    usage_teller usage_told;
+    usage_memory usage_heard;
     time_point balance_at{kNever};
     time_point snapshot_at{kNever};
     time_point started_at{time_point::min()};
