--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -40,8 +40,6 @@
 
 port() { sed -n "${2:-1}p" "$work/$1.port"; }
 
-free_port() { python3 -c 'import socket; s = socket.socket(); s.bind(("127.0.0.1", 0)); print(s.getsockname()[1])'; }
-
 echo "== stand-ins: log, VM list, 2 workers, 2 executors"
 stand_in log log
 stand_in vms vms
@@ -60,20 +58,21 @@
 
 echo "== two entries"
 for number in 1 2; do
-  http[$number]=$(free_port)
-  peer=$(free_port)
   cat >"$work/entry-$number.json" <<JSON
 {"entry": {"name": "entry-$number", "region": "south", "failure_domain": "fd-$number"},
- "http": {"port": ${http[$number]}}, "peer": {"port": $peer},
+ "http": {"port": 0}, "peer": {"port": 0},
  "platform": {"log": ["127.0.0.1:$(port log)"], "vm_list": "127.0.0.1:$(port vms)",
               "log_poll_ms": 300, "vm_list_poll_ms": 500, "vm_list_lag_ms": 1000},
  "cell": {"regions": [{"name": "south", "shards": 4}]},
  "stop": {"unready_ms": 200}}
 JSON
-  vm "entry-$number" VM_ENTRY "127.0.0.1:$peer" "$number" ''
-  "$bin/rosearch" serve --settings "$work/entry-$number.json" --instance "$number" 2>"$work/entry-$number.log" &
+  "$bin/rosearch" serve --settings "$work/entry-$number.json" --instance "$number" \
+    --port-file "$work/entry-$number.port" 2>"$work/entry-$number.log" &
   pids+=($!)
   entries[$number]=$!
+  wait_for "entry-$number" test -s "$work/entry-$number.port"
+  http[$number]=$(port "entry-$number" 1)
+  vm "entry-$number" VM_ENTRY "127.0.0.1:$(port "entry-$number" 2)" "$number" ''
 done
 one=http://127.0.0.1:${http[1]}
 two=http://127.0.0.1:${http[2]}
--- a/src/rosearch/cli/serve_command.cc
+++ b/src/rosearch/cli/serve_command.cc
@@ -24,7 +24,9 @@
   FLAGS_log_dir = settings.value->log.dir;
   FLAGS_logtostderr = settings.value->log.dir.empty();
   try {
-    return Serve(*settings.value, parsed["instance"].as<std::uint64_t>());
+    const auto port_file =
+        parsed.count("port-file") == 0 ? std::string{} : parsed["port-file"].as<std::string>();
+    return Serve(*settings.value, parsed["instance"].as<std::uint64_t>(), port_file);
   } catch (const std::exception& failed) {
     // An address that is taken: without a line that says so the process would end by a signal,
     // which looks like a broken invariant.
@@ -39,6 +41,8 @@
       .Option("settings", "settings file (JSON)", cxxopts::value<std::string>())
       .Option("instance", "instance of this VM, as the platform's VM list shows it",
               cxxopts::value<std::uint64_t>())
+      .Option("port-file", "file to write the ports to, that of HTTP first, where settings say 0",
+              cxxopts::value<std::string>())
       .Run(words, ServeEntry);
 }
 
--- a/src/rosearch/serve/serve.cc
+++ b/src/rosearch/serve/serve.cc
@@ -9,6 +9,8 @@
 #include <boost/asio/strand.hpp>
 #include <chrono>
 #include <csignal>
+#include <filesystem>
+#include <fstream>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -121,6 +123,15 @@
               << " peer=" << transport_->address();
   }
 
+  /// Writes the ports under another name first, so that a reader never sees half of them.
+  void WritePorts(const std::string& file) const {
+    const auto draft = file + ".new";
+    std::ofstream{draft} << server_->port() << '\n'
+                         << transport_->address().substr(transport_->address().rfind(':') + 1)
+                         << '\n';
+    std::filesystem::rename(draft, file);
+  }
+
   int Run() {
     signals_.async_wait([this](const boost::system::error_code& failed, int) {
       if (!failed) {
@@ -302,8 +313,13 @@
 
 }  // namespace
 
-int Serve(const config::settings& settings, incarnation_number incarnation) {
-  return entry_process{settings, incarnation}.Run();
+int Serve(const config::settings& settings, incarnation_number incarnation,
+          const std::string& port_file) {
+  entry_process process{settings, incarnation};
+  if (!port_file.empty()) {
+    process.WritePorts(port_file);
+  }
+  return process.Run();
 }
 
 }  // namespace rosearch
