soak: a gang may be committed by its owner's state alone

The check took a start for early that followed a whole commit: with no witness and the log down, an owner goes on with what it accepted by its own state, and no record leaves it.

--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -97,7 +97,9 @@
   return true;
 }
 
-void promises::OnTaskStart(const std::string& vm, const wire::task_start& start) {
+const job_facts& promises::JobOfTask(const std::string& task) { return jobs_[JobOf(task)]; }
+
+void promises::OnTaskStart(const std::string& vm, const wire::task_start& start, bool committed) {
   const auto& name = start.ref().task();
   auto& facts = tasks_[name];
   auto& job = jobs_[JobOf(name)];
@@ -110,7 +112,8 @@
   if (facts.ended) {
     time_.Breach("truthful-not-run", "a task started that a caller knows as ended: " + what);
   }
-  if (job.spec.kind() == wire::JOB_GANG && !WhollyCommitted(job, start.ref().attempt())) {
+  if (job.spec.kind() == wire::JOB_GANG && !committed &&
+      !WhollyCommitted(job, start.ref().attempt())) {
     time_.Breach("single-run", "a gang's member started before the gang was committed: " + what);
   }
 }
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -56,8 +56,10 @@
   void OnSubmitted(const wire::job_spec& spec) { jobs_[Name(spec)].spec = spec; }
   /// Takes in a record that leaves its author, for its witness or for the log.
   void OnRecord(const wire::shard_record& record);
-  void OnTaskStart(const std::string& vm, const wire::task_start& start);
+  /// @param committed  whether some owner of the job's home shard has the whole gang committed.
+  void OnTaskStart(const std::string& vm, const wire::task_start& start, bool committed);
   void OnTaskSeen(const wire::task_snapshot& task);
+  [[nodiscard]] const job_facts& JobOfTask(const std::string& task);
   [[nodiscard]] std::map<std::string, job_facts>& jobs() noexcept { return jobs_; }
 
   // Configuration.
--- a/soak/world.h
+++ b/soak/world.h
@@ -110,6 +110,7 @@
   void LookAtLeaving();
   void OnLogAppend(const std::string& stream, const std::vector<std::string>& records);
   void OnStart(const std::string& vm, const wire::task_start& start);
+  [[nodiscard]] bool GangCommitted(const job_facts& job, std::uint32_t attempt);
   void CheckLeaving(const std::string& vm) const;
 
   std::deque<std::pair<moment, wire::vm_list_answer>> lists_;
--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -1292,6 +1292,15 @@
   return ClosestVm(listed, needs);
 }
 
+template <node_ports Ports>
+std::optional<job_entry> basic_node<Ports>::JobHere(const std::string& customer,
+                                                    const std::string& job) {
+  auto& item = *slots_.at(HomeOf(customer, job));
+  const std::scoped_lock lock{item.mutex};
+  const auto* const found = item.value.state().FindJob({customer, job});
+  return found == nullptr ? std::nullopt : std::optional{*found};
+}
+
 template <node_ports Ports>
 boost::json::value basic_node<Ports>::Dump(const step_time& at) {
   boost::json::object dump;
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -122,6 +122,9 @@
   [[nodiscard]] bool FitsSomewhere(const resources& needs) const;
   /// @return the listed worker that comes closest to holding a task of that size, if there is any.
   [[nodiscard]] std::optional<closest_vm> ClosestWorker(const resources& needs) const;
+  /// @return a copy of a job as this entry has it while it holds the job's home shard, or none.
+  [[nodiscard]] std::optional<job_entry> JobHere(const std::string& customer,
+                                                 const std::string& job);
   [[nodiscard]] boost::json::value Dump(const step_time& at);
   /// @return figures for the metrics, cheaper than a dump.
   [[nodiscard]] node_figures Figures(time_point now) const;
