shard: wake a gang's waiting members when one of them ends

Cause: members of a gang that wait for the others have no time of their own to be looked at. Where the one that had it ended (at the job's deadline, or done while the gang was broken), nobody looked at the rest, and the job stood for ever. After a takeover only the last member told whether the gang was being committed. Ruled out: room and quota (the gang was refused once and asked no more). Change: the end of a member makes the idle ones due; the flag is kept over all members.

--- a/src/rosearch/shard/job_table.cc
+++ b/src/rosearch/shard/job_table.cc
@@ -97,7 +97,7 @@
       // The former owner may have asked for it: the capacity shard knows, and asking again is safe.
       SetStage(drive_of_task, slot.held ? stage::kHeld : stage::kAsked);
       drive_of_task.asked_before = true;
-      drive_of_job.gang_committing = IsGang(job) && !slot.held;
+      drive_of_job.gang_committing = drive_of_job.gang_committing || (IsGang(job) && !slot.held);
       // Holds whose commit was never recorded are given up: they may have lapsed meanwhile.
       drive_of_job.gang_broken = drive_of_job.gang_broken || slot.held;
     }
@@ -280,6 +280,9 @@
   }
   if (done || (ran && !MayRunAgain(job)) || (failed && slot.charged >= treatment.retries())) {
     EndTask(key, how);
+    if (IsGang(job)) {
+      WakeGang(key.job, context.now + settings_.retry_room);
+    }
     return;
   }
   DriveOf(key.job).gang_broken = IsGang(job);
@@ -475,6 +478,9 @@
   }
   if (context.now >= job.deadline && !IsService(entry)) {
     EndTask(key, EndingOf(error_kind::kDeadlinePassed, "no room before the deadline"));
+    if (IsGang(entry)) {
+      WakeGang(key.job, context.now);
+    }
     return;
   }
   if (IsGang(entry)) {
