--- a/test/rosearch/node/soak_test.cc
+++ b/test/rosearch/node/soak_test.cc
@@ -21,9 +21,10 @@
           "[no-overcommit][single-run][whole-answer][truthful-not-run][at-most-once]"
           "[leaving-targets][graceful-stop][config-in-force]") {
   const std::vector<known_run> runs{
-      {fault_mode::kNone, {1, 2, 3}},
+      {fault_mode::kNone, {1, 2, 78}},
       {fault_mode::kSingle, {1, 3, 7, 9, 10, 11, 12, 13, 18, 19, 20, 22, 23, 27, 30}},
-      {fault_mode::kMany, {1, 2, 4, 5, 6, 7, 8, 9, 13, 14, 15, 28, 35, 37}},
+      {fault_mode::kMany, {2,  3,  4,  6,  7,  8,  10, 13, 14, 15, 16, 18, 20,
+                           24, 27, 28, 29, 32, 33, 34, 35, 37, 40, 41, 55}},
   };
   for (const auto& run : runs) {
     for (const auto seed : run.seeds) {
