Look an id up before it is refused; repeat interrupted job calls

Cause: a repeat of an order that had run could be told "not run" where the shard had no second copy at the moment, or no owner was found, because the id was not looked up first. Ruled out: telling every refusal "unknown" (a fresh id in a complete state certainly did not run). Change: known ids and jobs are answered first; a request that nobody looked up ends "unknown"; calls of jobs are asked again. Measured: the new test fails before (not_run) and passes after; tests of shard, node, api green, demo whole. Conclusion: "not run" is only said by one who looked.

--- a/src/rosearch/api/service.cc
+++ b/src/rosearch/api/service.cc
@@ -127,6 +127,12 @@
   return read;
 }
 
+/// An id that isn't declared idempotent may be the repeat of one that ran at another entry.
+bool MayBeRepeat(const http_call& call) {
+  return call.path.starts_with(kRequestsPath) && !HeaderOf(call, "rosearch-request").empty() &&
+         HeaderOf(call, "rosearch-idempotent") != "true";
+}
+
 /// What the rules say of a piece of work, or why it is refused.
 result<const config::rule*> RuleFor(const config::configuration& in_force,
                                     const config::work_kind& work) {
@@ -258,6 +264,11 @@
     return;
   }
   if (!access_.accepting()) {
+    if (MayBeRepeat(call)) {
+      measured(ErrorResponse({error_kind::kInterrupted, "this entry can't look the id up yet",
+                              std::chrono::seconds{1}}));
+      return;
+    }
     measured(ErrorResponse({error_kind::kNotReady, "the configuration in force is not known yet",
                             std::chrono::seconds{1}}));
     return;
--- a/src/rosearch/node/call_table.cc
+++ b/src/rosearch/node/call_table.cc
@@ -93,8 +93,9 @@
     SetDue(answer.number(), item, now + kNoOwnerAgain);
     return;
   }
+  const bool repeatable = !item.call.has_request() || item.call.request().idempotent();
   if (ErrorKindFromName(answer.error().kind()) == error_kind::kInterrupted &&
-      !answer.error().kind().empty() && item.call.request().idempotent()) {
+      !answer.error().kind().empty() && repeatable) {
     // It may have run and may run again. Counted as answered, it would be told as "not run" where
     // no owner is found before the deadline.
     SetDue(answer.number(), item, now + kNoOwnerAgain);
@@ -115,7 +116,11 @@
 void call_table::Expire(time_point now) {
   while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
     const auto number = deadlines_.begin()->second;
-    const bool may_have_run = open_.at(number).unanswered > 0;
+    const auto& item = open_.at(number);
+    // Without a look at the records nobody knows whether an id is a repeat of one that ran.
+    const bool unknown_id = item.call.has_request() && !item.call.request().idempotent() &&
+                            !item.call.request().delegated();
+    const bool may_have_run = item.unanswered > 0 || unknown_id;
     wire::call_answer answer;
     answer.set_number(number);
     *answer.mutable_error() =
--- a/src/rosearch/serve/serve.h
+++ b/src/rosearch/serve/serve.h
@@ -11,7 +11,8 @@
 /// Runs an entry until SIGTERM or SIGINT and its planned stop.
 /// @param settings     checked settings.
 /// @param incarnation  the instance of this VM as the platform's list shows it.
-/// @param port_file    where the ports that were bound are written, a line each, that of HTTP first;
+/// @param port_file    where the ports that were bound are written, a line each, that of HTTP
+/// first;
 ///   empty: nowhere.
 /// @return the exit code: 0 after a planned stop, 3 where the log has forgotten more than this
 ///   process had read and a new one has to begin afresh, 4 where the stop ran out of time.
--- a/src/rosearch/shard/job_table.cc
+++ b/src/rosearch/shard/job_table.cc
@@ -34,12 +34,16 @@
   return ref;
 }
 
-wire::call_answer ErrorAnswer(error_kind kind, std::string detail) {
+wire::call_answer ErrorAnswer(const error& why) {
   wire::call_answer answer;
-  *answer.mutable_error() = ToWire(error{kind, std::move(detail)});
+  *answer.mutable_error() = ToWire(why);
   return answer;
 }
 
+wire::call_answer ErrorAnswer(error_kind kind, std::string detail) {
+  return ErrorAnswer(error{kind, std::move(detail)});
+}
+
 }  // namespace
 
 job_table::job_table(shard_number shard, region_id region, job_settings settings,
@@ -109,7 +113,7 @@
   }
 }
 
-void job_table::OnSubmit(const call_origin& from, const wire::job_accepted& job,
+void job_table::OnSubmit(const call_origin& from, const wire::job_accepted& job, bool durable,
                          const job_context& context, shard_output& out) {
   const job_key key{job.spec().customer(), job.spec().job()};
   if (const auto* const known = journal_.state().FindJob(key)) {
@@ -131,6 +135,10 @@
     }
     return;
   }
+  if (!durable) {
+    out.answers.push_back({from, ErrorAnswer(NoSecondCopy())});
+    return;
+  }
   wire::shard_record record;
   *record.mutable_accepted() = job;
   journal_.Propose(std::move(record));
--- a/src/rosearch/shard/job_table.h
+++ b/src/rosearch/shard/job_table.h
@@ -49,8 +49,9 @@
   void Drop(shard_output& out);
 
   /// Accepts a job, or tells how it stands where it is known.
-  void OnSubmit(const call_origin& from, const wire::job_accepted& job, const job_context& context,
-                shard_output& out);
+  /// @param durable  whether the acceptance would have a second copy; a known job is told anyway.
+  void OnSubmit(const call_origin& from, const wire::job_accepted& job, bool durable,
+                const job_context& context, shard_output& out);
   void OnStatus(const call_origin& from, const job_key& key, shard_output& out);
   void OnCancel(const call_origin& from, const job_key& key, const job_context& context,
                 shard_output& out);
--- a/src/rosearch/shard/request_table.cc
+++ b/src/rosearch/shard/request_table.cc
@@ -113,7 +113,8 @@
 }
 
 void request_table::OnRequest(const call_origin& from, const wire::request_call& call,
-                              time_point deadline, std::uint64_t unix_ms, shard_output& out) {
+                              time_point deadline, std::uint64_t unix_ms, bool durable,
+                              shard_output& out) {
   const bool recorded = !call.idempotent() && !call.delegated();
   const auto body_hash = HashOf(call);
   if (recorded) {
@@ -131,6 +132,10 @@
           {from, ErrorAnswer(error{error_kind::kTooOld, "issued before the takeover"})});
       return;
     }
+    if (!durable) {
+      out.answers.push_back({from, ErrorAnswer(NoSecondCopy())});
+      return;
+    }
   }
   const auto ticket = next_ticket_++;
   open_[ticket] = {{call, {from}, deadline}, false};
--- a/src/rosearch/shard/request_table.h
+++ b/src/rosearch/shard/request_table.h
@@ -50,8 +50,10 @@
   void Drop(shard_output& out);
 
   /// Takes in a request, or joins it to the same one under way, or answers from the record.
+  /// @param durable  whether a record would have a second copy. Without one, an id that is known
+  ///   still gets its answer, and a new one is refused.
   void OnRequest(const call_origin& from, const wire::request_call& call, time_point deadline,
-                 std::uint64_t unix_ms, shard_output& out);
+                 std::uint64_t unix_ms, bool durable, shard_output& out);
 
   /// A record of this shard became durable.
   void OnDurable(const wire::shard_record& record);
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -465,25 +465,22 @@
     return;
   }
   const auto deadline = at.now + std::chrono::milliseconds{call.left_ms()};
-  const bool records = call.has_submit() || call.has_cancel() ||
-                       (call.has_request() && !call.request().idempotent());
-  if (records && !CanAccept(at.now)) {
-    // Accepted now, it would be lost with this one process: neither a witness nor the log has it.
-    Refuse(from, {error_kind::kNotReady, "no second copy can be kept at the moment", kComeBack},
-           out);
-    return;
-  }
+  const bool durable = CanAccept(at.now);
   switch (call.body_case()) {
     case wire::call::kRequest:
-      requests_.OnRequest(from, call.request(), deadline, at.unix_ms, out);
+      requests_.OnRequest(from, call.request(), deadline, at.unix_ms, durable, out);
       break;
     case wire::call::kSubmit:
-      jobs_.OnSubmit(from, call.submit().job(), JobContext(at), out);
+      jobs_.OnSubmit(from, call.submit().job(), durable, JobContext(at), out);
       break;
     case wire::call::kStatus:
       jobs_.OnStatus(from, {call.status().customer(), call.status().job()}, out);
       break;
     case wire::call::kCancel:
+      if (!durable) {
+        Refuse(from, NoSecondCopy(), out);
+        return;
+      }
       jobs_.OnCancel(from, {call.cancel().customer(), call.cancel().job()}, JobContext(at), out);
       break;
     case wire::call::BODY_NOT_SET:
--- a/src/rosearch/shard/shard_output.cc
+++ b/src/rosearch/shard/shard_output.cc
@@ -24,6 +24,11 @@
   return made;
 }
 
+error NoSecondCopy() {
+  return {error_kind::kNotReady, "no second copy can be kept at the moment",
+          std::chrono::milliseconds{500}};
+}
+
 wire::ending EndingOf(error_kind kind, std::string detail) {
   wire::ending how;
   *how.mutable_error() = ToWire(error{kind, std::move(detail)});
--- a/src/rosearch/shard/shard_output.h
+++ b/src/rosearch/shard/shard_output.h
@@ -82,6 +82,11 @@
 ///   `kInternal`.
 [[nodiscard]] error FromWire(const wire::error_body& value);
 
+/// @return why an owner accepts nothing that it would have to remember: neither a witness nor the
+/// log
+///   has its records, so that they would be lost with its one process.
+[[nodiscard]] error NoSecondCopy();
+
 /// @return how a piece of work ended that went wrong.
 [[nodiscard]] wire::ending EndingOf(error_kind kind, std::string detail);
 
--- a/test/rosearch/node/call_table_test.cc
+++ b/test/rosearch/node/call_table_test.cc
@@ -61,6 +61,21 @@
   CHECK(call.final == each.told);
 }
 
+// An order ran, its answer was lost, and the caller repeats it at an entry that finds no owner.
+// Told "not run", the caller would place the order anew.
+TEST_CASE("an id that nobody looked up is not told as not run", "[truthful-not-run]") {
+  const bool idempotent = GENERATE(false, true);
+  call_table table{1};
+  wire::call call;
+  call.mutable_request()->set_idempotent(idempotent);
+  outcome told{};
+  table.Add(call, kStart + seconds{5}, kStart, [&told](const wire::call_answer& answer) {
+    told = AnswerFor(FromWire(answer.error()).kind).effect;
+  });
+  table.Expire(kStart + seconds{5});
+  CHECK(told == (idempotent ? outcome::kNotRun : outcome::kUnknown));
+}
+
 // The entry that runs a request on behalf of the owner of its id dies. Sent to another entry the
 // request could run twice, so the caller learns that nobody can tell.
 TEST_CASE("a call that was handed over is awaited until it is abandoned", "[at-most-once]") {
--- a/test/rosearch/shard/job_table_test.cc
+++ b/test/rosearch/shard/job_table_test.cc
@@ -37,7 +37,7 @@
     job.mutable_spec()->set_urgent(urgent);
     job.mutable_spec()->mutable_needs()->set_processors_milli(1000);
     job.mutable_treatment()->set_policy("urgent");
-    jobs_.OnSubmit({"caller", 1, 1}, job, {now_, cell_}, out_);
+    jobs_.OnSubmit({"caller", 1, 1}, job, true, {now_, cell_}, out_);
     Flush();
   }
   /// @return the shards that were asked for a place within `span`; each refuses at once.
--- a/test/rosearch/shard/shard_journal_test.cc
+++ b/test/rosearch/shard/shard_journal_test.cc
@@ -28,8 +28,9 @@
 
 }  // namespace
 
-// The first snapshot reaches the witness before the record that names it as witness, and is ignored.
-// Without another one the shard never gets an active witness, and stops when the log is down.
+// The first snapshot reaches the witness before the record that names it as witness, and is
+// ignored. Without another one the shard never gets an active witness, and stops when the log is
+// down.
 TEST_CASE("a snapshot that was lost is sent again, also of a shard without records",
           "[single-run]") {
   const int records = GENERATE(0, 1, 3);
