Take test ports that no outgoing connection gets; bodies of any bytes

Cause: the harness looked for a free port in the range from which the kernel gives ports to outgoing connections; one of these took an entry's port before the entry started (1 of 3 whole runs: event=start_failed, never: entry ready). Ruled out: port 0 in the settings (the VM list names the port before the entry starts). Change: ports from 20000 to 31999, looked at first.

--- a/test/process/cell.cc
+++ b/test/process/cell.cc
@@ -36,11 +36,23 @@
 
 std::string Loopback(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
 
+/// Below the range from which outgoing connections take their ports: one of those may take a port
+/// between this look and the entry's start, or while the entry is down.
 std::uint16_t FreePort() {
+  constexpr int kFirst = 20'000;
+  constexpr int kCount = 12'000;
+  static int next = getpid() * 40 % kCount;
   boost::asio::io_context io;
-  const boost::asio::ip::tcp::acceptor bound{
-      io, {boost::asio::ip::address_v4::loopback(), std::uint16_t{0}}};
-  return bound.local_endpoint().port();
+  for (int tries = 0; tries < kCount; ++tries) {
+    const auto port = static_cast<std::uint16_t>(kFirst + next++ % kCount);
+    boost::asio::ip::tcp::socket socket{io, boost::asio::ip::tcp::v4()};
+    boost::system::error_code failed;
+    socket.bind({boost::asio::ip::address_v4::loopback(), port}, failed);
+    if (!failed) {
+      return port;
+    }
+  }
+  LOG(FATAL) << "no free port";
 }
 
 std::string ReadFile(const std::filesystem::path& path) {
--- a/test/process/requests_test.cc
+++ b/test/process/requests_test.cc
@@ -91,6 +91,24 @@
   }
 }
 
+// Callers and executors agree on what a body is, and it need not be text. An entry that can't pass
+// it on to another leaves the caller waiting until its deadline.
+TEST_CASE("a body of any bytes arrives as it is", "[whole-answer]") {
+  cell cell;
+  const std::string bytes{"\xff\xfe price \x80\x81", 11};
+  for (int entry = 1; entry <= 3; ++entry) {
+    const auto quote = cell.Quote(entry, bytes).get();
+    INFO("quote at entry-" << entry << ": " << ToText(quote));
+    CHECK(quote.outcome == "done");
+    CHECK(quote.body.find(bytes) != std::string::npos);
+    const auto id = "order-" + std::to_string(entry);
+    const auto order = cell.Order(entry, id, UnixMs(), bytes).get();
+    INFO("order at entry-" << entry << ": " << ToText(order));
+    CHECK(order.outcome == "done");
+    CHECK(order.body.find(bytes) != std::string::npos);
+  }
+}
+
 struct answer_fault {
   const char* name;
   const char* fault;
