Split the HTTP service by what it serves

Cause: one file of 640 lines held headers, rules, operators' views and callers' work. Change: request_headers, work_rules, operator_views and entry_access stand alone; behaviour is unchanged. Conclusion: the service routes and calls, the rest is elsewhere.

--- a/src/rosearch/api/service.cc
+++ b/src/rosearch/api/service.cc
@@ -5,7 +5,6 @@
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <charconv>
 #include <chrono>
 #include <optional>
 #include <string_view>
@@ -13,6 +12,8 @@
 
 #include "rosearch/api/answers.h"
 #include "rosearch/api/job_document.h"
+#include "rosearch/api/request_headers.h"
+#include "rosearch/api/work_rules.h"
 #include "rosearch/capacity/amounts.h"
 #include "rosearch/config/document_reader.h"
 #include "rosearch/config/json_values.h"
@@ -40,138 +41,14 @@
 constexpr std::string_view kVmsPath = "/v1/vms";
 constexpr std::string_view kVmPath = "/v1/vms/";
 
-std::string HeaderOf(const http_call& call, const std::string& name) {
-  const auto found = call.headers.find(name);
-  return found == call.headers.end() ? std::string{} : found->second;
-}
-
-/// @return the number, or none where the text is absent or no number.
-std::optional<std::uint64_t> NumberOf(const std::string& text) {
-  std::uint64_t value = 0;
-  const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return value;
-}
-
-std::optional<bool> FlagOf(const std::string& text) {
-  if (text == "true" || text == "false") {
-    return text == "true";
-  }
-  return std::nullopt;
-}
-
 error Invalid(std::string detail) { return {error_kind::kInvalidRequest, std::move(detail)}; }
 
-/// What the headers of a request say.
-struct request_headers {
-  std::string customer;
-  std::string request;
-  std::string label;
-  bool idempotent{false};
-  bool urgent{false};
-  std::optional<std::uint64_t> issued_ms;
-  std::optional<milliseconds> deadline;
-};
-
-constexpr std::uint64_t kLongestDeadlineMs = 3'600'000;
-constexpr std::size_t kLongestLabel = 64;
-
-/// Header values may hold any byte, but between entries a text that is not UTF-8 can't be read: the
-/// message would be dropped and the caller would wait for its whole deadline.
-bool IsPlainText(std::string_view text) {
-  return std::ranges::all_of(text, [](char each) { return each >= ' ' && each <= '~'; });
-}
-
-result<request_headers> ReadHeaders(const http_call& call) {
-  request_headers read;
-  read.customer = HeaderOf(call, "rosearch-customer");
-  read.request = HeaderOf(call, "rosearch-request");
-  read.label = HeaderOf(call, "rosearch-label");
-  if (read.customer.empty()) {
-    return Invalid("header Rosearch-Customer is missing");
-  }
-  if (!IsValidName(read.customer)) {
-    return Invalid("header Rosearch-Customer: letters, digits and . _ : - only, at most 128");
-  }
-  if (read.label.size() > kLongestLabel || !IsPlainText(read.label)) {
-    return Invalid("header Rosearch-Label: printable ASCII only, at most 64");
-  }
-  if (!read.request.empty() && !IsValidName(read.request)) {
-    return Invalid("header Rosearch-Request: letters, digits and . _ : - only, at most 128");
-  }
-  for (const auto& [name, flag] : {std::pair{"rosearch-idempotent", &read.idempotent},
-                                   std::pair{"rosearch-urgent", &read.urgent}}) {
-    const auto text = HeaderOf(call, name);
-    const auto value = FlagOf(text);
-    if (!text.empty() && !value) {
-      return Invalid(std::string{"header "} + name + ": true or false, found " + text);
-    }
-    *flag = value.value_or(false);
-  }
-  const auto issued = HeaderOf(call, "rosearch-issued-at");
-  read.issued_ms = NumberOf(issued);
-  if (!issued.empty() && !read.issued_ms) {
-    return Invalid("header Rosearch-Issued-At: Unix time in milliseconds, found " + issued);
-  }
-  const auto deadline = HeaderOf(call, "rosearch-deadline-ms");
-  const auto deadline_ms = NumberOf(deadline);
-  if (!deadline.empty() &&
-      (!deadline_ms || *deadline_ms == 0 || *deadline_ms > kLongestDeadlineMs)) {
-    return Invalid("header Rosearch-Deadline-Ms: 1 to 3600000, found " + deadline);
-  }
-  if (deadline_ms) {
-    read.deadline = milliseconds{*deadline_ms};
-  }
-  return read;
-}
-
 /// An id that isn't declared idempotent may be the repeat of one that ran at another entry.
 bool MayBeRepeat(const http_call& call) {
   return call.path.starts_with(kRequestsPath) && !HeaderOf(call, "rosearch-request").empty() &&
          HeaderOf(call, "rosearch-idempotent") != "true";
 }
 
-/// What the rules say of a piece of work, or why it is refused.
-result<const config::rule*> RuleFor(const config::configuration& in_force,
-                                    const config::work_kind& work) {
-  if (in_force.FindCustomer(work.customer) == nullptr) {
-    return error{error_kind::kUnknownCustomer, "no customer " + work.customer.value()};
-  }
-  const auto* const rule = in_force.Match(work);
-  if (rule == nullptr) {
-    return error{error_kind::kNoRule, "no rule matches"};
-  }
-  if (rule->treat.action == config::admission::kReject) {
-    return error{error_kind::kRejectedByRule, rule->name + ": " + rule->treat.reason};
-  }
-  return rule;
-}
-
-config::work_class ClassOf(wire::job_kind kind) {
-  switch (kind) {
-    case wire::JOB_GANG:
-      return config::work_class::kGang;
-    case wire::JOB_SERVICE:
-      return config::work_class::kService;
-    default:
-      return config::work_class::kBatch;
-  }
-}
-
-wire::job_treatment TreatmentOf(const config::rule& rule, config::work_class kind,
-                                config_version version) {
-  wire::job_treatment treatment;
-  treatment.set_config_version(version);
-  treatment.set_rule(rule.name);
-  treatment.set_policy(std::string{config::PolicyFor(rule.treat, kind)});
-  treatment.set_priority(rule.treat.priority);
-  treatment.set_retries(rule.treat.retries);
-  treatment.set_preemptible(rule.treat.preemptible);
-  return treatment;
-}
-
 std::vector<std::string> PathParts(std::string_view path) {
   std::vector<std::string> parts;
   while (!path.empty()) {
@@ -183,12 +60,6 @@
   return parts;
 }
 
-json::object AmountsJson(const resources& amounts) {
-  return {{"processors_milli", amounts.processors_milli},
-          {"memory_mb", amounts.memory_mb},
-          {"accelerators", amounts.accelerators}};
-}
-
 std::string NeverFitsText(const std::optional<closest_vm>& closest) {
   std::string text = "larger than every worker that is listed";
   if (closest) {
@@ -198,59 +69,10 @@
   return text;
 }
 
-/// What the owner of a worker's shard knows of it.
-struct owned_vm {
-  json::object committed;
-  std::size_t tasks{0};
-  bool open{false};
-  std::string condition;
-};
-
-json::object SumOfNeeds(const json::array& tasks) {
-  resources sum;
-  for (const auto& task : tasks) {
-    const auto& needs = task.at("needs").as_object();
-    sum.processors_milli += needs.at("processors_milli").as_int64();
-    sum.memory_mb += needs.at("memory_mb").as_int64();
-    sum.accelerators += needs.at("accelerators").as_int64();
-  }
-  return AmountsJson(sum);
-}
-
-/// @param dump  of this entry.
-/// @return the workers of the shards that it serves now, by name.
-std::map<std::string, owned_vm> OwnedVms(const json::value& dump) {
-  std::map<std::string, owned_vm> all;
-  for (const auto& shard : dump.at("shards").as_array()) {
-    const auto* const pool = shard.as_object().if_contains("vms");
-    if (pool == nullptr) {
-      continue;
-    }
-    for (const auto& vm : pool->at("vms").as_array()) {
-      const auto& tasks = vm.at("tasks").as_array();
-      all[std::string{vm.at("vm").as_string()}] = {SumOfNeeds(tasks), tasks.size(),
-                                                   vm.at("open").as_bool(),
-                                                   std::string{vm.at("condition").as_string()}};
-    }
-  }
-  return all;
-}
-
-std::string_view KindName(wire::vm_kind kind) {
-  switch (kind) {
-    case wire::VM_EXECUTOR:
-      return "executor";
-    case wire::VM_ENTRY:
-      return "entry";
-    default:
-      return "worker";
-  }
-}
-
 }  // namespace
 
 api_service::api_service(const entry_access& access, metric_set& metrics)
-    : access_{access}, metrics_{metrics} {}
+    : access_{access}, metrics_{metrics}, views_{access} {}
 
 void api_service::Handle(const http_call& call, http_respond respond) {
   const auto begun = access_.now().now;
@@ -304,15 +126,15 @@
   } else if (is_get && call.path == "/v1/dump") {
     respond(JsonResponse(kOk, access_.dump()));
   } else if (is_get && call.path == "/v1/configuration") {
-    respond(Configuration());
+    respond(views_.Configuration());
   } else if (is_get && call.path == "/v1/configuration/history") {
-    respond(History());
+    respond(views_.History());
   } else if (call.method == "POST" && call.path == "/v1/configuration/check") {
-    respond(CheckConfiguration(call));
+    respond(views_.CheckConfiguration(call));
   } else if (is_get && call.path == "/v1/quotas") {
-    respond(Quotas());
+    respond(views_.Quotas());
   } else if (is_get && call.path == kVmsPath) {
-    respond(Vms());
+    respond(views_.Vms());
   } else if (call.path == "/v1/explain" && call.method == "POST") {
     respond(Explain(call));
   } else if (call.path.starts_with(kVmPath) && (call.method == "POST" || call.method == "DELETE")) {
@@ -320,7 +142,7 @@
     if (parts.size() != 4 || parts[3] != "drain") {
       return false;
     }
-    respond(Drain(parts[2], call.method == "POST"));
+    respond(views_.Drain(parts[2], call.method == "POST"));
   } else {
     return false;
   }
@@ -512,92 +334,6 @@
   return {kOk, metrics_.Text(), "text/plain; version=0.0.4"};
 }
 
-http_response api_service::Configuration() const {
-  const auto record = access_.configuration_record();
-  return JsonResponse(kOk, json::object{{"version", record.version()},
-                                        {"change", record.change_id()},
-                                        {"author", record.author()},
-                                        {"lowest_version", access_.lowest_version()},
-                                        {"document", access_.configuration()->ToJson()}});
-}
-
-http_response api_service::History() const {
-  json::array rows;
-  for (const auto& verdict : access_.history()) {
-    constexpr std::string_view kEffects[]{"accepted", "repeated", "void"};
-    json::object row{{"change", verdict.change_id},
-                     {"author", verdict.author},
-                     {"effect", kEffects[static_cast<std::size_t>(verdict.effect)]},
-                     {"version", verdict.version}};
-    if (verdict.cause) {
-      row["detail"] = verdict.cause->detail;
-    }
-    rows.push_back(std::move(row));
-  }
-  return JsonResponse(kOk, json::object{{"changes", std::move(rows)}});
-}
-
-http_response api_service::CheckConfiguration(const http_call& call) const {
-  const auto checked = config::ParseConfiguration(call.body);
-  if (config::HasError(checked.faults)) {
-    return FaultsResponse(checked.faults);
-  }
-  return JsonResponse(kOk, json::object{{"faults", FaultsJson(checked.faults)}});
-}
-
-http_response api_service::Quotas() const {
-  json::array rows;
-  for (const auto& customer : access_.configuration()->customers()) {
-    rows.push_back(json::object{{"customer", customer.name.value()},
-                                {"weight", customer.weight},
-                                {"most", AmountsJson(customer.quota.most)},
-                                {"max_queued", customer.quota.max_queued},
-                                {"max_running", customer.quota.max_running}});
-  }
-  return JsonResponse(kOk, json::object{{"quotas", std::move(rows)}});
-}
-
-http_response api_service::Vms() const {
-  const auto drains = access_.drains();
-  const auto owned = OwnedVms(access_.dump());
-  json::array rows;
-  for (const auto& vm : access_.vms()) {
-    const auto drain = drains.find(vm.vm());
-    const bool drained = drain != drains.end() && drain->second.leaving();
-    json::object row{{"vm", vm.vm()},
-                     {"kind", KindName(vm.kind())},
-                     {"region", vm.region()},
-                     {"failure_domain", vm.failure_domain()},
-                     {"rack", vm.rack()},
-                     {"holds", AmountsJson(internal::FromWire(vm.holds()))},
-                     {"leaving", vm.leaving() || drained},
-                     {"drained", drained}};
-    const auto known = owned.find(vm.vm());
-    if (known != owned.end()) {
-      const auto& [name, state] = *known;
-      row["committed"] = state.committed;
-      row["tasks"] = state.tasks;
-      row["open"] = state.open;
-      row["condition"] = state.condition;
-    }
-    rows.push_back(std::move(row));
-  }
-  return JsonResponse(kOk, json::object{{"vms", std::move(rows)}});
-}
-
-http_response api_service::Drain(const std::string& vm, bool leaving) const {
-  const auto vms = access_.vms();
-  if (std::ranges::find(vms, vm, [](const wire::vm_record& each) { return each.vm(); }) ==
-      vms.end()) {
-    return ErrorResponse({error_kind::kNotFound, "no VM " + vm});
-  }
-  const auto done = access_.drain(vm_id{vm}, leaving);
-  if (done.has_error()) {
-    return ErrorResponse(done.error());
-  }
-  return JsonResponse(kOk, json::object{{"vm", vm}, {"leaving", leaving}});
-}
-
 http_response api_service::Explain(const http_call& call) const {
   const auto parsed = ParseJob(call.body);
   if (!parsed.value) {
