shard: refuse a job that fits no worker also where its entry couldn't tell

Cause: an entry that has just started has no VM list and passes every job on; the owner accepted a job larger than every worker, and it waited for ever. Change: the owner knows what the listed workers hold and refuses such a new job as never_fits.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -205,7 +205,7 @@
   job.mutable_treatment()->set_policy(spec.kind() == wire::JOB_SERVICE ? "spread" : "pack");
   job.mutable_treatment()->set_retries(5);
   job.mutable_treatment()->set_preemptible(spec.job().back() % 2 == 0);
-  world_.time.Trace("submit " + name);
+  world_.time.Trace("submit " + name + " " + spec.ShortDebugString());
   CallAt(*entry, std::move(call), kJobLimit,
          [this, name, tries_left](const wire::call_answer* answer) {
            const bool taken = answer != nullptr && answer->error().kind().empty();
--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -782,6 +782,12 @@
       *by_shard[number].add_vms() = vm;
     }
   }
+  std::vector<resources> sizes;
+  for (const auto& vm : answer.vms()) {
+    if (vm.kind() == wire::VM_WORKER) {
+      sizes.push_back(internal::FromWire(vm.holds()));
+    }
+  }
   std::vector<absence> absent;
   std::set<party> listed;
   bool shown = false;
@@ -801,6 +807,7 @@
   }
   for (shard_number number = 0; number < slots_.size(); ++number) {
     WithShard(number, at, [&](shard& value, shard_output& out) {
+      value.SetWorkerSizes(sizes);
       auto text = by_shard[number].SerializeAsString();
       if (text != slots_[number]->listed) {
         slots_[number]->listed = std::move(text);
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -7,6 +7,10 @@
 #include <chrono>
 #include <utility>
 
+#include "rosearch/capacity/amounts.h"
+
+#include "rosearch/capacity/amounts.h"
+
 namespace rosearch {
 namespace {
 
@@ -452,6 +456,16 @@
   return Serving(now) && (rights_.WitnessActive() || log_up_);
 }
 
+/// An entry that has just started takes a job before it has read the VM list. Accepted here too, a
+/// job that fits no worker would wait for ever.
+bool shard::NeverFits(const wire::job_spec& spec) const {
+  const auto needs = internal::FromWire(spec.needs());
+  const bool is_known = state().FindJob({spec.customer(), spec.job()}) != nullptr;
+  return !is_known && !worker_sizes_.empty() &&
+         std::ranges::none_of(worker_sizes_,
+                              [&](const resources& size) { return needs.FitsIn(size); });
+}
+
 void shard::Refuse(const call_origin& from, const error& why, shard_output& out) const {
   wire::call_answer answer;
   *answer.mutable_error() = ToWire(why);
@@ -478,6 +492,10 @@
       requests_.OnRequest(from, call.request(), deadline, at.unix_ms, out);
       break;
     case wire::call::kSubmit:
+      if (NeverFits(call.submit().job().spec())) {
+        Refuse(from, {error_kind::kNeverFits, "larger than every worker that is listed", {}}, out);
+        return;
+      }
       jobs_.OnSubmit(from, call.submit().job(), JobContext(at), out);
       break;
     case wire::call::kStatus:
--- a/src/rosearch/shard/shard.h
+++ b/src/rosearch/shard/shard.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "rosearch/capacity/vm_pool.h"
@@ -77,6 +78,8 @@
   void OnUsage(const entry_id& entry, const std::vector<wire::customer_usage>& usage);
   void OnEntryGone(const entry_id& entry);
   void SetQuotas(std::map<std::string, resources> quotas);
+  /// @param sizes  what each worker of the cell holds when empty; none: not known yet.
+  void SetWorkerSizes(std::vector<resources> sizes) { worker_sizes_ = std::move(sizes); }
   /// @param weights  each customer's share of executor slots against the others'.
   void SetWeights(std::map<std::string, std::uint32_t> weights);
 
@@ -163,6 +166,7 @@
   void Dispatch(const step_time& at, shard_output& out);
   void Refuse(const call_origin& from, const error& why, shard_output& out) const;
   [[nodiscard]] bool CanAccept(time_point now) const;
+  [[nodiscard]] bool NeverFits(const wire::job_spec& spec) const;
   [[nodiscard]] std::uint64_t Term() const noexcept;
   [[nodiscard]] job_context JobContext(const step_time& at) { return {at.now, cell_}; }
 
@@ -180,6 +184,7 @@
   request_table requests_;
   executor_lane executors_;
 
+  std::vector<resources> worker_sizes_;
   phase phase_{phase::kIdle};
   bool log_up_{false};
   bool draining_{false};
