Check customers' names in documents by the rule of headers and jobs

Ruled out: a second rule in config (the one of names moved to core). Conclusion: one rule for names.

--- a/src/rosearch/config/configuration.cc
+++ b/src/rosearch/config/configuration.cc
@@ -10,6 +10,7 @@
 
 #include "rosearch/config/document_reader.h"
 #include "rosearch/config/json_values.h"
+#include "rosearch/core/name.h"
 
 namespace rosearch::config {
 namespace {
@@ -174,6 +175,8 @@
     }
     if (next.name.value() == "*") {
       faults.push_back({path, "*", "a name other than the one that stands for all customers"});
+    } else if (!IsValidName(next.name.value())) {
+      faults.push_back({path, next.name.value(), "letters, digits and . _ : -"});
     }
     all.push_back(std::move(next));
   }
--- a/src/rosearch/shard/task_key.cc
+++ b/src/rosearch/shard/task_key.cc
@@ -1,21 +1,9 @@
 #include "rosearch/shard/task_key.h"
 
-#include <algorithm>
 #include <boost/crc.hpp>
 #include <charconv>
 
 namespace rosearch {
-namespace {
-
-constexpr std::size_t kLongestName = 128;
-
-constexpr bool IsNameCharacter(char c) noexcept {
-  return (c >= 'A' && c <= 'Z') || (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '.' ||
-         c == '_' || c == ':' || c == '-';
-}
-
-}  // namespace
-
 std::string ToText(const task_key& key) {
   return key.job.customer + '/' + key.job.job + '#' + std::to_string(key.index);
 }
@@ -37,10 +25,6 @@
   return key;
 }
 
-bool IsValidName(std::string_view name) noexcept {
-  return !name.empty() && name.size() <= kLongestName && std::ranges::all_of(name, IsNameCharacter);
-}
-
 shard_number HomeShard(std::string_view customer, std::string_view name,
                        shard_number shards) noexcept {
   boost::crc_32_type crc;
--- a/src/rosearch/shard/task_key.h
+++ b/src/rosearch/shard/task_key.h
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "rosearch/core/id.h"
+#include "rosearch/core/name.h"
 
 namespace rosearch {
 
@@ -33,9 +34,6 @@
 /// @return the key, or none where the text is no task's name.
 [[nodiscard]] std::optional<task_key> ParseTaskKey(std::string_view text);
 
-/// @return whether a customer, job or request may be called that: 1 to 128 of A-Z a-z 0-9 . _ : -
-[[nodiscard]] bool IsValidName(std::string_view name) noexcept;
-
 /// Where a key's state is kept.
 /// @param customer, name  the customer and its job or request.
 /// @param shards          the number of shards of the cell, at least 1.
