Move shards by way of their witness, so that a move stops nothing

Ruled out: skipping the witness's consent (two holders). Change: a shard is given to its present witness, which takes an entry with few shards as its next witness; one without an active witness is paired anew.

--- a/src/rosearch/config/configuration.cc
+++ b/src/rosearch/config/configuration.cc
@@ -175,7 +175,7 @@
     }
     if (next.name.value() == "*") {
       faults.push_back({path, "*", "a name other than the one that stands for all customers"});
-    } else if (!IsValidName(next.name.value())) {
+    } else if (!next.name.empty() && !IsValidName(next.name.value())) {
       faults.push_back({path, next.name.value(), "letters, digits and . _ : -"});
     }
     all.push_back(std::move(next));
--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -1088,13 +1088,42 @@
   if (!move) {
     return;
   }
-  LOG(INFO) << "event=shard_move shard=" << move->shard << " to=" << move->to;
-  WithShard(move->shard, at, [&](shard& value, shard_output& out) {
-    auto& item = *slots_[move->shard];
-    item.moving_to = move->to;
+  BeginMove(mine, move->to, at);
+}
+
+/// How near a shard is to an entry that it should move to; the nearest is moved.
+template <node_ports Ports>
+typename basic_node<Ports>::move_step basic_node<Ports>::StepTowards(const shard& value,
+                                                                     const party& to) {
+  if (value.rights().WitnessActive()) {
+    return value.rights().witness() == to ? move_step::kGive : move_step::kGiveToWitness;
+  }
+  return move_step::kPair;
+}
+
+template <node_ports Ports>
+void basic_node<Ports>::BeginMove(const std::vector<shard_number>& mine, const party& to,
+                                  const step_time& at) {
+  std::optional<std::pair<move_step, shard_number>> best;
+  for (const auto number : mine) {
+    const std::scoped_lock lock{slots_[number]->mutex};
+    const std::pair found{StepTowards(slots_[number]->value, to), number};
+    best = best ? std::min(*best, found) : found;
+  }
+  if (!best) {
+    return;
+  }
+  WithShard(best->second, at, [&](shard& value, shard_output& out) {
+    auto& item = *slots_[best->second];
+    // Replacing an active witness would stop the shard until that witness's promise has run out. By
+    // way of the present witness, which then takes the one with few shards as its own, nothing
+    // stops.
+    const bool by_witness = best->first == move_step::kGiveToWitness;
+    item.moving_to = by_witness ? value.rights().witness() : to;
     item.move_until = at.now + settings_.move_limit;
-    if (value.rights().witness() != move->to) {
-      value.BeginClaimWith(move->to, at, out);
+    LOG(INFO) << "event=shard_move shard=" << best->second << " to=" << *item.moving_to;
+    if (best->first == move_step::kPair) {
+      value.BeginClaimWith(to, at, out);
     }
   });
 }
@@ -1136,8 +1165,8 @@
   });
 }
 
-/// A shard moves by way of its witness: the one it moves to is made the witness, gets the state,
-/// and is then given the right. Calls are refused only between the last two steps.
+/// A shard moves to its witness, which has its state. Calls are refused only while the last
+/// requests in flight end.
 template <node_ports Ports>
 void basic_node<Ports>::ContinueMove(slot& item, const step_time& at, shard_output& out) {
   if (!item.moving_to) {
--- a/src/rosearch/node/shard_balance.cc
+++ b/src/rosearch/node/shard_balance.cc
@@ -9,6 +9,9 @@
 namespace rosearch {
 namespace {
 
+/// Owners that differ by less are left as they are, so that nothing is moved to and fro.
+constexpr std::size_t kWorthMoving = 2;
+
 /// A member's weight for a shard, by highest random weight hashing. The checksum alone would not
 /// do: it is linear, so that one member would outweigh the others for every shard.
 std::size_t Weight(shard_number shard, const entry_id& entry) {
@@ -29,10 +32,11 @@
 
 std::vector<party> WitnessCandidates(shard_number shard, const member& self,
                                      const std::vector<const member*>& live) {
-  std::vector<std::tuple<bool, std::size_t, party>> ranked;
+  std::vector<std::tuple<bool, bool, std::size_t, party>> ranked;
   for (const auto* const each : live) {
     if (each->who.entry != self.who.entry && each->region == self.region) {
-      ranked.emplace_back(each->failure_domain == self.failure_domain,
+      const bool has_room = each->owned.size() + kWorthMoving <= self.owned.size();
+      ranked.emplace_back(each->failure_domain == self.failure_domain, !has_room,
                           Weight(shard, each->who.entry), each->who);
     }
   }
@@ -56,7 +60,7 @@
   const auto [fewest, most] = std::ranges::minmax_element(owned, by_count);
   const auto giver = std::ranges::max_element(owned, by_count);
   (void)most;
-  if (giver->first != owner || giver->second.size() < fewest->second.size() + 2) {
+  if (giver->first != owner || giver->second.size() < fewest->second.size() + kWorthMoving) {
     return std::nullopt;
   }
   return shard_move{giver->second.back(), fewest->first};
--- a/src/rosearch/node/shard_balance.h
+++ b/src/rosearch/node/shard_balance.h
@@ -17,8 +17,10 @@
 [[nodiscard]] const member& Claimant(shard_number shard, const std::vector<const member*>& live);
 
 /// @param self  a member; the best witness for its shards comes first.
-/// @return the other members, those of another failure domain before those of its own, in an order
-///   that differs from shard to shard so that no member is everybody's witness.
+/// @return the other members, those of another failure domain before those of its own, then those
+/// who
+///   own far fewer shards, because a shard moves by way of its witness; otherwise in an order that
+///   differs from shard to shard so that no member is everybody's witness.
 [[nodiscard]] std::vector<party> WitnessCandidates(shard_number shard, const member& self,
                                                    const std::vector<const member*>& live);
 
