--- a/scripts/measure/snapshot.py
+++ b/scripts/measure/snapshot.py
@@ -2,6 +2,7 @@
 """Whether a takeover's snapshot still fits one append, by remembered request ids of the shard."""
 
 import signal
+import sys
 
 import cell as c
 from slopes import request
@@ -12,7 +13,7 @@
         owner = cell.wait_served()[0]
         assert cell.publish(c.rules(), "first", 0)[0] == 200
         c.time.sleep(4)
-        rate = 400
+        rate = 500
         answers = c.paced(rate, ids / rate, lambda number: request(cell, owner, f"id-{c.time.monotonic_ns()}-{number}",
                                                                    label="order"))
         c.time.sleep(2)
@@ -27,4 +28,4 @@
 
 
 if __name__ == "__main__":
-    c.report("snapshot of a takeover, 2 entries, 1 shard", [measure(each) for each in (500, 4000)])
+    c.report("snapshot of a takeover, 2 entries, 1 shard", [measure(int(each)) for each in sys.argv[1:] or (500, 4000, 10000)])
