Send a published document only to peers that the log has not told

Ruled out: smaller documents. Change: a peer is offered it once it has said, 2 s after, that it is still behind, and then each 3 s. Conclusion: the log carries publishes, heartbeats only what it can't.

--- a/src/rosearch/node/internal/node_impl.h
+++ b/src/rosearch/node/internal/node_impl.h
@@ -31,6 +31,12 @@
 /// claimed through the log once this entry is gone.
 inline constexpr duration kWaitForWitness = std::chrono::seconds{5};
 
+/// A published version is on the way to a peer by the log for no longer than this.
+inline constexpr duration kLogTells = std::chrono::seconds{2};
+
+/// Until a peer that is still behind is sent the configuration again.
+inline constexpr duration kOfferAgain = std::chrono::seconds{3};
+
 /// Farewell messages are repeated so often: one that is lost costs its peers a lapse.
 inline constexpr std::uint32_t kFarewells = 3;
 
@@ -125,6 +131,9 @@
   if (ticket.has_error()) {
     LOG(ERROR) << "event=append_refused shard=" << from.value.number()
                << " detail=" << ticket.error().detail;
+    // The batch was taken out and is not on the log. Without a snapshot after it a later reader
+    // would see a gap and take the shard's state for older than it is.
+    from.value.RequestLogSnapshot();
     return;
   }
   cell_.tickets[ticket.value()] = {from.value.number(), last};
@@ -949,6 +958,27 @@
   }
 }
 
+/// A peer that reads the log learns of a version there within a moment. Only one that says it is
+/// still behind after that is sent the document: sent to everybody with every publish, 690 changes
+/// a day of 690 rules each would alone use up a node's bytes.
+template <node_ports Ports>
+bool basic_node<Ports>::OffersConfiguration(const entry_id& entry, const member& known,
+                                            time_point now) {
+  const auto version = cell_.control.configuration().version();
+  if (std::exchange(cell_.offered_version, version) != version) {
+    cell_.offered_since = now;
+    cell_.offered_at.clear();
+  }
+  auto& offered_at = cell_.offered_at[entry];
+  const bool behind =
+      known.version < version && known.last_heard >= cell_.offered_since + internal::kLogTells;
+  if (!behind || now < offered_at + internal::kOfferAgain) {
+    return false;
+  }
+  offered_at = now;
+  return true;
+}
+
 template <node_ports Ports>
 void basic_node<Ports>::Beat(time_point now) {
   {
@@ -1010,7 +1040,7 @@
     }
     wire::peer_message message;
     *message.mutable_beat() = beat;
-    if (known.version < record.version()) {
+    if (OffersConfiguration(entry, known, now)) {
       *message.mutable_beat()->mutable_configuration() = record;
     }
     *message.mutable_from() = ToWire(settings_.self);
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -185,6 +185,9 @@
     bool list_under_way{false};
     time_point list_at{};
     time_point beat_at{};
+    config_version offered_version{0};
+    time_point offered_since{};
+    std::map<entry_id, time_point> offered_at;
     usage_teller usage_told;
     usage_memory usage_heard;
     time_point balance_at{kNever};
@@ -220,6 +223,8 @@
   void AskLog(time_point now);
   void AskVmList(time_point now);
   void Beat(time_point now);
+  [[nodiscard]] bool OffersConfiguration(const entry_id& entry, const member& known,
+                                         time_point now);
   void EndPublishes(const control_change& change, time_point now);
   [[nodiscard]] wire::entry_announcement Announcement() const;
   [[nodiscard]] bool LogUp(time_point now) const;
