Split the node, the shard and the job table by job

Cause: node_impl.h had grown to 1,350 lines, job_table.cc to 810, shard.cc to 650; each held several jobs. Ruled out: splitting the classes themselves (they share one lock and one state). Change: sections became files: steps, messages, platform, upkeep, balance, views; a shard's work beside its rights and records; gangs beside tasks.

--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -254,6 +254,11 @@
 
 }  // namespace rosearch
 
-#include "rosearch/node/internal/node_impl.h"  // IWYU pragma: export
+#include "rosearch/node/internal/node_balance.h"   // IWYU pragma: export
+#include "rosearch/node/internal/node_messages.h"  // IWYU pragma: export
+#include "rosearch/node/internal/node_platform.h"  // IWYU pragma: export
+#include "rosearch/node/internal/node_shards.h"    // IWYU pragma: export
+#include "rosearch/node/internal/node_upkeep.h"    // IWYU pragma: export
+#include "rosearch/node/internal/node_views.h"     // IWYU pragma: export
 
 #endif  // ROSEARCH_NODE_NODE_H_
--- a/src/rosearch/shard/job_settings.h
+++ b/src/rosearch/shard/job_settings.h
@@ -14,6 +14,7 @@
   duration retry_room{std::chrono::milliseconds{200}};  ///< until room is looked for again
   duration retry_failed{std::chrono::seconds{1}};       ///< until a failed task is tried again
   duration hold{std::chrono::seconds{5}};               ///< a gang's holds lapse after this
+  duration avoid{std::chrono::seconds{2}};              ///< a shard that refused a gang
   duration keep_ended{std::chrono::minutes{30}};        ///< an ended job can be asked for so long
   std::size_t steps_per_tick{400};                      ///< tasks looked at in one tick
 };
--- a/src/rosearch/shard/task_key.cc
+++ b/src/rosearch/shard/task_key.cc
@@ -4,10 +4,18 @@
 #include <charconv>
 
 namespace rosearch {
+
 std::string ToText(const task_key& key) {
   return key.job.customer + '/' + key.job.job + '#' + std::to_string(key.index);
 }
 
+wire::task_ref RefOf(const task_key& key, std::uint32_t attempt) {
+  wire::task_ref ref;
+  ref.set_task(ToText(key));
+  ref.set_attempt(attempt);
+  return ref;
+}
+
 std::optional<task_key> ParseTaskKey(std::string_view text) {
   const auto slash = text.find('/');
   const auto hash = text.rfind('#');
--- a/src/rosearch/shard/task_key.h
+++ b/src/rosearch/shard/task_key.h
@@ -9,6 +9,7 @@
 
 #include "rosearch/core/id.h"
 #include "rosearch/core/name.h"
+#include "rosearch/wire/common.pb.h"
 
 namespace rosearch {
 
@@ -31,6 +32,9 @@
 /// @return the key as text, as it stands in messages, logs and on workers.
 [[nodiscard]] std::string ToText(const task_key& key);
 
+/// @return one attempt of the task, as messages and records name it.
+[[nodiscard]] wire::task_ref RefOf(const task_key& key, std::uint32_t attempt);
+
 /// @return the key, or none where the text is no task's name.
 [[nodiscard]] std::optional<task_key> ParseTaskKey(std::string_view text);
 
