--- a/soak/main.cc
+++ b/soak/main.cc
@@ -10,7 +10,7 @@
 std::string replay;  // NOLINT: the failure function takes no argument
 
 /// A check inside the program failed: says how to see it again.
-void OnCheckFailed() {
+__attribute__((noreturn)) void OnCheckFailed() {
   std::cerr << "promise=internal-check replay=\"" << replay << "\"\n";
   std::abort();
 }
--- a/soak/world.cc
+++ b/soak/world.cc
@@ -278,7 +278,10 @@
 
 void world::OnStart(const std::string& vm, const wire::task_start& start) {
   const auto& name = start.ref().task();
-  time.Trace("task " + name + " attempt=" + std::to_string(start.ref().attempt()) + " at " + vm);
+  std::string line = "task " + name + " attempt=";
+  line += std::to_string(start.ref().attempt());
+  line += " at ";
+  time.Trace(line += vm);
   for (const auto& [other, worker] : workers) {
     if (worker.Runs(name, time.now())) {
       time.Breach("single-run", name + " starts at " + vm + " and still runs at " + other);
--- a/test/process/stop_test.cc
+++ b/test/process/stop_test.cc
@@ -28,8 +28,10 @@
   std::atomic<bool> restarting{false};  // Entry 2 is out of the balancer meanwhile.
   std::mutex mutex;
   std::vector<std::string> broken;
+  constexpr int kCallers = 12;
   std::vector<std::thread> callers;
-  for (int caller = 0; caller < 12; ++caller) {
+  callers.reserve(kCallers);
+  for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back([&, caller] {
       for (int number = 0; !over; ++number) {
         const int entry = 1 + (caller + number) % 3;
