--- a/soak/world.cc
+++ b/soak/world.cc
@@ -284,7 +284,9 @@
   time.Trace(line += vm);
   for (const auto& [other, worker] : workers) {
     if (worker.Runs(name, time.now())) {
-      time.Breach("single-run", name + " starts at " + vm + " and still runs at " + other);
+      auto text = name;
+      text.append(" starts at ").append(vm).append(" and still runs at ").append(other);
+      time.Breach("single-run", text);
     }
   }
   const auto sum = workers.at(vm).Running(time.now()) + internal::FromWire(start.needs());
