Make one error answer of three, and drop what nothing reads

Cause: job_table and request_table each had their own function for an answer that is only an error; shard_settings kept a recover_limit that no code reads, and the balance step a copy of one flag. Ruled out: moving call_table's variant (it sets the number). Change: ErrorAnswer beside ToWire; the dead state is gone; behaviour is unchanged. Measured: test_shard 98 assertions, test_node and the demo green, clang-format clean; clang-tidy was not run again. Conclusion: one place makes that answer.

--- a/src/rosearch/node/internal/node_balance.h
+++ b/src/rosearch/node/internal/node_balance.h
@@ -12,7 +12,6 @@
 void basic_node<Ports>::Balance(const step_time& at) {
   std::vector<member> copies;
   bool claims = false;
-  bool moves = false;
   {
     const std::scoped_lock lock{cell_.mutex};
     if (at.now < cell_.balance_at || cell_.stopping) {
@@ -25,7 +24,6 @@
       }
     }
     claims = cell_.config_known && LogUp(at.now);
-    moves = claims;
   }
   std::vector<const member*> live;
   std::map<party, std::vector<shard_number>> owned;
@@ -57,7 +55,7 @@
     }
     moving = moving || slots_[number]->moving_to.has_value();
   }
-  const auto move = moves && !moving ? NextMove(settings_.self, owned) : std::nullopt;
+  const auto move = claims && !moving ? NextMove(settings_.self, owned) : std::nullopt;
   if (!move) {
     return;
   }
--- a/src/rosearch/shard/job_table.cc
+++ b/src/rosearch/shard/job_table.cc
@@ -27,12 +27,6 @@
   return job == nullptr ? 0 : job->accepted.treatment().priority();
 }
 
-wire::call_answer ErrorAnswer(const error& why) {
-  wire::call_answer answer;
-  *answer.mutable_error() = ToWire(why);
-  return answer;
-}
-
 wire::call_answer ErrorAnswer(error_kind kind, std::string detail) {
   return ErrorAnswer(error{kind, std::move(detail)});
 }
--- a/src/rosearch/shard/request_table.cc
+++ b/src/rosearch/shard/request_table.cc
@@ -7,12 +7,6 @@
 namespace rosearch {
 namespace {
 
-wire::call_answer ErrorAnswer(const error& value) {
-  wire::call_answer answer;
-  *answer.mutable_error() = ToWire(value);
-  return answer;
-}
-
 /// Tells whether two requests of one id are the same. A checksum of the body and its length: the
 /// body itself is not kept.
 std::uint64_t HashOf(const wire::request_call& call) {
--- a/src/rosearch/shard/shard_output.cc
+++ b/src/rosearch/shard/shard_output.cc
@@ -24,6 +24,12 @@
   return made;
 }
 
+wire::call_answer ErrorAnswer(const error& value) {
+  wire::call_answer answer;
+  *answer.mutable_error() = ToWire(value);
+  return answer;
+}
+
 error NoSecondCopy() {
   return {error_kind::kNotReady, "no second copy can be kept at the moment",
           std::chrono::milliseconds{500}};
--- a/src/rosearch/shard/shard_output.h
+++ b/src/rosearch/shard/shard_output.h
@@ -82,6 +82,9 @@
 ///   `kInternal`.
 [[nodiscard]] error FromWire(const wire::error_body& value);
 
+/// @return an answer that is only an error; the call's number is left to the caller.
+[[nodiscard]] wire::call_answer ErrorAnswer(const error& value);
+
 /// @return why an owner accepts nothing that it would have to remember: neither a witness nor the
 /// log
 ///   has its records, so that they would be lost with its one process.
--- a/src/rosearch/shard/shard_settings.h
+++ b/src/rosearch/shard/shard_settings.h
@@ -14,8 +14,6 @@
   pool_settings pool;
   job_settings jobs;
   request_settings requests;
-  /// A record that nobody but this process holds is waited for no longer than this.
-  duration recover_limit{std::chrono::seconds{10}};
 };
 
 }  // namespace rosearch
