--- /dev/null
+++ b/src/rosearch/cell/advice_desk.cc
@@ -0,0 +1,67 @@
+#include "rosearch/cell/advice_desk.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace rosearch::cell {
+namespace {
+
+/// One of so many processes takes no long questions.
+constexpr std::size_t kUrgentOnlyShare = 3;
+
+}  // namespace
+
+duration CostOf(const sched::advice_query& query) {
+  return query.cost.base + query.cost.per_worker * static_cast<int>(query.workers.size());
+}
+
+void advice_desk::SetHelpers(const std::vector<std::string>& helpers) {
+  std::vector<helper> next;
+  for (const auto& address : helpers) {
+    const auto known = std::ranges::find(helpers_, address, &helper::address);
+    next.push_back({address, known != helpers_.end() && known->busy});
+  }
+  // A process that is busy and no longer named is dropped: its answer still comes or times out.
+  helpers_ = std::move(next);
+}
+
+void advice_desk::Add(sched::advice_query query) {
+  auto& queue = CostOf(query) > kLong ? long_ : urgent_;
+  const auto place = std::ranges::find_if(
+      queue, [&](const auto& other) { return other.priority > query.priority; });
+  queue.insert(place, std::move(query));
+}
+
+advice_desk::helper* advice_desk::FreeHelper(bool long_question) {
+  const auto urgent_only = helpers_.size() > 1 ? std::max<std::size_t>(1, helpers_.size() / kUrgentOnlyShare) : 0;
+  for (std::size_t at = 0; at < helpers_.size(); ++at) {
+    if (!helpers_[at].busy && (!long_question || at >= urgent_only)) {
+      return &helpers_[at];
+    }
+  }
+  return nullptr;
+}
+
+std::optional<advice_desk::assignment> advice_desk::Next() {
+  for (auto* const queue : {&urgent_, &long_}) {
+    if (queue->empty()) {
+      continue;
+    }
+    if (auto* const free = FreeHelper(queue == &long_)) {
+      free->busy = true;
+      assignment made{free->address, std::move(queue->front())};
+      queue->pop_front();
+      return made;
+    }
+  }
+  return std::nullopt;
+}
+
+void advice_desk::Done(const std::string& address) {
+  const auto found = std::ranges::find(helpers_, address, &helper::address);
+  if (found != helpers_.end()) {
+    found->busy = false;
+  }
+}
+
+}  // namespace rosearch::cell
--- /dev/null
+++ b/src/rosearch/cell/election.cc
@@ -0,0 +1,54 @@
+#include "rosearch/cell/election.h"
+
+namespace rosearch::cell {
+
+bool election::OnLeadership(const leadership& claimed, time_point now) {
+  if (claimed.epoch <= known_.epoch) {
+    return false;
+  }
+  known_ = claimed;
+  leaving_ = false;
+  heard_at_ = time_point{};
+  quiet_since_ = now;
+  return true;
+}
+
+void election::OnHeard(std::uint64_t epoch, time_point now) {
+  if (epoch == known_.epoch) {
+    heard_at_ = now;
+    quiet_since_ = now;
+  }
+}
+
+void election::OnLeaderLeaving(std::uint64_t epoch) {
+  if (epoch == known_.epoch) {
+    leaving_ = true;
+  }
+}
+
+duration election::OwnDelay() const {
+  const auto spread = std::chrono::duration_cast<duration>(settings_.spread * jitter_);
+  return spread + (small_ ? settings_.small_waits : duration{});
+}
+
+bool election::Hears(time_point now) const {
+  return heard_at_ != time_point{} && now - heard_at_ < settings_.suspect_after;
+}
+
+bool election::Suspects(time_point now) const {
+  if (!read_ || quiet_since_ == time_point{}) {
+    return false;
+  }
+  return leaving_ || known_.epoch == 0 || now - quiet_since_ >= settings_.suspect_after;
+}
+
+bool election::ShouldClaim(time_point now) const {
+  if (!Suspects(now) || now < claim_again_at_) {
+    return false;
+  }
+  const bool at_once = leaving_ || known_.epoch == 0;
+  const auto patience = at_once ? duration{} : settings_.suspect_after;
+  return now - quiet_since_ >= patience + OwnDelay();
+}
+
+}  // namespace rosearch::cell
--- /dev/null
+++ b/src/rosearch/cell/election.h
@@ -0,0 +1,92 @@
+#ifndef ROSEARCH_CELL_ELECTION_H_
+#define ROSEARCH_CELL_ELECTION_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "rosearch/core/time.h"
+
+namespace rosearch::cell {
+
+/// A leadership as the store's log of claims has it. Its epoch is unique and rises, since it is the
+/// claim's place in that log.
+struct leadership {
+  std::uint64_t epoch{0};  ///< 0: none
+  std::string address;     ///< of the leader, for messages between processes
+  std::string name;
+  std::uint64_t incarnation{0};
+
+  friend bool operator==(const leadership&, const leadership&) = default;
+};
+
+/// Bounds of an `election`.
+struct election_settings {
+  /// A leader that answered nothing for so long is suspected. Eight pings are missed by then; a
+  /// leader at a fifth of its speed still answers in time.
+  duration suspect_after{std::chrono::milliseconds{800}};
+  /// A process with little processor time lets larger ones claim first.
+  duration small_waits{std::chrono::milliseconds{500}};
+  /// Each process waits up to so long more, so that not all claim at once.
+  duration spread{std::chrono::milliseconds{80}};
+  /// A claim that wasn't answered is looked up, and made again after this.
+  duration claim_again{std::chrono::milliseconds{400}};
+
+  friend bool operator==(const election_settings&, const election_settings&) = default;
+};
+
+/// Decides when this process claims leadership. Whether it gets it, the store decides: a claim is
+/// an append at the end of the log of claims as this process has read it, so of two claims one is
+/// refused.
+class election {
+ public:
+  /// @param small   whether larger processes should rather lead.
+  /// @param jitter  from 0 to 1, drawn at the start of the process.
+  election(const election_settings& settings, bool small, double jitter)
+      : settings_{settings}, small_{small}, jitter_{jitter} {}
+
+  /// The log of claims was read to its end.
+  void OnClaimsRead(time_point now) {
+    read_ = true;
+    if (known_.epoch == 0 && quiet_since_ == time_point{}) {
+      quiet_since_ = now;
+    }
+  }
+  /// A claim was read, or a peer told of one. An older one than that known is ignored.
+  /// @return whether it is news.
+  bool OnLeadership(const leadership& claimed, time_point now);
+  /// The leader answered.
+  void OnHeard(std::uint64_t epoch, time_point now);
+  /// The leader said that it is about to stop, or its connection was refused.
+  void OnLeaderLeaving(std::uint64_t epoch);
+  /// A claim was sent.
+  void OnClaimSent(time_point now) { claim_again_at_ = now + settings_.claim_again; }
+  /// A peer hears the leader that this process doesn't.
+  void OnPeerHears(time_point now) { quiet_since_ = now; }
+
+  /// @return whether nothing was heard of the leader for long enough to ask the peers.
+  [[nodiscard]] bool Suspects(time_point now) const;
+  /// @return whether this process should claim leadership now.
+  [[nodiscard]] bool ShouldClaim(time_point now) const;
+  /// @return whether the leader's answer is fresh.
+  [[nodiscard]] bool Hears(time_point now) const;
+
+  [[nodiscard]] const leadership& Known() const { return known_; }
+
+ private:
+  [[nodiscard]] duration OwnDelay() const;
+
+  election_settings settings_;
+  bool small_;
+  double jitter_;
+  leadership known_;
+  bool read_{false};
+  bool leaving_{false};
+  time_point heard_at_{};
+  time_point quiet_since_{};
+  time_point claim_again_at_{};
+};
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_ELECTION_H_
--- /dev/null
+++ b/src/rosearch/cell/fwd.h
@@ -0,0 +1,14 @@
+#ifndef ROSEARCH_CELL_FWD_H_
+#define ROSEARCH_CELL_FWD_H_
+
+namespace rosearch::cell {
+
+class advice_desk;
+class election;
+class peer_link;
+class relayed_client;
+struct cell_settings;
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_FWD_H_
--- /dev/null
+++ b/src/rosearch/cell/peer_link.cc
@@ -0,0 +1,127 @@
+#include "rosearch/cell/peer_link.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "rosearch/platform/clock.h"
+
+namespace rosearch::cell {
+namespace {
+
+/// Longer than any question is repeated.
+constexpr duration kRemember = std::chrono::seconds{4};
+
+std::string KeyOf(const wire::peer_frame& question) {
+  return question.from() + '#' + std::to_string(question.exchange());
+}
+
+}  // namespace
+
+peer_link::peer_link(boost::asio::io_context& io, const std::string& address, receive on_message)
+    : io_{io}, on_message_{std::move(on_message)} {
+  transport_ = std::make_unique<peer_transport>(
+      address, [this, alive = std::weak_ptr<bool>{alive_}](std::string bytes) {
+        boost::asio::post(io_, [this, alive, bytes = std::move(bytes)] {
+          if (!alive.expired()) {
+            Receive(bytes);
+          }
+        });
+      });
+}
+
+peer_link::~peer_link() = default;
+
+const std::string& peer_link::address() const { return transport_->address(); }
+
+void peer_link::Tell(const std::string& to, wire::peer_frame frame) {
+  frame.set_from(address());
+  transport_->Send(to, frame.SerializeAsString());
+}
+
+void peer_link::Ask(const std::string& to, wire::peer_frame frame, time_point answer_by,
+                    answer_callback done) {
+  const auto exchange = next_exchange_++;
+  frame.set_exchange(exchange);
+  frame.set_from(address());
+  transport_->Send(to, frame.SerializeAsString());
+  questions_[exchange] = std::make_unique<question>(
+      question{to, std::move(frame), answer_by, std::move(done), boost::asio::steady_timer{io_}});
+  Wait(exchange);
+}
+
+void peer_link::Wait(std::uint64_t exchange) {
+  auto& asked = *questions_[exchange];
+  const auto next = std::min(asked.answer_by, SteadyNow() + kRepeat);
+  asked.timer.expires_after(next - SteadyNow());
+  asked.timer.async_wait([this, exchange, alive = std::weak_ptr<bool>{alive_}](
+                             const boost::system::error_code& failed) {
+    if (failed || alive.expired()) {
+      return;
+    }
+    const auto found = questions_.find(exchange);
+    if (found == questions_.end()) {
+      return;
+    }
+    if (SteadyNow() >= found->second->answer_by) {
+      const auto ended = std::move(found->second);
+      questions_.erase(found);
+      ended->done(nullptr);
+      return;
+    }
+    transport_->Send(found->second->to, found->second->frame.SerializeAsString());
+    Wait(exchange);
+  });
+}
+
+void peer_link::Answer(const wire::peer_frame& question, wire::peer_frame answer) {
+  answer.set_exchange(question.exchange());
+  answer.set_from(address());
+  auto bytes = answer.SerializeAsString();
+  const auto known = answers_.find(KeyOf(question));
+  if (known != answers_.end()) {
+    known->second = bytes;
+  }
+  transport_->Send(question.from(), std::move(bytes));
+}
+
+bool peer_link::IsRepeat(const wire::peer_frame& question) {
+  const auto now = SteadyNow();
+  while (!received_.empty() && received_.front().forget_at <= now) {
+    answers_.erase(received_.front().key);
+    received_.pop_front();
+  }
+  auto key = KeyOf(question);
+  const auto [known, fresh] = answers_.try_emplace(key);
+  if (fresh) {
+    received_.push_back({std::move(key), now + kRemember});
+  } else if (!known->second.empty()) {
+    transport_->Send(question.from(), known->second);
+  }
+  return !fresh;
+}
+
+void peer_link::Receive(const std::string& bytes) {
+  wire::peer_frame frame;
+  if (!frame.ParseFromString(bytes)) {
+    return;  // from a stranger: whoever asked asks again, and nothing hangs on one message
+  }
+  const bool is_answer = frame.has_pong() || frame.has_view() || frame.has_answer() ||
+                         frame.has_relayed();
+  if (!is_answer) {
+    const bool repeat = frame.exchange() != 0 && IsRepeat(frame);
+    if (!repeat) {
+      on_message_(frame);
+    }
+    return;
+  }
+  const auto found = questions_.find(frame.exchange());
+  if (found == questions_.end()) {
+    return;
+  }
+  const auto asked = std::move(found->second);
+  questions_.erase(found);
+  asked->done(&frame);
+}
+
+}  // namespace rosearch::cell
--- /dev/null
+++ b/src/rosearch/cell/peer_link.h
@@ -0,0 +1,84 @@
+#ifndef ROSEARCH_CELL_PEER_LINK_H_
+#define ROSEARCH_CELL_PEER_LINK_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "rosearch/core/time.h"
+#include "rosearch/net/peer_transport.h"
+#include "rosearch/wire/cell.pb.h"
+
+namespace rosearch::cell {
+
+/// Questions and answers between the processes of a cell. All calls and callbacks run on the
+/// thread of the io_context; the transport's own thread only hands messages over.
+class peer_link {
+ public:
+  /// Gets the answer, or nothing where none came in time.
+  using answer_callback = std::function<void(const wire::peer_frame*)>;
+  /// Takes a message that answers no question of ours.
+  using receive = std::function<void(const wire::peer_frame&)>;
+
+  /// @param address  host:port to bind.
+  peer_link(boost::asio::io_context& io, const std::string& address, receive on_message);
+  ~peer_link();
+  peer_link(const peer_link&) = delete;
+  peer_link& operator=(const peer_link&) = delete;
+
+  /// Sends a message that expects no answer.
+  void Tell(const std::string& to, wire::peer_frame frame);
+
+  /// Sends a question. It is sent again every `kRepeat` until it is answered: a message to a peer
+  /// whose connection is just being made is dropped.
+  void Ask(const std::string& to, wire::peer_frame frame, time_point answer_by,
+           answer_callback done);
+
+  /// Answers a question.
+  void Answer(const wire::peer_frame& question, wire::peer_frame answer);
+
+  /// @return host:port that is bound.
+  [[nodiscard]] const std::string& address() const;
+
+  /// Between two sendings of a question. Three times the round trip across failure domains on a
+  /// slow day, so that an answer that is under way is rarely asked for twice.
+  static constexpr duration kRepeat = std::chrono::milliseconds{150};
+
+ private:
+  struct question {
+    std::string to;
+    wire::peer_frame frame;
+    time_point answer_by;
+    answer_callback done;
+    boost::asio::steady_timer timer;
+  };
+  /// What became of a question that was received.
+  struct received {
+    std::string key;
+    time_point forget_at;
+  };
+  void Wait(std::uint64_t exchange);
+  void Receive(const std::string& bytes);
+  [[nodiscard]] bool IsRepeat(const wire::peer_frame& question);
+
+  boost::asio::io_context& io_;
+  receive on_message_;
+  std::uint64_t next_exchange_{1};
+  std::unordered_map<std::uint64_t, std::unique_ptr<question>> questions_;
+  // A question that comes again is not acted upon again; where it was answered, the answer goes out
+  // again. Otherwise one lost answer would make a peer carry out an order twice.
+  std::unordered_map<std::string, std::string> answers_;  ///< by asker and number; empty: not yet
+  std::deque<received> received_;
+  std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
+  std::unique_ptr<peer_transport> transport_;
+};
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_PEER_LINK_H_
--- /dev/null
+++ b/src/rosearch/cell/ports.h
@@ -0,0 +1,93 @@
+#ifndef ROSEARCH_CELL_PORTS_H_
+#define ROSEARCH_CELL_PORTS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rosearch/cell/store_types.h"
+#include "rosearch/core/result.h"
+#include "rosearch/core/time.h"
+#include "rosearch/sched/order.h"
+#include "rosearch/sched/scheduler.h"
+#include "rosearch/sched/worker_facts.h"
+
+namespace rosearch::cell {
+
+/// What a cell reads from the store, and writes there.
+enum class stream : std::uint8_t {
+  kClaims,         ///< ours: who claimed leadership; its newest record counts
+  kState,          ///< ours: jobs, and the workers that hold our leases
+  kConfiguration,  ///< the operator's
+  kWorkers,        ///< the workers' registry
+};
+
+/// What a watch of a worker brought.
+struct watch_answer {
+  std::optional<sched::worker_report> report;
+  sched::watch_failure failure{sched::watch_failure::kNoAnswer};  ///< without a report
+};
+
+/// A request that came in on a caller's connection.
+struct caller_request {
+  std::string method;
+  std::string host;  ///< in lower case, without a port
+  std::string path;
+  std::string body;
+};
+
+struct caller_answer {
+  unsigned status{500};
+  std::string body{};
+  std::uint32_t retry_after_s{0};  ///< 0: not said
+  bool not_leading{false};  ///< the leader is elsewhere; nothing was done but for `kMayBeStored`
+};
+
+/// Status of an answer `not_leading` to a job whose record was on its way to the store as this
+/// process stopped leading: the next leader may find it there, so it must not be called refused.
+inline constexpr unsigned kMayBeStored = 504;
+
+using start_callback = std::function<void(sched::start_outcome)>;
+/// Gets whether the worker obeys, and whether it refused because it obeys a newer leader.
+using stop_callback = std::function<void(bool heard, bool stale_fence)>;
+using watch_callback = std::function<void(watch_answer)>;
+using advice_callback = std::function<void(const std::vector<sched::advised_worker>*)>;
+
+/// Everything outside that a cell's processes talk to, in the product's own terms. All callbacks
+/// run once, on the thread of the io_context, never inside the call.
+template <typename Ports>
+concept cell_ports = requires(Ports ports, stream which, const std::vector<std::string>& records,
+                              const std::optional<writer_proof>& proof,
+                              const std::optional<std::uint64_t>& at, std::uint64_t from,
+                              const std::string& text, duration wait,
+                              const sched::start_order& start, const sched::stop_order& stop,
+                              const sched::pace_order& pace, const sched::watch_request& watch,
+                              const sched::advice_query& query, std::uint64_t fence) {
+  ports.Append(which, records, proof, at, append_callback{});
+  ports.Read(which, from, wait, log_callback{});
+  ports.Newest(which, text, newest_callback{});
+  ports.Start(start, fence, start_callback{});
+  ports.Stop(stop, fence, stop_callback{});
+  ports.Pace(pace, fence);
+  ports.Watch(watch, fence, watch_callback{});
+  ports.Advise(text, query, advice_callback{});
+  ports.SetPeers(records);
+  { Ports::DecodeConfiguration(text) } -> std::same_as<std::optional<sched::cell_configuration>>;
+  { Ports::ConfigurationKey() } -> std::convertible_to<std::string_view>;
+  { Ports::DecodeWorker(text, text) } -> std::same_as<std::optional<sched::worker_facts>>;
+  { Ports::DecodeJob(text) } -> std::same_as<result<sched::job_spec>>;
+  { Ports::EncodePhase(sched::job_phase{}) } -> std::same_as<std::string>;
+  { Ports::EncodeWaiting(std::size_t{}) } -> std::same_as<std::string>;
+  { Ports::IsJobId(std::string_view{}) } -> std::same_as<bool>;
+  {
+    Ports::CallerPatience(std::map<std::string, std::string>{})
+  } -> std::same_as<std::optional<duration>>;
+};
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_PORTS_H_
--- /dev/null
+++ b/src/rosearch/log/bounded_log.cc
@@ -0,0 +1,92 @@
+#include "rosearch/log/bounded_log.h"
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <chrono>
+
+#include "rosearch/platform/clock.h"
+
+namespace rosearch {
+namespace {
+
+/// So much is written with one call: enough that a call pays, little enough to keep memory small.
+constexpr std::size_t kFlushAt = 16U << 10U;
+
+void AppendTime(std::string& text) {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  text += "t=";
+  text += std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+  text += ' ';
+}
+
+}  // namespace
+
+bounded_log::bounded_log(const bounded_log_settings& settings) : settings_{settings} {
+  const int flags = fcntl(settings_.descriptor, F_GETFL);
+  if (flags >= 0) {
+    (void)fcntl(settings_.descriptor, F_SETFL, flags | O_NONBLOCK);
+  }
+}
+
+void bounded_log::BeginSecond(time_point now) {
+  if (now - second_began_ < std::chrono::seconds{1}) {
+    return;
+  }
+  if (suppressed_ > 0) {
+    AppendTime(waiting_);
+    waiting_ += event_line{"log_suppressed", event_weight::kBelief}.Add("lines", suppressed_).text();
+    waiting_ += '\n';
+  }
+  second_began_ = now;
+  requests_this_second_ = 0;
+  others_this_second_ = 0;
+  suppressed_ = 0;
+}
+
+void bounded_log::Write(const event_line& line) {
+  const std::scoped_lock lock{mutex_};
+  BeginSecond(SteadyNow());
+  const bool request = line.weight() == event_weight::kRequest;
+  auto& count = request ? requests_this_second_ : others_this_second_;
+  const auto most =
+      request ? settings_.request_lines_per_second : settings_.other_lines_per_second;
+  if (count >= most || waiting_.size() + line.text().size() > settings_.waiting_bytes) {
+    ++suppressed_;
+    ++dropped_;
+    return;
+  }
+  ++count;
+  AppendTime(waiting_);
+  waiting_ += line.text();
+  waiting_ += '\n';
+  if (waiting_.size() >= kFlushAt) {
+    FlushLocked();
+  }
+}
+
+void bounded_log::Flush() {
+  const std::scoped_lock lock{mutex_};
+  FlushLocked();
+}
+
+void bounded_log::FlushLocked() {
+  while (!waiting_.empty()) {
+    const auto written = ::write(settings_.descriptor, waiting_.data(), waiting_.size());
+    if (written < 0 && errno == EINTR) {
+      continue;
+    }
+    if (written <= 0) {
+      return;  // nobody reads just now: what waits is bounded, and lines beyond it are counted
+    }
+    waiting_.erase(0, static_cast<std::size_t>(written));
+  }
+}
+
+std::uint64_t bounded_log::Dropped() const {
+  const std::scoped_lock lock{mutex_};
+  return dropped_;
+}
+
+}  // namespace rosearch
--- a/src/rosearch/net/http_server.cc
+++ b/src/rosearch/net/http_server.cc
@@ -105,6 +105,21 @@
         });
   }
 
+  void SetLimits(std::uint32_t max_header_bytes, std::size_t max_body_bytes,
+                 std::chrono::milliseconds header_timeout, std::chrono::milliseconds idle) {
+    const std::scoped_lock lock{mutex_};
+    settings_.max_header_bytes = max_header_bytes;
+    settings_.max_body_bytes = max_body_bytes;
+    settings_.header_timeout = header_timeout;
+    settings_.idle = idle;
+  }
+
+  /// @return the limits in force now.
+  [[nodiscard]] http_server_settings Settings() {
+    const std::scoped_lock lock{mutex_};
+    return settings_;
+  }
+
   void LetGo() { letting_go_ = true; }
 
   void Drain() {
@@ -157,16 +172,16 @@
 
    private:
     void Read() {
+      limits_ = server_->Settings();
       parser_.emplace();
-      parser_->body_limit(server_->settings_.max_body_bytes);
-      parser_->header_limit(server_->settings_.max_header_bytes);
+      parser_->body_limit(limits_.max_body_bytes);
+      parser_->header_limit(limits_.max_header_bytes);
       if (buffer_.size() > 0) {
         ReadHead();
         return;
       }
       waiting_ = true;
-      stream_.expires_after(server_->draining_ ? server_->settings_.drain_idle
-                                               : server_->settings_.idle);
+      stream_.expires_after(server_->draining_ ? limits_.drain_idle : limits_.idle);
       stream_.async_read_some(
           buffer_.prepare(kFirstRead),
           [self = shared_from_this()](beast::error_code failed, std::size_t count) {
@@ -185,7 +200,7 @@
     // Head and body have a bound each: a client that sends a byte now and then would otherwise keep
     // its connection, and enough of them all connections that the server has.
     void ReadHead() {
-      stream_.expires_after(server_->settings_.header_timeout);
+      stream_.expires_after(limits_.header_timeout);
       http::async_read_header(stream_, buffer_, *parser_,
                               [self = shared_from_this()](beast::error_code failed, std::size_t) {
                                 self->OnHead(failed);
@@ -218,7 +233,7 @@
     }
 
     void ReadBody() {
-      stream_.expires_after(server_->settings_.body_timeout);
+      stream_.expires_after(limits_.body_timeout);
       http::async_read(stream_, buffer_, *parser_,
                        [self = shared_from_this()](beast::error_code failed, std::size_t) {
                          self->OnRead(failed);
@@ -262,7 +277,7 @@
       response_->keep_alive(keep_alive_ && !server_->letting_go_);
       response_->body() = std::move(response.body);
       response_->prepare_payload();
-      stream_.expires_after(server_->settings_.write);
+      stream_.expires_after(limits_.write);
       http::async_write(stream_, *response_,
                         [self = shared_from_this()](beast::error_code failed, std::size_t) {
                           self->OnWritten(failed);
@@ -288,7 +303,7 @@
     void Linger() {
       beast::error_code ignored;
       stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
-      stream_.expires_after(server_->settings_.linger);
+      stream_.expires_after(limits_.linger);
       LingerOn(kLingerBytes);
     }
 
@@ -312,6 +327,7 @@
     }
 
     std::shared_ptr<impl> server_;
+    http_server_settings limits_;  ///< of the request at hand
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
     std::optional<http::request_parser<http::string_body>> parser_;
@@ -379,6 +395,11 @@
 http_server::~http_server() { impl_->Drain(); }
 
 std::uint16_t http_server::port() const noexcept { return impl_->port(); }
+void http_server::SetLimits(std::uint32_t max_header_bytes, std::size_t max_body_bytes,
+                            std::chrono::milliseconds header_timeout,
+                            std::chrono::milliseconds idle) {
+  impl_->SetLimits(max_header_bytes, max_body_bytes, header_timeout, idle);
+}
 void http_server::LetGo() { impl_->LetGo(); }
 void http_server::Drain() { impl_->Drain(); }
 std::size_t http_server::Busy() const { return impl_->busy(); }
--- a/src/rosearch/net/http_server.h
+++ b/src/rosearch/net/http_server.h
@@ -71,6 +71,10 @@
   /// @return the port that is bound.
   [[nodiscard]] std::uint16_t port() const noexcept;
 
+  /// Puts other limits in force for requests that begin from now on.
+  void SetLimits(std::uint32_t max_header_bytes, std::size_t max_body_bytes,
+                 std::chrono::milliseconds header_timeout, std::chrono::milliseconds idle);
+
   /// Tells each client with its next answer that the connection ends there, so that none is kept
   /// open when `Drain` comes.
   void LetGo();
--- /dev/null
+++ b/src/rosearch/sched/cell_configuration.h
@@ -0,0 +1,78 @@
+#ifndef ROSEARCH_SCHED_CELL_CONFIGURATION_H_
+#define ROSEARCH_SCHED_CELL_CONFIGURATION_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rosearch/core/time.h"
+
+namespace rosearch::sched {
+
+/// What asking for advice costs: the answer takes `base` and `per_worker` for each worker named.
+struct advice_cost {
+  duration base{};
+  duration per_worker{};
+  duration ticket_life{};  ///< how long the tickets of an answer are good
+
+  friend bool operator==(const advice_cost&, const advice_cost&) = default;
+};
+
+/// The operator's rules for one queue of jobs.
+struct queue_rules {
+  std::string name;  ///< for people; may change while the queue stays the same
+  std::string host;         ///< callers' Host header, in lower case
+  std::string path_prefix;  ///< callers' paths begin so; the longest match wins
+  std::string pool;         ///< its tasks run on workers of this pool
+  std::uint32_t priority{0};  ///< 0 comes first
+  std::uint32_t max_attempts{1};
+  double stretch{1};         ///< objective: the job's longest chain times this,
+  duration latency_target{};  ///< and this on top
+  std::optional<advice_cost> advice{};  ///< set: only advised workers may run its steps
+
+  /// @return what tells the queue from all others: host and path prefix.
+  [[nodiscard]] std::string Key() const { return host + path_prefix; }
+
+  friend bool operator==(const queue_rules&, const queue_rules&) = default;
+};
+
+/// The operator's rules for one pool of workers.
+struct pool_rules {
+  std::string name;
+  bool guards_capacity{false};  ///< its workers refuse what doesn't fit
+  bool standby{false};          ///< its machines are off
+
+  friend bool operator==(const pool_rules&, const pool_rules&) = default;
+};
+
+/// Limits that protect the process from slow or broken callers.
+struct client_limits {
+  std::uint32_t max_header_bytes{16U << 10U};
+  std::uint32_t max_body_bytes{256U << 10U};
+  duration header_timeout{std::chrono::seconds{3}};
+  duration idle_timeout{std::chrono::seconds{15}};
+
+  friend bool operator==(const client_limits&, const client_limits&) = default;
+};
+
+/// One version of the operator's configuration.
+struct cell_configuration {
+  std::uint64_t version{0};  ///< 0: none yet
+  std::vector<queue_rules> queues;
+  std::vector<pool_rules> pools;
+  client_limits limits;
+
+  /// @return the queue that a caller's host and path select; null where there is none.
+  [[nodiscard]] const queue_rules* Match(std::string_view host, std::string_view path) const;
+
+  /// @return the queue of that `queue_rules::Key`; null where there is none.
+  [[nodiscard]] const queue_rules* Find(std::string_view key) const;
+
+  friend bool operator==(const cell_configuration&, const cell_configuration&) = default;
+};
+
+}  // namespace rosearch::sched
+
+#endif  // ROSEARCH_SCHED_CELL_CONFIGURATION_H_
--- /dev/null
+++ b/src/rosearch/sched/fwd.h
@@ -0,0 +1,19 @@
+#ifndef ROSEARCH_SCHED_FWD_H_
+#define ROSEARCH_SCHED_FWD_H_
+
+namespace rosearch::sched {
+
+enum class end_kind;
+enum class job_phase;
+enum class start_outcome;
+struct cell_configuration;
+struct job_spec;
+struct queue_rules;
+struct step_spec;
+struct worker_facts;
+struct worker_report;
+class scheduler;
+
+}  // namespace rosearch::sched
+
+#endif  // ROSEARCH_SCHED_FWD_H_
--- /dev/null
+++ b/src/rosearch/sched/job_state.h
@@ -0,0 +1,122 @@
+#ifndef ROSEARCH_SCHED_JOB_STATE_H_
+#define ROSEARCH_SCHED_JOB_STATE_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "rosearch/core/time.h"
+#include "rosearch/sched/advice_book.h"
+#include "rosearch/sched/instant.h"
+#include "rosearch/sched/job_spec.h"
+
+namespace rosearch::sched {
+
+struct live_run;
+struct step_state;
+struct worker_state;
+
+/// Which task of which job: its name is JOB.OCCURRENCE.STEP.INDEX.
+struct task_name {
+  std::string job;
+  std::uint32_t occurrence{0};
+  std::uint32_t step{0};
+  std::uint32_t index{0};
+
+  /// @return the name as text.
+  [[nodiscard]] std::string Text() const;
+  /// @return the name that a text spells; nothing where it spells none.
+  [[nodiscard]] static std::optional<task_name> Parse(std::string_view text);
+
+  friend bool operator==(const task_name&, const task_name&) = default;
+};
+
+/// One task of an open step.
+struct task_state {
+  bool done{false};
+  std::uint32_t live{0};      ///< runs that may be under way
+  std::uint32_t runs{0};      ///< runs begun under the present leadership
+  std::uint32_t failures{0};  ///< runs that ended failed
+  /// Newest run that was counted as failed. Ends are listed again until they are acknowledged, also
+  /// to a new leader: without it one failure would count twice and a job fail too early.
+  std::uint32_t last_failed_run{0};
+  std::string checkpoint;       ///< newest known; empty: none
+  std::string failed_on;        ///< worker of the last failure
+  time_point not_before{};      ///< no start before
+  std::uint32_t quick_ends{0};  ///< of a service: runs in a row that ended early
+};
+
+/// One step of one occurrence of a job.
+struct step_state {
+  struct job_state* job{nullptr};
+  const step_spec* spec{nullptr};
+  std::uint32_t occurrence{0};
+  std::uint32_t index{0};
+  std::vector<task_state> tasks;
+  std::vector<live_run*> runs;  ///< under way
+  advice_book advice;
+  std::uint32_t done{0};
+  bool open{false};             ///< its turn has come
+  std::uint32_t gang_runs{0};   ///< gang: runs begun under the present leadership
+  bool clearing{false};         ///< gang: broken, waits until all members are gone
+  std::string wait_reason;      ///< why its ready tasks don't run, for people
+  std::uint64_t blocked_at{0};  ///< version of the room at which nothing fitted
+
+  /// @return tasks that are neither done nor under way.
+  [[nodiscard]] std::uint32_t Idle() const;
+  /// @return JOB.OCCURRENCE.STEP.
+  [[nodiscard]] std::string Name() const;
+  [[nodiscard]] bool Finished() const { return done == tasks.size(); }
+};
+
+/// One run of all steps of a job.
+struct occurrence_state {
+  std::uint32_t number{0};
+  bool done{false};
+  std::vector<std::unique_ptr<step_state>> steps;  ///< empty before it is due and once it is done
+};
+
+/// An accepted job that hasn't ended, or whose runs are still being stopped.
+struct job_state {
+  std::shared_ptr<const job_spec> spec;
+  // What its queue says now or, where the queue is gone, last said.
+  std::string pool;
+  std::uint32_t priority{0};
+  std::uint32_t max_attempts{1};
+  std::optional<advice_cost> advice{};
+  job_phase phase{job_phase::kQueued};
+  job_phase stored_phase{job_phase::kQueued};  ///< what callers are told
+  bool accepted{false};   ///< stored: from now on it is owed
+  bool restored{false};   ///< accepted under an earlier leadership
+  bool new_record{true};  ///< its own record has yet to be stored
+  bool dirty{false};      ///< its progress has yet to be stored
+  std::uint32_t live{0};  ///< runs that may be under way
+  time_point finish_by{};  ///< objective, by the steady clock
+  std::int64_t ended_ms{0};
+  std::vector<std::unique_ptr<occurrence_state>> occurrences;  ///< all that are due so far
+
+  /// @return how many occurrences the job has in all.
+  [[nodiscard]] std::uint32_t Occurrences() const {
+    return spec->occurrences == 0 ? 1 : spec->occurrences;
+  }
+  /// @return the step of that name; null where the job has none or it isn't under way.
+  [[nodiscard]] step_state* Step(std::uint32_t occurrence, std::uint32_t step) const;
+};
+
+/// Makes the next occurrence of a job, with its steps closed.
+/// @return the new occurrence.
+occurrence_state& AddOccurrence(job_state& job);
+
+/// @return the longest chain of estimates through the steps.
+[[nodiscard]] duration LongestChain(const std::vector<step_spec>& steps);
+
+/// @return work of the whole job: processors times estimates, in thousandths of a processor times
+///         milliseconds.
+[[nodiscard]] double TotalWork(const job_spec& job);
+
+}  // namespace rosearch::sched
+
+#endif  // ROSEARCH_SCHED_JOB_STATE_H_
--- /dev/null
+++ b/src/rosearch/sched/scheduler.cc
@@ -0,0 +1,174 @@
+// The workers of a scheduler, and what time alone changes.
+#include "rosearch/sched/scheduler.h"
+
+#include <algorithm>
+#include <chrono>
+#include <sstream>
+
+namespace rosearch::sched {
+namespace {
+
+/// A worker that didn't answer is asked again after this: often enough to find it back well before
+/// its lease lapses.
+constexpr duration kSilentPause = std::chrono::milliseconds{300};
+
+/// A worker with ends that wait for the store is watched again by then at the latest, so that its
+/// lease never hangs on the store.
+constexpr duration kUnackedPause = std::chrono::milliseconds{400};
+
+/// How long a worker may keep back its answer while something runs there, and while nothing does.
+constexpr duration kBusyWait = std::chrono::milliseconds{1'000};
+constexpr duration kIdleWait = std::chrono::milliseconds{2'000};
+
+}  // namespace
+
+void scheduler::ObserveWorker(const worker_facts& facts, const instant& now) {
+  auto& worker = workers_[facts.id];
+  if (!worker) {
+    worker = std::make_unique<worker_state>();
+    worker->facts = facts;
+    worker->leaves_at = facts.draining ? now.steady + facts.least_time_left : kNever;
+    workers_dirty_ = true;
+    log_.Write(event_line{"worker_found", event_weight::kBelief}
+                   .Add("worker", facts.id)
+                   .Add("address", facts.address)
+                   .Add("pool", facts.pool)
+                   .Add("cpu", facts.capacity.processors_milli)
+                   .Add("draining", static_cast<int>(facts.draining)));
+    return;
+  }
+  worker->listed = true;
+  if (facts.draining && !worker->facts.draining) {
+    worker->leaves_at = now.steady + facts.least_time_left;
+    log_.Write(event_line{"worker_draining", event_weight::kBelief}
+                   .Add("worker", facts.id)
+                   .Add("runs", worker->runs.size())
+                   .Add("left_ms", facts.least_time_left));
+  }
+  if (worker->facts.capacity != facts.capacity || worker->facts.draining != facts.draining) {
+    ++room_version_;
+  }
+  worker->facts = facts;
+}
+
+void scheduler::UnlistWorker(const std::string& id, const instant&) {
+  const auto found = workers_.find(id);
+  if (found == workers_.end() || !found->second->listed) {
+    return;
+  }
+  found->second->listed = false;
+  log_.Write(event_line{"worker_unlisted", event_weight::kBelief}
+                 .Add("worker", id)
+                 .Add("runs", found->second->runs.size()));
+}
+
+std::vector<std::string> scheduler::WatchedWorkers() const {
+  std::vector<std::string> ids;
+  ids.reserve(workers_.size());
+  for (const auto& [id, worker] : workers_) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+std::optional<watch_request> scheduler::NextWatch(const std::string& id, const instant& now) {
+  const auto found = workers_.find(id);
+  if (deposed_ || found == workers_.end()) {
+    return std::nullopt;
+  }
+  auto& worker = *found->second;
+  const bool live = worker.session == session_phase::kLive;
+  const bool over = now.steady >= LapseOf(worker) && !unsettled_.contains(id);
+  if (!worker.listed && worker.runs.empty() && (live || over)) {
+    log_.Write(event_line{"worker_dropped", event_weight::kBelief}.Add("worker", id));
+    unsettled_.erase(id);
+    DropWorker(id);
+    return std::nullopt;
+  }
+  watch_request watch{id, worker.facts.address, worker.acked_end, live, duration{}};
+  if (live && worker.seen_end == worker.acked_end) {
+    watch.wait = worker.runs.empty() ? kIdleWait : kBusyWait;
+  }
+  if (live) {
+    worker.lease_until = std::max(worker.lease_until, now.steady + LongestLease());
+  }
+  return watch;
+}
+
+duration scheduler::WatchPause(const std::string& id, const instant&) const {
+  const auto found = workers_.find(id);
+  if (found == workers_.end()) {
+    return {};
+  }
+  const auto& worker = *found->second;
+  if (worker.session != session_phase::kLive) {
+    return worker.silent_watches > 0 ? kSilentPause : duration{};
+  }
+  return worker.seen_end > worker.acked_end ? kUnackedPause : duration{};
+}
+
+void scheduler::Tick(const instant& now) {
+  Forget(now);
+  for (const auto& [id, worker] : workers_) {
+    if (worker->session != session_phase::kLive && now.steady >= LapseOf(*worker)) {
+      LoseRuns(*worker, "lease_lapsed", now);
+      if (unsettled_.erase(id) > 0) {
+        ++room_version_;
+        log_.Write(event_line{"old_lease_lapsed", event_weight::kBelief}.Add("worker", id));
+      }
+    }
+    RetryOrders(*worker, now);
+    StopStuckRuns(*worker, now);
+    EmptyLeavingWorker(*worker, now);
+  }
+  for (const auto& [id, job] : jobs_) {
+    if (job->accepted && !IsTerminal(job->phase) && job->spec->occurrences > 0) {
+      OpenDue(*job, now);
+    }
+  }
+  for (auto* const step : open_steps_) {
+    // A gang of which only a part was found after a change of leader can't work.
+    if (step->spec->gang && !step->runs.empty() && OldRunsSettled() &&
+        step->runs.size() < step->tasks.size()) {
+      BreakGang(*step, now);
+    }
+    // What only time unblocks: pauses that end, workers that are trusted again.
+    step->blocked_at = 0;
+  }
+  RetireEnded(now);
+}
+
+cell_counts scheduler::Counts() const {
+  cell_counts counts;
+  counts.jobs = jobs_.size();
+  counts.workers = workers_.size();
+  for (const auto& [id, worker] : workers_) {
+    counts.workers_live += worker->session == session_phase::kLive ? 1 : 0;
+    counts.runs += worker->runs.size();
+  }
+  for (const auto* const step : open_steps_) {
+    counts.waiting_tasks += step->Idle();
+  }
+  return counts;
+}
+
+std::string scheduler::Dump(const instant& now) const {
+  std::ostringstream out;
+  out << "epoch=" << epoch_ << " version=" << configuration_.version
+      << " unsettled=" << unsettled_.size() << '\n';
+  for (const auto& [id, worker] : workers_) {
+    out << "worker " << id << " session=" << static_cast<int>(worker->session)
+        << " listed=" << worker->listed << " recorded=" << worker->recorded
+        << " draining=" << worker->facts.draining << " cpu_free=" << worker->Free().processors_milli
+        << " mb_free=" << worker->Free().memory_mb << " runs=" << worker->runs.size()
+        << " usable=" << worker->health.Usable(now.steady) << '\n';
+  }
+  for (const auto* const step : open_steps_) {
+    out << "step " << step->Name() << " idle=" << step->Idle() << " done=" << step->done << '/'
+        << step->tasks.size() << " startable=" << Startable(*step->job)
+        << " asking=" << step->advice.asking << '\n';
+  }
+  return out.str();
+}
+
+}  // namespace rosearch::sched
--- /dev/null
+++ b/src/rosearch/sched/scheduler.h
@@ -0,0 +1,307 @@
+#ifndef ROSEARCH_SCHED_SCHEDULER_H_
+#define ROSEARCH_SCHED_SCHEDULER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "rosearch/log/event_line.h"
+#include "rosearch/sched/cell_configuration.h"
+#include "rosearch/sched/instant.h"
+#include "rosearch/sched/job_spec.h"
+#include "rosearch/sched/job_state.h"
+#include "rosearch/sched/order.h"
+#include "rosearch/sched/scheduler_settings.h"
+#include "rosearch/sched/worker_facts.h"
+#include "rosearch/sched/worker_state.h"
+
+namespace rosearch::sched {
+
+/// What becomes of a job that a caller hands in.
+enum class submit_verdict : std::uint8_t {
+  kAccepted,  ///< stored, now or before
+  kPending,   ///< will be accepted once `scheduler::OnStored` settles it
+  kRefused,   ///< it has not been accepted and never runs
+};
+
+struct submit_answer {
+  submit_verdict verdict{submit_verdict::kRefused};
+  duration retry_after{};  ///< refused: when it pays to come back; zero: never as it is
+  std::string_view reason{};
+
+  friend bool operator==(const submit_answer&, const submit_answer&) = default;
+};
+
+/// What becomes of a caller's order to cancel.
+enum class cancel_verdict : std::uint8_t {
+  kCancelled,  ///< stored, now or before; or the job has ended
+  kPending,    ///< will be acknowledged once `scheduler::OnStored` settles it
+  kUnknown,    ///< there is no such job
+};
+
+/// A record for the store; the newest of each key counts.
+struct stored_record {
+  std::string key;
+  std::string value;  ///< empty: the key is dropped
+
+  friend bool operator==(const stored_record&, const stored_record&) = default;
+};
+
+/// Records that are stored together or not at all.
+struct state_batch {
+  std::uint64_t number{0};
+  std::vector<stored_record> records;
+
+  friend bool operator==(const state_batch&, const state_batch&) = default;
+};
+
+/// A job whose caller waits for the store's word.
+struct settled_job {
+  std::string id;
+  bool accepted{false};   ///< else refused: not stored, it never runs
+  bool cancelled{false};  ///< the order to cancel is stored
+
+  friend bool operator==(const settled_job&, const settled_job&) = default;
+};
+
+/// How a worker is to be watched next.
+struct watch_request {
+  std::string worker;
+  std::string address;
+  std::uint64_t acked_end{0};  ///< ends up to here are stored: the worker may forget them
+  bool extend_lease{false};
+  duration wait{};  ///< the worker may keep its answer back so long for an end
+
+  friend bool operator==(const watch_request&, const watch_request&) = default;
+};
+
+/// Why a watch brought no report.
+enum class watch_failure : std::uint8_t {
+  kNoAnswer,
+  kOtherLife,   ///< another life of the worker answered
+  kStaleFence,  ///< the worker obeys a newer leader
+};
+
+/// A line about the state for people.
+struct cell_counts {
+  std::size_t jobs{0};
+  std::size_t waiting_tasks{0};
+  std::size_t runs{0};
+  std::size_t workers_live{0};
+  std::size_t workers{0};
+
+  friend bool operator==(const cell_counts&, const cell_counts&) = default;
+};
+
+/// Decides for the whole cell what runs where and when: takes in what callers, workers, advice and
+/// the store say, and gives out orders and records. It reads no clock and does no I/O, so a load
+/// and its faults can be replayed exactly.
+///
+/// What it promises, whatever is lost, late or doubled outside: no worker is promised more than it
+/// holds; no task runs twice at a time; no start before the steps it depends on; a job is owed from
+/// the moment that its record is stored, and an end is acknowledged only once it is stored.
+class scheduler {
+ public:
+  /// @param epoch  number of this leadership; higher than that of every earlier one.
+  /// @param log    takes a line for each decision; must outlive the scheduler.
+  scheduler(const scheduler_settings& settings, std::uint64_t epoch, event_sink& log);
+  ~scheduler();
+  scheduler(const scheduler&) = delete;
+  scheduler& operator=(const scheduler&) = delete;
+
+  // Taking over what an earlier leader left.
+
+  /// Takes in one stored record. Call for all records before anything else.
+  /// @return whether it could be read.
+  bool Restore(const stored_record& record, const instant& now);
+  /// Ends the taking over: what the former leader may have started is still unknown at every
+  /// recorded worker until it answers, or until its lease has certainly lapsed.
+  void FinishRestore(const instant& now);
+  /// @return whether every worker that the former leader used has answered or lapsed.
+  [[nodiscard]] bool OldRunsSettled() const { return unsettled_.empty(); }
+
+  // Configuration.
+
+  /// Puts a version in force; an older one than that in force is ignored.
+  void Configure(cell_configuration configuration, const instant& now);
+  [[nodiscard]] const cell_configuration& configuration() const { return configuration_; }
+
+  // Callers.
+
+  [[nodiscard]] submit_answer Submit(job_spec job, const instant& now);
+  [[nodiscard]] cancel_verdict Cancel(std::string_view id, std::string_view queue,
+                                      const instant& now);
+  /// @return the phase of a job as its caller may know it; nothing where there is no such job.
+  [[nodiscard]] std::optional<job_phase> Phase(std::string_view id, std::string_view queue) const;
+  /// @return accepted jobs of a queue of which nothing has started.
+  [[nodiscard]] std::size_t Waiting(std::string_view queue) const;
+
+  // Workers.
+
+  /// Takes in a worker's entry in the platform's registry.
+  void ObserveWorker(const worker_facts& facts, const instant& now);
+  /// The registry no longer lists a worker.
+  void UnlistWorker(const std::string& id, const instant& now);
+  /// @return ids of the workers to watch.
+  [[nodiscard]] std::vector<std::string> WatchedWorkers() const;
+  /// Plans the next watch of a worker, which is then taken as sent.
+  /// @return nothing where the worker needs none any more.
+  [[nodiscard]] std::optional<watch_request> NextWatch(const std::string& worker,
+                                                       const instant& now);
+  /// @return how long the next watch of a worker should wait.
+  [[nodiscard]] duration WatchPause(const std::string& worker, const instant& now) const;
+  void OnReport(const std::string& worker, time_point sent_at, const worker_report& report,
+                const instant& now);
+  void OnWatchFailed(const std::string& worker, watch_failure failure, const instant& now);
+  void OnStartAnswer(const start_order& sent, start_outcome outcome, const instant& now);
+  /// @param heard  whether the worker answered that it obeys.
+  void OnStopAnswer(const stop_order& sent, bool heard, const instant& now);
+
+  // Advice.
+
+  /// @param allowed  nothing where the question was not answered.
+  void OnAdvice(const advice_query& asked, const std::vector<advised_worker>* allowed,
+                const instant& now);
+
+  // Store.
+
+  /// @return whether there is anything to store.
+  [[nodiscard]] bool HasRecords() const;
+  /// @return whether somebody waits for what there is to store.
+  [[nodiscard]] bool HasUrgentRecords() const { return urgent_; }
+  /// Collects what has to be stored; one batch at a time.
+  [[nodiscard]] state_batch TakeBatch(const instant& now);
+  /// The batch is stored.
+  void OnStored(std::uint64_t number, const instant& now);
+  /// The batch is certainly not stored. New jobs in it are refused for good, the rest is kept for
+  /// the next batch.
+  void OnNotStored(std::uint64_t number, const instant& now);
+  /// @return callers that can be answered since the last call.
+  [[nodiscard]] std::vector<settled_job> TakeSettled() { return std::exchange(settled_, {}); }
+  /// @return workers whose ends were stored since the last call: they wait to be watched.
+  [[nodiscard]] std::vector<std::string> TakeAcked() { return std::exchange(acked_, {}); }
+
+  // Time.
+
+  /// Looks after what time alone changes; call every 50 ms or so.
+  void Tick(const instant& now);
+  /// Places what can be placed. Call after inputs; several may share one call.
+  void Schedule(const instant& now);
+  /// @return the orders decided since the last call.
+  [[nodiscard]] std::vector<order> TakeOrders() { return std::exchange(orders_, {}); }
+
+  /// @return whether a newer leader was met; this scheduler must decide nothing more.
+  [[nodiscard]] bool Deposed() const { return deposed_; }
+  [[nodiscard]] cell_counts Counts() const;
+  /// @return a text for people: jobs with what each waits for, workers with room and health.
+  [[nodiscard]] std::string Dump(const instant& now) const;
+
+ private:
+  struct stored_effects;
+  struct ended_job {
+    std::string queue;
+    job_phase phase{job_phase::kCompleted};
+    std::int64_t ended_ms{0};
+  };
+
+  // scheduler_jobs.cc
+  job_state* FindJob(std::string_view id);
+  void OpenDue(job_state& job, const instant& now);
+  void OpenSteps(job_state& job, occurrence_state& occurrence, const instant& now);
+  void FinishTask(step_state& step, std::uint32_t index, const instant& now);
+  void FinishStep(step_state& step, const instant& now);
+  void FailTask(step_state& step, std::uint32_t index, std::uint32_t run,
+                const std::string& worker, const instant& now);
+  void EndJob(job_state& job, job_phase phase, const instant& now);
+  void Forget(const instant& now);
+  void ResolveRules(job_state& job) const;
+  void RetireEnded(const instant& now);
+  void FinishOccurrence(job_state& job, occurrence_state& occurrence, const instant& now);
+  [[nodiscard]] submit_answer Admit(const job_spec& job, const instant& now) const;
+  [[nodiscard]] bool FitsSomewhere(const job_spec& job) const;
+  void MarkDirty(job_state& job, bool urgent);
+
+  // scheduler_store.cc
+  void RestoreJob(const std::string& id, const std::string& job_text,
+                  const std::string& progress_text, const instant& now);
+  void AckWhatNeedsNoRecord();
+
+  // scheduler_runs.cc
+  live_run& BeginRun(step_state& step, std::uint32_t index, worker_state& worker,
+                     std::uint32_t number, std::string checkpoint, std::string ticket,
+                     const instant& now);
+  live_run* FindRun(const std::string& worker, const std::string& task, std::uint32_t run);
+  void StopRun(live_run& run, stop_reason reason, const instant& now);
+  void EndRun(live_run& run, end_kind how, const std::string& checkpoint, const instant& now);
+  void Detach(live_run& run);
+  void ApplyEnd(step_state& step, std::uint32_t index, std::uint32_t run, end_kind how,
+                const std::string& worker, const std::string& checkpoint, const instant& now);
+  void ApplyGangEnd(step_state& step, std::uint32_t run, end_kind how, const std::string& worker,
+                    const std::string& checkpoint, const instant& now);
+  void Adopt(worker_state& worker, const running_row& row, const instant& now);
+  void TakeEnd(worker_state& worker, const ended_row& row, const instant& now);
+  void LookForMissing(worker_state& worker, time_point sent_at, const worker_report& report,
+                      const instant& now);
+  void BreakGang(step_state& step, const instant& now);
+  void StopStranger(worker_state& worker, const running_row& row, const instant& now);
+  void RefuseStart(live_run& run, start_outcome outcome, const instant& now);
+  void LoseRuns(worker_state& worker, std::string_view cause, const instant& now);
+  void RetryOrders(worker_state& worker, const instant& now);
+  void StopStuckRuns(worker_state& worker, const instant& now);
+  void EmptyLeavingWorker(worker_state& worker, const instant& now);
+  void PaceLeftovers(worker_state& worker);
+  void DropWorker(const std::string& id);
+  [[nodiscard]] time_point LapseOf(const worker_state& worker) const;
+  [[nodiscard]] duration LongestLease() const;
+
+  // scheduler_placement.cc
+  [[nodiscard]] bool Startable(const job_state& job) const;
+  void PlaceTasks(step_state& step, const instant& now);
+  void PlaceGang(step_state& step, const instant& now);
+  [[nodiscard]] bool MayRun(const step_state& step, const task_state* task,
+                            const worker_state& worker, const instant& now) const;
+  [[nodiscard]] bool Fits(const step_state& step, const worker_state& worker) const;
+  [[nodiscard]] double Score(const step_state& step, const worker_state& worker) const;
+  worker_state* Pick(const step_state& step, const task_state& task, bool advised,
+                     const instant& now);
+  void AskAdvice(step_state& step, std::uint32_t tasks, const instant& now);
+  void MakeRoom(step_state& step, std::uint32_t tasks, const instant& now);
+  [[nodiscard]] std::uint32_t Copies(const step_state& step, const worker_state& worker) const;
+
+  scheduler_settings settings_;
+  std::uint64_t epoch_;
+  event_sink& log_;
+  cell_configuration configuration_;
+  std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
+  std::unordered_map<std::string, ended_job> ended_;
+  std::map<std::string, std::unique_ptr<worker_state>> workers_;  ///< in a fixed order
+  std::map<std::string, time_point> unsettled_;  ///< see `OldRunsSettled`; when each lapses
+  std::vector<step_state*> open_steps_;
+  std::map<std::string, double> advised_share_;  ///< by queue: share of named workers allowed
+  std::vector<order> orders_;
+  std::vector<settled_job> settled_;
+  std::vector<std::string> acked_;
+  std::vector<std::string> dirty_;     ///< jobs with something to store
+  std::vector<std::string> forgotten_;  ///< ended jobs whose records are to be dropped
+  std::vector<std::string> retiring_;   ///< jobs that may have become ended ones
+  std::vector<stored_record> restoring_;
+  bool workers_dirty_{false};
+  bool ends_dirty_{false};  ///< ends were taken in that nothing stored depends on
+  bool urgent_{false};
+  bool deposed_{false};
+  std::uint64_t room_version_{1};  ///< rises whenever room is freed or a worker comes
+  std::uint64_t next_batch_{1};
+  std::map<std::uint64_t, stored_effects> storing_;
+  time_point next_forget_{};
+};
+
+}  // namespace rosearch::sched
+
+#endif  // ROSEARCH_SCHED_SCHEDULER_H_
--- /dev/null
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -0,0 +1,365 @@
+// The jobs of a scheduler: handing in, cancelling, what opens and what ends.
+#include <algorithm>
+#include <chrono>
+
+#include "rosearch/sched/scheduler.h"
+
+namespace rosearch::sched {
+namespace {
+
+/// An ended job is looked for so often; a second's delay in forgetting costs nothing.
+constexpr duration kForgetEvery = std::chrono::seconds{1};
+
+/// The most that a service's task waits after runs that end at once; callers are promised that it is
+/// back within seconds.
+constexpr duration kLongestServicePause = std::chrono::milliseconds{1'500};
+
+/// A refused caller comes back no sooner than this, so that refusing costs less than serving.
+constexpr duration kLeastRetryAfter = std::chrono::seconds{1};
+constexpr duration kMostRetryAfter = std::chrono::seconds{20};
+
+}  // namespace
+
+job_state* scheduler::FindJob(std::string_view id) {
+  const auto found = jobs_.find(std::string{id});
+  return found == jobs_.end() ? nullptr : found->second.get();
+}
+
+void scheduler::MarkDirty(job_state& job, bool urgent) {
+  urgent_ = urgent_ || urgent;
+  if (!job.dirty) {
+    job.dirty = true;
+    dirty_.push_back(job.spec->id);
+  }
+}
+
+void scheduler::ResolveRules(job_state& job) const {
+  if (const auto* const rules = configuration_.Find(job.spec->queue)) {
+    job.pool = rules->pool;
+    job.priority = rules->priority;
+    job.max_attempts = rules->max_attempts;
+    job.advice = rules->advice;
+  } else if (job.pool.empty()) {
+    job.pool = job.spec->pool;
+    job.priority = job.spec->priority;
+    job.max_attempts = job.spec->max_attempts;
+    job.advice = job.spec->advice;
+  }
+}
+
+void scheduler::Configure(cell_configuration configuration, const instant&) {
+  if (configuration.version <= configuration_.version) {
+    return;
+  }
+  log_.Write(event_line{"configuration", event_weight::kBelief}
+                 .Add("version", configuration.version)
+                 .Add("before", configuration_.version)
+                 .Add("queues", configuration.queues.size()));
+  configuration_ = std::move(configuration);
+  for (auto& [id, job] : jobs_) {
+    ResolveRules(*job);
+  }
+  ++room_version_;
+}
+
+bool scheduler::FitsSomewhere(const job_spec& job) const {
+  for (const auto& step : job.steps) {
+    std::uint32_t places = 0;
+    for (const auto& [id, worker] : workers_) {
+      const auto& facts = worker->facts;
+      const bool labelled = step.required_label.empty() ||
+                            std::ranges::find(facts.labels, step.required_label) !=
+                                facts.labels.end();
+      if (facts.pool == job.pool && labelled && step.need.FitsIn(facts.capacity)) {
+        const auto by_processor =
+            facts.capacity.processors_milli / std::max<std::int64_t>(1, step.need.processors_milli);
+        const auto by_memory =
+            facts.capacity.memory_mb / std::max<std::int64_t>(1, step.need.memory_mb);
+        auto most = static_cast<std::uint32_t>(std::min(by_processor, by_memory));
+        if (step.per_worker_limit > 0) {
+          most = std::min(most, step.per_worker_limit);
+        }
+        places += std::max(1U, most);
+      }
+    }
+    if (places == 0 || (step.gang && places < step.count)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+submit_answer scheduler::Admit(const job_spec& job, const instant&) const {
+  double room = 0;   // thousandths of a processor that this class of work may use
+  double ahead = 0;  // work that goes before it or beside it, the same times ms
+  for (const auto& [id, worker] : workers_) {
+    if (worker->facts.pool != job.pool || worker->session != session_phase::kLive ||
+        worker->facts.draining || !worker->listed) {
+      continue;
+    }
+    room += static_cast<double>(worker->facts.capacity.processors_milli);
+    for (const auto& [task, run] : worker->runs) {
+      const bool first = run->step != nullptr && (run->step->spec->service ||
+                                                  run->step->job->priority < job.priority);
+      room -= first ? static_cast<double>(run->charged.processors_milli) : 0;
+    }
+  }
+  for (const auto& [id, other] : jobs_) {
+    if (IsTerminal(other->phase) || other->pool != job.pool || other->priority > job.priority) {
+      continue;
+    }
+    for (const auto& occurrence : other->occurrences) {
+      for (const auto& step : occurrence->steps) {
+        const auto idle = occurrence->done || step->spec->service ? 0U : step->Idle();
+        const auto ms = std::chrono::duration<double, std::milli>{step->spec->estimate}.count();
+        ahead += idle * static_cast<double>(step->spec->need.processors_milli) * ms;
+      }
+    }
+  }
+  const auto chain = std::chrono::duration<double, std::milli>{LongestChain(job.steps)}.count();
+  const auto objective = std::chrono::duration<double, std::milli>{job.objective}.count();
+  const double slack = std::max(0.0, objective - chain) * settings_.admission_slack;
+  const double wait = room > 0 ? ahead / room : 0;
+  if (room <= 0 || wait <= slack) {
+    return {submit_verdict::kPending, {}, {}};
+  }
+  const auto back = std::chrono::milliseconds{static_cast<std::int64_t>(wait - slack)};
+  return {submit_verdict::kRefused,
+          std::clamp<duration>(back, kLeastRetryAfter, kMostRetryAfter), "overload"};
+}
+
+submit_answer scheduler::Submit(job_spec job, const instant& now) {
+  if (const auto ended = ended_.find(job.id); ended != ended_.end()) {
+    return {submit_verdict::kAccepted, {}, "known"};
+  }
+  if (const auto* const known = FindJob(job.id)) {
+    return {known->accepted ? submit_verdict::kAccepted : submit_verdict::kPending, {}, "known"};
+  }
+  if (!workers_.empty() && !FitsSomewhere(job)) {
+    log_.Write(event_line{"job_refused", event_weight::kFailure}
+                   .Add("job", job.id)
+                   .Add("reason", "never_fits")
+                   .Add("workers", workers_.size()));
+    return {submit_verdict::kRefused, {}, "never_fits"};
+  }
+  const bool service = job.steps.front().service;
+  const auto admitted = service ? submit_answer{submit_verdict::kPending, {}, {}} : Admit(job, now);
+  if (admitted.verdict == submit_verdict::kRefused) {
+    log_.Write(event_line{"job_refused", event_weight::kFailure}
+                   .Add("job", job.id)
+                   .Add("reason", admitted.reason)
+                   .Add("retry_after_ms", admitted.retry_after)
+                   .Add("jobs", jobs_.size()));
+    return admitted;
+  }
+  auto made = std::make_unique<job_state>();
+  made->finish_by = now.steady + job.objective;
+  log_.Write(event_line{"job_received"}
+                 .Add("job", job.id)
+                 .Add("queue", job.queue)
+                 .Add("steps", job.steps.size())
+                 .Add("objective_ms", job.objective)
+                 .Add("version", configuration_.version));
+  made->spec = std::make_shared<const job_spec>(std::move(job));
+  ResolveRules(*made);
+  auto& placed = *(jobs_[made->spec->id] = std::move(made));
+  MarkDirty(placed, true);
+  return {submit_verdict::kPending, {}, "new"};
+}
+
+cancel_verdict scheduler::Cancel(std::string_view id, std::string_view queue, const instant& now) {
+  if (const auto ended = ended_.find(std::string{id}); ended != ended_.end()) {
+    return ended->second.queue == queue ? cancel_verdict::kCancelled : cancel_verdict::kUnknown;
+  }
+  auto* const job = FindJob(id);
+  if (job == nullptr || job->spec->queue != queue) {
+    return cancel_verdict::kUnknown;
+  }
+  if (IsTerminal(job->stored_phase)) {
+    return cancel_verdict::kCancelled;
+  }
+  if (!IsTerminal(job->phase)) {
+    EndJob(*job, job_phase::kCancelled, now);
+  }
+  return cancel_verdict::kPending;
+}
+
+std::optional<job_phase> scheduler::Phase(std::string_view id, std::string_view queue) const {
+  if (const auto ended = ended_.find(std::string{id}); ended != ended_.end()) {
+    return ended->second.queue == queue ? std::optional{ended->second.phase} : std::nullopt;
+  }
+  const auto found = jobs_.find(std::string{id});
+  if (found == jobs_.end() || found->second->spec->queue != queue || !found->second->accepted) {
+    return std::nullopt;
+  }
+  const auto& job = *found->second;
+  if (IsTerminal(job.stored_phase)) {
+    return job.stored_phase;
+  }
+  // An end that isn't stored may still be lost with this process, and the job then goes on.
+  return IsTerminal(job.phase) ? job_phase::kRunning : job.phase;
+}
+
+std::size_t scheduler::Waiting(std::string_view queue) const {
+  std::size_t waiting = 0;
+  for (const auto& [id, job] : jobs_) {
+    waiting += job->phase == job_phase::kQueued && job->accepted && job->spec->queue == queue;
+  }
+  return waiting;
+}
+
+void scheduler::OpenDue(job_state& job, const instant& now) {
+  const auto margin = std::chrono::duration_cast<std::chrono::milliseconds>(settings_.due_margin);
+  while (job.occurrences.size() < job.Occurrences()) {
+    const auto number = static_cast<std::int64_t>(job.occurrences.size());
+    const auto due = job.spec->first_due_ms + number * job.spec->interval_ms;
+    if (job.spec->occurrences > 0 && now.wall_ms < due + margin.count()) {
+      return;
+    }
+    OpenSteps(job, AddOccurrence(job), now);
+  }
+}
+
+void scheduler::OpenSteps(job_state& job, occurrence_state& occurrence, const instant& now) {
+  for (auto& step : occurrence.steps) {
+    if (step->open || step->Finished()) {
+      continue;
+    }
+    const bool ready = std::ranges::all_of(step->spec->after, [&](std::uint32_t before) {
+      return occurrence.steps[before]->Finished();
+    });
+    if (ready) {
+      step->open = true;
+      open_steps_.push_back(step.get());
+      log_.Write(event_line{"step_open"}
+                     .Add("job", job.spec->id)
+                     .Add("step", step->Name())
+                     .Add("tasks", step->Idle())
+                     .Add("left_ms", job.finish_by - now.steady));
+    }
+  }
+}
+
+void scheduler::FinishTask(step_state& step, std::uint32_t index, const instant& now) {
+  auto& task = step.tasks[index];
+  if (task.done) {
+    return;
+  }
+  task.done = true;
+  ++step.done;
+  MarkDirty(*step.job, false);
+  const auto runs = step.runs;
+  for (auto* const run : runs) {
+    if (run->index == index) {
+      StopRun(*run, stop_reason::kOtherCopy, now);
+    }
+  }
+  if (step.Finished()) {
+    FinishStep(step, now);
+  }
+}
+
+void scheduler::FinishStep(step_state& step, const instant& now) {
+  auto& job = *step.job;
+  auto& occurrence = *job.occurrences[step.occurrence];
+  OpenSteps(job, occurrence, now);
+  if (std::ranges::all_of(occurrence.steps, [](const auto& each) { return each->Finished(); })) {
+    FinishOccurrence(job, occurrence, now);
+  }
+}
+
+void scheduler::FinishOccurrence(job_state& job, occurrence_state& occurrence, const instant& now) {
+  occurrence.done = true;
+  const bool last = job.occurrences.size() == job.Occurrences() &&
+                    std::ranges::all_of(job.occurrences, [](const auto& each) { return each->done; });
+  if (last) {
+    EndJob(job, job_phase::kCompleted, now);
+  }
+}
+
+void scheduler::FailTask(step_state& step, std::uint32_t index, std::uint32_t run,
+                         const std::string& worker, const instant& now) {
+  auto& task = step.tasks[index];
+  if (run <= task.last_failed_run && task.last_failed_run > 0) {
+    return;
+  }
+  task.last_failed_run = run;
+  task.failed_on = worker;
+  if (step.spec->service) {
+    // A service has no limit of attempts; a pause keeps one that dies at once from spinning.
+    task.quick_ends = std::min(task.quick_ends + 1, 4U);
+    const duration pause = std::chrono::milliseconds{100} * (1U << task.quick_ends);
+    task.not_before = now.steady + std::min(pause, kLongestServicePause);
+    return;
+  }
+  ++task.failures;
+  MarkDirty(*step.job, false);
+  if (task.failures >= step.job->max_attempts) {
+    log_.Write(event_line{"attempts_used_up", event_weight::kFailure}
+                   .Add("job", step.job->spec->id)
+                   .Add("step", step.Name())
+                   .Add("index", index)
+                   .Add("failures", task.failures)
+                   .Add("last_worker", worker));
+    EndJob(*step.job, job_phase::kFailed, now);
+  }
+}
+
+void scheduler::EndJob(job_state& job, job_phase phase, const instant& now) {
+  if (IsTerminal(job.phase)) {
+    return;
+  }
+  job.phase = phase;
+  job.ended_ms = now.wall_ms;
+  MarkDirty(job, true);
+  constexpr std::string_view kNames[]{"queued", "running", "completed", "failed", "cancelled"};
+  log_.Write(event_line{"job_ended", phase == job_phase::kFailed ? event_weight::kFailure
+                                                                 : event_weight::kRequest}
+                 .Add("job", job.spec->id)
+                 .Add("phase", kNames[static_cast<std::size_t>(phase)])
+                 .Add("left_ms", job.finish_by - now.steady)
+                 .Add("runs", job.live));
+  for (auto& occurrence : job.occurrences) {
+    for (auto& step : occurrence->steps) {
+      const auto runs = step->runs;
+      for (auto* const run : runs) {
+        StopRun(*run, stop_reason::kJobOver, now);
+      }
+    }
+  }
+  std::erase_if(open_steps_, [&](const auto* step) { return step->job == &job; });
+  retiring_.push_back(job.spec->id);
+}
+
+void scheduler::RetireEnded(const instant&) {
+  const auto candidates = std::exchange(retiring_, {});
+  for (const auto& id : candidates) {
+    auto* const job = FindJob(id);
+    if (job == nullptr || !IsTerminal(job->phase)) {
+      continue;
+    }
+    if (job->live > 0 || job->dirty || !IsTerminal(job->stored_phase)) {
+      continue;  // named again when its last run ends or its record is stored
+    }
+    std::erase_if(open_steps_, [&](const auto* step) { return step->job == job; });
+    ended_[id] = ended_job{job->spec->queue, job->phase, job->ended_ms};
+    jobs_.erase(id);
+  }
+}
+
+void scheduler::Forget(const instant& now) {
+  if (now.steady < next_forget_) {
+    return;
+  }
+  next_forget_ = now.steady + kForgetEvery;
+  const auto keep = std::chrono::duration_cast<std::chrono::milliseconds>(settings_.keep_ended);
+  std::erase_if(ended_, [&](const auto& each) {
+    const bool old = now.wall_ms - each.second.ended_ms > keep.count();
+    if (old) {
+      forgotten_.push_back(each.first);
+    }
+    return old;
+  });
+}
+
+}  // namespace rosearch::sched
--- /dev/null
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -0,0 +1,399 @@
+// Where a scheduler starts what is ready, and in which order.
+//
+// The load that this answers: bursts of urgent short work over a base of long work that could fill
+// every worker by itself, services that must come back within seconds however full the cell is, and
+// advice that takes from 20 ms to half a second for each step.
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+
+#include "rosearch/sched/scheduler.h"
+
+namespace rosearch::sched {
+namespace {
+
+// Weights of `Score`, in units of a worker's whole load. Measured by replaying the load above.
+constexpr double kOffDataRack = 0.6;    ///< half as long again is worth that much emptiness
+constexpr double kSuspect = 0.5;        ///< failed lately
+constexpr double kBesideLeftover = 2.0;  ///< what fills disturbs what serves
+constexpr double kSiblingSpread = 0.3;   ///< services fail together on one worker
+constexpr double kSameRack = 0.5;
+constexpr double kSlow = 0.4;
+constexpr double kFailedHere = 1.5;
+
+/// Share of named workers that advice allows, before any answer was seen.
+constexpr double kFirstAdvisedShare = 0.4;
+constexpr double kAdvisedShareWeight = 0.1;
+
+/// Names asked for beyond the need: some that are allowed will have filled up meanwhile.
+constexpr double kSpareNames = 1.5;
+constexpr std::size_t kFewestNames = 6;
+
+/// Runs of one task under one leadership; more would collide with the next leadership's numbers.
+constexpr std::uint32_t kRunsPerEpoch = 10'000;
+
+std::uint32_t RunNumber(std::uint64_t epoch, std::uint32_t count) {
+  return static_cast<std::uint32_t>((epoch - 1) * kRunsPerEpoch + count);
+}
+
+bool HasLabel(const worker_facts& facts, const std::string& label) {
+  return label.empty() || std::ranges::find(facts.labels, label) != facts.labels.end();
+}
+
+double Load(const worker_state& worker, const resources& extra) {
+  const auto& capacity = worker.facts.capacity;
+  const auto after = worker.used + extra;
+  const auto processors = static_cast<double>(after.processors_milli) /
+                          static_cast<double>(std::max<std::int64_t>(1, capacity.processors_milli));
+  const auto memory = static_cast<double>(after.memory_mb) /
+                      static_cast<double>(std::max<std::int64_t>(1, capacity.memory_mb));
+  return std::max(processors, memory);
+}
+
+/// Whether the work may use room that is kept free for bursts.
+bool Urgent(const step_state& step) { return step.job->priority == 0 || step.spec->service; }
+
+}  // namespace
+
+bool scheduler::Startable(const job_state& job) const {
+  if (!job.accepted || IsTerminal(job.phase)) {
+    return false;
+  }
+  // What the former leader began of an old job may still run at a worker that hasn't answered.
+  return !job.restored || OldRunsSettled();
+}
+
+std::uint32_t scheduler::Copies(const step_state& step, const worker_state& worker) const {
+  return static_cast<std::uint32_t>(
+      std::ranges::count_if(step.runs, [&](const auto* run) { return run->worker == &worker; }));
+}
+
+bool scheduler::MayRun(const step_state& step, const task_state* task, const worker_state& worker,
+                       const instant& now) const {
+  const auto& facts = worker.facts;
+  const auto& spec = *step.spec;
+  if (worker.session != session_phase::kLive || !worker.listed || !worker.recorded ||
+      facts.draining || worker.strangers > 0 || facts.pool != step.job->pool) {
+    return false;
+  }
+  if (!worker.health.Usable(now.steady) || !HasLabel(facts, spec.required_label)) {
+    return false;
+  }
+  if (spec.per_worker_limit > 0 && Copies(step, worker) >= spec.per_worker_limit) {
+    return false;
+  }
+  if (task == nullptr) {
+    return true;
+  }
+  const auto index = static_cast<std::size_t>(task - step.tasks.data());
+  return std::ranges::none_of(step.runs, [&](const auto* run) {
+    return run->worker == &worker && run->index == index;
+  });
+}
+
+bool scheduler::Fits(const step_state& step, const worker_state& worker) const {
+  const auto free = worker.Free();
+  const auto& need = step.spec->need;
+  if (step.spec->uses_leftover) {
+    return need.memory_mb <= free.memory_mb && need.accelerators <= free.accelerators &&
+           free.processors_milli * 2 >= need.processors_milli;
+  }
+  if (!need.FitsIn(free)) {
+    return false;
+  }
+  if (Urgent(step)) {
+    return true;
+  }
+  const auto& capacity = worker.facts.capacity;
+  const auto kept = static_cast<std::int64_t>(
+      settings_.urgent_reserve * static_cast<double>(capacity.processors_milli));
+  // What is too large for the rest of this worker may use all of it: it would fit nowhere else.
+  const bool huge = need.processors_milli + kept > capacity.processors_milli;
+  return huge || need.processors_milli + kept <= free.processors_milli;
+}
+
+double scheduler::Score(const step_state& step, const worker_state& worker) const {
+  const auto& spec = *step.spec;
+  const double load = Load(worker, spec.need);
+  // Long work packs tight, so that whole workers stay open for large tasks; urgent work and
+  // services spread out, so that one worker's loss or slowness hits few of them.
+  double score = Urgent(step) ? load : -load;
+  if (!spec.data_rack.empty() && spec.data_rack != worker.facts.rack) {
+    score += kOffDataRack;
+  }
+  if (worker.health.Suspect()) {
+    score += kSuspect;
+  }
+  score += kSlow * std::max(0.0, worker.slowness - 1.0);
+  if (spec.service) {
+    score += kSiblingSpread * Copies(step, worker);
+    score += worker.leftover_runs > 0 ? kBesideLeftover : 0;
+  }
+  if (spec.uses_leftover && worker.service_runs > 0) {
+    score += kBesideLeftover;
+  }
+  if (spec.same_rack && std::ranges::any_of(step.runs, [&](const auto* run) {
+        return run->worker->facts.rack == worker.facts.rack;
+      })) {
+    score -= kSameRack;
+  }
+  return score;
+}
+
+worker_state* scheduler::Pick(const step_state& step, const task_state& task, bool advised,
+                              const instant& now) {
+  worker_state* best = nullptr;
+  double best_score = 0;
+  const auto ticket_by = now.steady + settings_.ticket_margin;
+  for (const auto& [id, worker] : workers_) {
+    if (!Fits(step, *worker) || (advised && step.advice.Ticket(id, ticket_by) == nullptr) ||
+        !MayRun(step, &task, *worker, now)) {
+      continue;
+    }
+    const double score = Score(step, *worker) + (task.failed_on == id ? kFailedHere : 0);
+    if (best == nullptr || score < best_score) {
+      best = worker.get();
+      best_score = score;
+    }
+  }
+  return best;
+}
+
+void scheduler::Schedule(const instant& now) {
+  if (deposed_) {
+    return;
+  }
+  RetireEnded(now);
+  std::erase_if(open_steps_, [](const auto* step) {
+    return step->Finished() || IsTerminal(step->job->phase);
+  });
+  // Services that lost a task come first: their users are without it. Then by the operator's
+  // priority, and the job that has to be ready first. A job that is hopelessly late goes last.
+  const auto key = [&](const step_state* step) {
+    const auto& job = *step->job;
+    const bool service = step->spec->service;
+    const bool hopeless = !service && now.steady > job.finish_by + 2 * job.spec->objective;
+    return std::tuple{service ? 0 : 1, hopeless ? 1 : 0, job.priority, job.finish_by};
+  };
+  std::ranges::stable_sort(open_steps_, {}, key);
+  for (auto* const step : open_steps_) {
+    if (!Startable(*step->job) || step->blocked_at == room_version_ || step->Idle() == 0) {
+      continue;
+    }
+    if (step->spec->gang) {
+      PlaceGang(*step, now);
+    } else {
+      PlaceTasks(*step, now);
+    }
+  }
+}
+
+void scheduler::PlaceTasks(step_state& step, const instant& now) {
+  const bool advised = step.job->advice.has_value();
+  std::uint32_t left = 0;
+  bool paused = false;
+  for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+    auto& task = step.tasks[index];
+    if (task.done || task.live > 0) {
+      continue;
+    }
+    if (task.not_before > now.steady) {
+      paused = true;
+      continue;
+    }
+    auto* const worker = left == 0 ? Pick(step, task, advised, now) : nullptr;
+    if (worker == nullptr) {
+      ++left;
+      continue;
+    }
+    const auto* const ticket =
+        advised ? step.advice.Ticket(worker->facts.id, now.steady) : nullptr;
+    BeginRun(step, index, *worker, RunNumber(epoch_, ++task.runs), task.checkpoint,
+             ticket == nullptr ? std::string{} : *ticket, now);
+  }
+  if (left == 0) {
+    return;
+  }
+  if (advised) {
+    AskAdvice(step, left, now);
+  }
+  if (Urgent(step)) {
+    MakeRoom(step, left, now);
+  }
+  if (!advised && !paused) {
+    step.blocked_at = room_version_;
+  }
+}
+
+void scheduler::PlaceGang(step_state& step, const instant& now) {
+  if (step.clearing || !step.runs.empty()) {
+    return;
+  }
+  const bool advised = step.job->advice.has_value();
+  const auto ticket_by = now.steady + settings_.ticket_margin;
+  // All members or none: room is promised on a scratch copy first.
+  std::vector<std::pair<worker_state*, std::string>> places;
+  std::map<const worker_state*, std::pair<resources, std::uint32_t>> taken;
+  const auto fitting = [&](worker_state& worker) {
+    const auto& mine = taken[&worker];
+    const auto& spec = *step.spec;
+    const auto free = worker.Free() - mine.first;
+    const bool below = spec.per_worker_limit == 0 || mine.second < spec.per_worker_limit;
+    return below && spec.need.FitsIn(free);
+  };
+  while (places.size() < step.tasks.size()) {
+    worker_state* best = nullptr;
+    double best_score = 0;
+    for (const auto& [id, worker] : workers_) {
+      const auto* const ticket = advised ? step.advice.Ticket(id, ticket_by) : nullptr;
+      if ((advised && ticket == nullptr) || !MayRun(step, nullptr, *worker, now) ||
+          !fitting(*worker)) {
+        continue;
+      }
+      const double score = Score(step, *worker);
+      if (best == nullptr || score < best_score) {
+        best = worker.get();
+        best_score = score;
+      }
+    }
+    if (best == nullptr) {
+      break;
+    }
+    auto& mine = taken[best];
+    mine.first = mine.first + step.spec->need;
+    ++mine.second;
+    const auto* const ticket = advised ? step.advice.Ticket(best->facts.id, now.steady) : nullptr;
+    places.emplace_back(best, ticket == nullptr ? std::string{} : *ticket);
+  }
+  if (places.size() < step.tasks.size()) {
+    if (advised) {
+      AskAdvice(step, static_cast<std::uint32_t>(step.tasks.size()), now);
+    }
+    return;
+  }
+  const auto number = RunNumber(epoch_, ++step.gang_runs);
+  const auto checkpoint = step.tasks.front().checkpoint;
+  for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
+    BeginRun(step, index, *places[index].first, number, checkpoint, places[index].second, now);
+  }
+}
+
+void scheduler::AskAdvice(step_state& step, std::uint32_t tasks, const instant& now) {
+  if (step.advice.asking || now.steady < step.advice.ask_again_at) {
+    return;
+  }
+  const auto share = advised_share_.try_emplace(step.job->spec->queue, kFirstAdvisedShare);
+  const auto ticket_by = now.steady + settings_.ticket_margin;
+  std::vector<std::pair<double, const worker_state*>> candidates;
+  for (const auto& [id, worker] : workers_) {
+    if (step.advice.Refused(id) || step.advice.Ticket(id, ticket_by) != nullptr ||
+        !Fits(step, *worker) || !MayRun(step, nullptr, *worker, now)) {
+      continue;
+    }
+    // Workers that are known to be allowed come first: their answer is certain.
+    candidates.emplace_back(Score(step, *worker) - (step.advice.Allowed(id) ? 10.0 : 0.0),
+                            worker.get());
+  }
+  if (candidates.empty()) {
+    step.advice.ask_again_at = now.steady + settings_.ticket_margin;
+    return;
+  }
+  std::ranges::sort(candidates, {}, [](const auto& each) { return each.first; });
+  advice_query query{step.Name(), {}, *step.job->advice, step.job->priority};
+  const double wanted = kSpareNames * tasks;
+  double expected = 0;
+  for (const auto& [score, worker] : candidates) {
+    const bool enough = expected >= wanted && query.workers.size() >= kFewestNames;
+    if (enough || query.workers.size() >= settings_.most_names) {
+      break;
+    }
+    query.workers.push_back(worker->facts.id);
+    expected += step.advice.Allowed(worker->facts.id) ? 1.0 : share.first->second;
+  }
+  step.advice.asking = true;
+  log_.Write(event_line{"advice_asked"}
+                 .Add("job", step.job->spec->id)
+                 .Add("step", query.step)
+                 .Add("workers", query.workers.size())
+                 .Add("tasks", tasks));
+  orders_.emplace_back(std::move(query));
+}
+
+void scheduler::OnAdvice(const advice_query& asked, const std::vector<advised_worker>* allowed,
+                         const instant& now) {
+  const auto name = task_name::Parse(asked.step + ".0");
+  auto* const job = name ? FindJob(name->job) : nullptr;
+  auto* const step = job == nullptr ? nullptr : job->Step(name->occurrence, name->step);
+  if (step == nullptr) {
+    return;
+  }
+  step->advice.asking = false;
+  step->blocked_at = 0;
+  if (allowed == nullptr) {
+    step->advice.ask_again_at = now.steady + settings_.advice_retry;
+    log_.Write(event_line{"advice_missing", event_weight::kFailure}
+                   .Add("job", name->job)
+                   .Add("step", asked.step));
+    return;
+  }
+  auto& share = advised_share_.try_emplace(job->spec->queue, kFirstAdvisedShare).first->second;
+  const auto seen = static_cast<double>(allowed->size()) /
+                    static_cast<double>(std::max<std::size_t>(1, asked.workers.size()));
+  share += kAdvisedShareWeight * (seen - share);
+  step->advice.Learn(asked.workers, *allowed, now.steady + asked.cost.ticket_life);
+  log_.Write(event_line{"advice_given"}
+                 .Add("job", name->job)
+                 .Add("step", asked.step)
+                 .Add("asked", asked.workers.size())
+                 .Add("allowed", allowed->size()));
+}
+
+void scheduler::MakeRoom(step_state& step, std::uint32_t tasks, const instant& now) {
+  const auto& need = step.spec->need;
+  const bool advised = step.job->advice.has_value();
+  for (const auto& [id, worker] : workers_) {
+    if (tasks == 0) {
+      return;
+    }
+    if (!MayRun(step, nullptr, *worker, now) || Fits(step, *worker) ||
+        (advised && !step.advice.Allowed(id))) {
+      continue;
+    }
+    // Room that is being made already counts: a second victim for the same task helps nobody.
+    auto free = worker->Free();
+    std::vector<live_run*> victims;
+    for (const auto& [task, run] : worker->runs) {
+      if (run->phase == run_phase::kStopping) {
+        free = free + run->charged;
+      } else if (run->phase == run_phase::kRunning && run->step != nullptr &&
+                 run->step->job->priority > step.job->priority && run->step->spec->checkpoints &&
+                 !run->step->spec->gang && !run->step->spec->service &&
+                 !run->step->spec->uses_leftover) {
+        victims.push_back(run.get());
+      }
+    }
+    if (need.FitsIn(free)) {
+      --tasks;
+      continue;
+    }
+    std::ranges::sort(victims, std::greater{},
+                      [](const auto* run) { return run->charged.processors_milli; });
+    std::vector<live_run*> chosen;
+    for (auto* const victim : victims) {
+      if (need.FitsIn(free)) {
+        break;
+      }
+      free = free + victim->charged;
+      chosen.push_back(victim);
+    }
+    if (!need.FitsIn(free)) {
+      continue;
+    }
+    for (auto* const victim : chosen) {
+      StopRun(*victim, stop_reason::kPreempted, now);
+    }
+    --tasks;
+  }
+}
+
+}  // namespace rosearch::sched
--- /dev/null
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -0,0 +1,638 @@
+// The runs of a scheduler: from the order to start one until it is certainly over.
+#include <algorithm>
+#include <chrono>
+
+#include "rosearch/sched/scheduler.h"
+
+namespace rosearch::sched {
+namespace {
+
+/// A worker lists at most so many ends at once; a list of that length may hide later ones.
+constexpr std::size_t kFullList = 500;
+
+/// A worker that an order didn't reach is left alone for so long.
+constexpr duration kUnreachedPause = std::chrono::milliseconds{300};
+
+/// A run shorter than this doesn't count as a service that came up.
+constexpr duration kQuickEnd = std::chrono::seconds{2};
+
+/// How much one run moves the smoothed slowness of its worker.
+constexpr double kSlownessWeight = 0.1;
+
+/// Tails at this share of their target slow down what fills beside them, and below the second it
+/// gets its speed back.
+constexpr double kTailHigh = 0.75;
+constexpr double kTailLow = 0.5;
+constexpr std::uint32_t kPaceStep = 25;
+
+std::string_view EndName(end_kind how) {
+  constexpr std::string_view kNames[]{"done",   "failed", "stopped", "lapsed",
+                                      "broken", "alone",  "lost"};
+  return kNames[static_cast<std::size_t>(how)];
+}
+
+std::string_view OutcomeWord(start_outcome outcome) {
+  constexpr std::string_view kNames[]{"started",   "not_sent", "no_room",   "bad_ticket",
+                                      "stale_fence", "stale_run", "too_late", "unhealthy",
+                                      "rejected",  "other_life", "unknown"};
+  return kNames[static_cast<std::size_t>(outcome)];
+}
+
+}  // namespace
+
+duration scheduler::LongestLease() const {
+  const auto slow = std::chrono::duration<double, std::micro>{settings_.max_lease} *
+                    (1.0 + settings_.clock_slack);
+  return std::chrono::duration_cast<duration>(slow) + settings_.lapse_margin;
+}
+
+time_point scheduler::LapseOf(const worker_state& worker) const { return worker.lease_until; }
+
+live_run* scheduler::FindRun(const std::string& worker, const std::string& task,
+                             std::uint32_t run) {
+  const auto holder = workers_.find(worker);
+  if (holder == workers_.end()) {
+    return nullptr;
+  }
+  const auto found = holder->second->runs.find(task);
+  const bool same = found != holder->second->runs.end() && found->second->run == run;
+  return same ? found->second.get() : nullptr;
+}
+
+live_run& scheduler::BeginRun(step_state& step, std::uint32_t index, worker_state& worker,
+                              std::uint32_t number, std::string checkpoint, std::string ticket,
+                              const instant& now) {
+  auto& task = step.tasks[index];
+  auto made = std::make_unique<live_run>();
+  made->task = step.Name() + '.' + std::to_string(index);
+  made->run = number;
+  made->worker = &worker;
+  made->step = &step;
+  made->index = index;
+  made->charged = step.spec->need;
+  if (step.spec->uses_leftover) {
+    made->charged.processors_milli = 0;
+  }
+  made->ticket = ticket;
+  made->checkpoint = checkpoint;
+  made->started_at = now.steady;
+  made->progressed_at = now.steady;
+  ++task.live;
+  ++step.job->live;
+  step.job->phase = job_phase::kRunning;
+  step.runs.push_back(made.get());
+  worker.used = worker.used + made->charged;
+  worker.service_runs += step.spec->service ? 1 : 0;
+  worker.leftover_runs += step.spec->uses_leftover ? 1 : 0;
+  worker.lease_until = std::max(worker.lease_until, now.steady + LongestLease());
+  orders_.emplace_back(start_order{worker.facts.id, worker.facts.address, made->task, number,
+                                   step.job->spec, std::move(checkpoint), std::move(ticket)});
+  log_.Write(event_line{"run_ordered"}
+                 .Add("job", step.job->spec->id)
+                 .Add("task", made->task)
+                 .Add("run", number)
+                 .Add("worker", worker.facts.id)
+                 .Add("free_cpu", worker.Free().processors_milli)
+                 .Add("free_mb", worker.Free().memory_mb)
+                 .Add("attempt", task.failures + 1)
+                 .Add("resumes", static_cast<int>(!made->checkpoint.empty())));
+  auto& run = *made;
+  worker.runs[run.task] = std::move(made);
+  return run;
+}
+
+void scheduler::StopRun(live_run& run, stop_reason reason, const instant& now) {
+  if (run.phase == run_phase::kStopping) {
+    return;
+  }
+  run.phase = run_phase::kStopping;
+  run.reason = reason;
+  run.stop_heard = false;
+  run.next_try = now.steady + settings_.stop_retry;
+  orders_.emplace_back(
+      stop_order{run.worker->facts.id, run.worker->facts.address, run.task, run.run});
+  log_.Write(event_line{"run_stopping", reason == stop_reason::kJobOver ? event_weight::kRequest
+                                                                        : event_weight::kFailure}
+                 .Add("task", run.task)
+                 .Add("run", run.run)
+                 .Add("worker", run.worker->facts.id)
+                 .Add("reason", StopReasonName(reason))
+                 .Add("percent", run.percent));
+}
+
+void scheduler::Detach(live_run& run) {
+  auto& worker = *run.worker;
+  worker.used = worker.used - run.charged;
+  if (run.step != nullptr) {
+    auto& step = *run.step;
+    --step.tasks[run.index].live;
+    --step.job->live;
+    std::erase(step.runs, &run);
+    worker.service_runs -= step.spec->service ? 1 : 0;
+    worker.leftover_runs -= step.spec->uses_leftover ? 1 : 0;
+    if (step.runs.empty()) {
+      step.clearing = false;
+    }
+    if (step.job->live == 0 && IsTerminal(step.job->phase)) {
+      retiring_.push_back(step.job->spec->id);
+    }
+  } else {
+    --worker.strangers;
+  }
+  ++room_version_;
+  worker.runs.erase(std::string{run.task});
+}
+
+void scheduler::EndRun(live_run& run, end_kind how, const std::string& checkpoint,
+                       const instant& now) {
+  auto& worker = *run.worker;
+  auto* const step = run.step;
+  const auto index = run.index;
+  const auto number = run.run;
+  const auto& newest = checkpoint.empty() ? run.checkpoint : checkpoint;
+  const std::string kept = newest;
+  const auto took = now.steady - run.started_at;
+  const bool good = how == end_kind::kDone || how == end_kind::kStopped;
+  log_.Write(event_line{"run_ended", good ? event_weight::kRequest : event_weight::kFailure}
+                 .Add("task", run.task)
+                 .Add("run", number)
+                 .Add("worker", worker.facts.id)
+                 .Add("how", EndName(how))
+                 .Add("reason", StopReasonName(run.reason))
+                 .Add("took_ms", took));
+  if (how == end_kind::kDone) {
+    worker.health.Good();
+    if (step != nullptr && step->spec->estimate.count() > 0 && run.checkpoint.empty()) {
+      const double ratio = std::chrono::duration<double>{took} /
+                           std::chrono::duration<double>{step->spec->estimate};
+      worker.slowness += kSlownessWeight * (std::clamp(ratio, 0.3, 4.0) - worker.slowness);
+    }
+  } else if (how == end_kind::kFailed && worker.health.Bad(settings_, now.steady)) {
+    log_.Write(event_line{"worker_quarantined", event_weight::kBelief}
+                   .Add("worker", worker.facts.id)
+                   .Add("cause", "failures"));
+  }
+  if (step != nullptr && step->spec->service && took > kQuickEnd) {
+    step->tasks[index].quick_ends = 0;
+  }
+  Detach(run);
+  if (step == nullptr) {
+    return;
+  }
+  if (step->spec->gang) {
+    ApplyGangEnd(*step, number, how, worker.facts.id, kept, now);
+  } else {
+    ApplyEnd(*step, index, number, how, worker.facts.id, kept, now);
+  }
+}
+
+void scheduler::ApplyEnd(step_state& step, std::uint32_t index, std::uint32_t run, end_kind how,
+                         const std::string& worker, const std::string& checkpoint,
+                         const instant& now) {
+  auto& task = step.tasks[index];
+  if (IsTerminal(step.job->phase) || task.done) {
+    return;
+  }
+  if (step.spec->checkpoints && !checkpoint.empty() && checkpoint != task.checkpoint) {
+    task.checkpoint = checkpoint;
+    MarkDirty(*step.job, false);
+  }
+  if (how == end_kind::kDone && !step.spec->service) {
+    FinishTask(step, index, now);
+  } else if (how == end_kind::kFailed) {
+    FailTask(step, index, run, worker, now);
+  }
+}
+
+void scheduler::ApplyGangEnd(step_state& step, std::uint32_t run, end_kind how,
+                             const std::string& worker, const std::string& checkpoint,
+                             const instant& now) {
+  if (IsTerminal(step.job->phase) || step.Finished()) {
+    return;
+  }
+  // One member's checkpoint is good for all of them, and all must resume from the same.
+  if (step.spec->checkpoints && !checkpoint.empty()) {
+    step.tasks.front().checkpoint = checkpoint;
+    MarkDirty(*step.job, false);
+  }
+  if (how == end_kind::kDone && !step.spec->service) {
+    for (auto& task : step.tasks) {
+      task.done = true;
+    }
+    step.done = static_cast<std::uint32_t>(step.tasks.size());
+    MarkDirty(*step.job, false);
+    FinishStep(step, now);
+    return;
+  }
+  if (how == end_kind::kFailed) {
+    FailTask(step, 0, run, worker, now);
+  }
+  BreakGang(step, now);
+}
+
+void scheduler::BreakGang(step_state& step, const instant& now) {
+  if (step.runs.empty() || step.clearing) {
+    return;
+  }
+  step.clearing = true;
+  const auto runs = step.runs;
+  for (auto* const run : runs) {
+    StopRun(*run, stop_reason::kGangBroken, now);
+  }
+}
+
+void scheduler::OnStartAnswer(const start_order& sent, start_outcome outcome, const instant& now) {
+  if (outcome == start_outcome::kStaleFence) {
+    deposed_ = true;
+    return;
+  }
+  if (outcome == start_outcome::kOtherLife) {
+    OnWatchFailed(sent.worker, watch_failure::kOtherLife, now);
+    return;
+  }
+  auto* const run = FindRun(sent.worker, sent.task, sent.run);
+  if (run == nullptr || run->phase == run_phase::kStopping || run->phase == run_phase::kRunning) {
+    return;
+  }
+  if (outcome == start_outcome::kStarted) {
+    run->phase = run_phase::kRunning;
+    run->known_at = now.steady;
+    return;
+  }
+  log_.Write(event_line{"start_unanswered", event_weight::kFailure}
+                 .Add("task", run->task)
+                 .Add("run", run->run)
+                 .Add("worker", sent.worker)
+                 .Add("outcome", OutcomeWord(outcome))
+                 .Add("tries", run->tries));
+  if (outcome == start_outcome::kUnknown) {
+    run->phase = run_phase::kUnsure;
+    run->next_try = now.steady;
+    return;
+  }
+  RefuseStart(*run, outcome, now);
+}
+
+void scheduler::RefuseStart(live_run& run, start_outcome outcome, const instant& now) {
+  auto& worker = *run.worker;
+  if (outcome == start_outcome::kUnhealthy) {
+    worker.health.Bad(settings_, now.steady);
+    worker.health.Pause(now.steady + settings_.refusal_pause);
+  } else if (outcome == start_outcome::kBadTicket) {
+    run.step->advice.Expire(worker.facts.id);
+  } else if (outcome == start_outcome::kNotSent) {
+    worker.health.Pause(now.steady + kUnreachedPause);
+  } else {
+    worker.health.Pause(now.steady + settings_.refusal_pause);
+  }
+  if (run.tries > 1) {
+    // An earlier sending was never answered and may still be carried out, whatever became of this
+    // one: a second run of the task elsewhere would then run beside it.
+    StopRun(run, stop_reason::kUnanswered, now);
+    return;
+  }
+  auto* const step = run.step;
+  Detach(run);
+  if (step->spec->gang) {
+    BreakGang(*step, now);
+  }
+}
+
+void scheduler::OnStopAnswer(const stop_order& sent, bool heard, const instant& now) {
+  auto* const run = FindRun(sent.worker, sent.task, sent.run);
+  if (run == nullptr || run->phase != run_phase::kStopping) {
+    return;
+  }
+  if (heard) {
+    run->stop_heard = true;
+    run->known_at = now.steady;
+    run->next_try = kNever;
+  }
+}
+
+void scheduler::TakeEnd(worker_state& worker, const ended_row& row, const instant& now) {
+  if (auto* const run = FindRun(worker.facts.id, row.task, row.run)) {
+    EndRun(*run, row.how, row.checkpoint, now);
+    return;
+  }
+  // An end of a run that an earlier leader began, or that was taken for lost.
+  const auto name = task_name::Parse(row.task);
+  auto* const job = name ? FindJob(name->job) : nullptr;
+  if (job == nullptr || IsTerminal(job->phase)) {
+    return;
+  }
+  auto* const step = job->Step(name->occurrence, name->step);
+  if (step == nullptr || name->index >= step->tasks.size()) {
+    return;
+  }
+  if (row.how != end_kind::kDone && row.how != end_kind::kFailed) {
+    return;
+  }
+  log_.Write(event_line{"old_run_ended"}
+                 .Add("task", row.task)
+                 .Add("run", row.run)
+                 .Add("worker", worker.facts.id)
+                 .Add("how", EndName(row.how)));
+  if (step->spec->gang) {
+    ApplyGangEnd(*step, row.run, row.how, worker.facts.id, row.checkpoint, now);
+  } else {
+    ApplyEnd(*step, name->index, row.run, row.how, worker.facts.id, row.checkpoint, now);
+  }
+}
+
+void scheduler::StopStranger(worker_state& worker, const running_row& row, const instant& now) {
+  auto made = std::make_unique<live_run>();
+  made->task = row.task;
+  made->run = row.run;
+  made->worker = &worker;
+  made->started_at = now.steady;
+  made->progressed_at = now.steady;
+  ++worker.strangers;
+  auto& run = *(worker.runs[row.task] = std::move(made));
+  StopRun(run, stop_reason::kStranger, now);
+}
+
+void scheduler::Adopt(worker_state& worker, const running_row& row, const instant& now) {
+  const auto name = task_name::Parse(row.task);
+  auto* const job = name ? FindJob(name->job) : nullptr;
+  const bool wanted = job != nullptr && !IsTerminal(job->phase);
+  while (wanted && name->occurrence >= job->occurrences.size() &&
+         job->occurrences.size() < job->Occurrences()) {
+    OpenSteps(*job, AddOccurrence(*job), now);
+  }
+  auto* const step = wanted ? job->Step(name->occurrence, name->step) : nullptr;
+  const bool known = step != nullptr && name->index < step->tasks.size() &&
+                     !step->tasks[name->index].done;
+  if (!known || (step->tasks[name->index].live > 0 && !step->spec->may_duplicate)) {
+    StopStranger(worker, row, now);
+    return;
+  }
+  auto made = std::make_unique<live_run>();
+  made->task = row.task;
+  made->run = row.run;
+  made->worker = &worker;
+  made->step = step;
+  made->index = name->index;
+  made->charged = step->spec->need;
+  if (step->spec->uses_leftover) {
+    made->charged.processors_milli = 0;
+  }
+  made->phase = run_phase::kRunning;
+  made->checkpoint = row.checkpoint;
+  made->percent = row.percent;
+  made->started_at = now.steady;
+  made->known_at = now.steady;
+  made->progressed_at = now.steady;
+  ++step->tasks[name->index].live;
+  ++job->live;
+  job->phase = job_phase::kRunning;
+  step->runs.push_back(made.get());
+  worker.used = worker.used + made->charged;
+  worker.service_runs += step->spec->service ? 1 : 0;
+  worker.leftover_runs += step->spec->uses_leftover ? 1 : 0;
+  worker.runs[row.task] = std::move(made);
+  log_.Write(event_line{"run_adopted"}
+                 .Add("task", row.task)
+                 .Add("run", row.run)
+                 .Add("worker", worker.facts.id));
+}
+
+void scheduler::LookForMissing(worker_state& worker, time_point sent_at,
+                               const worker_report& report, const instant& now) {
+  if (report.ended.size() >= kFullList) {
+    return;
+  }
+  std::vector<live_run*> gone;
+  for (const auto& [task, run] : worker.runs) {
+    const bool listed = std::ranges::any_of(report.running, [&](const running_row& row) {
+      return row.run == run->run && row.task == task;
+    });
+    if (listed || run->known_at >= sent_at) {
+      run->missing = false;
+      continue;
+    }
+    if (run->phase == run_phase::kStopping && run->stop_heard) {
+      gone.push_back(run.get());
+    } else if (run->phase == run_phase::kRunning && std::exchange(run->missing, true)) {
+      gone.push_back(run.get());
+    }
+  }
+  for (auto* const run : gone) {
+    EndRun(*run, run->phase == run_phase::kStopping ? end_kind::kStopped : end_kind::kLost, {},
+           now);
+  }
+}
+
+void scheduler::OnReport(const std::string& worker_id, time_point sent_at,
+                         const worker_report& report, const instant& now) {
+  const auto found = workers_.find(worker_id);
+  if (found == workers_.end()) {
+    return;
+  }
+  auto& worker = *found->second;
+  if (worker.session != session_phase::kLive) {
+    log_.Write(event_line{"worker_live", event_weight::kBelief}
+                   .Add("worker", worker_id)
+                   .Add("running", report.running.size())
+                   .Add("ended", report.ended.size())
+                   .Add("silent_watches", worker.silent_watches));
+    ++room_version_;
+  }
+  for (const auto& row : report.ended) {
+    if (row.number > worker.seen_end) {
+      worker.seen_end = row.number;
+      TakeEnd(worker, row, now);
+    }
+  }
+  for (const auto& row : report.running) {
+    const auto known = worker.runs.find(row.task);
+    if (known == worker.runs.end()) {
+      Adopt(worker, row, now);
+      continue;
+    }
+    auto& run = *known->second;
+    if (run.run != row.run) {
+      continue;
+    }
+    if (run.phase == run_phase::kStarting || run.phase == run_phase::kUnsure) {
+      run.phase = run_phase::kRunning;
+      run.known_at = now.steady;
+    }
+    if (!row.checkpoint.empty()) {
+      run.checkpoint = row.checkpoint;
+    }
+    if (row.percent != run.percent) {
+      run.percent = row.percent;
+      run.progressed_at = now.steady;
+    }
+    run.load = row.load;
+  }
+  LookForMissing(worker, sent_at, report, now);
+  worker.session = session_phase::kLive;
+  worker.silent_watches = 0;
+  worker.report_sent_at = sent_at;
+  unsettled_.erase(worker_id);
+  PaceLeftovers(worker);
+  AckWhatNeedsNoRecord();
+}
+
+void scheduler::LoseRuns(worker_state& worker, std::string_view cause, const instant& now) {
+  if (!worker.runs.empty()) {
+    log_.Write(event_line{"runs_lost", event_weight::kBelief}
+                   .Add("worker", worker.facts.id)
+                   .Add("runs", worker.runs.size())
+                   .Add("cause", cause));
+  }
+  while (!worker.runs.empty()) {
+    EndRun(*worker.runs.begin()->second, end_kind::kLost, {}, now);
+  }
+}
+
+void scheduler::OnWatchFailed(const std::string& worker_id, watch_failure failure,
+                              const instant& now) {
+  if (failure == watch_failure::kStaleFence) {
+    deposed_ = true;
+    return;
+  }
+  const auto found = workers_.find(worker_id);
+  if (found == workers_.end()) {
+    return;
+  }
+  auto& worker = *found->second;
+  if (failure == watch_failure::kOtherLife) {
+    LoseRuns(worker, "restarted", now);
+    unsettled_.erase(worker_id);
+    DropWorker(worker_id);
+    return;
+  }
+  ++worker.silent_watches;
+  if (worker.session == session_phase::kLive) {
+    worker.session = session_phase::kSilent;
+    log_.Write(event_line{"worker_silent", event_weight::kBelief}
+                   .Add("worker", worker_id)
+                   .Add("runs", worker.runs.size())
+                   .Add("lapses_in_ms", LapseOf(worker) - now.steady));
+  }
+}
+
+void scheduler::DropWorker(const std::string& id) {
+  workers_.erase(id);
+  workers_dirty_ = true;
+}
+
+void scheduler::RetryOrders(worker_state& worker, const instant& now) {
+  if (worker.session != session_phase::kLive) {
+    return;  // a silent worker answers again first, or its lease lapses
+  }
+  for (const auto& [task, run] : worker.runs) {
+    if (run->next_try > now.steady) {
+      continue;
+    }
+    if (run->phase == run_phase::kStopping && !run->stop_heard) {
+      run->next_try = now.steady + settings_.stop_retry;
+      orders_.emplace_back(
+          stop_order{worker.facts.id, worker.facts.address, run->task, run->run});
+    } else if (run->phase == run_phase::kUnsure && run->tries >= settings_.start_tries) {
+      StopRun(*run, stop_reason::kUnanswered, now);
+    } else if (run->phase == run_phase::kUnsure) {
+      ++run->tries;
+      run->phase = run_phase::kStarting;
+      worker.lease_until = std::max(worker.lease_until, now.steady + LongestLease());
+      orders_.emplace_back(start_order{worker.facts.id, worker.facts.address, run->task, run->run,
+                                       run->step->job->spec, run->checkpoint, run->ticket});
+    }
+  }
+}
+
+void scheduler::StopStuckRuns(worker_state& worker, const instant& now) {
+  if (worker.session != session_phase::kLive) {
+    return;
+  }
+  for (const auto& [task, run] : worker.runs) {
+    if (run->phase != run_phase::kRunning || run->step == nullptr || run->percent >= 100) {
+      continue;
+    }
+    const auto& spec = *run->step->spec;
+    const auto limit = std::max<duration>(settings_.stuck_after, spec.estimate / 2);
+    if (spec.uses_leftover || now.steady - run->progressed_at < limit) {
+      continue;
+    }
+    if (worker.health.Bad(settings_, now.steady)) {
+      log_.Write(event_line{"worker_quarantined", event_weight::kBelief}
+                     .Add("worker", worker.facts.id)
+                     .Add("cause", "no_progress"));
+    }
+    run->step->tasks[run->index].failed_on = worker.facts.id;
+    if (spec.gang) {
+      BreakGang(*run->step, now);
+    } else {
+      StopRun(*run, stop_reason::kStuck, now);
+    }
+  }
+}
+
+void scheduler::EmptyLeavingWorker(worker_state& worker, const instant& now) {
+  if (!worker.facts.draining || worker.session != session_phase::kLive) {
+    return;
+  }
+  const auto last_call = worker.leaves_at - settings_.stop_timeout - settings_.stuck_after / 2;
+  for (const auto& [task, run] : worker.runs) {
+    if (run->phase != run_phase::kRunning || run->step == nullptr) {
+      continue;
+    }
+    const auto& spec = *run->step->spec;
+    // A service gains nothing by staying; what saves its progress is stopped just in time, so that
+    // the newest checkpoint comes along.
+    const bool in_time = spec.service || (spec.checkpoints && now.steady >= last_call);
+    if (!in_time) {
+      continue;
+    }
+    if (spec.gang) {
+      BreakGang(*run->step, now);
+    } else {
+      StopRun(*run, stop_reason::kLeaving, now);
+    }
+  }
+}
+
+void scheduler::PaceLeftovers(worker_state& worker) {
+  if (worker.leftover_runs == 0 || worker.service_runs == 0) {
+    return;
+  }
+  double worst = 0;
+  for (const auto& [task, run] : worker.runs) {
+    if (run->step == nullptr || run->step->spec->tail_target.count() == 0) {
+      continue;
+    }
+    const auto target =
+        std::chrono::duration<double, std::milli>{run->step->spec->tail_target}.count();
+    worst = std::max(worst, run->load / target);
+  }
+  for (const auto& [task, run] : worker.runs) {
+    if (run->step == nullptr || !run->step->spec->uses_leftover ||
+        run->phase != run_phase::kRunning) {
+      continue;
+    }
+    auto pace = run->pace;
+    if (worst > 1) {
+      pace = 0;
+    } else if (worst > kTailHigh) {
+      pace = pace > kPaceStep ? pace - kPaceStep : 0;
+    } else if (worst < kTailLow) {
+      pace = std::min(100U, pace + kPaceStep);
+    }
+    if (pace == run->pace) {
+      continue;
+    }
+    run->pace = pace;
+    orders_.emplace_back(
+        pace_order{worker.facts.id, worker.facts.address, run->task, run->run, pace});
+    log_.Write(event_line{"run_paced"}
+                   .Add("task", run->task)
+                   .Add("worker", worker.facts.id)
+                   .Add("percent", pace)
+                   .Add("tail_percent", static_cast<int>(worst * 100)));
+  }
+}
+
+}  // namespace rosearch::sched
--- /dev/null
+++ b/src/rosearch/sched/scheduler_settings.h
@@ -0,0 +1,59 @@
+#ifndef ROSEARCH_SCHED_SCHEDULER_SETTINGS_H_
+#define ROSEARCH_SCHED_SCHEDULER_SETTINGS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "rosearch/core/time.h"
+
+namespace rosearch::sched {
+
+/// Bounds and weights of the scheduler. The platform's own bounds come from the process's settings;
+/// the others are defaults measured on replayed load.
+struct scheduler_settings {
+  /// Longest lease that a worker grants, by its own clock; from the platform's settings.
+  duration max_lease{std::chrono::seconds{6}};
+  /// A worker's clock may be slow by so much: 2% by the platform's pages, and a little for rounding.
+  double clock_slack{0.025};
+  /// What a message may be under way beyond the clock's slack before it counts as sent too late.
+  duration lapse_margin{std::chrono::milliseconds{200}};
+  /// After a change of leader: how long the former one may have gone on sending before it noticed
+  /// that it was cut off.
+  duration old_leader_silence{std::chrono::seconds{3}};
+  /// Longest that a worker takes to end a run on order; from the platform's settings.
+  duration stop_timeout{std::chrono::milliseconds{900}};
+  /// How long an ended job is still known to callers: 120 s are promised, 30 s are margin.
+  duration keep_ended{std::chrono::seconds{150}};
+  /// An occurrence starts so long after its due time, so that clocks that differ by a few
+  /// milliseconds never make it early.
+  duration due_margin{std::chrono::milliseconds{30}};
+  /// Share of every worker that only the most urgent class may fill. A burst that doubles the
+  /// urgent work finds room while the rest drains away, at the price of that share of packing.
+  double urgent_reserve{0.10};
+  /// A ticket with less life left than this is asked for anew: the start must still arrive in time.
+  duration ticket_margin{std::chrono::milliseconds{150}};
+  /// Most workers named in one request for advice; more cost the caller's time.
+  std::size_t most_names{30};
+  /// Tries of an order whose answers are lost before the run is stopped and moved.
+  std::uint32_t start_tries{2};
+  /// Between two sendings of an order to stop that was not answered.
+  duration stop_retry{std::chrono::milliseconds{400}};
+  /// Two failures in a row make a worker suspect: it is left alone for this long, doubling.
+  duration quarantine{std::chrono::seconds{3}};
+  duration longest_quarantine{std::chrono::seconds{24}};
+  std::uint32_t failures_to_quarantine{2};
+  /// A worker that answers unwell or refuses for want of room is left alone for so long.
+  duration refusal_pause{std::chrono::milliseconds{700}};
+  /// A run whose progress stands still for longer than this, and than half its estimate, hangs.
+  duration stuck_after{std::chrono::milliseconds{2'500}};
+  /// Unanswered advice is asked for again after this.
+  duration advice_retry{std::chrono::milliseconds{250}};
+  /// Share of the slack of a job's objective that waiting may use up before a job is refused.
+  double admission_slack{0.9};
+
+  friend bool operator==(const scheduler_settings&, const scheduler_settings&) = default;
+};
+
+}  // namespace rosearch::sched
+
+#endif  // ROSEARCH_SCHED_SCHEDULER_SETTINGS_H_
--- /dev/null
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -0,0 +1,251 @@
+// What a scheduler keeps in the store, and how it takes over what is there.
+#include <algorithm>
+#include <chrono>
+
+#include "rosearch/sched/job_codec.h"
+#include "rosearch/sched/scheduler.h"
+#include "rosearch/wire/cell.pb.h"
+
+namespace rosearch::sched {
+namespace {
+
+// Keys of records: a letter for the kind, then the job's id.
+constexpr char kJobKey = 'j';
+constexpr char kProgressKey = 'p';
+constexpr std::string_view kWorkersKey = "w";
+
+std::string Key(char kind, const std::string& id) { return kind + id; }
+
+}  // namespace
+
+struct scheduler::stored_effects {
+  std::vector<std::string> new_jobs;
+  std::vector<std::pair<std::string, job_phase>> progress;
+  std::vector<std::pair<std::string, std::uint64_t>> ends;  ///< worker, newest end taken in
+  std::vector<std::string> recorded;                        ///< workers
+  std::vector<std::string> forgotten;
+  bool workers{false};
+};
+
+scheduler::scheduler(const scheduler_settings& settings, std::uint64_t epoch, event_sink& log)
+    : settings_{settings}, epoch_{epoch}, log_{log} {}
+
+scheduler::~scheduler() = default;
+
+bool scheduler::Restore(const stored_record& record, const instant& now) {
+  if (record.key == kWorkersKey) {
+    wire::stored_workers workers;
+    if (!workers.ParseFromString(record.value)) {
+      return false;
+    }
+    for (const auto& stored : workers.workers()) {
+      auto made = std::make_unique<worker_state>();
+      made->facts.id = stored.id();
+      made->facts.address = stored.address();
+      made->facts.pool = stored.pool();
+      made->listed = false;
+      made->recorded = true;
+      made->lease_until = now.steady + settings_.old_leader_silence + LongestLease();
+      unsettled_[stored.id()] = made->lease_until;
+      workers_[stored.id()] = std::move(made);
+    }
+    return true;
+  }
+  if (record.key.size() < 2 || (record.key[0] != kJobKey && record.key[0] != kProgressKey)) {
+    return false;
+  }
+  restoring_.push_back(record);
+  return true;
+}
+
+void scheduler::RestoreJob(const std::string& id, const std::string& job_text,
+                           const std::string& progress_text, const instant& now) {
+  wire::stored_progress progress;
+  const bool readable = progress.ParseFromString(progress_text);
+  const auto phase = static_cast<job_phase>(progress.phase());
+  if (readable && !progress_text.empty() && IsTerminal(phase)) {
+    ended_[id] = ended_job{progress.queue(), phase, progress.ended_ms()};
+    return;
+  }
+  auto spec = DecodeJob(job_text);
+  if (!spec || !readable) {
+    log_.Write(event_line{"record_unreadable", event_weight::kFailure}.Add("job", id));
+    return;
+  }
+  auto job = std::make_unique<job_state>();
+  job->accepted = true;
+  job->restored = true;
+  job->new_record = false;
+  const auto age = std::chrono::milliseconds{std::max<std::int64_t>(0, now.wall_ms - spec->accepted_ms)};
+  job->finish_by = now.steady + spec->objective - age;
+  job->spec = std::make_shared<const job_spec>(std::move(*spec));
+  ResolveRules(*job);
+  ApplyProgress(progress, *job);
+  auto& placed = *(jobs_[id] = std::move(job));
+  for (auto& occurrence : placed.occurrences) {
+    if (!occurrence->done) {
+      OpenSteps(placed, *occurrence, now);
+    }
+  }
+  OpenDue(placed, now);
+}
+
+void scheduler::FinishRestore(const instant& now) {
+  std::map<std::string, std::pair<std::string, std::string>> texts;
+  for (auto& record : restoring_) {
+    auto& [job, progress] = texts[record.key.substr(1)];
+    (record.key[0] == kJobKey ? job : progress) = std::move(record.value);
+  }
+  restoring_.clear();
+  for (const auto& [id, text] : texts) {
+    RestoreJob(id, text.first, text.second, now);
+  }
+  log_.Write(event_line{"state_restored", event_weight::kBelief}
+                 .Add("epoch", epoch_)
+                 .Add("jobs", jobs_.size())
+                 .Add("ended", ended_.size())
+                 .Add("unsettled_workers", unsettled_.size()));
+}
+
+bool scheduler::HasRecords() const {
+  return !dirty_.empty() || !forgotten_.empty() || workers_dirty_;
+}
+
+state_batch scheduler::TakeBatch(const instant& now) {
+  state_batch batch{next_batch_++, {}};
+  stored_effects effects;
+  for (const auto& id : std::exchange(dirty_, {})) {
+    auto* const job = FindJob(id);
+    if (job == nullptr) {
+      continue;
+    }
+    job->dirty = false;
+    if (IsTerminal(job->phase)) {
+      if (!job->new_record) {
+        batch.records.push_back({Key(kJobKey, id), {}});
+      }
+      batch.records.push_back({Key(kProgressKey, id), EncodeProgress(*job)});
+    } else if (job->new_record) {
+      batch.records.push_back({Key(kJobKey, id), EncodeJob(*job->spec)});
+    } else {
+      batch.records.push_back({Key(kProgressKey, id), EncodeProgress(*job)});
+    }
+    if (std::exchange(job->new_record, false)) {
+      effects.new_jobs.push_back(id);
+    }
+    effects.progress.emplace_back(id, job->phase);
+  }
+  for (const auto& id : std::exchange(forgotten_, {})) {
+    batch.records.push_back({Key(kProgressKey, id), {}});
+    effects.forgotten.push_back(id);
+  }
+  if (std::exchange(workers_dirty_, false)) {
+    wire::stored_workers stored;
+    for (const auto& [id, worker] : workers_) {
+      auto& each = *stored.add_workers();
+      each.set_id(id);
+      each.set_address(worker->facts.address);
+      each.set_pool(worker->facts.pool);
+      worker->record_asked = true;
+      effects.recorded.push_back(id);
+    }
+    effects.workers = true;
+    batch.records.push_back({std::string{kWorkersKey}, stored.SerializeAsString()});
+  }
+  for (const auto& [id, worker] : workers_) {
+    if (worker->seen_end > worker->acked_end) {
+      effects.ends.emplace_back(id, worker->seen_end);
+    }
+  }
+  urgent_ = false;
+  storing_[batch.number] = std::move(effects);
+  (void)now;
+  return batch;
+}
+
+void scheduler::OnStored(std::uint64_t number, const instant& now) {
+  const auto node = storing_.extract(number);
+  if (node.empty()) {
+    return;
+  }
+  const auto& effects = node.mapped();
+  for (const auto& id : effects.new_jobs) {
+    if (auto* const job = FindJob(id)) {
+      job->accepted = true;
+      settled_.push_back({id, true, false});
+      log_.Write(event_line{"job_accepted"}.Add("job", id).Add("batch", number));
+      if (!IsTerminal(job->phase)) {
+        OpenDue(*job, now);
+      }
+    }
+  }
+  for (const auto& [id, phase] : effects.progress) {
+    auto* const job = FindJob(id);
+    if (job != nullptr && IsTerminal(phase)) {
+      job->stored_phase = phase;
+      settled_.push_back({id, false, true});
+      retiring_.push_back(id);
+    }
+  }
+  for (const auto& [id, end] : effects.ends) {
+    const auto found = workers_.find(id);
+    if (found != workers_.end() && found->second->acked_end < end) {
+      found->second->acked_end = end;
+      acked_.push_back(id);
+    }
+  }
+  for (const auto& id : effects.recorded) {
+    const auto found = workers_.find(id);
+    if (found != workers_.end() && !found->second->recorded) {
+      found->second->recorded = true;
+      ++room_version_;
+    }
+  }
+  RetireEnded(now);
+  AckWhatNeedsNoRecord();
+}
+
+void scheduler::OnNotStored(std::uint64_t number, const instant& now) {
+  const auto node = storing_.extract(number);
+  if (node.empty()) {
+    return;
+  }
+  const auto& effects = node.mapped();
+  for (const auto& id : effects.new_jobs) {
+    auto* const job = FindJob(id);
+    if (job == nullptr) {
+      continue;
+    }
+    // It was never accepted, so nothing of it has started; a caller that sent it is told so.
+    std::erase_if(open_steps_, [&](const auto* step) { return step->job == job; });
+    std::erase(dirty_, id);
+    jobs_.erase(id);
+    settled_.push_back({id, false, false});
+    log_.Write(event_line{"job_refused", event_weight::kFailure}
+                   .Add("job", id)
+                   .Add("reason", "store_refused")
+                   .Add("batch", number));
+  }
+  for (const auto& [id, phase] : effects.progress) {
+    if (auto* const job = FindJob(id)) {
+      MarkDirty(*job, IsTerminal(phase));
+    }
+  }
+  forgotten_.insert(forgotten_.end(), effects.forgotten.begin(), effects.forgotten.end());
+  workers_dirty_ = workers_dirty_ || effects.workers;
+  (void)now;
+}
+
+void scheduler::AckWhatNeedsNoRecord() {
+  if (!dirty_.empty() || !storing_.empty()) {
+    return;
+  }
+  for (const auto& [id, worker] : workers_) {
+    if (worker->seen_end > worker->acked_end) {
+      worker->acked_end = worker->seen_end;
+      acked_.push_back(id);
+    }
+  }
+}
+
+}  // namespace rosearch::sched
--- /dev/null
+++ b/src/rosearch/sched/worker_state.cc
@@ -0,0 +1,27 @@
+#include "rosearch/sched/worker_state.h"
+
+#include <algorithm>
+#include <array>
+
+namespace rosearch::sched {
+
+std::string_view StopReasonName(stop_reason reason) noexcept {
+  constexpr std::array<std::string_view, 9> kNames{
+      "none",      "job_over", "other_copy", "unanswered", "gang_broken",
+      "preempted", "stuck",    "leaving",    "stranger"};
+  return kNames.at(static_cast<std::size_t>(reason));
+}
+
+bool worker_health::Bad(const scheduler_settings& settings, time_point now) {
+  ++in_a_row_;
+  if (in_a_row_ < settings.failures_to_quarantine && pauses_ == 0) {
+    return false;
+  }
+  const auto doubled = settings.quarantine * (1U << std::min(pauses_, 10U));
+  shunned_until_ = now + std::min(doubled, settings.longest_quarantine);
+  ++pauses_;
+  in_a_row_ = 0;
+  return true;
+}
+
+}  // namespace rosearch::sched
