Ask for advice with the question itself, not with what was moved out of it

Cause: the question was moved into its callback before it was sent, so every question went out empty and was answered 400; no start had a ticket. Ruled out: the service's address, the step's name.

--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -651,8 +651,9 @@
 void leader<Ports>::AskForAdvice() {
   while (auto next = advice_.Next()) {
     const auto asked_at = SteadyNow();
-    ports_.Advise(next->helper, next->query,
-                  Bind([asked = std::move(*next), asked_at](
+    const auto& asked_now = *next;
+    ports_.Advise(asked_now.helper, asked_now.query,
+                  Bind([asked = asked_now, asked_at](
                            leader& self, const std::vector<sched::advised_worker>* allowed) {
                     self.advice_.Done(asked.helper);
                     self.metrics_.Observe("rosearch_advice_seconds", SteadyNow() - asked_at);
