Number a process's questions from its life; never call a job refused that may be stored

Cause 1: peers remember answers by address and number; a restarted process counted from 1 again and got answers meant for its former life: a caller was told that a job was accepted which nobody knew (LOST), another got an answer without a status (MIXED). Cause 2: a caller that asked again while its job's append was unknown was answered 503, and the job ran later (REFUSED). Jobs that no append carries are now refused at once, the others wait. Ruled out: the store's condition on the end, batches sent twice.

--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -150,6 +150,7 @@
     std::vector<std::string> records;
     time_point sent_at{};
     bool may_be_stored{false};  ///< one sending of it was never answered
+    std::uint32_t failures{0};  ///< sendings that brought no good answer
   };
 
   [[nodiscard]] static sched::instant Now() {
@@ -733,8 +734,8 @@
 
 template <typename Ports>
 bool leader<Ports>::StoreAway() const {
-  const auto now = SteadyNow();
-  return batch_ && now - batch_->sent_at > settings_.store_patience;
+  // An append that failed is the sharpest sign; one that takes long, the other.
+  return batch_ && (batch_->failures > 0 || SteadyNow() - batch_->sent_at > settings_.store_patience);
 }
 
 template <typename Ports>
@@ -817,6 +818,9 @@
   // It may be stored yet. The same bytes with the same sequence are stored once at most, so the
   // batch is sent until the store says what became of it.
   batch_->may_be_stored = batch_->may_be_stored || answer.outcome == append_outcome::kUnknown;
+  ++batch_->failures;
+  scheduler_.RefuseUnsent();
+  Settle();
   After(writer_timer_, settings_.store_retry, [](leader& self) { self.SendBatch(); });
 }
 
@@ -893,7 +897,9 @@
   const auto chain = std::chrono::duration<double, std::micro>{sched::LongestChain(job.steps)};
   job.objective =
       std::chrono::duration_cast<duration>(chain * rules.stretch) + rules.latency_target;
-  const bool known = scheduler_.Phase(id, queue).has_value();
+  // A job whose record may be stored must not be called refused, not even to a caller that asks
+  // again: it waits for the store's word.
+  const bool known = scheduler_.IsPending(id) || scheduler_.Phase(id, queue).has_value();
   if (!known && StoreAway()) {
     log_.Write(event_line{"job_refused", event_weight::kFailure}
                    .Add("job", id)
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -18,8 +18,9 @@
 
 }  // namespace
 
-peer_link::peer_link(boost::asio::io_context& io, const std::string& address, receive on_message)
-    : io_{io}, on_message_{std::move(on_message)} {
+peer_link::peer_link(boost::asio::io_context& io, const std::string& address, std::uint64_t life,
+                     receive on_message)
+    : io_{io}, on_message_{std::move(on_message)}, next_exchange_{life} {
   transport_ = std::make_unique<peer_transport>(
       address, [this, alive = std::weak_ptr<bool>{alive_}](std::string bytes) {
         boost::asio::post(io_, [this, alive, bytes = std::move(bytes)] {
@@ -41,7 +42,8 @@
 
 void peer_link::Ask(const std::string& to, wire::peer_frame frame, time_point answer_by,
                     answer_callback done) {
-  const auto exchange = next_exchange_++;
+  next_exchange_ += next_exchange_ + 1 == 0 ? 2 : 1;  // 0 marks a message that asks nothing
+  const auto exchange = next_exchange_;
   frame.set_exchange(exchange);
   frame.set_from(address());
   transport_->Send(to, frame.SerializeAsString());
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -27,7 +27,12 @@
   using receive = std::function<void(const wire::peer_frame&)>;
 
   /// @param address  host:port to bind.
-  peer_link(boost::asio::io_context& io, const std::string& address, receive on_message);
+  /// @param life     drawn at random at each start of the process. Questions are numbered from it:
+  ///                 a restarted process that counted from 1 again would get the answers that peers
+  ///                 remember for its former life, and tell a caller that a job was accepted which
+  ///                 nobody has ever seen.
+  peer_link(boost::asio::io_context& io, const std::string& address, std::uint64_t life,
+            receive on_message);
   ~peer_link();
   peer_link(const peer_link&) = delete;
   peer_link& operator=(const peer_link&) = delete;
@@ -69,7 +74,7 @@
 
   boost::asio::io_context& io_;
   receive on_message_;
-  std::uint64_t next_exchange_{1};
+  std::uint64_t next_exchange_;
   std::unordered_map<std::uint64_t, std::unique_ptr<question>> questions_;
   // A question that comes again is not acted upon again; where it was answered, the answer goes out
   // again. Otherwise one lost answer would make a peer carry out an order twice.
--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -18,6 +18,13 @@
 /// What a message between processes may take beyond the exchange itself.
 constexpr duration kRelayMargin = std::chrono::milliseconds{40};
 
+/// @return whether a failure is certain to have reached nobody.
+bool WasNotSent(const result<http_reply>& answer) {
+  return answer.has_error() && (answer.error().kind == error_kind::kTargetUnreachable ||
+                                answer.error().kind == error_kind::kDeadlinePassed ||
+                                answer.error().kind == error_kind::kNoOwner);
+}
+
 bool IsRefusal(const result<http_reply>& answer) {
   return answer.has_value() && (answer.value().status == 429 || answer.value().status == 503);
 }
@@ -58,6 +65,7 @@
   std::uint32_t peers_tried{0};
   std::uint32_t under_way{0};
   bool over{false};
+  bool may_have_arrived{false};  ///< one try was sent, and nobody knows what became of it
   std::optional<result<http_reply>> last{};
 
   void Finish(result<http_reply> answer) {
@@ -67,6 +75,22 @@
     hedge.cancel();
     done(std::move(answer));
   }
+
+  /// Keeps a try that brought no good answer.
+  void Keep(result<http_reply> answer) {
+    may_have_arrived = may_have_arrived || (answer.has_error() && !WasNotSent(answer));
+    last = std::move(answer);
+  }
+
+  /// Ends without a good answer. One refusal doesn't make up for another try that may still be
+  /// carried out: told as refused, a job would run that its caller was told never would.
+  void FinishFailed() {
+    if (may_have_arrived && (last->has_value() || WasNotSent(*last))) {
+      Finish(error{error_kind::kTimeout, "one try may have arrived"});
+      return;
+    }
+    Finish(std::move(*last));
+  }
 };
 
 void relayed_client::Send(http_request request, const reach& how, http_callback done) {
@@ -105,11 +129,11 @@
       return;
     }
     broken_until_[address] = SteadyNow() + kBrokenFor;
-    sent->last = std::move(answer);
+    sent->Keep(std::move(answer));
     if (sent->how.by_peer && !helpers_.empty() && sent->peers_tried == 0) {
       SendByPeer(sent);
     } else if (sent->under_way == 0) {
-      sent->Finish(std::move(*sent->last));
+      sent->FinishFailed();
     }
   });
 }
@@ -128,16 +152,12 @@
     if (sent->over) {
       return;
     }
-    // An unknown outcome weighs more than a refusal: what was once under way may still be done.
-    const bool keep = sent->last && sent->last->has_error() && answer.has_value();
-    if (!keep) {
-      sent->last = std::move(answer);
-    }
+    sent->Keep(std::move(answer));
     const auto most = std::min<std::size_t>(kMostPeers, helpers_.size());
     if (sent->peers_tried < most && SteadyNow() < sent->request.answer_by) {
       SendByPeer(sent);
     } else if (sent->under_way == 0) {
-      sent->Finish(std::move(*sent->last));
+      sent->FinishFailed();
     }
   });
 }
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -183,6 +183,11 @@
   /// The batch is certainly not stored. New jobs in it are refused for good, the rest is kept for
   /// the next batch.
   void OnNotStored(std::uint64_t number, const instant& now);
+  /// Refuses every new job that no batch has carried to the store yet: it is away, and a caller that
+  /// is told so at once can come back in time.
+  void RefuseUnsent();
+  /// @return whether a job was handed in and what becomes of it is still open.
+  [[nodiscard]] bool IsPending(std::string_view id) const;
   /// @return callers that can be answered since the last call.
   [[nodiscard]] std::vector<settled_job> TakeSettled() { return std::exchange(settled_, {}); }
   /// @return workers whose ends were stored since the last call: they wait to be watched.
@@ -229,6 +234,7 @@
   void MarkDirty(job_state& job, bool urgent);
 
   // scheduler_store.cc
+  void DropNewJob(const std::string& id, std::string_view reason);
   void RestoreJob(const std::string& id, const std::string& job_text,
                   const std::string& progress_text, const instant& now);
   void AckWhatNeedsNoRecord();
--- a/src/rosearch/sched/scheduler_store.cc
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -212,19 +212,7 @@
   }
   const auto& effects = node.mapped();
   for (const auto& id : effects.new_jobs) {
-    auto* const job = FindJob(id);
-    if (job == nullptr) {
-      continue;
-    }
-    // It was never accepted, so nothing of it has started; a caller that sent it is told so.
-    std::erase_if(open_steps_, [&](const auto* step) { return step->job == job; });
-    std::erase(dirty_, id);
-    jobs_.erase(id);
-    settled_.push_back({id, false, false});
-    log_.Write(event_line{"job_refused", event_weight::kFailure}
-                   .Add("job", id)
-                   .Add("reason", "store_refused")
-                   .Add("batch", number));
+    DropNewJob(id, "store_refused");
   }
   for (const auto& [id, phase] : effects.progress) {
     if (auto* const job = FindJob(id)) {
@@ -236,6 +224,32 @@
   (void)now;
 }
 
+void scheduler::DropNewJob(const std::string& id, std::string_view reason) {
+  if (FindJob(id) == nullptr) {
+    return;
+  }
+  // It was never accepted, so nothing of it has started; whoever sent it is told so.
+  std::erase(dirty_, id);
+  jobs_.erase(id);
+  settled_.push_back({id, false, false});
+  log_.Write(event_line{"job_refused", event_weight::kFailure}.Add("job", id).Add("reason", reason));
+}
+
+void scheduler::RefuseUnsent() {
+  const auto dirty = dirty_;
+  for (const auto& id : dirty) {
+    const auto* const job = FindJob(id);
+    if (job != nullptr && job->new_record) {
+      DropNewJob(id, "store_away");
+    }
+  }
+}
+
+bool scheduler::IsPending(std::string_view id) const {
+  const auto found = jobs_.find(std::string{id});
+  return found != jobs_.end() && !found->second->accepted;
+}
+
 void scheduler::AckWhatNeedsNoRecord() {
   if (!dirty_.empty() || !storing_.empty()) {
     return;
