--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -76,6 +76,11 @@
     done(std::move(answer));
   }
 
+  /// @return whether another copy of the request may be sent.
+  [[nodiscard]] bool MayTryPeer() const {
+    return how.by_peer && (how.direct_patience > duration{} || !may_have_arrived);
+  }
+
   /// Keeps a try that brought no good answer.
   void Keep(result<http_reply> answer) {
     may_have_arrived = may_have_arrived || (answer.has_error() && !WasNotSent(answer));
@@ -103,7 +108,7 @@
     return;
   }
   SendDirect(sent);
-  if (!how.by_peer || helpers_.empty()) {
+  if (!how.by_peer || helpers_.empty() || how.direct_patience == duration{}) {
     return;
   }
   sent->hedge.expires_after(how.direct_patience);
@@ -130,7 +135,7 @@
     }
     broken_until_[address] = SteadyNow() + kBrokenFor;
     sent->Keep(std::move(answer));
-    if (sent->how.by_peer && !helpers_.empty() && sent->peers_tried == 0) {
+    if (sent->MayTryPeer() && !helpers_.empty() && sent->peers_tried == 0) {
       SendByPeer(sent);
     } else if (sent->under_way == 0) {
       sent->FinishFailed();
@@ -154,7 +159,8 @@
     }
     sent->Keep(std::move(answer));
     const auto most = std::min<std::size_t>(kMostPeers, helpers_.size());
-    if (sent->peers_tried < most && SteadyNow() < sent->request.answer_by) {
+    if (sent->MayTryPeer() && sent->peers_tried < most &&
+        SteadyNow() < sent->request.answer_by) {
       SendByPeer(sent);
     } else if (sent->under_way == 0) {
       sent->FinishFailed();
--- a/src/rosearch/log/bounded_log.cc
+++ b/src/rosearch/log/bounded_log.cc
@@ -11,8 +11,9 @@
 namespace rosearch {
 namespace {
 
-/// So much is written with one call: enough that a call pays, little enough to keep memory small.
-constexpr std::size_t kFlushAt = 16U << 10U;
+/// So much is written with one call, in whole lines: a pipe takes up to 4 KB at once or not at all,
+/// so that lines of several processes on one pipe don't mix.
+constexpr std::size_t kMostAtOnce = 4'000;
 
 void AppendTime(std::string& text) {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -61,7 +62,7 @@
   AppendTime(waiting_);
   waiting_ += line.text();
   waiting_ += '\n';
-  if (waiting_.size() >= kFlushAt) {
+  if (waiting_.size() >= kMostAtOnce) {
     FlushLocked();
   }
 }
@@ -73,7 +74,12 @@
 
 void bounded_log::FlushLocked() {
   while (!waiting_.empty()) {
-    const auto written = ::write(settings_.descriptor, waiting_.data(), waiting_.size());
+    auto size = waiting_.size();
+    if (size > kMostAtOnce) {
+      const auto line_end = waiting_.rfind('\n', kMostAtOnce - 1);
+      size = line_end == std::string::npos ? kMostAtOnce : line_end + 1;
+    }
+    const auto written = ::write(settings_.descriptor, waiting_.data(), size);
     if (written < 0 && errno == EINTR) {
       continue;
     }
--- a/src/rosearch/sched/job_codec.cc
+++ b/src/rosearch/sched/job_codec.cc
@@ -86,11 +86,10 @@
   bool any = step.done > 0;
   for (std::uint32_t at = 0; at < step.tasks.size(); ++at) {
     const auto& task = step.tasks[at];
-    if (task.failures > 0) {
+    if (!task.failed_runs.empty()) {
       auto& failures = *made.add_failures();
       failures.set_index(at);
-      failures.set_count(task.failures);
-      failures.set_last_run(task.last_failed_run);
+      failures.mutable_runs()->Add(task.failed_runs.begin(), task.failed_runs.end());
       any = true;
     }
     if (!task.done && !task.checkpoint.empty()) {
@@ -118,8 +117,8 @@
   }
   for (const auto& failures : in.failures()) {
     if (failures.index() < step.tasks.size()) {
-      step.tasks[failures.index()].failures = failures.count();
-      step.tasks[failures.index()].last_failed_run = failures.last_run();
+      step.tasks[failures.index()].failed_runs.assign(failures.runs().begin(),
+                                                      failures.runs().end());
     }
   }
   for (const auto& checkpoint : in.checkpoints()) {
--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -39,10 +39,10 @@
   bool done{false};
   std::uint32_t live{0};      ///< runs that may be under way
   std::uint32_t runs{0};      ///< runs begun under the present leadership
-  std::uint32_t failures{0};  ///< runs that ended failed
-  /// Newest run that was counted as failed. Ends are listed again until they are acknowledged, also
-  /// to a new leader: without it one failure would count twice and a job fail too early.
-  std::uint32_t last_failed_run{0};
+  /// Runs that ended failed. Ends are listed again until they are acknowledged, also to a new
+  /// leader and there in any order: counted by number alone, one failure would count twice and a job
+  /// fail too early, or one would be missed and a task tried more often than allowed.
+  std::vector<std::uint32_t> failed_runs;
   std::string checkpoint;       ///< newest known; empty: none
   std::string failed_on;        ///< worker of the last failure
   time_point not_before{};      ///< no start before
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -280,10 +280,9 @@
 void scheduler::FailTask(step_state& step, std::uint32_t index, std::uint32_t run,
                          const std::string& worker, const instant& now) {
   auto& task = step.tasks[index];
-  if (run <= task.last_failed_run && task.last_failed_run > 0) {
+  if (std::ranges::find(task.failed_runs, run) != task.failed_runs.end()) {
     return;
   }
-  task.last_failed_run = run;
   task.failed_on = worker;
   if (step.spec->service) {
     // A service has no limit of attempts; a pause keeps one that dies at once from spinning.
@@ -292,14 +291,14 @@
     task.not_before = now.steady + std::min(pause, kLongestServicePause);
     return;
   }
-  ++task.failures;
+  task.failed_runs.push_back(run);
   MarkDirty(*step.job, false);
-  if (task.failures >= step.job->max_attempts) {
+  if (task.failed_runs.size() >= step.job->max_attempts) {
     log_.Write(event_line{"attempts_used_up", event_weight::kFailure}
                    .Add("job", step.job->spec->id)
                    .Add("step", step.Name())
                    .Add("index", index)
-                   .Add("failures", task.failures)
+                   .Add("failures", task.failed_runs.size())
                    .Add("last_worker", worker));
     EndJob(*step.job, job_phase::kFailed, now);
   }
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -94,7 +94,7 @@
                  .Add("worker", worker.facts.id)
                  .Add("free_cpu", worker.Free().processors_milli)
                  .Add("free_mb", worker.Free().memory_mb)
-                 .Add("attempt", task.failures + 1)
+                 .Add("attempt", task.failed_runs.size() + 1)
                  .Add("resumes", static_cast<int>(!made->checkpoint.empty())));
   auto& run = *made;
   worker.runs[run.task] = std::move(made);
@@ -265,6 +265,13 @@
                  .Add("worker", sent.worker)
                  .Add("outcome", OutcomeWord(outcome))
                  .Add("tries", run->tries));
+  if (outcome == start_outcome::kStaleRun) {
+    // That very run was there before: another copy of the order was carried out and has ended. Its
+    // end stands in a report to come; taken for refused, the task would run twice.
+    run->phase = run_phase::kRunning;
+    run->known_at = now.steady;
+    return;
+  }
   if (outcome == start_outcome::kUnknown) {
     run->phase = run_phase::kUnsure;
     run->next_try = now.steady;
