--- /dev/null
+++ b/test/rosearch/sched/cell_world.cc
@@ -0,0 +1,572 @@
+#include "rosearch/sched/cell_world.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include "rosearch/sched/job_codec.h"
+
+namespace rosearch::sched {
+namespace {
+
+constexpr duration kHop = std::chrono::microseconds{700};
+constexpr duration kPatience = std::chrono::milliseconds{400};
+constexpr duration kMaxLease = std::chrono::seconds{6};
+constexpr duration kTick = std::chrono::milliseconds{50};
+constexpr duration kStoreAnswer = std::chrono::milliseconds{5};
+constexpr duration kStopTime = std::chrono::milliseconds{300};
+constexpr std::uint32_t kAttempts = 4;
+
+cell_configuration Configuration() {
+  cell_configuration made;
+  made.version = 1;
+  made.queues = {{"quick", "cell.test", "/jobs/", std::string{cell_world::kPool}, 0, kAttempts, 1.5,
+                  std::chrono::milliseconds{250},
+                  advice_cost{std::chrono::milliseconds{18}, std::chrono::microseconds{260},
+                              std::chrono::milliseconds{2'500}}},
+                 {"long", "cell.test", "/plans/", std::string{cell_world::kPool}, 2, kAttempts, 2.2,
+                  std::chrono::milliseconds{1'200}, std::nullopt}};
+  made.pools = {{std::string{cell_world::kPool}, false, false}};
+  return made;
+}
+
+std::string JobOf(const std::string& task) { return task.substr(0, task.find('.')); }
+
+}  // namespace
+
+bool kept_log::Has(const std::string& part) const {
+  return std::ranges::any_of(
+      lines, [&](const auto& line) { return line.find(part) != std::string::npos; });
+}
+
+cell_world::cell_world(std::uint64_t seed, const world_faults& faults, std::size_t workers)
+    : random_{seed}, faults_{faults}, now_{std::chrono::seconds{100}} {
+  constexpr std::int64_t kSizes[]{16'000, 16'000, 8'000, 32'000};
+  for (std::size_t at = 0; at < workers; ++at) {
+    fake_worker made;
+    made.facts.id = "w" + std::to_string(next_worker_++);
+    made.facts.address = "10.0.0." + std::to_string(at) + ":80";
+    made.facts.pool = kPool;
+    made.facts.rack = "r" + std::to_string(at / 4);
+    made.facts.labels = {"a", made.facts.rack};
+    made.facts.capacity = {kSizes[at % 4], kSizes[at % 4] * 4, 0};
+    workers_[made.facts.id] = std::move(made);
+  }
+  Lead();
+  Second();
+}
+
+cell_world::~cell_world() = default;
+
+instant cell_world::Now() const {
+  return {now_, std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch())
+                    .count()};
+}
+
+void cell_world::Break(const std::string& what) {
+  broken_.push_back(what + " at " +
+                    std::to_string(std::chrono::duration<double>{now_.time_since_epoch()}.count()));
+}
+
+void cell_world::At(time_point when, std::function<void()> what) {
+  events_.emplace(when, std::move(what));
+}
+
+cell_world::fake_worker* cell_world::Find(const std::string& id) {
+  const auto found = workers_.find(id);
+  return found == workers_.end() ? nullptr : &found->second;
+}
+
+// Leading.
+
+void cell_world::Lead() {
+  ++epoch_;
+  storing_ = false;
+  watched_.clear();
+  scheduler_settings settings;
+  settings.max_lease = kMaxLease;
+  leader_ = std::make_unique<scheduler>(settings, epoch_, log_);
+  for (const auto& [key, value] : store_) {
+    if (!leader_->Restore({key, value}, Now())) {
+      Break("record unreadable: " + key);
+    }
+  }
+  leader_->Configure(Configuration(), Now());
+  for (const auto& [id, worker] : workers_) {
+    leader_->ObserveWorker(worker.facts, Now());
+  }
+  leader_->FinishRestore(Now());
+  const auto tick = std::make_shared<std::function<void()>>();
+  *tick = [this, epoch = epoch_, tick] {
+    if (epoch != epoch_) {
+      return;
+    }
+    for (auto& [id, worker] : workers_) {
+      AdvanceWorker(worker);
+    }
+    leader_->Tick(Now());
+    Pump();
+    After(kTick, *tick);
+  };
+  After(kHop, *tick);
+}
+
+void cell_world::ReplaceLeader() {
+  log_.lines.clear();
+  Lead();
+}
+
+void cell_world::Pump() {
+  leader_->Schedule(Now());
+  const auto orders = leader_->TakeOrders();
+  for (const auto& decided : orders) {
+    CarryOut(decided);
+  }
+  for (const auto& settled : leader_->TakeSettled()) {
+    auto& job = jobs_[settled.id];
+    job.accepted = job.accepted || settled.accepted;
+    job.refused = job.refused || (!settled.accepted && !settled.cancelled);
+    if (settled.cancelled && leader_->Phase(settled.id, job.spec.queue) == job_phase::kCancelled) {
+      job.cancelled = job.cancelled.value_or(now_);
+    }
+  }
+  (void)leader_->TakeAcked();
+  for (const auto& id : leader_->WatchedWorkers()) {
+    if (watched_.insert(id).second) {
+      Watch(id, epoch_);
+    }
+  }
+  StoreSoon();
+}
+
+void cell_world::StoreSoon() {
+  if (storing_ || !leader_->HasRecords()) {
+    return;
+  }
+  storing_ = true;
+  SendBatch(epoch_, leader_->TakeBatch(Now()), false);
+}
+
+void cell_world::SendBatch(std::uint64_t epoch, const state_batch& batch, bool may_be_stored) {
+  if (epoch != epoch_) {
+    return;
+  }
+  const bool refused = random_.Chance(faults_.store_refuses);
+  const bool dropped = !refused && random_.Chance(faults_.store_drops);
+  const bool silent = !refused && !dropped && random_.Chance(faults_.store_silent);
+  if (!refused && !dropped) {
+    for (const auto& record : batch.records) {
+      if (record.value.empty()) {
+        store_.erase(record.key);
+      } else {
+        store_[record.key] = record.value;
+      }
+    }
+  }
+  const auto patience = silent || dropped ? kPatience : kStoreAnswer;
+  After(patience, [this, epoch, batch, refused, silent, dropped, may_be_stored] {
+    if (epoch != epoch_) {
+      return;
+    }
+    if (silent || dropped || (refused && may_be_stored)) {
+      // The same bytes again, until the store says what became of them.
+      SendBatch(epoch, batch, may_be_stored || silent || dropped);
+      return;
+    }
+    storing_ = false;
+    if (refused) {
+      leader_->OnNotStored(batch.number, Now());
+    } else {
+      leader_->OnStored(batch.number, Now());
+    }
+    Pump();
+  });
+}
+
+// Workers.
+
+void cell_world::AdvanceWorker(fake_worker& worker) {
+  if (now_ >= worker.lease_until) {
+    while (!worker.running.empty()) {
+      EndOf(worker, worker.running.begin()->first, end_kind::kLapsed);
+    }
+  }
+  std::vector<std::string> over;
+  for (const auto& [task, run] : worker.running) {
+    if (now_ >= run.ends) {
+      over.push_back(task);
+    }
+  }
+  for (const auto& task : over) {
+    EndOf(worker, task, worker.running[task].fails ? end_kind::kFailed : end_kind::kDone);
+  }
+}
+
+void cell_world::EndOf(fake_worker& worker, const std::string& task, end_kind how) {
+  const auto run = worker.running.at(task);
+  worker.running.erase(task);
+  auto& highest = worker.highest_over[task];
+  highest = std::max(highest, run.run);
+  worker.ended.push_back({++worker.ended_count, task, run.run, how, run.checkpoint});
+  auto& job = jobs_[JobOf(task)];
+  if (how == end_kind::kDone) {
+    job.done.insert(task);
+    job.last_done = now_;
+  }
+}
+
+void cell_world::Ack(fake_worker& worker, std::uint64_t end) {
+  std::erase_if(worker.ended, [&](const ended_row& row) {
+    if (row.number > end) {
+      return false;
+    }
+    auto& job = jobs_[JobOf(row.task)];
+    if (row.how == end_kind::kDone) {
+      job.done_noted.insert(row.task);
+    } else if (row.how == end_kind::kFailed) {
+      job.failed[row.task].insert(row.run);
+    }
+    return true;
+  });
+}
+
+void cell_world::Judge(const fake_worker& worker, const start_order& order) {
+  const auto name = task_name::Parse(order.task);
+  auto& job = jobs_[name->job];
+  const auto& step = job.spec.steps[name->step];
+  auto used = step.need;
+  for (const auto& [task, run] : worker.running) {
+    used = used + run.charged;
+  }
+  if (!used.FitsIn(worker.facts.capacity)) {
+    Break("overcommitted " + worker.facts.id + " by " + order.task);
+  }
+  for (const auto& [id, other] : workers_) {
+    if (other.running.contains(order.task) && !step.may_duplicate) {
+      Break("twice at a time " + order.task);
+    }
+  }
+  if (job.done_noted.contains(order.task)) {
+    Break("again after its end was noted " + order.task);
+  }
+  if (job.refused && !job.accepted) {
+    Break("refused, but runs " + order.task);
+  }
+  if (job.failed[order.task].size() >= kAttempts && !step.service) {
+    Break("too many attempts " + order.task);
+  }
+  for (const auto before : step.after) {
+    for (std::uint32_t at = 0; at < job.spec.steps[before].count; ++at) {
+      if (!job.done.contains(task_name{name->job, name->occurrence, before, at}.Text())) {
+        Break("too early " + order.task);
+      }
+    }
+  }
+  if (job.cancelled && now_ > *job.cancelled + std::chrono::seconds{3}) {
+    Break("cancelled, but starts " + order.task);
+  }
+}
+
+start_outcome cell_world::Apply(const start_order& order, std::uint64_t fence,
+                                 time_point lease_end) {
+  auto* const worker = Find(order.worker);
+  if (worker == nullptr) {
+    return start_outcome::kOtherLife;
+  }
+  AdvanceWorker(*worker);
+  if (fence < worker->fence) {
+    return start_outcome::kStaleFence;
+  }
+  worker->fence = fence;
+  if (now_ >= lease_end) {
+    return start_outcome::kTooLate;
+  }
+  worker->lease_until = std::max(worker->lease_until, lease_end);
+  const auto known = worker->running.find(order.task);
+  if (known != worker->running.end() && known->second.run == order.run) {
+    return start_outcome::kStarted;
+  }
+  if (order.run <= worker->highest_over[order.task]) {
+    return start_outcome::kStaleRun;
+  }
+  Judge(*worker, order);
+  ++starts_;
+  const auto name = task_name::Parse(order.task);
+  const auto& step = jobs_[name->job].spec.steps[name->step];
+  const auto percent = random_.Between(50, 160);
+  fake_run run;
+  run.run = order.run;
+  run.began = now_;
+  run.ends = step.service ? now_ + std::chrono::hours{1} : now_ + step.estimate * percent / 100;
+  run.fails = random_.Chance(faults_.run_fails);
+  run.charged = step.need;
+  worker->running[order.task] = run;
+  return start_outcome::kStarted;
+}
+
+bool cell_world::Apply(const stop_order& order, std::uint64_t fence) {
+  auto* const worker = Find(order.worker);
+  if (worker == nullptr || fence < worker->fence) {
+    return false;
+  }
+  worker->fence = fence;
+  AdvanceWorker(*worker);
+  auto& highest = worker->highest_over[order.task];
+  highest = std::max(highest, order.run);
+  const auto found = worker->running.find(order.task);
+  if (found != worker->running.end() && found->second.run <= order.run) {
+    After(kStopTime, [this, id = order.worker, task = order.task, run = order.run] {
+      auto* const there = Find(id);
+      if (there != nullptr && there->running.contains(task) &&
+          there->running[task].run == run) {
+        EndOf(*there, task, end_kind::kStopped);
+      }
+    });
+  }
+  return true;
+}
+
+void cell_world::CarryOut(const order& decided) {
+  std::visit([this](const auto& each) { CarryOut(each); }, decided);
+}
+
+void cell_world::CarryOut(const start_order& decided) {
+  const bool late = random_.Chance(faults_.order_late);
+  const bool lost = random_.Chance(faults_.answer_lost);
+  After(late ? std::chrono::milliseconds{random_.Between(2'000, 12'000)} : kHop,
+        [this, decided, late, lost, fence = epoch_, lease_end = now_ + kMaxLease] {
+          auto* const worker = Find(decided.worker);
+          const bool cut = worker != nullptr && !Reachable(*worker);
+          const auto outcome = cut ? start_outcome::kUnknown : Apply(decided, fence, lease_end);
+          const bool answered = !cut && !late && !lost;
+          After(answered ? kHop : kPatience, [this, decided, outcome, answered, late, fence] {
+            if (fence == epoch_ && !late) {
+              leader_->OnStartAnswer(decided, answered ? outcome : start_outcome::kUnknown, Now());
+              Pump();
+            }
+          });
+        });
+  if (late) {
+    After(kPatience, [this, decided, fence = epoch_] {
+      if (fence == epoch_) {
+        leader_->OnStartAnswer(decided, start_outcome::kUnknown, Now());
+        Pump();
+      }
+    });
+  }
+}
+
+void cell_world::CarryOut(const stop_order& decided) {
+  const bool lost = random_.Chance(faults_.answer_lost);
+  After(kHop, [this, decided, lost, fence = epoch_] {
+    auto* const worker = Find(decided.worker);
+    const bool cut = worker != nullptr && !Reachable(*worker);
+    const bool heard = !cut && Apply(decided, fence) && !lost;
+    After(heard ? kHop : kPatience, [this, decided, heard, fence] {
+      if (fence == epoch_) {
+        leader_->OnStopAnswer(decided, heard, Now());
+        Pump();
+      }
+    });
+  });
+}
+
+void cell_world::CarryOut(const advice_query& decided) {
+  const auto cost =
+      decided.cost.base + decided.cost.per_worker * static_cast<int>(decided.workers.size());
+  After(cost, [this, decided, epoch = epoch_] {
+    if (epoch != epoch_) {
+      return;
+    }
+    std::vector<advised_worker> allowed;
+    for (const auto& worker : decided.workers) {
+      if (std::hash<std::string>{}(decided.step + worker) % 10 < 7) {
+        allowed.push_back({worker, "ticket"});
+      }
+    }
+    leader_->OnAdvice(decided, &allowed, Now());
+    Pump();
+  });
+}
+
+void cell_world::Watch(const std::string& id, std::uint64_t epoch) {
+  if (epoch != epoch_) {
+    return;
+  }
+  const auto watch = leader_->NextWatch(id, Now());
+  if (!watch) {
+    watched_.erase(id);
+    return;
+  }
+  After(kHop, [this, id, epoch, watch = *watch, sent_at = now_] {
+    Answer(id, epoch, watch, sent_at, now_ + watch.wait);
+  });
+}
+
+void cell_world::Answer(const std::string& id, std::uint64_t epoch, const watch_request& watch,
+                        time_point sent_at, time_point give_up) {
+  auto* const worker = Find(id);
+  const auto next = [this, id, epoch] {
+    if (epoch == epoch_) {
+      Pump();
+      After(leader_->WatchPause(id, Now()), [this, id, epoch] { Watch(id, epoch); });
+    }
+  };
+  if (worker == nullptr || !Reachable(*worker) || epoch < worker->fence) {
+    const auto failure = worker == nullptr            ? watch_failure::kOtherLife
+                         : epoch < worker->fence      ? watch_failure::kStaleFence
+                                                      : watch_failure::kNoAnswer;
+    After(failure == watch_failure::kNoAnswer ? kPatience : kHop,
+          [this, id, epoch, failure, next] {
+            if (epoch == epoch_) {
+              leader_->OnWatchFailed(id, failure, Now());
+              next();
+            }
+          });
+    return;
+  }
+  worker->fence = epoch;
+  AdvanceWorker(*worker);
+  if (watch.extend_lease) {
+    worker->lease_until = std::max(worker->lease_until, sent_at + kMaxLease);
+  }
+  Ack(*worker, watch.acked_end);
+  if (worker->ended.empty() && now_ < give_up) {
+    After(std::chrono::milliseconds{10}, [this, id, epoch, watch, sent_at, give_up] {
+      Answer(id, epoch, watch, sent_at, give_up);
+    });
+    return;
+  }
+  worker_report report;
+  report.ended = worker->ended;
+  for (const auto& [task, run] : worker->running) {
+    const auto part = std::chrono::duration<double>{now_ - run.began} /
+                      std::chrono::duration<double>{run.ends - run.began};
+    report.running.push_back(
+        {task, run.run, run.checkpoint, static_cast<std::uint32_t>(part * 99), 0});
+  }
+  After(kHop, [this, id, epoch, report, sent_at, next] {
+    if (epoch == epoch_) {
+      leader_->OnReport(id, sent_at, report, Now());
+      next();
+    }
+  });
+}
+
+// Trouble, callers, time.
+
+void cell_world::CutWorker(std::size_t number, duration span) {
+  auto worker = workers_.begin();
+  std::advance(worker, static_cast<std::ptrdiff_t>(number % workers_.size()));
+  worker->second.cut_until = now_ + span;
+}
+
+void cell_world::Second() {
+  std::vector<std::string> dying;
+  for (auto& [id, worker] : workers_) {
+    if (random_.Chance(faults_.worker_cut)) {
+      worker.cut_until = now_ + std::chrono::milliseconds{random_.Between(1'000, 9'000)};
+    }
+    if (random_.Chance(faults_.worker_dies)) {
+      dying.push_back(id);
+    }
+  }
+  for (const auto& id : dying) {
+    auto reborn = workers_[id];
+    workers_.erase(id);
+    leader_->UnlistWorker(id, Now());
+    fake_worker made;
+    made.facts = reborn.facts;
+    made.facts.id = "w" + std::to_string(next_worker_++);
+    leader_->ObserveWorker(made.facts, Now());
+    workers_[made.facts.id] = std::move(made);
+  }
+  if (random_.Chance(faults_.leader_dies)) {
+    Lead();
+  }
+  After(std::chrono::seconds{1}, [this] { Second(); });
+}
+
+std::string cell_world::Submit(job_spec job) {
+  job.id = "job" + std::to_string(next_id_++);
+  if (job.queue.empty()) {
+    job.queue = kQueue;
+  }
+  job.pool = kPool;
+  job.payload = "payload";
+  job.max_attempts = kAttempts;
+  job.accepted_ms = Now().wall_ms;
+  job.objective = LongestChain(job.steps) * 3 / 2 + std::chrono::milliseconds{250};
+  auto& known = jobs_[job.id];
+  known.spec = job;
+  known.handed_in = now_;
+  const auto answer = leader_->Submit(job, Now());
+  known.refused = answer.verdict == submit_verdict::kRefused;
+  Pump();
+  return job.id;
+}
+
+void cell_world::Cancel(const std::string& id) {
+  const auto& job = jobs_[id];
+  if (leader_->Cancel(id, job.spec.queue, Now()) == cancel_verdict::kCancelled) {
+    jobs_[id].cancelled = now_;
+  }
+  Pump();
+}
+
+void cell_world::Run(duration span) {
+  const auto end = now_ + span;
+  while (!events_.empty() && events_.begin()->first <= end) {
+    auto first = events_.extract(events_.begin());
+    now_ = std::max(now_, first.key());
+    first.mapped()();
+  }
+  now_ = end;
+  for (const auto& [id, job] : jobs_) {
+    std::size_t tasks = 0;
+    for (const auto& step : job.spec.steps) {
+      tasks += step.gang ? 1 : step.count;  // one end of a gang stands for all
+    }
+    if (Phase(id) == job_phase::kCompleted && job.done.size() < tasks) {
+      Break("shown as completed too early " + id);
+    }
+    if (job.accepted && !Phase(id)) {
+      Break("accepted and unknown " + id);
+    }
+  }
+}
+
+std::optional<job_phase> cell_world::Phase(const std::string& id) const {
+  const auto found = jobs_.find(id);
+  return found == jobs_.end() ? std::nullopt : leader_->Phase(id, found->second.spec.queue);
+}
+
+std::vector<std::string> cell_world::Unfinished() const {
+  std::vector<std::string> open;
+  for (const auto& [id, job] : jobs_) {
+    const bool service = !job.spec.steps.empty() && job.spec.steps.front().service;
+    const auto phase = Phase(id);
+    if (job.accepted && !service && phase && !IsTerminal(*phase)) {
+      open.push_back(id);
+    }
+  }
+  return open;
+}
+
+std::size_t cell_world::RunningOf(const std::string& job) const {
+  std::size_t count = 0;
+  for (const auto& [id, worker] : workers_) {
+    count += static_cast<std::size_t>(std::ranges::count_if(
+        worker.running, [&](const auto& each) { return JobOf(each.first) == job; }));
+  }
+  return count;
+}
+
+std::optional<duration> cell_world::DoneAfter(const std::string& id) const {
+  const auto& job = jobs_.at(id);
+  if (job.last_done == time_point{}) {
+    return std::nullopt;
+  }
+  return job.last_done - job.handed_in;
+}
+
+}  // namespace rosearch::sched
--- /dev/null
+++ b/test/rosearch/sched/scheduler_test.cc
@@ -0,0 +1,334 @@
+#include "rosearch/sched/scheduler.h"
+
+#include <catch2/catch.hpp>
+
+#include "rosearch/sched/cell_world.h"
+
+namespace rosearch::sched {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr const char* kQueue = "cell.test/jobs/";
+
+/// A scheduler with some workers, driven by hand.
+class bench_top {
+ public:
+  explicit bench_top(std::size_t workers = 2, std::uint64_t epoch = 1)
+      : leader{scheduler_settings{}, epoch, log} {
+    cell_configuration made;
+    made.version = 1;
+    made.queues = {{"quick", "cell.test", "/jobs/", "pool", 0, 2, 1.5, milliseconds{250}, {}}};
+    made.pools = {{"pool", false, false}};
+    leader.Configure(made, now);
+    for (std::size_t at = 0; at < workers; ++at) {
+      worker_facts facts;
+      facts.id = "w" + std::to_string(at);
+      facts.address = "10.0.0.1:80";
+      facts.pool = "pool";
+      facts.capacity = {4'000, 8'000, 0};
+      leader.ObserveWorker(facts, now);
+    }
+    leader.FinishRestore(now);
+    Store();
+    for (std::size_t at = 0; at < workers; ++at) {
+      Report("w" + std::to_string(at), {});
+    }
+  }
+
+  void Pass(duration span) {
+    now.steady += span;
+    now.wall_ms += std::chrono::duration_cast<milliseconds>(span).count();
+  }
+  std::vector<stored_record> Store() {
+    const auto batch = leader.TakeBatch(now);
+    leader.OnStored(batch.number, now);
+    return batch.records;
+  }
+  void Report(const std::string& worker, const worker_report& report) {
+    (void)leader.NextWatch(worker, now);
+    leader.OnReport(worker, now.steady, report, now);
+  }
+  submit_answer Submit(const std::string& id, std::uint32_t count, std::int64_t processors = 1'000) {
+    job_spec job;
+    job.id = id;
+    job.queue = kQueue;
+    job.pool = "pool";
+    job.max_attempts = 2;
+    job.steps.resize(1);
+    job.steps[0].count = count;
+    job.steps[0].need = {processors, 100, 0};
+    job.steps[0].estimate = milliseconds{500};
+    job.objective = seconds{10};
+    return leader.Submit(job, now);
+  }
+  std::vector<start_order> Starts() {
+    leader.Schedule(now);
+    std::vector<start_order> starts;
+    for (auto& decided : leader.TakeOrders()) {
+      if (auto* const start = std::get_if<start_order>(&decided)) {
+        starts.push_back(*start);
+      } else if (auto* const stop = std::get_if<stop_order>(&decided)) {
+        stops.push_back(*stop);
+      }
+    }
+    return starts;
+  }
+
+  kept_log log;
+  instant now{time_point{seconds{1'000}}, 1'000'000};
+  sched::scheduler leader;
+  std::vector<stop_order> stops;
+};
+
+}  // namespace
+
+TEST_CASE("nothing of a job starts before its record is stored") {
+  bench_top top;
+  CHECK(top.Submit("a", 1).verdict == submit_verdict::kPending);
+  CHECK(top.Starts().empty());
+  CHECK_FALSE(top.leader.Phase("a", kQueue));
+  (void)top.Store();
+  CHECK(top.Starts().size() == 1);
+  CHECK(top.leader.Phase("a", kQueue) == job_phase::kRunning);
+}
+
+TEST_CASE("a job handed in twice is one job") {
+  bench_top top;
+  (void)top.Submit("a", 1);
+  CHECK(top.Submit("a", 1).verdict == submit_verdict::kPending);
+  (void)top.Store();
+  CHECK(top.Submit("a", 1).verdict == submit_verdict::kAccepted);
+  CHECK(top.Starts().size() == 1);
+}
+
+TEST_CASE("a job that fits no worker is refused at once, without a time to come back") {
+  bench_top top;
+  const auto answer = top.Submit("a", 1, 9'000);
+  CHECK(answer.verdict == submit_verdict::kRefused);
+  CHECK(answer.retry_after == duration{});
+  CHECK(top.log.Has("reason=never_fits"));
+}
+
+// The store can't be reached while a caller hands in a job. The caller is told at once, and the job
+// must then never run.
+TEST_CASE("a job that no batch carries is refused for good when the store is away") {
+  bench_top top;
+  (void)top.Submit("a", 1);
+  top.leader.RefuseUnsent();
+  const auto settled = top.leader.TakeSettled();
+  REQUIRE(settled.size() == 1);
+  CHECK_FALSE(settled[0].accepted);
+  (void)top.Store();
+  CHECK(top.Starts().empty());
+}
+
+// The append that carries a job was sent and not answered. Whoever asks again must not be told that
+// the job is refused: it may be stored, and would then run all the same.
+TEST_CASE("a job whose append is under way stays pending when the store is away") {
+  bench_top top;
+  (void)top.Submit("a", 1);
+  const auto batch = top.leader.TakeBatch(top.now);
+  top.leader.RefuseUnsent();
+  CHECK(top.leader.IsPending("a"));
+  CHECK(top.leader.TakeSettled().empty());
+  top.leader.OnStored(batch.number, top.now);
+  CHECK(top.leader.TakeSettled().at(0).accepted);
+}
+
+TEST_CASE("a worker is never promised more than it holds") {
+  bench_top top{1};
+  (void)top.Submit("a", 6);
+  (void)top.Store();
+  CHECK(top.Starts().size() == 4);
+  CHECK(top.Starts().empty());
+}
+
+// An order to start went out twice by different ways; the first copy was carried out and its run
+// ended before the second arrived, which the worker refuses as old. Read as "never started", the
+// task would run a second time, and a caller pay twice.
+TEST_CASE("an order refused as old is taken for one that was carried out") {
+  bench_top top;
+  (void)top.Submit("a", 1);
+  (void)top.Store();
+  const auto start = top.Starts().at(0);
+  top.leader.OnStartAnswer(start, start_outcome::kStaleRun, top.now);
+  CHECK(top.Starts().empty());
+  worker_report report;
+  report.ended = {{1, start.task, start.run, end_kind::kDone, ""}};
+  top.Pass(milliseconds{50});
+  top.Report(start.worker, report);
+  (void)top.Store();
+  CHECK(top.leader.Phase("a", kQueue) == job_phase::kCompleted);
+  CHECK(top.Starts().empty());
+}
+
+// The answer to an order is lost, and so is that to the second sending. The worker says that it has
+// no room; but the first sending may still arrive, so the task must not start elsewhere before the
+// worker has said that the run can't begin any more.
+TEST_CASE("a refusal does not make up for an earlier sending that was never answered") {
+  bench_top top;
+  (void)top.Submit("a", 1);
+  (void)top.Store();
+  const auto first = top.Starts().at(0);
+  top.leader.OnStartAnswer(first, start_outcome::kUnknown, top.now);
+  top.leader.Tick(top.now);
+  const auto second = top.Starts();
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].run == first.run);
+  CHECK(second[0].worker == first.worker);
+  top.leader.OnStartAnswer(second[0], start_outcome::kNoRoom, top.now);
+  CHECK(top.Starts().empty());
+  REQUIRE(top.stops.size() == 1);
+  top.leader.OnStopAnswer(top.stops[0], true, top.now);
+  top.Pass(milliseconds{100});
+  top.Report(first.worker, {});
+  const auto third = top.Starts();
+  REQUIRE(third.size() == 1);
+  CHECK(third[0].run > first.run);
+}
+
+// A worker falls silent. What it runs goes on until its lease has lapsed by its own clock, which may
+// be slow: started elsewhere before, the task would run in two places.
+TEST_CASE("what a silent worker runs starts elsewhere only after its lease has lapsed") {
+  bench_top top;
+  (void)top.Submit("a", 1);
+  (void)top.Store();
+  const auto first = top.Starts().at(0);
+  top.leader.OnStartAnswer(first, start_outcome::kStarted, top.now);
+  top.leader.OnWatchFailed(first.worker, watch_failure::kNoAnswer, top.now);
+  top.Pass(milliseconds{6'100});
+  top.leader.Tick(top.now);
+  CHECK(top.Starts().empty());
+  top.Pass(milliseconds{400});
+  top.leader.Tick(top.now);
+  const auto second = top.Starts();
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].worker != first.worker);
+}
+
+TEST_CASE("another life at a worker's address ends what ran there at once") {
+  bench_top top;
+  (void)top.Submit("a", 1);
+  (void)top.Store();
+  const auto first = top.Starts().at(0);
+  top.leader.OnStartAnswer(first, start_outcome::kStarted, top.now);
+  top.leader.OnWatchFailed(first.worker, watch_failure::kOtherLife, top.now);
+  CHECK(top.Starts().size() == 1);
+}
+
+TEST_CASE("an end is acknowledged only once what follows from it is stored") {
+  bench_top top;
+  (void)top.Submit("a", 2);
+  (void)top.Store();
+  const auto starts = top.Starts();
+  worker_report report;
+  report.ended = {{1, starts[0].task, starts[0].run, end_kind::kDone, ""}};
+  top.Report(starts[0].worker, report);
+  CHECK(top.leader.NextWatch(starts[0].worker, top.now)->acked_end == 0);
+  (void)top.Store();
+  CHECK(top.leader.NextWatch(starts[0].worker, top.now)->acked_end == 1);
+}
+
+TEST_CASE("a job is shown as completed only once that is stored") {
+  bench_top top;
+  (void)top.Submit("a", 1);
+  (void)top.Store();
+  const auto start = top.Starts().at(0);
+  worker_report report;
+  report.ended = {{1, start.task, start.run, end_kind::kDone, ""}};
+  top.Report(start.worker, report);
+  CHECK(top.leader.Phase("a", kQueue) == job_phase::kRunning);
+  (void)top.Store();
+  CHECK(top.leader.Phase("a", kQueue) == job_phase::kCompleted);
+}
+
+// A new leader reads failed ends from the workers in any order, the newest first, and some of them
+// were stored already. Each run counts once: a task with two allowed attempts that failed twice is
+// not tried a third time, and one that failed once is.
+TEST_CASE("failed ends count once each, in whatever order workers list them") {
+  bench_top first;
+  (void)first.Submit("a", 1);
+  const auto records = first.Store();
+  bench_top next{0, 2};
+  for (const auto& record : records) {
+    CHECK(next.leader.Restore(record, next.now));
+  }
+  next.leader.FinishRestore(next.now);
+  worker_facts facts{"w7", "10.0.0.7:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, false, {}};
+  next.leader.ObserveWorker(facts, next.now);
+  worker_report report;
+  report.ended = {{1, "a.0.0.0", 2, end_kind::kFailed, ""}, {2, "a.0.0.0", 2, end_kind::kFailed, ""}};
+  next.Report("w7", report);
+  CHECK(next.leader.Phase("a", kQueue) == job_phase::kQueued);
+  report.ended = {{3, "a.0.0.0", 1, end_kind::kFailed, ""}};
+  next.Report("w7", report);
+  (void)next.Store();
+  CHECK(next.leader.Phase("a", kQueue) == job_phase::kFailed);
+}
+
+// The former leader may have started anything at a worker that doesn't answer the new one. Until its
+// lease has lapsed no task of an old job starts, while new jobs run at once.
+TEST_CASE("after a change of leader old tasks wait for workers that are out of reach") {
+  bench_top first;
+  (void)first.Submit("old", 1);
+  auto records = first.Store();
+  bench_top workers_known;
+  (void)workers_known.Submit("x", 1);
+  kept_log log;
+  scheduler next{scheduler_settings{}, 2, log};
+  next.Configure(first.leader.configuration(), first.now);
+  CHECK(next.Restore(records.at(0), first.now));
+  // The record of the workers was stored by the batch before.
+  bench_top recorder{0};
+  worker_facts facts{"w7", "10.0.0.7:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, false, {}};
+  recorder.leader.ObserveWorker(facts, recorder.now);
+  const auto stored = recorder.Store();
+  CHECK(next.Restore(stored.at(0), first.now));
+  next.FinishRestore(first.now);
+  CHECK_FALSE(next.OldRunsSettled());
+  auto now = first.now;
+  now.steady += seconds{9};
+  next.Tick(now);
+  CHECK_FALSE(next.OldRunsSettled());
+  now.steady += seconds{1};
+  next.Tick(now);
+  CHECK(next.OldRunsSettled());
+}
+
+TEST_CASE("a leaving worker gets no new work") {
+  bench_top top{1};
+  worker_facts facts{"w0", "10.0.0.1:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, true,
+                     seconds{5}};
+  top.leader.ObserveWorker(facts, top.now);
+  (void)top.Submit("a", 1);
+  (void)top.Store();
+  CHECK(top.Starts().empty());
+}
+
+TEST_CASE("a newer leader at a worker ends all decisions") {
+  bench_top top;
+  (void)top.Submit("a", 1);
+  (void)top.Store();
+  const auto start = top.Starts().at(0);
+  top.leader.OnStartAnswer(start, start_outcome::kStaleFence, top.now);
+  CHECK(top.leader.Deposed());
+  CHECK(top.Starts().empty());
+}
+
+TEST_CASE("a cancelled job stops and is acknowledged once that is stored") {
+  bench_top top;
+  (void)top.Submit("a", 1);
+  (void)top.Store();
+  const auto start = top.Starts().at(0);
+  top.leader.OnStartAnswer(start, start_outcome::kStarted, top.now);
+  CHECK(top.leader.Cancel("a", kQueue, top.now) == cancel_verdict::kPending);
+  (void)top.Starts();
+  CHECK(top.stops.size() == 1);
+  (void)top.Store();
+  CHECK(top.leader.Cancel("a", kQueue, top.now) == cancel_verdict::kCancelled);
+  CHECK(top.leader.Cancel("b", kQueue, top.now) == cancel_verdict::kUnknown);
+}
+
+}  // namespace rosearch::sched
