--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -229,7 +229,8 @@
   void ResolveRules(job_state& job) const;
   void RetireEnded(const instant& now);
   void FinishOccurrence(job_state& job, occurrence_state& occurrence, const instant& now);
-  [[nodiscard]] submit_answer Admit(const job_spec& job, const instant& now) const;
+  [[nodiscard]] submit_answer Admit(const job_spec& job);
+  [[nodiscard]] double MeanSlackMs(const job_spec& job);
   [[nodiscard]] bool FitsSomewhere(const job_spec& job) const;
   void MarkDirty(job_state& job, bool urgent);
 
@@ -290,6 +291,7 @@
   std::map<std::string, std::unique_ptr<worker_state>> workers_;  ///< in a fixed order
   std::map<std::string, time_point> unsettled_;  ///< see `OldRunsSettled`; when each lapses
   std::vector<step_state*> open_steps_;
+  std::map<std::string, double> mean_slack_ms_;  ///< by queue: time that its jobs can wait
   std::map<std::string, double> advised_share_;  ///< by queue: share of named workers allowed
   std::vector<order> orders_;
   std::vector<settled_job> settled_;
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -14,6 +14,13 @@
 /// back within seconds.
 constexpr duration kLongestServicePause = std::chrono::milliseconds{1'500};
 
+/// How much one job moves the mean slack of its queue.
+constexpr double kSlackWeight = 0.05;
+
+/// A cell with this share of its processors free beyond the reserve turns nobody away: what waits
+/// there waits for advice, not for room.
+constexpr double kRoomToSpare = 0.05;
+
 /// A refused caller comes back no sooner than this, so that refusing costs less than serving.
 constexpr duration kLeastRetryAfter = std::chrono::seconds{1};
 constexpr duration kMostRetryAfter = std::chrono::seconds{20};
@@ -89,8 +96,20 @@
   return true;
 }
 
-submit_answer scheduler::Admit(const job_spec& job, const instant&) const {
+double scheduler::MeanSlackMs(const job_spec& job) {
+  const auto chain = std::chrono::duration<double, std::milli>{LongestChain(job.steps)}.count();
+  const auto objective = std::chrono::duration<double, std::milli>{job.objective}.count();
+  const double own = std::max(0.0, objective - chain);
+  auto& mean = mean_slack_ms_.try_emplace(job.queue, own).first->second;
+  mean += kSlackWeight * (own - mean);
+  return mean;
+}
+
+// The load that this answers: bursts of long work on top of a cell that is four fifths full. What
+// can't start while its objective can still be met would only make everything behind it late too.
+submit_answer scheduler::Admit(const job_spec& job) {
   double room = 0;   // thousandths of a processor that this class of work may use
+  double free = 0;   // of these, not in use now
   double ahead = 0;  // work that goes before it or beside it, the same times ms
   for (const auto& [id, worker] : workers_) {
     if (worker->facts.pool != job.pool || worker->session != session_phase::kLive ||
@@ -98,6 +117,7 @@
       continue;
     }
     room += static_cast<double>(worker->facts.capacity.processors_milli);
+    free += static_cast<double>(worker->Free().processors_milli);
     for (const auto& [task, run] : worker->runs) {
       const bool first = run->step != nullptr && (run->step->spec->service ||
                                                   run->step->job->priority < job.priority);
@@ -116,11 +136,11 @@
       }
     }
   }
-  const auto chain = std::chrono::duration<double, std::milli>{LongestChain(job.steps)}.count();
-  const auto objective = std::chrono::duration<double, std::milli>{job.objective}.count();
-  const double slack = std::max(0.0, objective - chain) * settings_.admission_slack;
+  // One job's estimates are off by half or more; the mean over its queue is not.
+  const double slack = MeanSlackMs(job) * settings_.admission_slack;
   const double wait = room > 0 ? ahead / room : 0;
-  if (room <= 0 || wait <= slack) {
+  const bool has_room = free > room * (settings_.urgent_reserve + kRoomToSpare);
+  if (room <= 0 || has_room || wait <= slack) {
     return {submit_verdict::kPending, {}, {}};
   }
   const auto back = std::chrono::milliseconds{static_cast<std::int64_t>(wait - slack)};
@@ -143,7 +163,7 @@
     return {submit_verdict::kRefused, {}, "never_fits"};
   }
   const bool service = job.steps.front().service;
-  const auto admitted = service ? submit_answer{submit_verdict::kPending, {}, {}} : Admit(job, now);
+  const auto admitted = service ? submit_answer{submit_verdict::kPending, {}, {}} : Admit(job);
   if (admitted.verdict == submit_verdict::kRefused) {
     log_.Write(event_line{"job_refused", event_weight::kFailure}
                    .Add("job", job.id)
