Hear leaders sooner after a restart; let batches of records go beside one another

Cause 2: with answers of the store at a quarter of a second a job waited for the batch before its own at both ends: 3 of 4 quick jobs late.

--- a/src/rosearch/cell/election.cc
+++ b/src/rosearch/cell/election.cc
@@ -32,7 +32,7 @@
 }
 
 bool election::Hears(time_point now) const {
-  return heard_at_ != time_point{} && now - heard_at_ < settings_.suspect_after;
+  return !leaving_ && heard_at_ != time_point{} && now - heard_at_ < settings_.suspect_after;
 }
 
 bool election::Suspects(time_point now) const {
--- a/src/rosearch/cell/election.h
+++ b/src/rosearch/cell/election.h
@@ -59,6 +59,8 @@
   void OnHeard(std::uint64_t epoch, time_point now);
   /// The leader said that it is about to stop, or its connection was refused.
   void OnLeaderLeaving(std::uint64_t epoch);
+  /// @return whether the leader itself said that it stops; the peers need not be asked.
+  [[nodiscard]] bool Leaving() const { return leaving_; }
   /// A claim was sent.
   void OnClaimSent(time_point now) { claim_again_at_ = now + settings_.claim_again; }
   /// A peer hears the leader that this process doesn't.
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -7,6 +7,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -35,6 +36,11 @@
   duration tick{std::chrono::milliseconds{50}};
   /// Records that nobody waits for are collected for so long, so that one append carries many.
   duration collect{std::chrono::milliseconds{15}};
+  /// Batches under way at once. Where an answer of the store takes a quarter of a second, a job would
+  /// wait for the batch before its own as well, both when it is accepted and when it is done.
+  std::size_t batches{4};
+  /// A second batch goes out beside one that is older than this; a quick store has answered by then.
+  duration batch_answer{std::chrono::milliseconds{12}};
   /// An append that wasn't answered, or was refused, is sent again after this.
   duration store_retry{std::chrono::milliseconds{100}};
   /// Between two reads of the workers' registry. A worker that leaves must get no new work within
@@ -147,8 +153,10 @@
   };
   struct batch_under_way {
     std::uint64_t number{0};
+    std::uint64_t sequence{0};
     std::vector<std::string> records;
     time_point sent_at{};
+    bool stored{false};
     bool may_be_stored{false};  ///< one sending of it was never answered
     std::uint32_t failures{0};  ///< sendings that brought no good answer
   };
@@ -210,8 +218,10 @@
   void WatchAfter(const std::string& worker, duration pause);
 
   void Store();
-  void SendBatch();
-  void OnBatchAnswer(const append_answer& answer);
+  void SendBatch(const batch_under_way& batch);
+  void SendAgain();
+  void OnBatchAnswer(std::uint64_t number, const append_answer& answer);
+  void TakeStored();
   void NoteStore(bool reached);
   [[nodiscard]] bool StoreAway() const;
   void Settle();
@@ -258,7 +268,7 @@
   std::map<std::string, std::unique_ptr<boost::asio::steady_timer>> watches_;  ///< by worker
   std::unordered_map<std::string, std::vector<waiting_caller>> callers_;       ///< by job
   std::map<std::string, time_point> unlisting_;  ///< workers that may yet come back, until when
-  std::optional<batch_under_way> batch_;
+  std::deque<batch_under_way> batches_;  ///< oldest first
   std::uint64_t sequence_{0};
   std::uint64_t configuration_next_{0};
   std::uint64_t registry_next_{0};
@@ -382,6 +392,7 @@
 void leader<Ports>::Serve() {
   scheduler_.FinishRestore(Now());
   serving_ = true;
+  last_tick_ = Boottime();
   const auto took = SteadyNow() - began_at_;
   metrics_.Observe("rosearch_takeover_seconds", took);
   log_.Write(event_line{"leader_serves", event_weight::kBelief}
@@ -606,7 +617,7 @@
     }
   }
   Store();
-  if (resigning_ && !batch_ && !scheduler_.HasRecords()) {
+  if (resigning_ && batches_.empty() && !scheduler_.HasRecords()) {
     End("resigned");
   }
 }
@@ -735,15 +746,29 @@
 template <typename Ports>
 bool leader<Ports>::StoreAway() const {
   // An append that failed is the sharpest sign; one that takes long, the other.
-  return batch_ && (batch_->failures > 0 || SteadyNow() - batch_->sent_at > settings_.store_patience);
+  return !batches_.empty() && (batches_.front().failures > 0 ||
+                               SteadyNow() - batches_.front().sent_at > settings_.store_patience);
 }
 
 template <typename Ports>
 void leader<Ports>::Store() {
-  if (batch_ || !scheduler_.HasRecords() || !MayAct()) {
+  const auto now = SteadyNow();
+  if (!scheduler_.HasRecords() || !MayAct()) {
     return;
   }
-  const auto now = SteadyNow();
+  if (!batches_.empty()) {
+    const auto& newest = batches_.back();
+    const bool beside = scheduler_.HasUrgentRecords() && batches_.size() < settings_.batches &&
+                        batches_.front().failures == 0;
+    if (!beside) {
+      return;  // looked at again when an answer comes
+    }
+    if (now - newest.sent_at < settings_.batch_answer) {
+      After(writer_timer_, settings_.batch_answer - (now - newest.sent_at),
+            [](leader& self) { self.Store(); });
+      return;
+    }
+  }
   if (collect_since_ == time_point{}) {
     collect_since_ = now;
   }
@@ -754,74 +779,93 @@
   }
   collect_since_ = time_point{};
   auto taken = scheduler_.TakeBatch(Now());
-  batch_under_way made{taken.number, {}, now, false};
+  if (taken.records.empty()) {
+    scheduler_.OnStored(taken.number, Now());
+    PumpSoon();
+    return;
+  }
+  batch_under_way made{taken.number, sequence_++, {}, now};
   for (const auto& record : taken.records) {
     made.records.push_back(JoinKeyed(record));
   }
-  batch_ = std::move(made);
-  SendBatch();
+  batches_.push_back(std::move(made));
+  SendBatch(batches_.back());
 }
 
 template <typename Ports>
-void leader<Ports>::SendBatch() {
-  if (!batch_) {
-    return;
-  }
-  if (batch_->records.empty()) {
-    scheduler_.OnStored(std::exchange(batch_, std::nullopt)->number, Now());
-    PumpSoon();
-    return;
-  }
+void leader<Ports>::SendBatch(const batch_under_way& batch) {
   const auto asked_at = SteadyNow();
-  ports_.Append(stream::kState, batch_->records, writer_proof{"scheduler", epoch_, sequence_},
-                std::nullopt, Bind([asked_at](leader& self, const append_answer& answer) {
+  ports_.Append(stream::kState, batch.records, writer_proof{"scheduler", epoch_, batch.sequence},
+                std::nullopt,
+                Bind([asked_at, number = batch.number](leader& self, const append_answer& answer) {
                   if (answer.outcome == append_outcome::kStored) {
                     self.OnProof(asked_at);
                   }
-                  self.OnBatchAnswer(answer);
+                  self.OnBatchAnswer(number, answer);
                 }));
 }
 
 template <typename Ports>
-void leader<Ports>::OnBatchAnswer(const append_answer& answer) {
-  if (!batch_) {
-    return;
+void leader<Ports>::SendAgain() {
+  // In order: the store takes a batch only behind the one before it.
+  for (const auto& batch : batches_) {
+    if (!batch.stored) {
+      SendBatch(batch);
+    }
   }
-  const auto number = batch_->number;
-  // Out of sequence by one: an earlier sending, never answered, was stored.
-  const bool was_stored = answer.outcome == append_outcome::kOutOfSequence &&
-                          batch_->may_be_stored && answer.next_sequence == sequence_ + 1;
-  if (answer.outcome == append_outcome::kStored || was_stored) {
-    metrics_.Observe("rosearch_append_seconds", SteadyNow() - batch_->sent_at);
-    NoteStore(true);
-    ++sequence_;
-    batch_.reset();
+}
+
+template <typename Ports>
+void leader<Ports>::TakeStored() {
+  while (!batches_.empty() && batches_.front().stored) {
+    metrics_.Observe("rosearch_append_seconds", SteadyNow() - batches_.front().sent_at);
+    const auto number = batches_.front().number;
+    batches_.pop_front();
     scheduler_.OnStored(number, Now());
-    PumpSoon();
+  }
+  NoteStore(true);
+  PumpSoon();
+}
+
+template <typename Ports>
+void leader<Ports>::OnBatchAnswer(std::uint64_t number, const append_answer& answer) {
+  const auto batch = std::ranges::find(batches_, number, &batch_under_way::number);
+  if (batch == batches_.end() || batch->stored) {
+    return;
+  }
+  const bool ahead = answer.outcome == append_outcome::kOutOfSequence &&
+                     answer.next_sequence > batch->sequence;
+  if (answer.outcome == append_outcome::kStored || ahead) {
+    // Whatever is stored has all before it stored too.
+    for (auto each = batches_.begin(); each != std::next(batch); ++each) {
+      each->stored = true;
+    }
+    TakeStored();
     return;
   }
-  if (answer.outcome == append_outcome::kFenced ||
-      answer.outcome == append_outcome::kOutOfSequence) {
+  if (answer.outcome == append_outcome::kFenced) {
     End("fenced");
     return;
   }
   NoteStore(false);
   metrics_.Count("rosearch_appends_failed_total");
-  if (answer.outcome == append_outcome::kNotStored && !batch_->may_be_stored) {
+  if (answer.outcome == append_outcome::kNotStored && !batch->may_be_stored &&
+      batches_.size() == 1) {
     // Certainly not stored: callers learn at once that their jobs were not accepted.
-    batch_.reset();
+    batches_.clear();
+    --sequence_;
     scheduler_.OnNotStored(number, Now());
     Settle();
     After(writer_timer_, settings_.store_retry, [](leader& self) { self.Store(); });
     return;
   }
-  // It may be stored yet. The same bytes with the same sequence are stored once at most, so the
-  // batch is sent until the store says what became of it.
-  batch_->may_be_stored = batch_->may_be_stored || answer.outcome == append_outcome::kUnknown;
-  ++batch_->failures;
+  // It may be stored yet, or one behind it may be. The same bytes with the same sequence are stored
+  // once at most, so all are sent until the store says what became of them.
+  batch->may_be_stored = batch->may_be_stored || answer.outcome == append_outcome::kUnknown;
+  ++batches_.front().failures;
   scheduler_.RefuseUnsent();
   Settle();
-  After(writer_timer_, settings_.store_retry, [](leader& self) { self.SendBatch(); });
+  After(writer_timer_, settings_.store_retry, [](leader& self) { self.SendAgain(); });
 }
 
 // Callers.
@@ -904,7 +948,7 @@
     log_.Write(event_line{"job_refused", event_weight::kFailure}
                    .Add("job", id)
                    .Add("reason", "store_away")
-                   .Add("away_ms", now.steady - batch_->sent_at));
+                   .Add("away_ms", now.steady - batches_.front().sent_at));
     answer(Unavailable(1));
     return;
   }
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -120,9 +120,9 @@
   static constexpr duration kClaimsWait = std::chrono::milliseconds{1'000};
   static constexpr duration kClaimsRetry = std::chrono::milliseconds{200};
   static constexpr duration kQueryPatience = std::chrono::milliseconds{150};
-  /// A request that finds no leader is refused after this: about what a change of leader takes when
-  /// the old one said goodbye, and little enough for the caller to try elsewhere.
-  static constexpr duration kLeaderPatience = std::chrono::milliseconds{250};
+  /// A request that finds no leader is refused after this: about what a change of leader takes where
+  /// the old one said goodbye, and less than the second after which a refused caller comes back.
+  static constexpr duration kLeaderPatience = std::chrono::milliseconds{600};
   static constexpr duration kForwardAgain = std::chrono::milliseconds{40};
   static constexpr duration kForwardPatience = std::chrono::milliseconds{2'600};
   /// Answers are given a little before the caller stops waiting.
@@ -146,6 +146,7 @@
   void FollowClaims();
   void OnClaim(const std::string& bytes, std::uint64_t offset);
   void AdoptLeadership(const leadership& claimed);
+  void ClaimIfNobodyLeads();
   void AskPeersForLeader();
   void Claim();
   void Lead(std::uint64_t epoch);
@@ -202,10 +203,7 @@
     election_.OnHeard(leader_->epoch(), now);
     Announce();
   } else if (!stopping_ && election_.Suspects(now)) {
-    AskPeersForLeader();
-    if (election_.ShouldClaim(now) && !asking_peers_ && now - nobody_hears_at_ < kMemberFresh) {
-      Claim();
-    }
+    ClaimIfNobodyLeads();
   }
   UpdatePeers();
   tick_timer_.expires_after(kTick);
@@ -216,6 +214,18 @@
   });
 }
 
+template <typename Ports>
+void node<Ports>::ClaimIfNobodyLeads() {
+  const auto now = SteadyNow();
+  if (!election_.Leaving()) {
+    AskPeersForLeader();
+  }
+  const bool agreed = election_.Leaving() || (!asking_peers_ && now - nobody_hears_at_ < kMemberFresh);
+  if (election_.ShouldClaim(now) && agreed) {
+    Claim();
+  }
+}
+
 template <typename Ports>
 void node<Ports>::UpdatePeers() {
   const auto now = SteadyNow();
@@ -364,6 +374,9 @@
   } else if (frame.has_notice()) {
     if (frame.notice().resigning()) {
       election_.OnLeaderLeaving(frame.epoch());
+      if (!Leading() && !stopping_ && election_.Leaving()) {
+        ClaimIfNobodyLeads();
+      }
     } else {
       AdoptLeadership({frame.epoch(), frame.notice().address(), {}, 0});
     }
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -12,6 +12,13 @@
 /// Longer than any question is repeated.
 constexpr duration kRemember = std::chrono::seconds{4};
 
+/// A process that just started must hear its leader well before it suspects it: with the kernel's own
+/// patience for a first packet that is lost, two restarted processes claimed leadership beside a
+/// sound leader.
+constexpr peer_transport_options kTransport{std::chrono::milliseconds{1'000},
+                                            std::chrono::milliseconds{250},
+                                            std::chrono::milliseconds{100}};
+
 std::string KeyOf(const wire::peer_frame& question) {
   return question.from() + '#' + std::to_string(question.exchange());
 }
@@ -28,7 +35,8 @@
             Receive(bytes);
           }
         });
-      });
+      },
+      kTransport);
 }
 
 peer_link::~peer_link() = default;
--- a/src/rosearch/net/peer_transport.cc
+++ b/src/rosearch/net/peer_transport.cc
@@ -16,33 +16,33 @@
 constexpr int kQueuedMessages = 10'000;
 constexpr int kLargestMessage = 32 << 20;
 
-/// Written bytes that a peer hasn't taken for so long break the connection: what they say must not
-/// arrive after its sender has been given up.
-constexpr int kLongestTransitMs = 5'000;
-
 constexpr const char* kWakeAddress = "inproc://wake";
 
-void SetOptions(zmq::socket_t& socket) {
+int Count(std::chrono::milliseconds span) { return static_cast<int>(span.count()); }
+
+void SetOptions(zmq::socket_t& socket, const peer_transport_options& options) {
   socket.set(zmq::sockopt::linger, 0);
   socket.set(zmq::sockopt::sndhwm, kQueuedMessages);
   socket.set(zmq::sockopt::rcvhwm, kQueuedMessages);
   socket.set(zmq::sockopt::maxmsgsize, std::int64_t{kLargestMessage});
   socket.set(zmq::sockopt::immediate, true);
-  socket.set(zmq::sockopt::tcp_maxrt, kLongestTransitMs);
+  socket.set(zmq::sockopt::tcp_maxrt, Count(options.longest_transit));
+  socket.set(zmq::sockopt::connect_timeout, Count(options.connect_timeout));
   socket.set(zmq::sockopt::reconnect_ivl, 50);
-  socket.set(zmq::sockopt::reconnect_ivl_max, 1'000);
+  socket.set(zmq::sockopt::reconnect_ivl_max, Count(options.longest_reconnect));
 }
 
 }  // namespace
 
 class peer_transport::impl {
  public:
-  impl(const std::string& address, receive on_message)
-      : on_message_{std::move(on_message)},
+  impl(const std::string& address, receive on_message, const peer_transport_options& options)
+      : options_{options},
+        on_message_{std::move(on_message)},
         receiver_{context_, zmq::socket_type::router},
         wake_in_{context_, zmq::socket_type::pair},
         wake_out_{context_, zmq::socket_type::pair} {
-    SetOptions(receiver_);
+    SetOptions(receiver_, options_);
     receiver_.bind("tcp://" + address);
     address_ = receiver_.get(zmq::sockopt::last_endpoint).substr(std::string{"tcp://"}.size());
     wake_in_.bind(kWakeAddress);
@@ -132,11 +132,12 @@
       return found->second;
     }
     zmq::socket_t socket{context_, zmq::socket_type::dealer};
-    SetOptions(socket);
+    SetOptions(socket, options_);
     socket.connect("tcp://" + to);
     return senders_.emplace(to, std::move(socket)).first->second;
   }
 
+  peer_transport_options options_;
   zmq::context_t context_;
   receive on_message_;
   zmq::socket_t receiver_;
@@ -152,8 +153,9 @@
   std::thread thread_;
 };
 
-peer_transport::peer_transport(const std::string& address, receive on_message)
-    : impl_{std::make_unique<impl>(address, std::move(on_message))} {}
+peer_transport::peer_transport(const std::string& address, receive on_message,
+                               const peer_transport_options& options)
+    : impl_{std::make_unique<impl>(address, std::move(on_message), options)} {}
 
 peer_transport::~peer_transport() = default;
 
--- a/src/rosearch/net/peer_transport.h
+++ b/src/rosearch/net/peer_transport.h
@@ -1,6 +1,7 @@
 #ifndef ROSEARCH_NET_PEER_TRANSPORT_H_
 #define ROSEARCH_NET_PEER_TRANSPORT_H_
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -17,6 +18,20 @@
   std::uint64_t dropped{0};  ///< no connection, or its queue was full
 };
 
+/// Bounds of a `peer_transport`.
+struct peer_transport_options {
+  /// Written bytes that a peer hasn't taken for so long break the connection: what they say must not
+  /// arrive after its sender has been given up.
+  std::chrono::milliseconds longest_transit{5'000};
+  /// A connection that isn't made within this is tried anew; 0: the kernel's own patience, which
+  /// is seconds where the first packet is lost or the machine is just starting.
+  std::chrono::milliseconds connect_timeout{0};
+  /// Longest pause between two tries to connect.
+  std::chrono::milliseconds longest_reconnect{1'000};
+
+  friend bool operator==(const peer_transport_options&, const peer_transport_options&) = default;
+};
+
 /// Messages between entries over ZeroMQ. A message to a peer that is not connected is dropped, not
 /// kept: whoever needs an answer asks again, and a message that was kept would arrive when what it
 /// says is long past.
@@ -28,7 +43,8 @@
   /// Binds at once.
   /// @param address  host:port; port 0 binds a free one.
   /// @throws zmq::error_t where the address can't be bound.
-  peer_transport(const std::string& address, receive on_message);
+  peer_transport(const std::string& address, receive on_message,
+                 const peer_transport_options& options = {});
   ~peer_transport();
   peer_transport(const peer_transport&) = delete;
   peer_transport& operator=(const peer_transport&) = delete;
