--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -157,6 +157,7 @@
     std::vector<std::string> records;
     time_point sent_at{};
     bool stored{false};
+    bool came_early{false};  ///< overtook the one before it on the way: the store waits for that one
     bool may_be_stored{false};  ///< one sending of it was never answered
     std::uint32_t failures{0};  ///< sendings that brought no good answer
   };
@@ -823,6 +824,9 @@
     batches_.pop_front();
     scheduler_.OnStored(number, Now());
   }
+  if (!batches_.empty() && std::exchange(batches_.front().came_early, false)) {
+    SendBatch(batches_.front());
+  }
   NoteStore(true);
   PumpSoon();
 }
@@ -847,6 +851,10 @@
     End("fenced");
     return;
   }
+  if (answer.outcome == append_outcome::kOutOfSequence && batch != batches_.begin()) {
+    batch->came_early = true;
+    return;
+  }
   NoteStore(false);
   metrics_.Count("rosearch_appends_failed_total");
   if (answer.outcome == append_outcome::kNotStored && !batch->may_be_stored &&
--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -143,17 +143,27 @@
   });
 }
 
+std::string relayed_client::ChoosePeer(const std::string& address) {
+  const auto known = good_helper_.find(address);
+  if (known != good_helper_.end() && std::ranges::find(helpers_, known->second) != helpers_.end()) {
+    return known->second;
+  }
+  return helpers_[next_helper_++ % helpers_.size()];
+}
+
 void relayed_client::SendByPeer(const std::shared_ptr<exchange>& sent) {
-  const auto peer = helpers_[next_helper_++ % helpers_.size()];
+  const auto peer = ChoosePeer(sent->request.address);
   ++sent->peers_tried;
   ++sent->under_way;
-  SendFrom(peer, sent->request, [this, sent](result<http_reply> answer) {
+  SendFrom(peer, sent->request, [this, sent, peer](result<http_reply> answer) {
     --sent->under_way;
     const bool refused = sent->how.refusal_may_be_ours && IsRefusal(answer);
     if (answer.has_value() && !refused) {
+      good_helper_[sent->request.address] = peer;
       sent->Finish(std::move(answer));
       return;
     }
+    good_helper_.erase(sent->request.address);
     if (sent->over) {
       return;
     }
--- a/src/rosearch/cell/relayed_client.h
+++ b/src/rosearch/cell/relayed_client.h
@@ -59,11 +59,14 @@
   struct exchange;
   void SendDirect(const std::shared_ptr<exchange>& sent);
   void SendByPeer(const std::shared_ptr<exchange>& sent);
+  [[nodiscard]] std::string ChoosePeer(const std::string& address);
 
   boost::asio::io_context& io_;
   http_client& direct_;
   peer_link& peers_;
   std::vector<std::string> helpers_;
+  /// By address: the peer that reached it last. Staying with it keeps what is sent in order.
+  std::unordered_map<std::string, std::string> good_helper_;
   std::size_t next_helper_{0};
   std::uint64_t relayed_{0};
   std::unordered_map<std::string, time_point> broken_until_;  ///< by address
