Look at tickets in place of all workers; one pass over what waits every 4 ms

Cause: each event began a pass that looked at 350 workers for every waiting step, a hash of a text each; at 800 starts a second the leader used its whole half processor, answered no pings and was replaced 34 times. Ruled out: the link (10 Mbit/s unused), the store.

--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -32,6 +32,9 @@
 /// Bounds of a `leader`.
 struct leader_settings {
   sched::scheduler_settings scheduler{};
+  /// Between two passes over all that waits. At 800 starts a second each pass carries several ends;
+  /// one pass for each of them took a whole half of a processor.
+  duration pass{std::chrono::milliseconds{4}};
   /// Between two looks at what time alone changes.
   duration tick{std::chrono::milliseconds{50}};
   /// Records that nobody waits for are collected for so long, so that one append carries many.
@@ -85,6 +88,7 @@
         on_end_{std::move(on_end)},
         scheduler_{settings_.scheduler, epoch, log},
         tick_timer_{io},
+        pass_timer_{io},
         writer_timer_{io},
         registry_timer_{io},
         configuration_timer_{io} {}
@@ -208,6 +212,7 @@
   void TickLater();
   void PumpSoon();
   void Pump();
+  void SchedulePass();
   void CarryOut(sched::order&& decided);
   void Dispatch(sched::start_order&& decided);
   void Dispatch(sched::stop_order&& decided);
@@ -263,6 +268,7 @@
   sched::scheduler scheduler_;
   advice_desk advice_;
   boost::asio::steady_timer tick_timer_;
+  boost::asio::steady_timer pass_timer_;
   boost::asio::steady_timer writer_timer_;
   boost::asio::steady_timer registry_timer_;
   boost::asio::steady_timer configuration_timer_;
@@ -275,6 +281,7 @@
   std::uint64_t registry_next_{0};
   time_point began_at_{};
   time_point proof_at_{};
+  time_point passed_at_{};
   time_point stood_still_at_{};
   time_point collect_since_{};
   time_point store_failed_at_{};
@@ -285,6 +292,7 @@
   bool resigning_{false};
   bool over_{false};
   bool pump_posted_{false};
+  bool pass_pending_{false};
   bool verifying_{false};
 };
 
@@ -417,6 +425,7 @@
                  .Add("cause", cause)
                  .Add("led_ms", SteadyNow() - began_at_));
   tick_timer_.cancel();
+  pass_timer_.cancel();
   writer_timer_.cancel();
   registry_timer_.cancel();
   configuration_timer_.cancel();
@@ -603,9 +612,7 @@
     End("newer_leader_met");
     return;
   }
-  if (MayAct() && !resigning_) {
-    scheduler_.Schedule(Now());
-  }
+  SchedulePass();
   for (auto& decided : scheduler_.TakeOrders()) {
     CarryOut(std::move(decided));
   }
@@ -623,6 +630,24 @@
   }
 }
 
+template <typename Ports>
+void leader<Ports>::SchedulePass() {
+  if (!MayAct() || resigning_ || pass_pending_) {
+    return;
+  }
+  const auto now = SteadyNow();
+  if (now - passed_at_ >= settings_.pass) {
+    passed_at_ = now;
+    scheduler_.Schedule(Now());
+    return;
+  }
+  pass_pending_ = true;
+  After(pass_timer_, settings_.pass - (now - passed_at_), [](leader& self) {
+    self.pass_pending_ = false;
+    self.Pump();
+  });
+}
+
 template <typename Ports>
 void leader<Ports>::CarryOut(sched::order&& decided) {
   std::visit([this](auto&& each) { Dispatch(std::move(each)); }, std::move(decided));
--- a/src/rosearch/sched/advice_book.h
+++ b/src/rosearch/sched/advice_book.h
@@ -1,65 +1,59 @@
 #ifndef ROSEARCH_SCHED_ADVICE_BOOK_H_
 #define ROSEARCH_SCHED_ADVICE_BOOK_H_
 
+#include <algorithm>
 #include <string>
-#include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "rosearch/core/time.h"
-#include "rosearch/sched/order.h"
 
 namespace rosearch::sched {
 
+struct worker_state;
+
 /// What is known of the workers that may run one step. Which workers may doesn't change while the
 /// step lives; only the tickets that prove it expire.
 class advice_book {
  public:
-  /// Takes in one answer.
-  /// @param named    the workers that were asked about.
-  /// @param allowed  those of them that may run the step.
-  /// @param expires  when the tickets lose their worth.
-  void Learn(const std::vector<std::string>& named, const std::vector<advised_worker>& allowed,
-             time_point expires) {
-    for (const auto& worker : named) {
-      refused_.insert(worker);
-    }
-    for (const auto& each : allowed) {
-      refused_.erase(each.worker);
-      tickets_[each.worker] = ticket{each.ticket, expires};
-    }
-  }
+  /// A worker that may run the step, and the proof that it wants to see.
+  struct allowance {
+    worker_state* worker{nullptr};
+    std::string ticket;
+    time_point expires{};
+  };
 
-  /// @return the ticket for a worker, good until after `by`; null where there is none.
-  [[nodiscard]] const std::string* Ticket(const std::string& worker, time_point by) const {
-    const auto found = tickets_.find(worker);
-    const bool good = found != tickets_.end() && found->second.expires > by;
-    return good ? &found->second.text : nullptr;
+  /// Takes in that a worker may run the step.
+  void Allow(worker_state* worker, std::string ticket, time_point expires) {
+    if (auto* const known = Find(worker)) {
+      known->ticket = std::move(ticket);
+      known->expires = expires;
+    } else {
+      allowed_.push_back({worker, std::move(ticket), expires});
+    }
   }
+  /// Takes in that a worker must not run the step.
+  void Refuse(const std::string& worker) { refused_.insert(worker); }
 
-  /// @return whether the worker is known to be allowed; its ticket may have expired.
-  [[nodiscard]] bool Allowed(const std::string& worker) const {
-    return tickets_.contains(worker);
+  /// @return what allows a worker; null where nothing does. Its ticket may have expired.
+  [[nodiscard]] allowance* Find(const worker_state* worker) {
+    const auto found = std::ranges::find(allowed_, worker, &allowance::worker);
+    return found == allowed_.end() ? nullptr : &*found;
   }
+  [[nodiscard]] const std::vector<allowance>& Allowed() const { return allowed_; }
   [[nodiscard]] bool Refused(const std::string& worker) const { return refused_.contains(worker); }
 
-  /// Forgets one ticket that a worker didn't take.
-  void Expire(const std::string& worker) {
-    const auto found = tickets_.find(worker);
-    if (found != tickets_.end()) {
-      found->second.expires = time_point{};
-    }
+  /// Forgets a worker that is gone.
+  void Drop(const worker_state* worker) {
+    std::erase_if(allowed_, [&](const auto& each) { return each.worker == worker; });
   }
 
   bool asking{false};         ///< a question is under way
   time_point ask_again_at{};  ///< no further question before
 
  private:
-  struct ticket {
-    std::string text;
-    time_point expires;
-  };
-  std::unordered_map<std::string, ticket> tickets_;
+  std::vector<allowance> allowed_;
   std::unordered_set<std::string> refused_;
 };
 
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -25,6 +25,9 @@
 constexpr double kFirstAdvisedShare = 0.4;
 constexpr double kAdvisedShareWeight = 0.1;
 
+/// Taken off the score of workers that advice has allowed before; more than any score.
+constexpr double kCertain = 100.0;
+
 /// Names asked for beyond the need: some that are allowed will have filled up meanwhile.
 constexpr double kSpareNames = 1.5;
 constexpr std::size_t kFewestNames = 6;
@@ -144,17 +147,28 @@
                               const instant& now) {
   worker_state* best = nullptr;
   double best_score = 0;
-  const auto ticket_by = now.steady + settings_.ticket_margin;
-  for (const auto& [id, worker] : workers_) {
-    if (!Fits(step, *worker) || (advised && step.advice.Ticket(id, ticket_by) == nullptr) ||
-        !MayRun(step, &task, *worker, now)) {
-      continue;
+  const auto consider = [&](worker_state& worker) {
+    if (!Fits(step, worker) || !MayRun(step, &task, worker, now)) {
+      return;
     }
-    const double score = Score(step, *worker) + (task.failed_on == id ? kFailedHere : 0);
+    const double score =
+        Score(step, worker) + (task.failed_on == worker.facts.id ? kFailedHere : 0);
     if (best == nullptr || score < best_score) {
-      best = worker.get();
+      best = &worker;
       best_score = score;
     }
+  };
+  if (!advised) {
+    for (const auto& [id, worker] : workers_) {
+      consider(*worker);
+    }
+    return best;
+  }
+  const auto ticket_by = now.steady + settings_.ticket_margin;
+  for (const auto& allowance : step.advice.Allowed()) {
+    if (allowance.expires > ticket_by) {
+      consider(*allowance.worker);
+    }
   }
   return best;
 }
@@ -175,8 +189,13 @@
     const bool hopeless = !service && now.steady > job.finish_by + 2 * job.spec->objective;
     return std::tuple{service ? 0 : 1, hopeless ? 1 : 0, job.priority, job.finish_by};
   };
-  std::ranges::stable_sort(open_steps_, {}, key);
+  std::vector<std::pair<decltype(key(nullptr)), step_state*>> sorted;
+  sorted.reserve(open_steps_.size());
   for (auto* const step : open_steps_) {
+    sorted.emplace_back(key(step), step);
+  }
+  std::ranges::stable_sort(sorted, {}, [](const auto& each) { return each.first; });
+  for (const auto& [ignored, step] : sorted) {
     if (!Startable(*step->job) || step->blocked_at == room_version_ || step->Idle() == 0) {
       continue;
     }
@@ -206,10 +225,9 @@
       ++left;
       continue;
     }
-    const auto* const ticket =
-        advised ? step.advice.Ticket(worker->facts.id, now.steady) : nullptr;
+    const auto* const allowance = advised ? step.advice.Find(worker) : nullptr;
     BeginRun(step, index, *worker, RunNumber(epoch_, ++task.runs), task.checkpoint,
-             ticket == nullptr ? std::string{} : *ticket, now);
+             allowance == nullptr ? std::string{} : allowance->ticket, now);
   }
   if (left == 0) {
     return;
@@ -241,29 +259,41 @@
     const bool below = spec.per_worker_limit == 0 || mine.second < spec.per_worker_limit;
     return below && spec.need.FitsIn(free);
   };
+  std::vector<std::pair<worker_state*, std::string>> candidates;
+  if (advised) {
+    for (const auto& allowance : step.advice.Allowed()) {
+      if (allowance.expires > ticket_by) {
+        candidates.emplace_back(allowance.worker, allowance.ticket);
+      }
+    }
+  } else {
+    for (const auto& [id, worker] : workers_) {
+      candidates.emplace_back(worker.get(), std::string{});
+    }
+  }
+  std::erase_if(candidates, [&](const auto& each) {
+    return !MayRun(step, nullptr, *each.first, now);
+  });
   while (places.size() < step.tasks.size()) {
-    worker_state* best = nullptr;
+    const std::pair<worker_state*, std::string>* best = nullptr;
     double best_score = 0;
-    for (const auto& [id, worker] : workers_) {
-      const auto* const ticket = advised ? step.advice.Ticket(id, ticket_by) : nullptr;
-      if ((advised && ticket == nullptr) || !MayRun(step, nullptr, *worker, now) ||
-          !fitting(*worker)) {
+    for (const auto& candidate : candidates) {
+      if (!fitting(*candidate.first)) {
         continue;
       }
-      const double score = Score(step, *worker);
+      const double score = Score(step, *candidate.first);
       if (best == nullptr || score < best_score) {
-        best = worker.get();
+        best = &candidate;
         best_score = score;
       }
     }
     if (best == nullptr) {
       break;
     }
-    auto& mine = taken[best];
+    auto& mine = taken[best->first];
     mine.first = mine.first + step.spec->need;
     ++mine.second;
-    const auto* const ticket = advised ? step.advice.Ticket(best->facts.id, now.steady) : nullptr;
-    places.emplace_back(best, ticket == nullptr ? std::string{} : *ticket);
+    places.push_back(*best);
   }
   if (places.size() < step.tasks.size()) {
     if (advised) {
@@ -284,14 +314,17 @@
   }
   const auto share = advised_share_.try_emplace(step.job->spec->queue, kFirstAdvisedShare);
   const auto ticket_by = now.steady + settings_.ticket_margin;
-  std::vector<std::pair<double, const worker_state*>> candidates;
+  std::vector<std::pair<double, worker_state*>> candidates;
   for (const auto& [id, worker] : workers_) {
-    if (step.advice.Refused(id) || step.advice.Ticket(id, ticket_by) != nullptr ||
-        !Fits(step, *worker) || !MayRun(step, nullptr, *worker, now)) {
+    if (!Fits(step, *worker) || step.advice.Refused(id) || !MayRun(step, nullptr, *worker, now)) {
+      continue;
+    }
+    const auto* const allowance = step.advice.Find(worker.get());
+    if (allowance != nullptr && allowance->expires > ticket_by) {
       continue;
     }
     // Workers that are known to be allowed come first: their answer is certain.
-    candidates.emplace_back(Score(step, *worker) - (step.advice.Allowed(id) ? 10.0 : 0.0),
+    candidates.emplace_back(Score(step, *worker) - (allowance != nullptr ? kCertain : 0.0),
                             worker.get());
   }
   if (candidates.empty()) {
@@ -308,7 +341,7 @@
       break;
     }
     query.workers.push_back(worker->facts.id);
-    expected += step.advice.Allowed(worker->facts.id) ? 1.0 : share.first->second;
+    expected += score < -kCertain / 2 ? 1.0 : share.first->second;
   }
   step.advice.asking = true;
   log_.Write(event_line{"advice_asked"}
@@ -340,7 +373,15 @@
   const auto seen = static_cast<double>(allowed->size()) /
                     static_cast<double>(std::max<std::size_t>(1, asked.workers.size()));
   share += kAdvisedShareWeight * (seen - share);
-  step->advice.Learn(asked.workers, *allowed, now.steady + asked.cost.ticket_life);
+  for (const auto& worker : asked.workers) {
+    const auto given = std::ranges::find(*allowed, worker, &advised_worker::worker);
+    if (given == allowed->end()) {
+      step->advice.Refuse(worker);
+    } else if (const auto known = workers_.find(worker); known != workers_.end()) {
+      step->advice.Allow(known->second.get(), given->ticket,
+                         now.steady + asked.cost.ticket_life);
+    }
+  }
   log_.Write(event_line{"advice_given"}
                  .Add("job", name->job)
                  .Add("step", asked.step)
@@ -349,51 +390,59 @@
 }
 
 void scheduler::MakeRoom(step_state& step, std::uint32_t tasks, const instant& now) {
-  const auto& need = step.spec->need;
-  const bool advised = step.job->advice.has_value();
-  for (const auto& [id, worker] : workers_) {
-    if (tasks == 0) {
-      return;
+  std::vector<worker_state*> candidates;
+  if (step.job->advice) {
+    for (const auto& allowance : step.advice.Allowed()) {
+      candidates.push_back(allowance.worker);
     }
-    if (!MayRun(step, nullptr, *worker, now) || Fits(step, *worker) ||
-        (advised && !step.advice.Allowed(id))) {
-      continue;
+  } else {
+    for (const auto& [id, worker] : workers_) {
+      candidates.push_back(worker.get());
     }
-    // Room that is being made already counts: a second victim for the same task helps nobody.
-    auto free = worker->Free();
-    std::vector<live_run*> victims;
-    for (const auto& [task, run] : worker->runs) {
-      if (run->phase == run_phase::kStopping) {
-        free = free + run->charged;
-      } else if (run->phase == run_phase::kRunning && run->step != nullptr &&
-                 run->step->job->priority > step.job->priority && run->step->spec->checkpoints &&
-                 !run->step->spec->gang && !run->step->spec->service &&
-                 !run->step->spec->uses_leftover) {
-        victims.push_back(run.get());
-      }
+  }
+  for (auto* const worker : candidates) {
+    if (tasks == 0) {
+      return;
     }
-    if (need.FitsIn(free)) {
+    if (!Fits(step, *worker) && MayRun(step, nullptr, *worker, now) &&
+        MakeRoomAt(step, *worker, now)) {
       --tasks;
-      continue;
-    }
-    std::ranges::sort(victims, std::greater{},
-                      [](const auto* run) { return run->charged.processors_milli; });
-    std::vector<live_run*> chosen;
-    for (auto* const victim : victims) {
-      if (need.FitsIn(free)) {
-        break;
-      }
-      free = free + victim->charged;
-      chosen.push_back(victim);
     }
-    if (!need.FitsIn(free)) {
-      continue;
+  }
+}
+
+bool scheduler::MakeRoomAt(step_state& step, worker_state& worker, const instant& now) {
+  const auto& need = step.spec->need;
+  // Room that is being made already counts: a second victim for the same task helps nobody.
+  auto free = worker.Free();
+  std::vector<live_run*> victims;
+  for (const auto& [task, run] : worker.runs) {
+    if (run->phase == run_phase::kStopping) {
+      free = free + run->charged;
+    } else if (run->phase == run_phase::kRunning && run->step != nullptr &&
+               run->step->job->priority > step.job->priority && run->step->spec->checkpoints &&
+               !run->step->spec->gang && !run->step->spec->service &&
+               !run->step->spec->uses_leftover) {
+      victims.push_back(run.get());
     }
-    for (auto* const victim : chosen) {
-      StopRun(*victim, stop_reason::kPreempted, now);
+  }
+  std::ranges::sort(victims, std::greater{},
+                    [](const auto* run) { return run->charged.processors_milli; });
+  std::vector<live_run*> chosen;
+  for (auto* const victim : victims) {
+    if (need.FitsIn(free)) {
+      break;
     }
-    --tasks;
+    free = free + victim->charged;
+    chosen.push_back(victim);
+  }
+  if (!need.FitsIn(free)) {
+    return false;
+  }
+  for (auto* const victim : chosen) {
+    StopRun(*victim, stop_reason::kPreempted, now);
   }
+  return true;
 }
 
 }  // namespace rosearch::sched
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -286,7 +286,9 @@
     worker.health.Bad(settings_, now.steady);
     worker.health.Pause(now.steady + settings_.refusal_pause);
   } else if (outcome == start_outcome::kBadTicket) {
-    run.step->advice.Expire(worker.facts.id);
+    if (auto* const allowance = run.step->advice.Find(&worker)) {
+      allowance->expires = time_point{};
+    }
   } else if (outcome == start_outcome::kNotSent) {
     worker.health.Pause(now.steady + kUnreachedPause);
   } else {
@@ -523,7 +525,18 @@
 }
 
 void scheduler::DropWorker(const std::string& id) {
-  workers_.erase(id);
+  const auto found = workers_.find(id);
+  if (found == workers_.end()) {
+    return;
+  }
+  for (const auto& [job_id, job] : jobs_) {
+    for (const auto& occurrence : job->occurrences) {
+      for (const auto& step : occurrence->steps) {
+        step->advice.Drop(found->second.get());
+      }
+    }
+  }
+  workers_.erase(found);
   workers_dirty_ = true;
 }
 
