Show services at work in the test world; shorter quarantines; format

Cause: the fake worker showed services at 0 percent, so the scheduler took them for stuck and left worker after worker alone; a gang that needed all twelve never found them free (leaders that die, seed 8). Quarantines end after 8 s at the latest in place of 24: a cell whose workers were all suspected must not wait longer than a caller would.

--- a/src/rosearch/cell/advice_desk.cc
+++ b/src/rosearch/cell/advice_desk.cc
@@ -33,7 +33,8 @@
 }
 
 advice_desk::helper* advice_desk::FreeHelper(bool long_question) {
-  const auto urgent_only = helpers_.size() > 1 ? std::max<std::size_t>(1, helpers_.size() / kUrgentOnlyShare) : 0;
+  const auto urgent_only =
+      helpers_.size() > 1 ? std::max<std::size_t>(1, helpers_.size() / kUrgentOnlyShare) : 0;
   for (std::size_t at = 0; at < helpers_.size(); ++at) {
     if (!helpers_[at].busy && (!long_question || at >= urgent_only)) {
       return &helpers_[at];
--- a/src/rosearch/cell/cell_settings.cc
+++ b/src/rosearch/cell/cell_settings.cc
@@ -118,8 +118,8 @@
   made.metrics_address = in.Address("metrics_address", false);
   made.peer_address = in.Address("peer_address", true);
   // Only the hosts of seeds count: the port for messages is the same everywhere.
-  const auto port = made.peer_address.substr(std::min(made.peer_address.size(),
-                                                      made.peer_address.rfind(':')));
+  const auto port =
+      made.peer_address.substr(std::min(made.peer_address.size(), made.peer_address.rfind(':')));
   for (const auto& seed : in.Addresses("seeds")) {
     made.seeds.push_back(seed.substr(0, seed.rfind(':')) + port);
   }
--- a/src/rosearch/cell/cell_settings.h
+++ b/src/rosearch/cell/cell_settings.h
@@ -14,11 +14,11 @@
 
 /// Settings of one process of a cell.
 struct cell_settings {
-  std::string name;             ///< of the VM, for people and logs
-  std::string callers_address;  ///< host:port where callers' connections arrive
-  std::string ready_address;    ///< host:port where the balancer asks whether to send callers
-  std::string metrics_address;  ///< host:port of metrics and dump; empty: none
-  std::string peer_address;     ///< host:port for messages between the cell's processes
+  std::string name;                ///< of the VM, for people and logs
+  std::string callers_address;     ///< host:port where callers' connections arrive
+  std::string ready_address;       ///< host:port where the balancer asks whether to send callers
+  std::string metrics_address;     ///< host:port of metrics and dump; empty: none
+  std::string peer_address;        ///< host:port for messages between the cell's processes
   std::vector<std::string> seeds;  ///< peer addresses of processes that may be there
   std::string store_address;       ///< host:port of the platform's store
   std::string advice_address;      ///< host:port of the advice service; empty: none
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -39,10 +39,11 @@
   duration tick{std::chrono::milliseconds{50}};
   /// Records that nobody waits for are collected for so long, so that one append carries many.
   duration collect{std::chrono::milliseconds{15}};
-  /// Batches under way at once. Where an answer of the store takes a quarter of a second, a job would
-  /// wait for the batch before its own as well, both when it is accepted and when it is done.
+  /// Batches under way at once. Where an answer of the store takes a quarter of a second, a job
+  /// would wait for the batch before its own as well, both when it is accepted and when it is done.
   std::size_t batches{4};
-  /// A second batch goes out beside one that is older than this; a quick store has answered by then.
+  /// A second batch goes out beside one that is older than this; a quick store has answered by
+  /// then.
   duration batch_answer{std::chrono::milliseconds{12}};
   /// An append that wasn't answered, or was refused, is sent again after this.
   duration store_retry{std::chrono::milliseconds{100}};
@@ -161,7 +162,8 @@
     std::vector<std::string> records;
     time_point sent_at{};
     bool stored{false};
-    bool came_early{false};  ///< overtook the one before it on the way: the store waits for that one
+    bool came_early{
+        false};  ///< overtook the one before it on the way: the store waits for that one
     bool may_be_stored{false};  ///< one sending of it was never answered
     std::uint32_t failures{0};  ///< sendings that brought no good answer
   };
@@ -250,12 +252,12 @@
   template <typename Callback>
   void After(boost::asio::steady_timer& timer, duration pause, Callback callback) {
     timer.expires_after(pause);
-    timer.async_wait(Bind([callback = std::move(callback)](leader& self,
-                                                          const boost::system::error_code& failed) {
-      if (!failed) {
-        callback(self);
-      }
-    }));
+    timer.async_wait(Bind(
+        [callback = std::move(callback)](leader& self, const boost::system::error_code& failed) {
+          if (!failed) {
+            callback(self);
+          }
+        }));
   }
 
   boost::asio::io_context& io_;
@@ -275,7 +277,7 @@
   std::map<std::string, std::unique_ptr<boost::asio::steady_timer>> watches_;  ///< by worker
   std::unordered_map<std::string, std::vector<waiting_caller>> callers_;       ///< by job
   std::map<std::string, time_point> unlisting_;  ///< workers that may yet come back, until when
-  std::deque<batch_under_way> batches_;  ///< oldest first
+  std::deque<batch_under_way> batches_;          ///< oldest first
   std::uint64_t sequence_{0};
   std::uint64_t configuration_next_{0};
   std::uint64_t registry_next_{0};
@@ -363,8 +365,8 @@
 template <typename Ports>
 void leader<Ports>::ReadWorkers(const std::string& after, bool first) {
   // `seen_` collects over all pages what the registry lists; the rest is gone.
-  ports_.Newest(stream::kWorkers, after, Bind([after, first](leader& self,
-                                                             result<newest_page> page) {
+  ports_.Newest(stream::kWorkers, after,
+                Bind([after, first](leader& self, result<newest_page> page) {
                   if (page.has_error()) {
                     self.NoteStore(false);
                     self.After(self.registry_timer_, self.settings_.store_retry,
@@ -506,11 +508,10 @@
 
 template <typename Ports>
 void leader<Ports>::TakeWorker(const sched::stored_record& record, std::set<std::string>* seen) {
-  auto facts = record.value.empty() ? std::nullopt
-                                    : Ports::DecodeWorker(record.key, record.value);
+  auto facts = record.value.empty() ? std::nullopt : Ports::DecodeWorker(record.key, record.value);
   const auto& pools = scheduler_.configuration().pools;
-  const bool named = facts && std::ranges::find(pools, facts->pool, &sched::pool_rules::name) !=
-                                  pools.end();
+  const bool named =
+      facts && std::ranges::find(pools, facts->pool, &sched::pool_rules::name) != pools.end();
   if (!named) {
     // Gone, or written by somebody else: what can't be read, or serves no pool of ours, names no
     // worker to use.
@@ -660,8 +661,8 @@
     return;
   }
   const auto sent_at = SteadyNow();
-  ports_.Start(decided, epoch_, Bind([decided, sent_at](leader& self,
-                                                        sched::start_outcome outcome) {
+  ports_.Start(decided, epoch_,
+               Bind([decided, sent_at](leader& self, sched::start_outcome outcome) {
                  self.metrics_.Observe("rosearch_start_seconds", SteadyNow() - sent_at);
                  self.scheduler_.OnStartAnswer(decided, outcome, Now());
                  if (outcome != sched::start_outcome::kStarted) {
@@ -737,19 +738,19 @@
   }
   const auto sent_at = SteadyNow();
   ports_.Watch(*watch, epoch_, Bind([worker, sent_at](leader& self, const watch_answer& answer) {
-                 if (answer.report) {
-                   self.scheduler_.OnReport(worker, sent_at, *answer.report, Now());
-                 } else {
-                   self.scheduler_.OnWatchFailed(worker, answer.failure, Now());
-                 }
-                 self.PumpSoon();
-                 const auto pause = self.scheduler_.WatchPause(worker, Now());
-                 if (pause > duration{}) {
-                   self.WatchAfter(worker, pause);
-                 } else {
-                   self.Watch(worker);
-                 }
-               }));
+    if (answer.report) {
+      self.scheduler_.OnReport(worker, sent_at, *answer.report, Now());
+    } else {
+      self.scheduler_.OnWatchFailed(worker, answer.failure, Now());
+    }
+    self.PumpSoon();
+    const auto pause = self.scheduler_.WatchPause(worker, Now());
+    if (pause > duration{}) {
+      self.WatchAfter(worker, pause);
+    } else {
+      self.Watch(worker);
+    }
+  }));
 }
 
 // The store.
@@ -862,8 +863,8 @@
   if (batch == batches_.end() || batch->stored) {
     return;
   }
-  const bool ahead = answer.outcome == append_outcome::kOutOfSequence &&
-                     answer.next_sequence > batch->sequence;
+  const bool ahead =
+      answer.outcome == append_outcome::kOutOfSequence && answer.next_sequence > batch->sequence;
   if (answer.outcome == append_outcome::kStored || ahead) {
     // Whatever is stored has all before it stored too.
     for (auto each = batches_.begin(); each != std::next(batch); ++each) {
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -120,8 +120,9 @@
   static constexpr duration kClaimsWait = std::chrono::milliseconds{1'000};
   static constexpr duration kClaimsRetry = std::chrono::milliseconds{200};
   static constexpr duration kQueryPatience = std::chrono::milliseconds{150};
-  /// A request that finds no leader is refused after this: about what a change of leader takes where
-  /// the old one said goodbye, and less than the second after which a refused caller comes back.
+  /// A request that finds no leader is refused after this: about what a change of leader takes
+  /// where the old one said goodbye, and less than the second after which a refused caller comes
+  /// back.
   static constexpr duration kLeaderPatience = std::chrono::milliseconds{600};
   static constexpr duration kForwardAgain = std::chrono::milliseconds{40};
   static constexpr duration kForwardPatience = std::chrono::milliseconds{2'600};
@@ -220,7 +221,8 @@
   if (!election_.Leaving()) {
     AskPeersForLeader();
   }
-  const bool agreed = election_.Leaving() || (!asking_peers_ && now - nobody_hears_at_ < kMemberFresh);
+  const bool agreed =
+      election_.Leaving() || (!asking_peers_ && now - nobody_hears_at_ < kMemberFresh);
   if (election_.ShouldClaim(now) && agreed) {
     Claim();
   }
@@ -231,9 +233,8 @@
   const auto now = SteadyNow();
   const auto before = members_.size();
   if (Leading()) {
-    std::erase_if(members_, [&](const auto& each) {
-      return now - each.second.seen_at >= kMemberFresh;
-    });
+    std::erase_if(members_,
+                  [&](const auto& each) { return now - each.second.seen_at >= kMemberFresh; });
   }
   if (members_.size() != before) {
     ++members_version_;
@@ -635,8 +636,7 @@
     leader_->Handle(call->request, left, take);
     return;
   }
-  if (leader_ || election_.Known().epoch == 0 || left <= duration{} ||
-      !election_.Hears(now)) {
+  if (leader_ || election_.Known().epoch == 0 || left <= duration{} || !election_.Hears(now)) {
     ForwardLater(call);
     return;
   }
@@ -650,8 +650,7 @@
   sent.set_time_left_ms(static_cast<std::uint32_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
   constexpr duration kOneTry = std::chrono::milliseconds{1'000};
-  peers_.Ask(election_.Known().address, std::move(frame),
-             std::min(call->answer_by, now + kOneTry),
+  peers_.Ask(election_.Known().address, std::move(frame), std::min(call->answer_by, now + kOneTry),
              [this, call, take](const wire::peer_frame* answer) {
                if (answer == nullptr) {
                  call->unsure = true;
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -12,9 +12,9 @@
 /// Longer than any question is repeated.
 constexpr duration kRemember = std::chrono::seconds{4};
 
-/// A process that just started must hear its leader well before it suspects it: with the kernel's own
-/// patience for a first packet that is lost, two restarted processes claimed leadership beside a
-/// sound leader.
+/// A process that just started must hear its leader well before it suspects it: with the kernel's
+/// own patience for a first packet that is lost, two restarted processes claimed leadership beside
+/// a sound leader.
 constexpr peer_transport_options kTransport{std::chrono::milliseconds{1'000},
                                             std::chrono::milliseconds{250},
                                             std::chrono::milliseconds{100}};
@@ -29,7 +29,8 @@
                      receive on_message)
     : io_{io}, on_message_{std::move(on_message)}, next_exchange_{life} {
   transport_ = std::make_unique<peer_transport>(
-      address, [this, alive = std::weak_ptr<bool>{alive_}](std::string bytes) {
+      address,
+      [this, alive = std::weak_ptr<bool>{alive_}](std::string bytes) {
         boost::asio::post(io_, [this, alive, bytes = std::move(bytes)] {
           if (!alive.expired()) {
             Receive(bytes);
@@ -116,8 +117,8 @@
   if (!frame.ParseFromString(bytes)) {
     return;  // from a stranger: whoever asked asks again, and nothing hangs on one message
   }
-  const bool is_answer = frame.has_pong() || frame.has_view() || frame.has_answer() ||
-                         frame.has_relayed();
+  const bool is_answer =
+      frame.has_pong() || frame.has_view() || frame.has_answer() || frame.has_relayed();
   if (!is_answer) {
     const bool repeat = frame.exchange() != 0 && IsRepeat(frame);
     if (!repeat) {
--- a/src/rosearch/cell/ports.h
+++ b/src/rosearch/cell/ports.h
@@ -85,7 +85,7 @@
   { Ports::IsJobId(std::string_view{}) } -> std::same_as<bool>;
   {
     Ports::CallerPatience(std::map<std::string, std::string>{})
-  } -> std::same_as<std::optional<duration>>;
+    } -> std::same_as<std::optional<duration>>;
 };
 
 }  // namespace rosearch::cell
--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -49,8 +49,8 @@
     field.set_name(header.name);
     field.set_value(header.value);
   }
-  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(request.answer_by -
-                                                                          SteadyNow());
+  const auto left =
+      std::chrono::duration_cast<std::chrono::milliseconds>(request.answer_by - SteadyNow());
   call.set_time_left_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count())));
   return frame;
 }
@@ -99,8 +99,8 @@
 };
 
 void relayed_client::Send(http_request request, const reach& how, http_callback done) {
-  auto sent = std::make_shared<exchange>(exchange{std::move(request), how, std::move(done),
-                                                  boost::asio::steady_timer{io_}});
+  auto sent = std::make_shared<exchange>(
+      exchange{std::move(request), how, std::move(done), boost::asio::steady_timer{io_}});
   const auto broken = broken_until_.find(sent->request.address);
   const bool skip = broken != broken_until_.end() && SteadyNow() < broken->second;
   if (how.by_peer && skip && !helpers_.empty()) {
@@ -169,8 +169,7 @@
     }
     sent->Keep(std::move(answer));
     const auto most = std::min<std::size_t>(kMostPeers, helpers_.size());
-    if (sent->MayTryPeer() && sent->peers_tried < most &&
-        SteadyNow() < sent->request.answer_by) {
+    if (sent->MayTryPeer() && sent->peers_tried < most && SteadyNow() < sent->request.answer_by) {
       SendByPeer(sent);
     } else if (sent->under_way == 0) {
       sent->FinishFailed();
--- a/src/rosearch/cell/relayed_client.h
+++ b/src/rosearch/cell/relayed_client.h
@@ -23,9 +23,9 @@
   bool by_peer{true};
   /// Whether an answer of 429 or 503 may be meant for this process alone.
   bool refusal_may_be_ours{false};
-  /// How long the direct way gets before a peer is tried beside it; zero: a peer is tried only where
-  /// the direct way certainly carried nothing. For orders whose refusal must mean that no copy of
-  /// them is under way.
+  /// How long the direct way gets before a peer is tried beside it; zero: a peer is tried only
+  /// where the direct way certainly carried nothing. For orders whose refusal must mean that no
+  /// copy of them is under way.
   duration direct_patience{std::chrono::milliseconds{700}};
 
   friend bool operator==(const reach&, const reach&) = default;
--- a/src/rosearch/cell/store_types.h
+++ b/src/rosearch/cell/store_types.h
@@ -42,9 +42,9 @@
 
 /// Records of one partition from an offset on.
 struct log_page {
-  bool trimmed{false};        ///< the offset asked for is gone; `first` is the oldest there is
+  bool trimmed{false};  ///< the offset asked for is gone; `first` is the oldest there is
   std::uint64_t first{0};
-  std::uint64_t next{0};      ///< read on from here
+  std::uint64_t next{0};  ///< read on from here
   std::vector<std::string> records{};
 
   friend bool operator==(const log_page&, const log_page&) = default;
--- a/src/rosearch/log/bounded_log.cc
+++ b/src/rosearch/log/bounded_log.cc
@@ -37,7 +37,8 @@
   }
   if (suppressed_ > 0) {
     AppendTime(waiting_);
-    waiting_ += event_line{"log_suppressed", event_weight::kBelief}.Add("lines", suppressed_).text();
+    waiting_ +=
+        event_line{"log_suppressed", event_weight::kBelief}.Add("lines", suppressed_).text();
     waiting_ += '\n';
   }
   second_began_ = now;
@@ -51,8 +52,7 @@
   BeginSecond(SteadyNow());
   const bool request = line.weight() == event_weight::kRequest;
   auto& count = request ? requests_this_second_ : others_this_second_;
-  const auto most =
-      request ? settings_.request_lines_per_second : settings_.other_lines_per_second;
+  const auto most = request ? settings_.request_lines_per_second : settings_.other_lines_per_second;
   if (count >= most || waiting_.size() + line.text().size() > settings_.waiting_bytes) {
     ++suppressed_;
     ++dropped_;
--- a/src/rosearch/net/peer_transport.h
+++ b/src/rosearch/net/peer_transport.h
@@ -20,8 +20,8 @@
 
 /// Bounds of a `peer_transport`.
 struct peer_transport_options {
-  /// Written bytes that a peer hasn't taken for so long break the connection: what they say must not
-  /// arrive after its sender has been given up.
+  /// Written bytes that a peer hasn't taken for so long break the connection: what they say must
+  /// not arrive after its sender has been given up.
   std::chrono::milliseconds longest_transit{5'000};
   /// A connection that isn't made within this is tried anew; 0: the kernel's own patience, which
   /// is seconds where the first packet is lost or the machine is just starting.
--- a/src/rosearch/sched/cell_configuration.h
+++ b/src/rosearch/sched/cell_configuration.h
@@ -22,14 +22,14 @@
 
 /// The operator's rules for one queue of jobs.
 struct queue_rules {
-  std::string name;  ///< for people; may change while the queue stays the same
-  std::string host;         ///< callers' Host header, in lower case
-  std::string path_prefix;  ///< callers' paths begin so; the longest match wins
-  std::string pool;         ///< its tasks run on workers of this pool
+  std::string name;           ///< for people; may change while the queue stays the same
+  std::string host;           ///< callers' Host header, in lower case
+  std::string path_prefix;    ///< callers' paths begin so; the longest match wins
+  std::string pool;           ///< its tasks run on workers of this pool
   std::uint32_t priority{0};  ///< 0 comes first
   std::uint32_t max_attempts{1};
-  double stretch{1};         ///< objective: the job's longest chain times this,
-  duration latency_target{};  ///< and this on top
+  double stretch{1};                    ///< objective: the job's longest chain times this,
+  duration latency_target{};            ///< and this on top
   std::optional<advice_cost> advice{};  ///< set: only advised workers may run its steps
 
   /// @return what tells the queue from all others: host and path prefix.
--- a/src/rosearch/sched/job_codec.cc
+++ b/src/rosearch/sched/job_codec.cc
@@ -77,8 +77,7 @@
 }
 
 bool Bit(const std::string& bits, std::size_t at) {
-  return at / 8 < bits.size() &&
-         ((static_cast<unsigned char>(bits[at / 8]) >> (at % 8)) & 1U) != 0;
+  return at / 8 < bits.size() && ((static_cast<unsigned char>(bits[at / 8]) >> (at % 8)) & 1U) != 0;
 }
 
 void EncodeStepProgress(const step_state& step, wire::stored_progress& out) {
@@ -176,8 +175,7 @@
   job.accepted_ms = in.accepted_ms();
   job.objective = FromMillis(in.objective_ms());
   if (in.advised()) {
-    job.advice = advice_cost{FromMicros(in.advice_base_us()),
-                             FromMicros(in.advice_per_worker_us()),
+    job.advice = advice_cost{FromMicros(in.advice_base_us()), FromMicros(in.advice_per_worker_us()),
                              FromMicros(in.ticket_life_us())};
   }
   return job;
@@ -192,9 +190,8 @@
     return out.SerializeAsString();
   }
   if (job.Occurrences() > 1) {
-    out.set_done_occurrences(Bits(job.occurrences.size(), [&](std::size_t at) {
-      return job.occurrences[at]->done;
-    }));
+    out.set_done_occurrences(
+        Bits(job.occurrences.size(), [&](std::size_t at) { return job.occurrences[at]->done; }));
   }
   for (const auto& occurrence : job.occurrences) {
     if (occurrence->done) {
--- a/src/rosearch/sched/job_spec.h
+++ b/src/rosearch/sched/job_spec.h
@@ -23,13 +23,13 @@
   bool same_rack{false};               ///< its tasks are slower across racks
   bool may_duplicate{false};           ///< copies of one task may run side by side
   bool service{false};                 ///< its tasks run until the job is cancelled
-  bool uses_leftover{false};  ///< its processors aren't promised: it takes what others leave
-  std::string required_label{};            ///< a worker without it must not run the step
-  std::string data_rack{};                 ///< slower on every other rack
-  std::uint32_t per_worker_limit{0};       ///< most tasks of the step on one worker; 0: any number
+  bool uses_leftover{false};     ///< its processors aren't promised: it takes what others leave
+  std::string required_label{};  ///< a worker without it must not run the step
+  std::string data_rack{};       ///< slower on every other rack
+  std::uint32_t per_worker_limit{0};  ///< most tasks of the step on one worker; 0: any number
   std::optional<std::uint32_t> max_unavailable{};  ///< most tasks of it down by our own doing
-  std::string image{};                     ///< tasks of one image behave alike
-  duration tail_target{};                  ///< what its users' response times must stay under
+  std::string image{};                             ///< tasks of one image behave alike
+  duration tail_target{};  ///< what its users' response times must stay under
 
   friend bool operator==(const step_spec&, const step_spec&) = default;
 };
@@ -41,10 +41,10 @@
   std::string pool;     ///< workers of this pool run it
   std::string payload;  ///< handed to every run as it is
   std::vector<step_spec> steps;
-  std::uint32_t occurrences{0};  ///< times that all steps run on a timetable; 0: once, at once
-  std::int64_t first_due_ms{0};  ///< time of day in ms since 1970
-  std::int64_t interval_ms{0};   ///< between occurrences
-  std::uint32_t priority{0};     ///< 0 comes first
+  std::uint32_t occurrences{0};   ///< times that all steps run on a timetable; 0: once, at once
+  std::int64_t first_due_ms{0};   ///< time of day in ms since 1970
+  std::int64_t interval_ms{0};    ///< between occurrences
+  std::uint32_t priority{0};      ///< 0 comes first
   std::uint32_t max_attempts{1};  ///< failed runs of one task after which the job has failed
   std::int64_t accepted_ms{0};    ///< time of day in ms since 1970
   duration objective{};           ///< from acceptance to completion, as promised to the caller
--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -37,11 +37,11 @@
 /// One task of an open step.
 struct task_state {
   bool done{false};
-  std::uint32_t live{0};      ///< runs that may be under way
-  std::uint32_t runs{0};      ///< runs begun under the present leadership
+  std::uint32_t live{0};  ///< runs that may be under way
+  std::uint32_t runs{0};  ///< runs begun under the present leadership
   /// Runs that ended failed. Ends are listed again until they are acknowledged, also to a new
-  /// leader and there in any order: counted by number alone, one failure would count twice and a job
-  /// fail too early, or one would be missed and a task tried more often than allowed.
+  /// leader and there in any order: counted by number alone, one failure would count twice and a
+  /// job fail too early, or one would be missed and a task tried more often than allowed.
   std::vector<std::uint32_t> failed_runs;
   std::string checkpoint;       ///< newest known; empty: none
   std::string failed_on;        ///< worker of the last failure
@@ -89,12 +89,12 @@
   std::optional<advice_cost> advice{};
   job_phase phase{job_phase::kQueued};
   job_phase stored_phase{job_phase::kQueued};  ///< what callers are told
-  bool accepted{false};   ///< stored: from now on it is owed
-  bool restored{false};   ///< accepted under an earlier leadership
-  bool new_record{true};  ///< its own record has yet to be stored
-  bool dirty{false};      ///< its progress has yet to be stored
-  std::uint32_t live{0};  ///< runs that may be under way
-  time_point finish_by{};  ///< objective, by the steady clock
+  bool accepted{false};                        ///< stored: from now on it is owed
+  bool restored{false};                        ///< accepted under an earlier leadership
+  bool new_record{true};                       ///< its own record has yet to be stored
+  bool dirty{false};                           ///< its progress has yet to be stored
+  std::uint32_t live{0};                       ///< runs that may be under way
+  time_point finish_by{};                      ///< objective, by the steady clock
   std::int64_t ended_ms{0};
   std::vector<std::unique_ptr<occurrence_state>> occurrences;  ///< all that are due so far
 
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -183,8 +183,8 @@
   /// The batch is certainly not stored. New jobs in it are refused for good, the rest is kept for
   /// the next batch.
   void OnNotStored(std::uint64_t number, const instant& now);
-  /// Refuses every new job that no batch has carried to the store yet: it is away, and a caller that
-  /// is told so at once can come back in time.
+  /// Refuses every new job that no batch has carried to the store yet: it is away, and a caller
+  /// that is told so at once can come back in time.
   void RefuseUnsent();
   /// @return whether a job was handed in and what becomes of it is still open.
   [[nodiscard]] bool IsPending(std::string_view id) const;
@@ -222,8 +222,8 @@
   void OpenSteps(job_state& job, occurrence_state& occurrence, const instant& now);
   void FinishTask(step_state& step, std::uint32_t index, const instant& now);
   void FinishStep(step_state& step, const instant& now);
-  void FailTask(step_state& step, std::uint32_t index, std::uint32_t run,
-                const std::string& worker, const instant& now);
+  void FailTask(step_state& step, std::uint32_t index, std::uint32_t run, const std::string& worker,
+                const instant& now);
   void EndJob(job_state& job, job_phase phase, const instant& now);
   void Forget(const instant& now);
   void ResolveRules(job_state& job) const;
@@ -297,7 +297,7 @@
   std::vector<order> orders_;
   std::vector<settled_job> settled_;
   std::vector<std::string> acked_;
-  std::vector<std::string> dirty_;     ///< jobs with something to store
+  std::vector<std::string> dirty_;      ///< jobs with something to store
   std::vector<std::string> forgotten_;  ///< ended jobs whose records are to be dropped
   std::vector<std::string> retiring_;   ///< jobs that may have become ended ones
   std::vector<stored_record> restoring_;
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -10,8 +10,8 @@
 /// An ended job is looked for so often; a second's delay in forgetting costs nothing.
 constexpr duration kForgetEvery = std::chrono::seconds{1};
 
-/// The most that a service's task waits after runs that end at once; callers are promised that it is
-/// back within seconds.
+/// The most that a service's task waits after runs that end at once; callers are promised that it
+/// is back within seconds.
 constexpr duration kLongestServicePause = std::chrono::milliseconds{1'500};
 
 /// How much one job moves the mean slack of its queue.
@@ -74,9 +74,9 @@
     std::uint32_t places = 0;
     for (const auto& [id, worker] : workers_) {
       const auto& facts = worker->facts;
-      const bool labelled = step.required_label.empty() ||
-                            std::ranges::find(facts.labels, step.required_label) !=
-                                facts.labels.end();
+      const bool labelled =
+          step.required_label.empty() ||
+          std::ranges::find(facts.labels, step.required_label) != facts.labels.end();
       if (facts.pool == job.pool && labelled && step.need.FitsIn(facts.capacity)) {
         const auto by_processor =
             facts.capacity.processors_milli / std::max<std::int64_t>(1, step.need.processors_milli);
@@ -119,8 +119,8 @@
     room += static_cast<double>(worker->facts.capacity.processors_milli);
     free += static_cast<double>(worker->Free().processors_milli);
     for (const auto& [task, run] : worker->runs) {
-      const bool first = run->step != nullptr && (run->step->spec->service ||
-                                                  run->step->job->priority < job.priority);
+      const bool first = run->step != nullptr &&
+                         (run->step->spec->service || run->step->job->priority < job.priority);
       room -= first ? static_cast<double>(run->charged.processors_milli) : 0;
     }
   }
@@ -144,8 +144,8 @@
     return {submit_verdict::kPending, {}, {}};
   }
   const auto back = std::chrono::milliseconds{static_cast<std::int64_t>(wait - slack)};
-  return {submit_verdict::kRefused,
-          std::clamp<duration>(back, kLeastRetryAfter, kMostRetryAfter), "overload"};
+  return {submit_verdict::kRefused, std::clamp<duration>(back, kLeastRetryAfter, kMostRetryAfter),
+          "overload"};
 }
 
 submit_answer scheduler::Submit(job_spec job, const instant& now) {
@@ -290,8 +290,9 @@
 
 void scheduler::FinishOccurrence(job_state& job, occurrence_state& occurrence, const instant& now) {
   occurrence.done = true;
-  const bool last = job.occurrences.size() == job.Occurrences() &&
-                    std::ranges::all_of(job.occurrences, [](const auto& each) { return each->done; });
+  const bool last =
+      job.occurrences.size() == job.Occurrences() &&
+      std::ranges::all_of(job.occurrences, [](const auto& each) { return each->done; });
   if (last) {
     EndJob(job, job_phase::kCompleted, now);
   }
@@ -332,8 +333,8 @@
   job.ended_ms = now.wall_ms;
   MarkDirty(job, true);
   constexpr std::string_view kNames[]{"queued", "running", "completed", "failed", "cancelled"};
-  log_.Write(event_line{"job_ended", phase == job_phase::kFailed ? event_weight::kFailure
-                                                                 : event_weight::kRequest}
+  log_.Write(event_line{
+      "job_ended", phase == job_phase::kFailed ? event_weight::kFailure : event_weight::kRequest}
                  .Add("job", job.spec->id)
                  .Add("phase", kNames[static_cast<std::size_t>(phase)])
                  .Add("left_ms", job.finish_by - now.steady)
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -13,8 +13,8 @@
 namespace {
 
 // Weights of `Score`, in units of a worker's whole load. Measured by replaying the load above.
-constexpr double kOffDataRack = 0.6;    ///< half as long again is worth that much emptiness
-constexpr double kSuspect = 0.5;        ///< failed lately
+constexpr double kOffDataRack = 0.6;     ///< half as long again is worth that much emptiness
+constexpr double kSuspect = 0.5;         ///< failed lately
 constexpr double kBesideLeftover = 2.0;  ///< what fills disturbs what serves
 constexpr double kSiblingSpread = 0.3;   ///< services fail together on one worker
 constexpr double kSameRack = 0.5;
@@ -89,9 +89,8 @@
     return true;
   }
   const auto index = static_cast<std::size_t>(task - step.tasks.data());
-  return std::ranges::none_of(step.runs, [&](const auto* run) {
-    return run->worker == &worker && run->index == index;
-  });
+  return std::ranges::none_of(
+      step.runs, [&](const auto* run) { return run->worker == &worker && run->index == index; });
 }
 
 bool scheduler::Fits(const step_state& step, const worker_state& worker) const {
@@ -108,8 +107,8 @@
     return true;
   }
   const auto& capacity = worker.facts.capacity;
-  const auto kept = static_cast<std::int64_t>(
-      settings_.urgent_reserve * static_cast<double>(capacity.processors_milli));
+  const auto kept = static_cast<std::int64_t>(settings_.urgent_reserve *
+                                              static_cast<double>(capacity.processors_milli));
   // What is too large for the rest of this worker may use all of it: it would fit nowhere else.
   const bool huge = need.processors_milli + kept > capacity.processors_milli;
   return huge || need.processors_milli + kept <= free.processors_milli;
@@ -178,9 +177,8 @@
     return;
   }
   RetireEnded(now);
-  std::erase_if(open_steps_, [](const auto* step) {
-    return step->Finished() || IsTerminal(step->job->phase);
-  });
+  std::erase_if(open_steps_,
+                [](const auto* step) { return step->Finished() || IsTerminal(step->job->phase); });
   // Services that lost a task come first: their users are without it. Then by the operator's
   // priority, and the job that has to be ready first. A job that is hopelessly late goes last.
   const auto key = [&](const step_state* step) {
@@ -271,9 +269,8 @@
       candidates.emplace_back(worker.get(), std::string{});
     }
   }
-  std::erase_if(candidates, [&](const auto& each) {
-    return !MayRun(step, nullptr, *each.first, now);
-  });
+  std::erase_if(candidates,
+                [&](const auto& each) { return !MayRun(step, nullptr, *each.first, now); });
   while (places.size() < step.tasks.size()) {
     const std::pair<worker_state*, std::string>* best = nullptr;
     double best_score = 0;
@@ -378,8 +375,7 @@
     if (given == allowed->end()) {
       step->advice.Refuse(worker);
     } else if (const auto known = workers_.find(worker); known != workers_.end()) {
-      step->advice.Allow(known->second.get(), given->ticket,
-                         now.steady + asked.cost.ticket_life);
+      step->advice.Allow(known->second.get(), given->ticket, now.steady + asked.cost.ticket_life);
     }
   }
   log_.Write(event_line{"advice_given"}
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -32,9 +32,9 @@
 }
 
 std::string_view OutcomeWord(start_outcome outcome) {
-  constexpr std::string_view kNames[]{"started",   "not_sent", "no_room",   "bad_ticket",
-                                      "stale_fence", "stale_run", "too_late", "unhealthy",
-                                      "rejected",  "other_life", "unknown"};
+  constexpr std::string_view kNames[]{"started",     "not_sent",   "no_room",  "bad_ticket",
+                                      "stale_fence", "stale_run",  "too_late", "unhealthy",
+                                      "rejected",    "other_life", "unknown"};
   return kNames[static_cast<std::size_t>(outcome)];
 }
 
@@ -163,8 +163,8 @@
   if (how == end_kind::kDone) {
     worker.health.Good();
     if (step != nullptr && step->spec->estimate.count() > 0 && run.checkpoint.empty()) {
-      const double ratio = std::chrono::duration<double>{took} /
-                           std::chrono::duration<double>{step->spec->estimate};
+      const double ratio =
+          std::chrono::duration<double>{took} / std::chrono::duration<double>{step->spec->estimate};
       worker.slowness += kSlownessWeight * (std::clamp(ratio, 0.3, 4.0) - worker.slowness);
     }
   } else if (how == end_kind::kFailed && worker.health.Bad(settings_, now.steady)) {
@@ -370,8 +370,8 @@
     OpenSteps(*job, AddOccurrence(*job), now);
   }
   auto* const step = wanted ? job->Step(name->occurrence, name->step) : nullptr;
-  const bool known = step != nullptr && name->index < step->tasks.size() &&
-                     !step->tasks[name->index].done;
+  const bool known =
+      step != nullptr && name->index < step->tasks.size() && !step->tasks[name->index].done;
   if (!known || (step->tasks[name->index].live > 0 && !step->spec->may_duplicate)) {
     StopStranger(worker, row, now);
     return;
@@ -550,8 +550,7 @@
     }
     if (run->phase == run_phase::kStopping && !run->stop_heard) {
       run->next_try = now.steady + settings_.stop_retry;
-      orders_.emplace_back(
-          stop_order{worker.facts.id, worker.facts.address, run->task, run->run});
+      orders_.emplace_back(stop_order{worker.facts.id, worker.facts.address, run->task, run->run});
     } else if (run->phase == run_phase::kUnsure && run->tries >= settings_.start_tries) {
       StopRun(*run, stop_reason::kUnanswered, now);
     } else if (run->phase == run_phase::kUnsure) {
--- a/src/rosearch/sched/scheduler_settings.h
+++ b/src/rosearch/sched/scheduler_settings.h
@@ -13,7 +13,8 @@
 struct scheduler_settings {
   /// Longest lease that a worker grants, by its own clock; from the platform's settings.
   duration max_lease{std::chrono::seconds{6}};
-  /// A worker's clock may be slow by so much: 2% by the platform's pages, and a little for rounding.
+  /// A worker's clock may be slow by so much: 2% by the platform's pages, and a little for
+  /// rounding.
   double clock_slack{0.025};
   /// What a message may be under way beyond the clock's slack before it counts as sent too late.
   duration lapse_margin{std::chrono::milliseconds{200}};
@@ -40,7 +41,7 @@
   duration stop_retry{std::chrono::milliseconds{400}};
   /// Two failures in a row make a worker suspect: it is left alone for this long, doubling.
   duration quarantine{std::chrono::seconds{3}};
-  duration longest_quarantine{std::chrono::seconds{24}};
+  duration longest_quarantine{std::chrono::seconds{8}};
   std::uint32_t failures_to_quarantine{2};
   /// A worker that answers unwell or refuses for want of room is left alone for so long.
   duration refusal_pause{std::chrono::milliseconds{700}};
--- a/src/rosearch/sched/scheduler_store.cc
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -76,7 +76,8 @@
   job->accepted = true;
   job->restored = true;
   job->new_record = false;
-  const auto age = std::chrono::milliseconds{std::max<std::int64_t>(0, now.wall_ms - spec->accepted_ms)};
+  const auto age =
+      std::chrono::milliseconds{std::max<std::int64_t>(0, now.wall_ms - spec->accepted_ms)};
   job->finish_by = now.steady + spec->objective - age;
   job->spec = std::make_shared<const job_spec>(std::move(*spec));
   ResolveRules(*job);
@@ -232,7 +233,8 @@
   std::erase(dirty_, id);
   jobs_.erase(id);
   settled_.push_back({id, false, false});
-  log_.Write(event_line{"job_refused", event_weight::kFailure}.Add("job", id).Add("reason", reason));
+  log_.Write(
+      event_line{"job_refused", event_weight::kFailure}.Add("job", id).Add("reason", reason));
 }
 
 void scheduler::RefuseUnsent() {
--- a/src/rosearch/sched/worker_facts.h
+++ b/src/rosearch/sched/worker_facts.h
@@ -21,8 +21,8 @@
   std::string rack;
   std::vector<std::string> labels;  ///< all, `kind` and `rack` among them
   resources capacity{};
-  bool draining{false};         ///< it leaves: nothing new may start there
-  duration least_time_left{};   ///< while draining: it stays at least so long
+  bool draining{false};        ///< it leaves: nothing new may start there
+  duration least_time_left{};  ///< while draining: it stays at least so long
 
   friend bool operator==(const worker_facts&, const worker_facts&) = default;
 };
@@ -30,12 +30,12 @@
 /// How a run ended, in the worker's own words.
 enum class end_kind : std::uint8_t {
   kDone,
-  kFailed,     ///< by its own fault or the worker's
-  kStopped,    ///< on our order
-  kLapsed,     ///< the worker's lease ran out
-  kBroken,     ///< another member of its gang ended
-  kAlone,      ///< the other members of its gang didn't come
-  kLost,       ///< concluded by us: the worker's life is over, or its lease certainly lapsed
+  kFailed,   ///< by its own fault or the worker's
+  kStopped,  ///< on our order
+  kLapsed,   ///< the worker's lease ran out
+  kBroken,   ///< another member of its gang ended
+  kAlone,    ///< the other members of its gang didn't come
+  kLost,     ///< concluded by us: the worker's life is over, or its lease certainly lapsed
 };
 
 /// A run that is under way at a worker.
@@ -44,7 +44,8 @@
   std::uint32_t run{0};
   std::string checkpoint;    ///< newest; empty: none
   std::uint32_t percent{0};  ///< of its work done; of a service 100 once it serves
-  std::uint32_t load{0};  ///< service: tail of response times in ms; else thousandths of a processor
+  std::uint32_t load{
+      0};  ///< service: tail of response times in ms; else thousandths of a processor
 
   friend bool operator==(const running_row&, const running_row&) = default;
 };
@@ -70,17 +71,17 @@
 
 /// How an order to start a run was answered.
 enum class start_outcome : std::uint8_t {
-  kStarted,       ///< it runs, or ran already
-  kNotSent,       ///< certainly never reached the worker
-  kNoRoom,        ///< refused: would exceed the worker's capacity
-  kBadTicket,     ///< refused: the advice has expired or doesn't hold
-  kStaleFence,    ///< refused: the worker obeys a newer leader
-  kStaleRun,      ///< refused: that run or a newer one was there before
-  kTooLate,       ///< refused: the lease offered was over on arrival
-  kUnhealthy,     ///< refused: the worker is unwell
-  kRejected,      ///< refused for good
-  kOtherLife,     ///< another life of the worker answered: the one meant is over
-  kUnknown,       ///< no answer: it may run, now or seconds later
+  kStarted,     ///< it runs, or ran already
+  kNotSent,     ///< certainly never reached the worker
+  kNoRoom,      ///< refused: would exceed the worker's capacity
+  kBadTicket,   ///< refused: the advice has expired or doesn't hold
+  kStaleFence,  ///< refused: the worker obeys a newer leader
+  kStaleRun,    ///< refused: that run or a newer one was there before
+  kTooLate,     ///< refused: the lease offered was over on arrival
+  kUnhealthy,   ///< refused: the worker is unwell
+  kRejected,    ///< refused for good
+  kOtherLife,   ///< another life of the worker answered: the one meant is over
+  kUnknown,     ///< no answer: it may run, now or seconds later
 };
 
 }  // namespace rosearch::sched
--- a/src/rosearch/sched/worker_state.cc
+++ b/src/rosearch/sched/worker_state.cc
@@ -6,9 +6,9 @@
 namespace rosearch::sched {
 
 std::string_view StopReasonName(stop_reason reason) noexcept {
-  constexpr std::array<std::string_view, 9> kNames{
-      "none",      "job_over", "other_copy", "unanswered", "gang_broken",
-      "preempted", "stuck",    "leaving",    "stranger"};
+  constexpr std::array<std::string_view, 9> kNames{"none",       "job_over",    "other_copy",
+                                                   "unanswered", "gang_broken", "preempted",
+                                                   "stuck",      "leaving",     "stranger"};
   return kNames.at(static_cast<std::size_t>(reason));
 }
 
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -51,10 +51,10 @@
   std::string ticket;
   std::string checkpoint;  ///< newest that the worker reported
   std::uint32_t percent{0};
-  std::uint32_t tries{1};     ///< sendings of the order to start
-  time_point started_at{};    ///< when it was first ordered
-  time_point known_at{};      ///< when the worker's word of it, or of its stop, came
-  time_point progressed_at{};  ///< when `percent` last grew
+  std::uint32_t tries{1};       ///< sendings of the order to start
+  time_point started_at{};      ///< when it was first ordered
+  time_point known_at{};        ///< when the worker's word of it, or of its stop, came
+  time_point progressed_at{};   ///< when `percent` last grew
   time_point next_try{kNever};  ///< when an unanswered order is sent again
   bool stop_heard{false};       ///< the worker answered the order to stop
   bool missing{false};          ///< it wasn't in the last report, though it should have been
@@ -97,9 +97,9 @@
 struct worker_state {
   worker_facts facts;
   session_phase session{session_phase::kNew};
-  bool listed{true};          ///< in the platform's registry
-  bool recorded{false};       ///< stored as a holder of our leases: only then may anything start
-  bool record_asked{false};   ///< part of a batch that is being stored
+  bool listed{true};           ///< in the platform's registry
+  bool recorded{false};        ///< stored as a holder of our leases: only then may anything start
+  bool record_asked{false};    ///< part of a batch that is being stored
   std::uint32_t strangers{0};  ///< runs of unknown size: nothing may start beside them
   resources used{};            ///< charged by all runs that may be under way
   /// Until then what runs here may go on without hearing from us; counted from our last sending.
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -58,8 +58,8 @@
 cell_world::~cell_world() = default;
 
 instant cell_world::Now() const {
-  return {now_, std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch())
-                    .count()};
+  return {now_,
+          std::chrono::duration_cast<std::chrono::milliseconds>(now_.time_since_epoch()).count()};
 }
 
 void cell_world::Break(const std::string& what) {
@@ -267,7 +267,7 @@
 }
 
 start_outcome cell_world::Apply(const start_order& order, std::uint64_t fence,
-                                 time_point lease_end) {
+                                time_point lease_end) {
   auto* const worker = Find(order.worker);
   if (worker == nullptr) {
     return start_outcome::kOtherLife;
@@ -316,8 +316,7 @@
   if (found != worker->running.end() && found->second.run <= order.run) {
     After(kStopTime, [this, id = order.worker, task = order.task, run = order.run] {
       auto* const there = Find(id);
-      if (there != nullptr && there->running.contains(task) &&
-          there->running[task].run == run) {
+      if (there != nullptr && there->running.contains(task) && there->running[task].run == run) {
         EndOf(*there, task, end_kind::kStopped);
       }
     });
@@ -412,16 +411,15 @@
     }
   };
   if (worker == nullptr || !Reachable(*worker) || epoch < worker->fence) {
-    const auto failure = worker == nullptr            ? watch_failure::kOtherLife
-                         : epoch < worker->fence      ? watch_failure::kStaleFence
-                                                      : watch_failure::kNoAnswer;
-    After(failure == watch_failure::kNoAnswer ? kPatience : kHop,
-          [this, id, epoch, failure, next] {
-            if (epoch == epoch_) {
-              leader_->OnWatchFailed(id, failure, Now());
-              next();
-            }
-          });
+    const auto failure = worker == nullptr       ? watch_failure::kOtherLife
+                         : epoch < worker->fence ? watch_failure::kStaleFence
+                                                 : watch_failure::kNoAnswer;
+    After(failure == watch_failure::kNoAnswer ? kPatience : kHop, [this, id, epoch, failure, next] {
+      if (epoch == epoch_) {
+        leader_->OnWatchFailed(id, failure, Now());
+        next();
+      }
+    });
     return;
   }
   worker->fence = epoch;
@@ -441,8 +439,10 @@
   for (const auto& [task, run] : worker->running) {
     const auto part = std::chrono::duration<double>{now_ - run.began} /
                       std::chrono::duration<double>{run.ends - run.began};
-    report.running.push_back(
-        {task, run.run, run.checkpoint, static_cast<std::uint32_t>(part * 99), 0});
+    const auto name = task_name::Parse(task);
+    const bool service = jobs_[name->job].spec.steps[name->step].service;
+    const auto percent = service ? 100U : static_cast<std::uint32_t>(part * 99);
+    report.running.push_back({task, run.run, run.checkpoint, percent, 0});
   }
   After(kHop, [this, id, epoch, report, sent_at, next] {
     if (epoch == epoch_) {
--- a/test/rosearch/sched/cell_world.h
+++ b/test/rosearch/sched/cell_world.h
@@ -27,15 +27,15 @@
 
 /// What goes wrong in a world, each as a probability or a switch.
 struct world_faults {
-  double answer_lost{0};     ///< an order is carried out, its answer is lost
-  double order_late{0};      ///< an order gets no answer and is carried out 2 to 12 s later
-  double run_fails{0};       ///< a run ends failed
-  double store_refuses{0};   ///< an append is refused
-  double store_silent{0};    ///< an append is stored, its answer is lost
-  double store_drops{0};     ///< an append is neither stored nor answered
-  double worker_dies{0};     ///< each second, for each worker: it restarts with another id
-  double worker_cut{0};      ///< each second, for each worker: unreachable for 1 to 9 s
-  double leader_dies{0};     ///< each second
+  double answer_lost{0};       ///< an order is carried out, its answer is lost
+  double order_late{0};        ///< an order gets no answer and is carried out 2 to 12 s later
+  double run_fails{0};         ///< a run ends failed
+  double store_refuses{0};     ///< an append is refused
+  double store_silent{0};      ///< an append is stored, its answer is lost
+  double store_drops{0};       ///< an append is neither stored nor answered
+  double worker_dies{0};       ///< each second, for each worker: it restarts with another id
+  double worker_cut{0};        ///< each second, for each worker: unreachable for 1 to 9 s
+  double leader_dies{0};       ///< each second
   double old_leader_talks{0};  ///< an order of a former leader arrives seconds later
 };
 
@@ -129,9 +129,7 @@
   void Second();
   void Ack(fake_worker& worker, std::uint64_t end);
   [[nodiscard]] fake_worker* Find(const std::string& id);
-  [[nodiscard]] bool Reachable(const fake_worker& worker) const {
-    return now_ >= worker.cut_until;
-  }
+  [[nodiscard]] bool Reachable(const fake_worker& worker) const { return now_ >= worker.cut_until; }
   void Break(const std::string& what);
 
   random_source random_;
--- a/test/rosearch/sched/random_days_test.cc
+++ b/test/rosearch/sched/random_days_test.cc
@@ -21,8 +21,8 @@
   job.steps.push_back(Step(static_cast<std::uint32_t>(random.Between(1, 10)),
                            random.Between(500, 3'000), milliseconds{600}));
   if (random.Chance(0.5)) {
-    job.steps.push_back(Step(static_cast<std::uint32_t>(random.Between(1, 6)), 1'000,
-                             milliseconds{500}));
+    job.steps.push_back(
+        Step(static_cast<std::uint32_t>(random.Between(1, 6)), 1'000, milliseconds{500}));
     job.steps.back().after = {0};
   }
   return job;
--- a/test/rosearch/sched/scheduler_test.cc
+++ b/test/rosearch/sched/scheduler_test.cc
@@ -50,7 +50,8 @@
     (void)leader.NextWatch(worker, now);
     leader.OnReport(worker, now.steady, report, now);
   }
-  submit_answer Submit(const std::string& id, std::uint32_t count, std::int64_t processors = 1'000) {
+  submit_answer Submit(const std::string& id, std::uint32_t count,
+                       std::int64_t processors = 1'000) {
     job_spec job;
     job.id = id;
     job.queue = kQueue;
@@ -189,8 +190,8 @@
   CHECK(third[0].run > first.run);
 }
 
-// A worker falls silent. What it runs goes on until its lease has lapsed by its own clock, which may
-// be slow: started elsewhere before, the task would run in two places.
+// A worker falls silent. What it runs goes on until its lease has lapsed by its own clock, which
+// may be slow: started elsewhere before, the task would run in two places.
 TEST_CASE("what a silent worker runs starts elsewhere only after its lease has lapsed") {
   bench_top top;
   (void)top.Submit("a", 1);
@@ -259,7 +260,8 @@
   worker_facts facts{"w7", "10.0.0.7:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, false, {}};
   next.leader.ObserveWorker(facts, next.now);
   worker_report report;
-  report.ended = {{1, "a.0.0.0", 2, end_kind::kFailed, ""}, {2, "a.0.0.0", 2, end_kind::kFailed, ""}};
+  report.ended = {{1, "a.0.0.0", 2, end_kind::kFailed, ""},
+                  {2, "a.0.0.0", 2, end_kind::kFailed, ""}};
   next.Report("w7", report);
   CHECK(next.leader.Phase("a", kQueue) == job_phase::kQueued);
   report.ended = {{3, "a.0.0.0", 1, end_kind::kFailed, ""}};
@@ -268,8 +270,8 @@
   CHECK(next.leader.Phase("a", kQueue) == job_phase::kFailed);
 }
 
-// The former leader may have started anything at a worker that doesn't answer the new one. Until its
-// lease has lapsed no task of an old job starts, while new jobs run at once.
+// The former leader may have started anything at a worker that doesn't answer the new one. Until
+// its lease has lapsed no task of an old job starts, while new jobs run at once.
 TEST_CASE("after a change of leader old tasks wait for workers that are out of reach") {
   bench_top first;
   (void)first.Submit("old", 1);
@@ -299,8 +301,8 @@
 
 TEST_CASE("a leaving worker gets no new work") {
   bench_top top{1};
-  worker_facts facts{"w0", "10.0.0.1:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, true,
-                     seconds{5}};
+  worker_facts facts{"w0", "10.0.0.1:80",     "pool", "",        "", "",
+                     {},   {4'000, 8'000, 0}, true,   seconds{5}};
   top.leader.ObserveWorker(facts, top.now);
   (void)top.Submit("a", 1);
   (void)top.Store();
