Notice lost answers within 0.2 s and a lost leader within 0.6 s

Cause: a watch whose answer was lost held back every end at its worker for 1.9 s, an order 0.4 s; a dead leader was suspected after 0.8 s, and only then the peers were asked.

--- a/src/rosearch/cell/election.cc
+++ b/src/rosearch/cell/election.cc
@@ -35,15 +35,15 @@
   return !leaving_ && heard_at_ != time_point{} && now - heard_at_ < settings_.suspect_after;
 }
 
-bool election::Suspects(time_point now) const {
+bool election::Doubts(time_point now) const {
   if (!read_ || quiet_since_ == time_point{}) {
     return false;
   }
-  return leaving_ || known_.epoch == 0 || now - quiet_since_ >= settings_.suspect_after;
+  return leaving_ || known_.epoch == 0 || now - quiet_since_ >= settings_.doubt_after;
 }
 
 bool election::ShouldClaim(time_point now) const {
-  if (!Suspects(now) || now < claim_again_at_) {
+  if (!Doubts(now) || now < claim_again_at_) {
     return false;
   }
   const bool at_once = leaving_ || known_.epoch == 0;
--- a/src/rosearch/cell/election.h
+++ b/src/rosearch/cell/election.h
@@ -22,9 +22,11 @@
 
 /// Bounds of an `election`.
 struct election_settings {
-  /// A leader that answered nothing for so long is suspected. Eight pings are missed by then; a
-  /// leader at a fifth of its speed still answers in time.
-  duration suspect_after{std::chrono::milliseconds{800}};
+  /// A leader that answered nothing for so long is suspected. Three pings are missed by then; a
+  /// leader at a fifth of its speed still answers in time, and the peers are asked besides.
+  duration suspect_after{std::chrono::milliseconds{600}};
+  /// After this silence the peers are asked, so that their answers are there in time.
+  duration doubt_after{std::chrono::milliseconds{350}};
   /// A process with little processor time lets larger ones claim first.
   duration small_waits{std::chrono::milliseconds{500}};
   /// Each process waits up to so long more, so that not all claim at once.
@@ -67,7 +69,7 @@
   void OnPeerHears(time_point now) { quiet_since_ = now; }
 
   /// @return whether nothing was heard of the leader for long enough to ask the peers.
-  [[nodiscard]] bool Suspects(time_point now) const;
+  [[nodiscard]] bool Doubts(time_point now) const;
   /// @return whether this process should claim leadership now.
   [[nodiscard]] bool ShouldClaim(time_point now) const;
   /// @return whether the leader's answer is fresh.
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -113,6 +113,8 @@
   /// Balancers ask once a second and take two misses; a change of leader alone takes less.
   static constexpr duration kReadyFor = std::chrono::milliseconds{2'500};
   static constexpr duration kTick = std::chrono::milliseconds{100};
+  /// While the leader is in doubt, when every moment counts.
+  static constexpr duration kDoubtTick = std::chrono::milliseconds{30};
   static constexpr duration kPingEvery = std::chrono::milliseconds{200};
   static constexpr duration kPingPatience = std::chrono::milliseconds{600};
   /// A member that said nothing for so long is not asked for help.
@@ -203,11 +205,11 @@
     }
     election_.OnHeard(leader_->epoch(), now);
     Announce();
-  } else if (!stopping_ && election_.Suspects(now)) {
+  } else if (!stopping_ && election_.Doubts(now)) {
     ClaimIfNobodyLeads();
   }
   UpdatePeers();
-  tick_timer_.expires_after(kTick);
+  tick_timer_.expires_after(!Leading() && election_.Doubts(now) ? kDoubtTick : kTick);
   tick_timer_.async_wait([this](const boost::system::error_code& failed) {
     if (!failed) {
       Tick();
--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -17,7 +17,7 @@
 constexpr duration kUnackedPause = std::chrono::milliseconds{400};
 
 /// How long a worker may keep back its answer while something runs there, and while nothing does.
-constexpr duration kBusyWait = std::chrono::milliseconds{1'000};
+constexpr duration kBusyWait = std::chrono::milliseconds{600};
 constexpr duration kIdleWait = std::chrono::milliseconds{2'000};
 
 }  // namespace
@@ -85,11 +85,12 @@
     DropWorker(id);
     return std::nullopt;
   }
-  watch_request watch{id, worker.facts.address, worker.acked_end, live, duration{}};
-  if (live && worker.seen_end == worker.acked_end) {
+  const bool answers = live && worker.silent_watches == 0;
+  watch_request watch{id, worker.facts.address, worker.acked_end, answers, duration{}};
+  if (answers && worker.seen_end == worker.acked_end) {
     watch.wait = worker.runs.empty() ? kIdleWait : kBusyWait;
   }
-  if (live) {
+  if (answers) {
     worker.lease_until = std::max(worker.lease_until, now.steady + LongestLease());
   }
   return watch;
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -515,7 +515,8 @@
     return;
   }
   ++worker.silent_watches;
-  if (worker.session == session_phase::kLive) {
+  const bool enough = worker.silent_watches >= settings_.silent_after;
+  if (worker.session == session_phase::kLive && enough) {
     worker.session = session_phase::kSilent;
     log_.Write(event_line{"worker_silent", event_weight::kBelief}
                    .Add("worker", worker_id)
--- a/src/rosearch/sched/scheduler_settings.h
+++ b/src/rosearch/sched/scheduler_settings.h
@@ -36,7 +36,10 @@
   /// Most workers named in one request for advice; more cost the caller's time.
   std::size_t most_names{30};
   /// Tries of an order whose answers are lost before the run is stopped and moved.
-  std::uint32_t start_tries{2};
+  std::uint32_t start_tries{3};
+  /// Watches in a row that bring no answer before a worker counts as silent: one alone is mostly a
+  /// lost answer, and is followed by another watch at once.
+  std::uint32_t silent_after{2};
   /// Between two sendings of an order to stop that was not answered.
   duration stop_retry{std::chrono::milliseconds{400}};
   /// Two failures in a row make a worker suspect: it is left alone for this long, doubling.
