--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -933,15 +933,15 @@
 template <typename Ports>
 void leader<Ports>::ExpireCallers() {
   const auto now = SteadyNow();
-  for (auto& [id, waiting] : callers_) {
-    std::erase_if(waiting, [&](auto& caller) {
+  for (auto& each : callers_) {
+    std::erase_if(each.second, [&](auto& caller) {
       if (now < caller.answer_by) {
         return false;
       }
       // Whether the job is stored is not known: the caller must not take it for refused.
       caller.answer({504, {}, 0, false});
       log_.Write(event_line{"caller_unanswered", event_weight::kFailure}
-                     .Add("job", id)
+                     .Add("job", each.first)
                      .Add("cancels", static_cast<int>(caller.cancels))
                      .Add("store_reached", static_cast<int>(store_reached_)));
       return true;
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -412,18 +412,19 @@
     return;
   }
   std::vector<live_run*> gone;
-  for (const auto& [task, run] : worker.runs) {
+  for (const auto& each : worker.runs) {
+    auto& run = *each.second;
     const bool listed = std::ranges::any_of(report.running, [&](const running_row& row) {
-      return row.run == run->run && row.task == task;
+      return row.run == run.run && row.task == run.task;
     });
-    if (listed || run->known_at >= sent_at) {
-      run->missing = false;
+    if (listed || run.known_at >= sent_at) {
+      run.missing = false;
       continue;
     }
-    if (run->phase == run_phase::kStopping && run->stop_heard) {
-      gone.push_back(run.get());
-    } else if (run->phase == run_phase::kRunning && std::exchange(run->missing, true)) {
-      gone.push_back(run.get());
+    const bool stopped = run.phase == run_phase::kStopping && run.stop_heard;
+    const bool vanished = run.phase == run_phase::kRunning && std::exchange(run.missing, true);
+    if (stopped || vanished) {
+      gone.push_back(&run);
     }
   }
   for (auto* const run : gone) {
