--- /dev/null
+++ b/test/adapter/codec_test.cc
@@ -0,0 +1,138 @@
+#include "platform/codec.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "rosearch/core/random_source.h"
+
+namespace rosearch::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+const std::string kWorker =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":8,)"
+    R"("state":"ready","capacity":{"cpu":16000,"mem-mb":32768,"gpu":0},"labels":["a","r1"],)"
+    R"("clock-ms":5,"sequence":4})";
+const std::string kJob =
+    R"({"spec":"text","steps":[{"count":4,"cpu":500,"mem-mb":256,"estimate-ms":900},)"
+    R"({"count":2,"cpu":100,"mem-mb":1,"estimate-ms":7000,"depends-on":[0],"checkpointing":true,)"
+    R"("all-or-nothing":true,"may-miss":1}]})";
+const std::string kConfiguration =
+    R"({"version":7,"routes":[{"name":"r","host":"Nony24.example","path-prefix":"/l/",)"
+    R"("timeout-ms":3000,"target-latency-ms":250,"priority":0,"service":"s","max-attempts":2,)"
+    R"("stretch":1.5,"advice":{"decide-ms":18.0,"period-ms":0.26,"valid-ms":2500}}],)"
+    R"("services":[{"name":"s","enforces-capacity":false,"standby":false}],)"
+    R"("limits":{"max-header-bytes":100,"max-body-bytes":200,"header-timeout-ms":300,)"
+    R"("idle-timeout-ms":400}})";
+
+}  // namespace
+
+TEST_CASE("the operator's configuration becomes queues, pools and limits") {
+  const auto read = DecodeConfiguration(kConfiguration);
+  REQUIRE(read);
+  CHECK(read->version == 7);
+  const auto* const queue = read->Match("nony24.example", "/l/0123456789abcdef");
+  REQUIRE(queue != nullptr);
+  CHECK(queue->advice->per_worker == std::chrono::microseconds{260});
+  CHECK(queue->latency_target == milliseconds{250});
+  CHECK(read->Match("other", "/l/") == nullptr);
+  CHECK(read->limits.idle_timeout == milliseconds{400});
+}
+
+TEST_CASE("the longest path prefix selects the queue") {
+  auto read = *DecodeConfiguration(kConfiguration);
+  auto longer = read.queues[0];
+  longer.path_prefix = "/l/m/";
+  longer.name = "longer";
+  read.queues.push_back(longer);
+  CHECK(read.Match("nony24.example", "/l/m/x")->name == "longer");
+  CHECK(read.Match("nony24.example", "/l/x")->name == "r");
+}
+
+TEST_CASE("a worker's entry names its kind, rack and room") {
+  const auto read = DecodeWorker("i-1", kWorker);
+  REQUIRE(read);
+  CHECK(read->rack == "r1");
+  CHECK(read->capacity == resources{16'000, 32'768, 0});
+  CHECK_FALSE(read->draining);
+}
+
+// Another writer puts entries into the registry: parts are missing, of another type, or no JSON at
+// all. Used all the same, such an entry would get work that never starts.
+TEST_CASE("an entry that can't be read in full names no worker") {
+  const std::vector<std::pair<std::string, std::string>> changes{
+      {R"("ready")", R"("broken")"},
+      {R"("ready")", "5"},
+      {R"("10.0.0.9:8080")", "17"},
+      {R"("10.0.0.9:8080")", R"("x")"},
+      {R"("cpu":16000,)", ""},
+      {R"(16000)", R"("many")"},
+      {R"(["a","r1"])", "7"},
+      {R"("service":"s",)", ""},
+      {R"(16000)", "-4"},
+      {R"({"service")", R"(["service")"}};
+  for (const auto& [from, to] : changes) {
+    auto text = kWorker;
+    text.replace(text.find(from), from.size(), to);
+    INFO(text);
+    CHECK_FALSE(DecodeWorker("i-1", text));
+  }
+  CHECK_FALSE(DecodeWorker("i-1", std::string("\xff\x00\x13", 3)));
+}
+
+TEST_CASE("a job keeps its steps, and what they depend on") {
+  const auto read = DecodeJob(kJob);
+  REQUIRE(read.has_value());
+  const auto& job = read.value();
+  CHECK(job.payload == "text");
+  CHECK(job.steps[1].after == std::vector<std::uint32_t>{0});
+  CHECK(job.steps[1].gang);
+  CHECK(job.steps[1].max_unavailable == 1U);
+}
+
+TEST_CASE("a job that makes no sense is refused with a reason") {
+  const std::vector<std::pair<std::string, std::string>> changes{
+      {R"("depends-on":[0])", R"("depends-on":[1])"},
+      {R"("depends-on":[0])", R"("depends-on":0)"},
+      {R"("count":4)", R"("count":0)"},
+      {R"("count":4)", R"("count":"four")"},
+      {R"("spec":"text",)", ""},
+      {R"("checkpointing":true)", R"("checkpointing":1)"},
+      {R"("cpu":500)", R"("cpu":-1)"}};
+  for (const auto& [from, to] : changes) {
+    auto text = kJob;
+    text.replace(text.find(from), from.size(), to);
+    INFO(text);
+    CHECK(DecodeJob(text).has_error());
+  }
+  CHECK(DecodeJob("").has_error());
+  CHECK(DecodeJob(R"({"spec":"x","steps":[]})").has_error());
+}
+
+TEST_CASE("bytes that were changed at random are read or refused, never more") {
+  random_source random{17};
+  for (int round = 0; round < 20'000; ++round) {
+    auto text = round % 3 == 0 ? kWorker : round % 3 == 1 ? kJob : kConfiguration;
+    for (auto changes = random.Between(1, 4); changes > 0; --changes) {
+      const auto at =
+          static_cast<std::size_t>(random.Between(0, static_cast<std::int64_t>(text.size()) - 1));
+      text[at] = static_cast<char>(random.Between(0, 255));
+    }
+    (void)DecodeWorker("i-1", text);
+    (void)DecodeJob(text);
+    (void)DecodeConfiguration(text);
+  }
+  SUCCEED();
+}
+
+TEST_CASE("phases and ids as callers see them") {
+  CHECK(EncodePhase(sched::job_phase::kCompleted) == R"({"state":"completed"})");
+  CHECK(EncodeWaiting(12) == R"({"waiting":12})");
+  CHECK(IsJobId("5c0e7a21d94b36f8"));
+  CHECK_FALSE(IsJobId("5c0e7a21d94b36f"));
+  CHECK_FALSE(IsJobId("5c0e7a21d94b36fz"));
+}
+
+}  // namespace rosearch::platform
--- /dev/null
+++ b/test/rosearch/cell/election_test.cc
@@ -0,0 +1,112 @@
+#include "rosearch/cell/election.h"
+
+#include <catch2/catch.hpp>
+
+namespace rosearch::cell {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const time_point kStart{seconds{100}};
+const leadership kFirst{1, "10.0.0.1:1", "a", 7};
+
+election Made(bool small = false) { return election{election_settings{}, small, 0.0, kStart}; }
+
+}  // namespace
+
+TEST_CASE("nobody claims before the log of claims was read") {
+  auto made = Made();
+  CHECK_FALSE(made.ShouldClaim(kStart + seconds{10}));
+  made.OnClaimsRead(kStart);
+  CHECK(made.ShouldClaim(kStart + milliseconds{200}));
+}
+
+TEST_CASE("large processes claim before small ones") {
+  auto large = Made();
+  auto small = Made(true);
+  large.OnClaimsRead(kStart);
+  small.OnClaimsRead(kStart);
+  CHECK(large.ShouldClaim(kStart + milliseconds{150}));
+  CHECK_FALSE(small.ShouldClaim(kStart + milliseconds{150}));
+  CHECK(small.ShouldClaim(kStart + milliseconds{700}));
+}
+
+TEST_CASE("a leader that answers is left alone") {
+  auto made = Made();
+  made.OnClaimsRead(kStart);
+  made.OnLeadership(kFirst, kStart);
+  for (int at = 1; at < 20; ++at) {
+    const auto now = kStart + milliseconds{200} * at;
+    made.OnHeard(1, now);
+    CHECK_FALSE(made.Doubts(now + milliseconds{199}));
+    CHECK(made.Hears(now + milliseconds{199}));
+  }
+}
+
+// The leader's machine loses power: no connection breaks, nothing is said. Callers notice that no
+// request is answered until somebody else leads.
+TEST_CASE("a silent leader is doubted, then replaced") {
+  auto made = Made();
+  made.OnClaimsRead(kStart);
+  made.OnLeadership(kFirst, kStart);
+  made.OnHeard(1, kStart);
+  CHECK_FALSE(made.Doubts(kStart + milliseconds{300}));
+  CHECK(made.Doubts(kStart + milliseconds{400}));
+  CHECK_FALSE(made.ShouldClaim(kStart + milliseconds{500}));
+  CHECK(made.ShouldClaim(kStart + milliseconds{750}));
+}
+
+// Only this process is cut off from the leader. If it claimed, the cell would change its leader for
+// nothing, and back again.
+TEST_CASE("a peer that hears the leader keeps others from claiming") {
+  auto made = Made();
+  made.OnClaimsRead(kStart);
+  made.OnLeadership(kFirst, kStart);
+  made.OnHeard(1, kStart);
+  made.OnPeerHears(kStart + milliseconds{500});
+  CHECK_FALSE(made.ShouldClaim(kStart + milliseconds{1'000}));
+}
+
+TEST_CASE("a leader that says goodbye is replaced at once") {
+  auto made = Made();
+  made.OnClaimsRead(kStart);
+  made.OnLeadership(kFirst, kStart);
+  made.OnHeard(1, kStart + seconds{5});
+  made.OnLeaderLeaving(1);
+  CHECK_FALSE(made.Hears(kStart + seconds{5}));
+  CHECK(made.ShouldClaim(kStart + seconds{5} + milliseconds{120}));
+}
+
+TEST_CASE("an older leadership is no news, and a goodbye of it counts for nothing") {
+  auto made = Made();
+  made.OnClaimsRead(kStart);
+  CHECK(made.OnLeadership({2, "10.0.0.2:1", "b", 8}, kStart));
+  CHECK_FALSE(made.OnLeadership(kFirst, kStart));
+  made.OnLeaderLeaving(1);
+  CHECK_FALSE(made.Leaving());
+}
+
+TEST_CASE("a claim that was not answered is not repeated at once") {
+  auto made = Made();
+  made.OnClaimsRead(kStart);
+  REQUIRE(made.ShouldClaim(kStart + milliseconds{200}));
+  made.OnClaimSent(kStart + milliseconds{200});
+  CHECK_FALSE(made.ShouldClaim(kStart + milliseconds{300}));
+  CHECK(made.ShouldClaim(kStart + milliseconds{700}));
+}
+
+TEST_CASE("where all are restarted in turn, the youngest claims first") {
+  election young{election_settings{}, false, 0.0, kStart + seconds{58}};
+  election old{election_settings{}, false, 0.0, kStart - seconds{600}};
+  const auto now = kStart + seconds{60};
+  for (auto* const each : {&young, &old}) {
+    each->OnClaimsRead(now);
+    each->OnLeadership(kFirst, now);
+    each->OnLeaderLeaving(1);
+  }
+  CHECK(young.ShouldClaim(now + milliseconds{30}));
+  CHECK_FALSE(old.ShouldClaim(now + milliseconds{30}));
+}
+
+}  // namespace rosearch::cell
