Soak real processes against a stand-in platform, with faults from outside

Processes killed, frozen, stopped, told to read their settings; the store refusing, slow, losing answers; the way to it delayed, silent, cut one way, reset for single processes by a loopback proxy; workers restarted or losing answers. The judge stands where workers and callers stand.

--- /dev/null
+++ b/soak/cell/run.py
@@ -0,0 +1,305 @@
+#!/usr/bin/env python3
+"""Runs real processes of a cell against the stand-in platform, with faults from outside.
+
+    soak/cell/run.py --binary build/release/rosearch --seed 7 [--seconds 15] [--nodes 4]
+
+One seed draws one series of faults: processes killed, frozen, stopped and started again, settings
+read anew; the store refusing, slow or losing answers, and its way cut for single processes; workers
+restarted, leaving, losing answers. Callers use open connections until the process is gone. Ends with
+0 where no promise was broken and every accepted job ended.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+
+import stand_in
+
+DRAIN_SECONDS = 25
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Node:
+    """One process of the cell, started and ended by its own id."""
+
+    def __init__(self, number, binary, folder, proxy, advice_port):
+        self.binary, self.proxy = binary, proxy
+        self.port, self.ready, self.peer = free_port(), free_port(), free_port()
+        self.path = os.path.join(folder, f"node-{number}.json")
+        self.log = open(os.path.join(folder, f"node-{number}.log"), "ab")
+        self.settings = {
+            "name": f"node-{number}", "callers_address": f"127.0.0.1:{self.port}",
+            "ready_address": f"127.0.0.1:{self.ready}", "peer_address": f"127.0.0.1:{self.peer}",
+            "store_address": f"127.0.0.1:{proxy.port}",
+            "advice_address": f"127.0.0.1:{advice_port}", "processors": 0.25,
+            "file_descriptors": 1024, "grace_s": 4, "max_lease_ms": stand_in.MAX_LEASE_MS,
+            "stop_timeout_ms": stand_in.STOP_MS}
+        with open(self.path, "w") as out:
+            json.dump(self.settings, out)
+        self.process = None
+
+    def start(self):
+        self.process = subprocess.Popen([self.binary, "join", "--settings", self.path],
+                                        stdout=self.log, stderr=self.log)
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    async def end(self, number, patience=6):
+        self.signal(number)
+        until = time.monotonic() + patience
+        while self.process.poll() is None and time.monotonic() < until:
+            await asyncio.sleep(0.02)
+        if self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+
+async def call(port, method, path, body=b"", patience=3.0):
+    """One HTTP call; returns (status, body), or (None, b"") without an answer."""
+    writer = None
+    try:
+        async with asyncio.timeout(patience):
+            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            writer.write((f"{method} {path} HTTP/1.1\r\nHost: {stand_in.HOST}\r\n"
+                          f"X-Deadline-Ms: {int(patience * 1000)}\r\n"
+                          f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
+            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+            length = 0
+            for line in head.split("\r\n"):
+                if line.lower().startswith("content-length:"):
+                    length = int(line.split(":")[1])
+            return int(head.split(" ")[1]), await reader.readexactly(length)
+    except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+        return None, b""
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+class Soak:
+    def __init__(self, options, folder):
+        self.random = random.Random(options.seed)
+        self.options = options
+        self.judge = stand_in.Judge()
+        self.store = stand_in.Store(self.random)
+        self.advice = stand_in.Advice()
+        self.workers = [stand_in.Worker(n, self.random, self.judge, self.store)
+                        for n in range(options.workers)]
+        self.judge.workers = self.workers
+        self.nodes = []
+        self.folder = folder
+        self.faults = []
+
+    async def begin(self):
+        await self.store.http.start()
+        await self.advice.http.start()
+        for worker in self.workers:
+            await worker.http.start()
+            worker.register()
+        route = {"host": stand_in.HOST, "service": stand_in.SERVICE,
+                 "max-attempts": stand_in.ATTEMPTS, "target-latency-ms": 250, "stretch": 1.5}
+        advice = {"decide-ms": 18.0, "period-ms": 0.26, "valid-ms": 2500}
+        self.store.put("keyed.op", "config", json.dumps(
+            {"version": 1, "routes": [
+                {**route, "name": "q", "path-prefix": stand_in.QUICK, "priority": 0,
+                 "advice": advice},
+                {**route, "name": "l", "path-prefix": stand_in.LONG, "priority": 2}],
+             "services": [{"name": stand_in.SERVICE, "enforces-capacity": False}],
+             "limits": {}}).encode())
+        for number in range(self.options.nodes):
+            proxy = stand_in.Proxy(self.store.http.port)
+            await proxy.start()
+            node = Node(number, self.options.binary, self.folder, proxy, self.advice.http.port)
+            node.start()
+            self.nodes.append(node)
+
+    async def beat(self):
+        while True:
+            for worker in self.workers:
+                worker.advance()
+                if not getattr(worker, "leaving", False):
+                    worker.register()
+            await self.store.wake()
+            await asyncio.sleep(1.0)
+
+    async def caller(self, number):
+        until = time.monotonic() + self.options.seconds
+        while time.monotonic() < until:
+            long = self.random.random() < 0.2
+            prefix = stand_in.LONG if long else stand_in.QUICK
+            steps = [{"count": self.random.randint(1, 5), "cpu": self.random.randint(300, 2000),
+                      "mem-mb": 64, "estimate-ms": 1500 if long else 300}]
+            if self.random.random() < 0.4:
+                steps.append({"count": 2, "cpu": 500, "mem-mb": 64, "estimate-ms": 200,
+                              "depends-on": [0]})
+            job_id = f"{self.random.getrandbits(64):016x}"
+            self.judge.add(job_id, prefix, steps)
+            asyncio.create_task(self.follow(job_id))
+            await asyncio.sleep(self.random.random() * 0.5)
+
+    async def follow(self, job_id):
+        job = self.judge.jobs[job_id]
+        body = json.dumps({"spec": "x", "steps": job["steps"]}).encode()
+        for _ in range(5):
+            status, _ = await call(self.random.choice(self.nodes).port, "POST",
+                                   job["prefix"] + job_id, body)
+            job["answers"].append(status)
+            if status == 200:
+                job["accepted"] = True
+                break
+            await asyncio.sleep(0.5)
+        if job["accepted"] and self.random.random() < 0.05:
+            status, _ = await call(self.random.choice(self.nodes).port, "DELETE",
+                                   job["prefix"] + job_id)
+            if status == 200:
+                job["cancelled"] = time.monotonic()
+
+    async def trouble(self):
+        until = time.monotonic() + self.options.seconds
+        await asyncio.sleep(2)
+        while time.monotonic() < until:
+            kind = self.random.choice(["kill", "freeze", "term", "hup", "refuse", "slow", "lose",
+                                       "way", "way", "reborn", "worker_lose", "reset"])
+            self.faults.append(f"{time.monotonic():.3f} {kind}")
+            asyncio.create_task(getattr(self, "do_" + kind)(self.random.choice(self.nodes),
+                                                            self.random.uniform(0.5, 3)))
+            await asyncio.sleep(self.random.uniform(0.3, 2.0))
+
+    async def do_kill(self, node, span):
+        node.signal(signal.SIGCONT)
+        await node.end(signal.SIGKILL)
+        await asyncio.sleep(span / 3)
+        node.start()
+
+    async def do_term(self, node, span):
+        node.signal(signal.SIGCONT)
+        await node.end(signal.SIGTERM)
+        node.start()
+
+    async def do_freeze(self, node, span):
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(span)
+        node.signal(signal.SIGCONT)
+
+    async def do_hup(self, node, span):
+        node.signal(signal.SIGHUP)
+
+    async def do_refuse(self, node, span):
+        self.store.refuse = True
+        await asyncio.sleep(span)
+        self.store.refuse = False
+
+    async def do_slow(self, node, span):
+        self.store.slow = 0.2
+        await asyncio.sleep(span)
+        self.store.slow = 0.004
+
+    async def do_lose(self, node, span):
+        self.store.lose = 0.3
+        await asyncio.sleep(span)
+        self.store.lose = 0.0
+
+    async def do_way(self, node, span):
+        node.proxy.mode = self.random.choice(["delay", "silent", "one_way", "reset"])
+        await asyncio.sleep(span)
+        node.proxy.mode = "pass"
+        node.proxy.reset()
+
+    async def do_reset(self, node, span):
+        node.proxy.reset()
+
+    async def do_reborn(self, node, span):
+        worker = self.random.choice(self.workers)
+        self.store.put("keyed.servers", worker.id, b"")
+        worker.reborn()
+        worker.register()
+
+    async def do_worker_lose(self, node, span):
+        worker = self.random.choice(self.workers)
+        worker.lose = 0.3
+        await asyncio.sleep(span)
+        worker.lose = 0.0
+
+    async def settle(self):
+        """Heals everything, then asks for every accepted job until it has ended."""
+        self.store.refuse, self.store.lose, self.store.slow = False, 0.0, 0.004
+        for node in self.nodes:
+            node.proxy.mode = "pass"
+            node.signal(signal.SIGCONT)
+        await asyncio.sleep(4)
+        until = time.monotonic() + DRAIN_SECONDS
+        open_jobs = [job_id for job_id, job in self.judge.jobs.items() if job["accepted"]]
+        while open_jobs and time.monotonic() < until:
+            still = []
+            for job_id in open_jobs:
+                job = self.judge.jobs[job_id]
+                status, body = await call(self.random.choice(self.nodes).port, "GET",
+                                          job["prefix"] + job_id)
+                job["phase"] = json.loads(body)["state"] if status == 200 else status
+                if status == 410:
+                    self.judge.note(f"accepted and unknown: {job_id}")
+                elif job["phase"] not in ("completed", "failed", "cancelled"):
+                    still.append(job_id)
+                elif job["phase"] == "completed":
+                    tasks = sum(step["count"] for step in job["steps"])
+                    if len(job["done"]) < tasks:
+                        self.judge.note(f"shown as completed too early: {job_id}")
+            open_jobs = still
+            await asyncio.sleep(0.5)
+        self.judge.refused_but_ran()
+        for job_id in open_jobs:
+            self.judge.note(f"never ended: {job_id} {self.judge.jobs[job_id]['phase']}")
+
+    async def run(self):
+        await self.begin()
+        beat = asyncio.create_task(self.beat())
+        await asyncio.sleep(2)
+        await asyncio.gather(*(self.caller(n) for n in range(4)), self.trouble())
+        await self.settle()
+        beat.cancel()
+        for node in self.nodes:
+            await node.end(signal.SIGKILL)
+        accepted = sum(job["accepted"] for job in self.judge.jobs.values())
+        print(f"seed={self.options.seed} jobs={len(self.judge.jobs)} accepted={accepted} "
+              f"faults={len(self.faults)} broken={len(self.judge.broken)}", flush=True)
+        for line in self.judge.broken[:20]:
+            print("  " + line)
+        if self.judge.broken:
+            print("  faults: " + "; ".join(self.faults))
+        sys.stdout.flush()
+        # Open connections of the stand-in would each end with a traceback.
+        os._exit(1 if self.judge.broken or accepted == 0 else 0)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--binary", required=True)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--nodes", type=int, default=4)
+    parser.add_argument("--workers", type=int, default=9)
+    parser.add_argument("--logs", help="folder that keeps the processes' logs")
+    options = parser.parse_args()
+    with tempfile.TemporaryDirectory() as made:
+        folder = options.logs or made
+        os.makedirs(folder, exist_ok=True)
+        asyncio.run(Soak(options, folder).run())
+
+
+if __name__ == "__main__":
+    main()
