--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -46,7 +46,8 @@
         election_{settings_.electing, settings_.processor_milli < kLargeProcess, jitter,
                   SteadyNow()},
         tick_timer_{io},
-        claims_timer_{io} {}
+        claims_timer_{io},
+        handover_timer_{io} {}
 
   /// Begins to look for the leader.
   void Begin() {
@@ -74,12 +75,20 @@
     return !stopping_ && limits_known_ && now - heard_at_ < kReadyFor;
   }
 
-  /// Stops leading, and stops being ready.
+  /// Stops being ready, and hands leadership over: this process leads on until another has claimed,
+  /// so that callers wait for the takeover only, not for the election before it.
   void Stop() {
     stopping_ = true;
-    if (leader_) {
-      leader_->Resign();
+    if (!leader_) {
+      return;
     }
+    SayGoodbye(leader_->epoch());
+    handover_timer_.expires_after(kHandoverPatience);
+    handover_timer_.async_wait([this](const boost::system::error_code& failed) {
+      if (!failed && leader_) {
+        leader_->Resign();
+      }
+    });
   }
   /// @return whether nothing here is still owed to anybody.
   [[nodiscard]] bool Idle() const { return !leader_ && under_way_ == 0; }
@@ -120,6 +129,8 @@
   static constexpr duration kPingPatience = std::chrono::milliseconds{600};
   /// A member that said nothing for so long is not asked for help.
   static constexpr duration kMemberFresh = std::chrono::milliseconds{1'500};
+  /// A leader that is to stop and finds no successor within this stops all the same.
+  static constexpr duration kHandoverPatience = std::chrono::milliseconds{1'500};
   static constexpr duration kClaimsWait = std::chrono::milliseconds{1'000};
   static constexpr duration kClaimsRetry = std::chrono::milliseconds{200};
   static constexpr duration kQueryPatience = std::chrono::milliseconds{150};
@@ -146,6 +157,7 @@
   void Ping();
   void OnPong(const wire::peer_frame& frame);
   void Announce();
+  void SayGoodbye(std::uint64_t epoch);
   void FindNewestClaim();
   void FollowClaims();
   void OnClaim(const std::string& bytes, std::uint64_t offset);
@@ -172,6 +184,7 @@
   election election_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer claims_timer_;
+  boost::asio::steady_timer handover_timer_;
   std::shared_ptr<leader<Ports>> leader_;
   std::vector<std::string> seeds_;
   std::map<std::string, member> members_;  ///< by address, without this process
@@ -205,7 +218,9 @@
       limits_known_ = leader_->configuration().version > 0;
     }
     election_.OnHeard(leader_->epoch(), now);
-    Announce();
+    if (!stopping_) {
+      Announce();
+    }
   } else if (!stopping_ && election_.Doubts(now)) {
     ClaimIfNobodyLeads();
   }
@@ -346,6 +361,16 @@
   peers_.Answer(frame, std::move(answer));
 }
 
+template <typename Ports>
+void node<Ports>::SayGoodbye(std::uint64_t epoch) {
+  for (const auto& [address, each] : members_) {
+    wire::peer_frame frame;
+    frame.set_epoch(epoch);
+    frame.mutable_notice()->set_resigning(true);
+    peers_.Tell(address, std::move(frame));
+  }
+}
+
 template <typename Ports>
 void node<Ports>::Announce() {
   // Peers that still follow another leader, or none, learn of this one without the store.
@@ -552,12 +577,7 @@
                                                 return;
                                               }
                                               leader_.reset();
-                                              for (const auto& [address, each] : members_) {
-                                                wire::peer_frame frame;
-                                                frame.set_epoch(epoch);
-                                                frame.mutable_notice()->set_resigning(true);
-                                                peers_.Tell(address, std::move(frame));
-                                              }
+                                              SayGoodbye(epoch);
                                               election_.OnLeaderLeaving(epoch);
                                             });
   for (auto& [address, each] : members_) {
