Store silent workers as closed with what may still run there; leases of 6 s at most

Ruled out: the registry (the entry was gone long before), the restart of services itself. Change: a worker that falls silent is stored as closed with its runs, and only these wait; leases are 6 s also where the platform grants 10; without proof a leader stops ordering after 1.5 s, so that a successor waits 2 s.

--- a/src/rosearch/cell/cell_settings.cc
+++ b/src/rosearch/cell/cell_settings.cc
@@ -132,7 +132,8 @@
   made.grace = std::chrono::milliseconds{
       static_cast<std::int64_t>(in.Number("grace_s", 6, 0.5, 3'600) * 1000)};
   auto& scheduler = made.leading.scheduler;
-  scheduler.max_lease = in.Millis("max_lease_ms", scheduler.max_lease);
+  scheduler.max_lease =
+      std::min(sched::kLongestLease, in.Millis("max_lease_ms", scheduler.max_lease));
   scheduler.stop_timeout = in.Millis("stop_timeout_ms", scheduler.stop_timeout);
   if (!in.fault().empty()) {
     return error{error_kind::kInvalidRequest, in.fault()};
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -57,7 +57,7 @@
   duration registry_grace{std::chrono::milliseconds{2'600}};
   /// Without proof that nobody else leads, nothing is ordered after this. Below
   /// `scheduler_settings::old_leader_silence` by what an order may take to arrive.
-  duration proof_life{std::chrono::milliseconds{2'200}};
+  duration proof_life{std::chrono::milliseconds{1'500}};
   /// A gap in our own time longer than this means that the process stood still.
   duration standstill{std::chrono::milliseconds{400}};
   /// While the store hasn't answered for so long, new jobs are refused at once.
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -239,6 +239,9 @@
   void RestoreJob(const std::string& id, const std::string& job_text,
                   const std::string& progress_text, const instant& now);
   void AckWhatNeedsNoRecord();
+  [[nodiscard]] std::string EncodeWorkers(std::vector<std::string>& open) const;
+  void HoldTasks(worker_state& worker, const instant& now);
+  void ReleaseTasks(worker_state& worker);
 
   // scheduler_runs.cc
   live_run& BeginRun(step_state& step, std::uint32_t index, worker_state& worker,
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -245,6 +245,11 @@
   if (step.clearing || !step.runs.empty()) {
     return;
   }
+  const bool held = std::ranges::any_of(
+      step.tasks, [&](const auto& task) { return task.not_before > now.steady; });
+  if (held) {
+    return;
+  }
   const bool advised = step.job->advice.has_value();
   const auto ticket_by = now.steady + settings_.ticket_margin;
   // All members or none: room is promised on a scratch copy first.
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -447,6 +447,7 @@
                    .Add("ended", report.ended.size())
                    .Add("silent_watches", worker.silent_watches));
     ++room_version_;
+    workers_dirty_ = workers_dirty_ || !worker.recorded;
   }
   for (const auto& row : report.ended) {
     if (row.number > worker.seen_end) {
@@ -478,6 +479,7 @@
     run.load = row.load;
   }
   LookForMissing(worker, sent_at, report, now);
+  ReleaseTasks(worker);
   worker.session = session_phase::kLive;
   worker.silent_watches = 0;
   worker.report_sent_at = sent_at;
@@ -519,6 +521,8 @@
   const bool enough = worker.silent_watches >= settings_.silent_after;
   if (worker.session == session_phase::kLive && enough) {
     worker.session = session_phase::kSilent;
+    worker.recorded = false;
+    workers_dirty_ = true;
     log_.Write(event_line{"worker_silent", event_weight::kBelief}
                    .Add("worker", worker_id)
                    .Add("runs", worker.runs.size())
@@ -531,6 +535,7 @@
   if (found == workers_.end()) {
     return;
   }
+  ReleaseTasks(*found->second);
   for (const auto& [job_id, job] : jobs_) {
     for (const auto& occurrence : job->occurrences) {
       for (const auto& step : occurrence->steps) {
--- a/src/rosearch/sched/scheduler_settings.h
+++ b/src/rosearch/sched/scheduler_settings.h
@@ -8,10 +8,15 @@
 
 namespace rosearch::sched {
 
+/// Long enough for work to outlast a change of leader and 4 s without a store; every second more
+/// keeps the work of a dead worker waiting for that much longer.
+inline constexpr duration kLongestLease = std::chrono::seconds{6};
+
 /// Bounds and weights of the scheduler. The platform's own bounds come from the process's settings;
 /// the others are defaults measured on replayed load.
 struct scheduler_settings {
-  /// Longest lease that a worker grants, by its own clock; from the platform's settings.
+  /// Lease that workers are given, by their own clocks: what the platform grants at most, but no
+  /// more than `kLongestLease`.
   duration max_lease{std::chrono::seconds{6}};
   /// A worker's clock may be slow by so much: 2% by the platform's pages, and a little for
   /// rounding.
@@ -20,7 +25,7 @@
   duration lapse_margin{std::chrono::milliseconds{200}};
   /// After a change of leader: how long the former one may have gone on sending before it noticed
   /// that it was cut off.
-  duration old_leader_silence{std::chrono::seconds{3}};
+  duration old_leader_silence{std::chrono::milliseconds{2'000}};
   /// Longest that a worker takes to end a run on order; from the platform's settings.
   duration stop_timeout{std::chrono::milliseconds{900}};
   /// How long an ended job is still known to callers: 120 s are promised, 30 s are margin.
--- a/src/rosearch/sched/scheduler_store.cc
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -47,9 +47,13 @@
         worker->facts.pool = stored.pool();
         worker->listed = false;
       }
-      worker->recorded = true;
       worker->lease_until = now.steady + settings_.old_leader_silence + LongestLease();
-      unsettled_[stored.id()] = worker->lease_until;
+      if (stored.closed()) {
+        worker->held_tasks.assign(stored.tasks().begin(), stored.tasks().end());
+      } else {
+        worker->recorded = true;
+        unsettled_[stored.id()] = worker->lease_until;
+      }
     }
     return true;
   }
@@ -103,6 +107,10 @@
   for (const auto& [id, text] : texts) {
     RestoreJob(id, text.first, text.second, now);
   }
+  for (const auto& [id, worker] : workers_) {
+    HoldTasks(*worker, now);
+  }
+  workers_dirty_ = true;
   log_.Write(event_line{"state_restored", event_weight::kBelief}
                  .Add("epoch", epoch_)
                  .Add("jobs", jobs_.size())
@@ -143,17 +151,8 @@
     effects.forgotten.push_back(id);
   }
   if (std::exchange(workers_dirty_, false)) {
-    wire::stored_workers stored;
-    for (const auto& [id, worker] : workers_) {
-      auto& each = *stored.add_workers();
-      each.set_id(id);
-      each.set_address(worker->facts.address);
-      each.set_pool(worker->facts.pool);
-      worker->record_asked = true;
-      effects.recorded.push_back(id);
-    }
     effects.workers = true;
-    batch.records.push_back({std::string{kWorkersKey}, stored.SerializeAsString()});
+    batch.records.push_back({std::string{kWorkersKey}, EncodeWorkers(effects.recorded)});
   }
   for (const auto& [id, worker] : workers_) {
     if (worker->seen_end > worker->acked_end) {
@@ -199,7 +198,9 @@
   }
   for (const auto& id : effects.recorded) {
     const auto found = workers_.find(id);
-    if (found != workers_.end() && !found->second->recorded) {
+    const bool still_live =
+        found != workers_.end() && found->second->session == session_phase::kLive;
+    if (still_live && !found->second->recorded) {
       found->second->recorded = true;
       ++room_version_;
     }
@@ -254,6 +255,50 @@
   return found != jobs_.end() && !found->second->accepted;
 }
 
+std::string scheduler::EncodeWorkers(std::vector<std::string>& open) const {
+  wire::stored_workers stored;
+  for (const auto& [id, worker] : workers_) {
+    auto& each = *stored.add_workers();
+    each.set_id(id);
+    each.set_address(worker->facts.address);
+    each.set_pool(worker->facts.pool);
+    if (worker->session == session_phase::kLive || unsettled_.contains(id)) {
+      open.push_back(id);
+      continue;
+    }
+    each.set_closed(true);
+    for (const auto& [task, run] : worker->runs) {
+      each.add_tasks(task);
+    }
+    for (const auto& task : worker->held_tasks) {
+      each.add_tasks(task);
+    }
+  }
+  return stored.SerializeAsString();
+}
+
+void scheduler::HoldTasks(worker_state& worker, const instant&) {
+  for (const auto& text : worker.held_tasks) {
+    const auto name = task_name::Parse(text);
+    auto* const job = name ? FindJob(name->job) : nullptr;
+    auto* const step = job == nullptr ? nullptr : job->Step(name->occurrence, name->step);
+    if (step != nullptr && name->index < step->tasks.size()) {
+      step->tasks[name->index].not_before = worker.lease_until;
+    }
+  }
+}
+
+void scheduler::ReleaseTasks(worker_state& worker) {
+  for (const auto& text : std::exchange(worker.held_tasks, {})) {
+    const auto name = task_name::Parse(text);
+    auto* const job = name ? FindJob(name->job) : nullptr;
+    auto* const step = job == nullptr ? nullptr : job->Step(name->occurrence, name->step);
+    if (step != nullptr && name->index < step->tasks.size()) {
+      step->tasks[name->index].not_before = time_point{};
+    }
+  }
+}
+
 void scheduler::AckWhatNeedsNoRecord() {
   if (!dirty_.empty() || !storing_.empty()) {
     return;
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "rosearch/core/resources.h"
 #include "rosearch/core/time.h"
@@ -97,11 +98,13 @@
 struct worker_state {
   worker_facts facts;
   session_phase session{session_phase::kNew};
-  bool listed{true};           ///< in the platform's registry
-  bool recorded{false};        ///< stored as a holder of our leases: only then may anything start
-  bool record_asked{false};    ///< part of a batch that is being stored
-  std::uint32_t strangers{0};  ///< runs of unknown size: nothing may start beside them
-  resources used{};            ///< charged by all runs that may be under way
+  bool listed{true};  ///< in the platform's registry
+  /// Stored as one that may run anything: only then may anything start. One that falls silent is
+  /// stored as closed, with what may still run there, so that a successor waits for these alone.
+  bool recorded{false};
+  std::vector<std::string> held_tasks;  ///< restored: may run here until the worker has answered
+  std::uint32_t strangers{0};           ///< runs of unknown size: nothing may start beside them
+  resources used{};                     ///< charged by all runs that may be under way
   /// Until then what runs here may go on without hearing from us; counted from our last sending.
   time_point lease_until{};
   time_point leaves_at{kNever};  ///< while draining: what runs is sure to run so long
