--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <utility>
 
 #include "rosearch/sched/job_codec.h"
 
@@ -201,7 +202,7 @@
   }
 }
 
-void cell_world::EndOf(fake_worker& worker, const std::string& task, end_kind how) {
+void cell_world::EndOf(fake_worker& worker, std::string task, end_kind how) {
   const auto run = worker.running.at(task);
   worker.running.erase(task);
   auto& highest = worker.highest_over[task];
