--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -96,19 +96,19 @@
     leader_->ObserveWorker(worker.facts, Now());
   }
   leader_->FinishRestore(Now());
-  const auto tick = std::make_shared<std::function<void()>>();
-  *tick = [this, epoch = epoch_, tick] {
-    if (epoch != epoch_) {
-      return;
-    }
-    for (auto& [id, worker] : workers_) {
-      AdvanceWorker(worker);
-    }
-    leader_->Tick(Now());
-    Pump();
-    After(kTick, *tick);
-  };
-  After(kHop, *tick);
+  After(kHop, [this, epoch = epoch_] { Tick(epoch); });
+}
+
+void cell_world::Tick(std::uint64_t epoch) {
+  if (epoch != epoch_) {
+    return;
+  }
+  for (auto& [id, worker] : workers_) {
+    AdvanceWorker(worker);
+  }
+  leader_->Tick(Now());
+  Pump();
+  After(kTick, [this, epoch] { Tick(epoch); });
 }
 
 void cell_world::ReplaceLeader() {
--- a/test/rosearch/sched/cell_world.h
+++ b/test/rosearch/sched/cell_world.h
@@ -111,6 +111,7 @@
   void After(duration span, std::function<void()> what) { At(now_ + span, std::move(what)); }
   void Pump();
   void Lead();
+  void Tick(std::uint64_t epoch);
   void StoreSoon();
   void SendBatch(std::uint64_t epoch, const state_batch& batch, bool may_be_stored);
   void Watch(const std::string& id, std::uint64_t epoch);
