--- a/scripts/check_events.py
+++ b/scripts/check_events.py
@@ -7,7 +7,7 @@
 root = pathlib.Path(__file__).resolve().parent.parent
 written = set()
 for folder in ("src/rosearch/sched", "src/rosearch/cell", "src/rosearch/log", "platform"):
-    for path in (root / folder).glob("*.*"):
+    for path in (root / folder).rglob("*.*"):
         written |= set(re.findall(r'event_line\{\s*"([a-z_]+)"', path.read_text()))
         written |= set(re.findall(r'event_line\{\s*\w+ \? "([a-z_]+)" : "[a-z_]+"', path.read_text()))
         written |= set(re.findall(r'event_line\{\s*\w+ \? "[a-z_]+" : "([a-z_]+)"', path.read_text()))
--- /dev/null
+++ b/src/rosearch/cell/internal/leader_callers.h
@@ -0,0 +1,169 @@
+#ifndef ROSEARCH_CELL_INTERNAL_LEADER_CALLERS_H_
+#define ROSEARCH_CELL_INTERNAL_LEADER_CALLERS_H_
+
+// How a leader answers callers. Included by leader.h.
+
+#include "rosearch/cell/leader.h"
+
+namespace rosearch::cell {
+
+template <typename Ports>
+void leader<Ports>::Settle() {
+  for (const auto& settled : scheduler_.TakeSettled()) {
+    const auto found = callers_.find(settled.id);
+    if (found == callers_.end()) {
+      continue;
+    }
+    std::vector<waiting_caller> still;
+    for (auto& caller : found->second) {
+      const bool mine = caller.cancels ? settled.cancelled : !settled.cancelled;
+      if (!mine) {
+        still.push_back(std::move(caller));
+      } else if (settled.accepted || settled.cancelled) {
+        caller.answer({200, "{}", 0, false});
+      } else {
+        caller.answer(Unavailable(1));
+      }
+    }
+    if (still.empty()) {
+      callers_.erase(found);
+    } else {
+      found->second = std::move(still);
+    }
+  }
+}
+
+template <typename Ports>
+void leader<Ports>::ExpireCallers() {
+  const auto now = SteadyNow();
+  for (auto& each : callers_) {
+    std::erase_if(each.second, [&](auto& caller) {
+      if (now < caller.answer_by) {
+        return false;
+      }
+      // Whether the job is stored is not known: the caller must not take it for refused.
+      caller.answer({504, {}, 0, false});
+      log_.Write(event_line{"caller_unanswered", event_weight::kFailure}
+                     .Add("job", each.first)
+                     .Add("cancels", static_cast<int>(caller.cancels))
+                     .Add("store_reached", static_cast<int>(store_reached_)));
+      return true;
+    });
+  }
+  std::erase_if(callers_, [](const auto& each) { return each.second.empty(); });
+}
+
+template <typename Ports>
+void leader<Ports>::AnswerSubmit(const std::string& id, const std::string& queue,
+                                 const std::string& body, const sched::queue_rules& rules,
+                                 time_point answer_by, respond answer) {
+  auto read = Ports::DecodeJob(body);
+  if (read.has_error()) {
+    log_.Write(event_line{"job_refused", event_weight::kFailure}
+                   .Add("job", id)
+                   .Add("reason", "unreadable")
+                   .Add("detail", read.error().detail));
+    answer({400, R"({"error":")" + read.error().detail + "\"}", 0, false});
+    return;
+  }
+  const auto now = Now();
+  auto job = std::move(read).value();
+  job.id = id;
+  job.queue = queue;
+  job.pool = rules.pool;
+  job.priority = rules.priority;
+  job.max_attempts = rules.max_attempts;
+  job.advice = rules.advice;
+  job.accepted_ms = now.wall_ms;
+  const auto chain = std::chrono::duration<double, std::micro>{sched::LongestChain(job.steps)};
+  job.objective =
+      std::chrono::duration_cast<duration>(chain * rules.stretch) + rules.latency_target;
+  // A job whose record may be stored must not be called refused, not even to a caller that asks
+  // again: it waits for the store's word.
+  const bool known = scheduler_.IsPending(id) || scheduler_.Phase(id, queue).has_value();
+  if (!known && StoreAway()) {
+    log_.Write(event_line{"job_refused", event_weight::kFailure}
+                   .Add("job", id)
+                   .Add("reason", "store_away")
+                   .Add("away_ms", now.steady - batches_.front().sent_at));
+    answer(Unavailable(1));
+    return;
+  }
+  const auto verdict = scheduler_.Submit(std::move(job), now);
+  if (verdict.verdict == sched::submit_verdict::kAccepted) {
+    answer({200, "{}", 0, false});
+  } else if (verdict.verdict == sched::submit_verdict::kRefused) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(verdict.retry_after).count();
+    answer({429, {}, static_cast<std::uint32_t>(seconds), false});
+  } else {
+    callers_[id].push_back({std::move(answer), answer_by, false});
+    PumpSoon();
+  }
+}
+
+template <typename Ports>
+void leader<Ports>::Handle(const caller_request& request, duration time_left, respond answer) {
+  if (!Serving() || resigning_) {
+    answer({503, {}, 0, true});
+    return;
+  }
+  const auto& configuration = scheduler_.configuration();
+  if (configuration.version == 0) {
+    answer(Unavailable(1));
+    return;
+  }
+  const auto* const rules = configuration.Match(request.host, request.path);
+  if (rules == nullptr) {
+    answer({404, {}, 0, false});
+    return;
+  }
+  const auto answer_by = SteadyNow() + std::min(time_left, settings_.caller_patience);
+  const auto queue = rules->Key();
+  const auto id = request.path.substr(rules->path_prefix.size());
+  if (id.empty() && request.method == "GET") {
+    answer({200, Ports::EncodeWaiting(scheduler_.Waiting(queue)), 0, false});
+    return;
+  }
+  if (!Ports::IsJobId(id)) {
+    answer({404, {}, 0, false});
+    return;
+  }
+  if (request.method == "POST") {
+    AnswerSubmit(id, queue, request.body, *rules, answer_by, std::move(answer));
+    return;
+  }
+  if (request.method != "GET" && request.method != "DELETE") {
+    answer({405, {}, 0, false});
+    return;
+  }
+  const bool gone = !scheduler_.Phase(id, queue).has_value();
+  if (gone && !MayAct()) {
+    answer(Unavailable(1));  // a newer leader may know the job
+    return;
+  }
+  if (request.method == "GET") {
+    const auto phase = scheduler_.Phase(id, queue);
+    if (phase) {
+      answer({200, Ports::EncodePhase(*phase), 0, false});
+    } else {
+      answer({410, {}, 0, false});
+    }
+    return;
+  }
+  switch (scheduler_.Cancel(id, queue, Now())) {
+    case sched::cancel_verdict::kCancelled:
+      answer({200, "{}", 0, false});
+      return;
+    case sched::cancel_verdict::kUnknown:
+      answer({410, {}, 0, false});
+      return;
+    case sched::cancel_verdict::kPending:
+      callers_[id].push_back({std::move(answer), answer_by, true});
+      PumpSoon();
+      return;
+  }
+}
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_INTERNAL_LEADER_CALLERS_H_
--- /dev/null
+++ b/src/rosearch/cell/internal/leader_inputs.h
@@ -0,0 +1,126 @@
+#ifndef ROSEARCH_CELL_INTERNAL_LEADER_INPUTS_H_
+#define ROSEARCH_CELL_INTERNAL_LEADER_INPUTS_H_
+
+// What the operator and the registry say, as a leader follows it. Included by leader.h.
+
+#include "rosearch/cell/leader.h"
+
+namespace rosearch::cell {
+
+template <typename Ports>
+void leader<Ports>::TakeConfiguration(const sched::stored_record& record) {
+  if (record.key != Ports::ConfigurationKey() || record.value.empty()) {
+    return;
+  }
+  auto read = Ports::DecodeConfiguration(record.value);
+  if (!read) {
+    log_.Write(event_line{"configuration_unreadable", event_weight::kFailure}.Add(
+        "bytes", record.value.size()));
+    return;
+  }
+  scheduler_.Configure(std::move(*read), Now());
+  metrics_.Set("rosearch_configuration_version",
+               static_cast<double>(scheduler_.configuration().version));
+  PumpSoon();
+}
+
+template <typename Ports>
+void leader<Ports>::FollowConfiguration() {
+  const auto asked_at = SteadyNow();
+  ports_.Read(stream::kConfiguration, configuration_next_, settings_.configuration_wait,
+              Bind([asked_at](leader& self, result<log_page> page) {
+                if (page.has_error()) {
+                  self.NoteStore(false);
+                  self.After(self.configuration_timer_, self.settings_.store_retry,
+                             [](leader& again) { again.FollowConfiguration(); });
+                  return;
+                }
+                (void)asked_at;
+                self.NoteStore(true);
+                if (page.value().trimmed) {
+                  self.ReadConfiguration({});
+                  return;
+                }
+                for (const auto& bytes : page.value().records) {
+                  if (const auto record = SplitKeyed(bytes)) {
+                    self.TakeConfiguration(*record);
+                  }
+                }
+                self.configuration_next_ = page.value().next;
+                self.FollowConfiguration();
+              }));
+}
+
+template <typename Ports>
+void leader<Ports>::TakeWorker(const sched::stored_record& record, std::set<std::string>* seen) {
+  auto facts = record.value.empty() ? std::nullopt : Ports::DecodeWorker(record.key, record.value);
+  const auto& pools = scheduler_.configuration().pools;
+  const bool named =
+      facts && std::ranges::find(pools, facts->pool, &sched::pool_rules::name) != pools.end();
+  if (!named) {
+    // Gone, or written by somebody else: what can't be read, or serves no pool of ours, names no
+    // worker to use.
+    Unlist(record.key);
+    return;
+  }
+  if (seen != nullptr) {
+    seen->insert(record.key);
+  }
+  unlisting_.erase(record.key);
+  scheduler_.ObserveWorker(*facts, Now());
+}
+
+template <typename Ports>
+void leader<Ports>::Unlist(const std::string& id) {
+  const bool store_was_away =
+      store_failed_at_ != time_point{} &&
+      SteadyNow() - store_failed_at_ < settings_.registry_grace + std::chrono::seconds{4};
+  if (store_was_away) {
+    unlisting_.try_emplace(id, SteadyNow() + settings_.registry_grace);
+  } else {
+    scheduler_.UnlistWorker(id, Now());
+  }
+}
+
+template <typename Ports>
+void leader<Ports>::UnlistOverdue() {
+  std::erase_if(unlisting_, [this](const auto& each) {
+    const bool overdue = store_reached_ && SteadyNow() >= each.second;
+    if (overdue) {
+      scheduler_.UnlistWorker(each.first, Now());
+    }
+    return overdue;
+  });
+}
+
+template <typename Ports>
+void leader<Ports>::FollowRegistry() {
+  After(registry_timer_, settings_.registry_every, [](leader& self) {
+    self.ports_.Read(stream::kWorkers, self.registry_next_, duration{},
+                     self.Bind([](leader& reader, result<log_page> page) {
+                       if (page.has_error()) {
+                         reader.NoteStore(false);
+                         reader.FollowRegistry();
+                         return;
+                       }
+                       reader.NoteStore(true);
+                       if (page.value().trimmed) {
+                         reader.ReadWorkers({}, false);
+                         return;
+                       }
+                       for (const auto& bytes : page.value().records) {
+                         if (const auto record = SplitKeyed(bytes)) {
+                           reader.TakeWorker(*record, nullptr);
+                         }
+                       }
+                       reader.registry_next_ = page.value().next;
+                       reader.WatchAll();
+                       reader.PumpSoon();
+                       reader.FollowRegistry();
+                     }));
+  });
+}
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_INTERNAL_LEADER_INPUTS_H_
--- /dev/null
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -0,0 +1,188 @@
+#ifndef ROSEARCH_CELL_INTERNAL_LEADER_ORDERS_H_
+#define ROSEARCH_CELL_INTERNAL_LEADER_ORDERS_H_
+
+// How a leader carries out what its scheduler decides, and watches the workers. Included by
+// leader.h.
+
+#include "rosearch/cell/leader.h"
+
+namespace rosearch::cell {
+
+template <typename Ports>
+void leader<Ports>::TickLater() {
+  After(tick_timer_, settings_.tick, [](leader& self) {
+    self.NoticeStandstill();
+    const auto now = Now();
+    self.scheduler_.Tick(now);
+    self.UnlistOverdue();
+    self.ExpireCallers();
+    self.Pump();
+    if (!self.over_) {
+      self.TickLater();
+    }
+  });
+}
+
+template <typename Ports>
+void leader<Ports>::PumpSoon() {
+  if (std::exchange(pump_posted_, true)) {
+    return;
+  }
+  boost::asio::post(io_, Bind([](leader& self) {
+                      self.pump_posted_ = false;
+                      self.Pump();
+                    }));
+}
+
+template <typename Ports>
+void leader<Ports>::Pump() {
+  if (over_ || !serving_) {
+    return;
+  }
+  if (scheduler_.Deposed()) {
+    End("newer_leader_met");
+    return;
+  }
+  SchedulePass();
+  for (auto& decided : scheduler_.TakeOrders()) {
+    CarryOut(std::move(decided));
+  }
+  AskForAdvice();
+  Settle();
+  for (const auto& worker : scheduler_.TakeAcked()) {
+    const auto timer = watches_.find(worker);
+    if (timer != watches_.end()) {
+      timer->second->cancel();
+    }
+  }
+  Store();
+  if (resigning_ && batches_.empty() && !scheduler_.HasRecords()) {
+    End("resigned");
+  }
+}
+
+template <typename Ports>
+void leader<Ports>::SchedulePass() {
+  if (!MayAct() || resigning_ || pass_pending_) {
+    return;
+  }
+  const auto now = SteadyNow();
+  if (now - passed_at_ >= settings_.pass) {
+    passed_at_ = now;
+    scheduler_.Schedule(Now());
+    return;
+  }
+  pass_pending_ = true;
+  After(pass_timer_, settings_.pass - (now - passed_at_), [](leader& self) {
+    self.pass_pending_ = false;
+    self.Pump();
+  });
+}
+
+template <typename Ports>
+void leader<Ports>::CarryOut(sched::order&& decided) {
+  std::visit([this](auto&& each) { Dispatch(std::move(each)); }, std::move(decided));
+}
+
+template <typename Ports>
+void leader<Ports>::Dispatch(sched::start_order&& decided) {
+  if (!MayAct()) {
+    scheduler_.OnStartAnswer(decided, sched::start_outcome::kNotSent, Now());
+    return;
+  }
+  const auto sent_at = SteadyNow();
+  ports_.Start(decided, epoch_,
+               Bind([decided, sent_at](leader& self, sched::start_outcome outcome) {
+                 self.metrics_.Observe("rosearch_start_seconds", SteadyNow() - sent_at);
+                 self.scheduler_.OnStartAnswer(decided, outcome, Now());
+                 if (outcome != sched::start_outcome::kStarted) {
+                   self.metrics_.Count("rosearch_starts_refused_total");
+                   self.PumpSoon();
+                 }
+               }));
+}
+
+template <typename Ports>
+void leader<Ports>::Dispatch(sched::stop_order&& decided) {
+  if (!MayAct()) {
+    return;  // the scheduler orders it again until it is heard
+  }
+  ports_.Stop(decided, epoch_, Bind([decided](leader& self, bool heard, bool stale_fence) {
+                if (stale_fence) {
+                  self.End("newer_leader_met");
+                  return;
+                }
+                self.scheduler_.OnStopAnswer(decided, heard, Now());
+              }));
+}
+
+template <typename Ports>
+void leader<Ports>::AskForAdvice() {
+  while (auto next = advice_.Next()) {
+    const auto asked_at = SteadyNow();
+    const auto& asked_now = *next;
+    ports_.Advise(asked_now.helper, asked_now.query,
+                  Bind([asked = asked_now, asked_at](
+                           leader& self, const std::vector<sched::advised_worker>* allowed) {
+                    self.advice_.Done(asked.helper);
+                    self.metrics_.Observe("rosearch_advice_seconds", SteadyNow() - asked_at);
+                    self.scheduler_.OnAdvice(asked.query, allowed, Now());
+                    self.PumpSoon();
+                  }));
+  }
+}
+
+template <typename Ports>
+void leader<Ports>::WatchAll() {
+  for (const auto& worker : scheduler_.WatchedWorkers()) {
+    if (!watches_.contains(worker)) {
+      watches_[worker] = std::make_unique<boost::asio::steady_timer>(io_);
+      Watch(worker);
+    }
+  }
+}
+
+template <typename Ports>
+void leader<Ports>::WatchAfter(const std::string& worker, duration pause) {
+  const auto found = watches_.find(worker);
+  if (found == watches_.end()) {
+    return;
+  }
+  found->second->expires_after(pause);
+  // A wait that is cut short is as good as one that ended: there is something to say.
+  found->second->async_wait(
+      Bind([worker](leader& self, const boost::system::error_code&) { self.Watch(worker); }));
+}
+
+template <typename Ports>
+void leader<Ports>::Watch(const std::string& worker) {
+  constexpr duration kLookAgain = std::chrono::milliseconds{100};
+  if (!MayAct()) {
+    WatchAfter(worker, kLookAgain);
+    return;
+  }
+  const auto watch = scheduler_.NextWatch(worker, Now());
+  if (!watch) {
+    watches_.erase(worker);
+    return;
+  }
+  const auto sent_at = SteadyNow();
+  ports_.Watch(*watch, epoch_, Bind([worker, sent_at](leader& self, const watch_answer& answer) {
+    if (answer.report) {
+      self.scheduler_.OnReport(worker, sent_at, *answer.report, Now());
+    } else {
+      self.scheduler_.OnWatchFailed(worker, answer.failure, Now());
+    }
+    self.PumpSoon();
+    const auto pause = self.scheduler_.WatchPause(worker, Now());
+    if (pause > duration{}) {
+      self.WatchAfter(worker, pause);
+    } else {
+      self.Watch(worker);
+    }
+  }));
+}
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_INTERNAL_LEADER_ORDERS_H_
--- /dev/null
+++ b/src/rosearch/cell/internal/leader_store.h
@@ -0,0 +1,159 @@
+#ifndef ROSEARCH_CELL_INTERNAL_LEADER_STORE_H_
+#define ROSEARCH_CELL_INTERNAL_LEADER_STORE_H_
+
+// How a leader stores what its scheduler decides. Included by leader.h.
+
+#include "rosearch/cell/leader.h"
+
+namespace rosearch::cell {
+
+template <typename Ports>
+void leader<Ports>::NoteStore(bool reached) {
+  const auto now = SteadyNow();
+  if (!reached) {
+    store_failed_at_ = now;
+  }
+  if (reached == store_reached_) {
+    return;
+  }
+  store_reached_ = reached;
+  log_.Write(event_line{reached ? "store_regained" : "store_lost", event_weight::kBelief}.Add(
+      "away_ms", reached ? now - store_away_since_ : duration{}));
+  store_away_since_ = now;
+}
+
+template <typename Ports>
+bool leader<Ports>::StoreAway() const {
+  // An append that failed is the sharpest sign; one that takes long, the other.
+  return !batches_.empty() && (batches_.front().failures > 0 ||
+                               SteadyNow() - batches_.front().sent_at > settings_.store_patience);
+}
+
+template <typename Ports>
+void leader<Ports>::Store() {
+  const auto now = SteadyNow();
+  if (!scheduler_.HasRecords() || !MayAct()) {
+    return;
+  }
+  if (!batches_.empty()) {
+    const auto& newest = batches_.back();
+    const bool beside = scheduler_.HasUrgentRecords() && batches_.size() < settings_.batches &&
+                        batches_.front().failures == 0;
+    if (!beside) {
+      return;  // looked at again when an answer comes
+    }
+    if (now - newest.sent_at < settings_.batch_answer) {
+      After(writer_timer_, settings_.batch_answer - (now - newest.sent_at),
+            [](leader& self) { self.Store(); });
+      return;
+    }
+  }
+  if (collect_since_ == time_point{}) {
+    collect_since_ = now;
+  }
+  const auto due = collect_since_ + settings_.collect;
+  if (!scheduler_.HasUrgentRecords() && !resigning_ && now < due) {
+    After(writer_timer_, due - now, [](leader& self) { self.Store(); });
+    return;
+  }
+  collect_since_ = time_point{};
+  auto taken = scheduler_.TakeBatch(Now());
+  if (taken.records.empty()) {
+    scheduler_.OnStored(taken.number, Now());
+    PumpSoon();
+    return;
+  }
+  batch_under_way made{taken.number, sequence_++, {}, now};
+  for (const auto& record : taken.records) {
+    made.records.push_back(JoinKeyed(record));
+  }
+  batches_.push_back(std::move(made));
+  SendBatch(batches_.back());
+}
+
+template <typename Ports>
+void leader<Ports>::SendBatch(const batch_under_way& batch) {
+  const auto asked_at = SteadyNow();
+  ports_.Append(stream::kState, batch.records, writer_proof{"scheduler", epoch_, batch.sequence},
+                std::nullopt,
+                Bind([asked_at, number = batch.number](leader& self, const append_answer& answer) {
+                  if (answer.outcome == append_outcome::kStored) {
+                    self.OnProof(asked_at);
+                  }
+                  self.OnBatchAnswer(number, answer);
+                }));
+}
+
+template <typename Ports>
+void leader<Ports>::SendAgain() {
+  // In order: the store takes a batch only behind the one before it.
+  for (const auto& batch : batches_) {
+    if (!batch.stored) {
+      SendBatch(batch);
+    }
+  }
+}
+
+template <typename Ports>
+void leader<Ports>::TakeStored() {
+  while (!batches_.empty() && batches_.front().stored) {
+    metrics_.Observe("rosearch_append_seconds", SteadyNow() - batches_.front().sent_at);
+    const auto number = batches_.front().number;
+    batches_.pop_front();
+    scheduler_.OnStored(number, Now());
+  }
+  if (!batches_.empty() && std::exchange(batches_.front().came_early, false)) {
+    SendBatch(batches_.front());
+  }
+  NoteStore(true);
+  PumpSoon();
+}
+
+template <typename Ports>
+void leader<Ports>::OnBatchAnswer(std::uint64_t number, const append_answer& answer) {
+  const auto batch = std::ranges::find(batches_, number, &batch_under_way::number);
+  if (batch == batches_.end() || batch->stored) {
+    return;
+  }
+  const bool ahead =
+      answer.outcome == append_outcome::kOutOfSequence && answer.next_sequence > batch->sequence;
+  if (answer.outcome == append_outcome::kStored || ahead) {
+    // Whatever is stored has all before it stored too.
+    for (auto each = batches_.begin(); each != std::next(batch); ++each) {
+      each->stored = true;
+    }
+    TakeStored();
+    return;
+  }
+  if (answer.outcome == append_outcome::kFenced) {
+    End("fenced");
+    return;
+  }
+  if (answer.outcome == append_outcome::kOutOfSequence && batch != batches_.begin()) {
+    batch->came_early = true;
+    return;
+  }
+  NoteStore(false);
+  metrics_.Count("rosearch_appends_failed_total");
+  if (answer.outcome == append_outcome::kNotStored && !batch->may_be_stored &&
+      batches_.size() == 1) {
+    // Certainly not stored: callers learn at once that their jobs were not accepted.
+    batches_.clear();
+    --sequence_;
+    scheduler_.OnNotStored(number, Now());
+    Settle();
+    After(writer_timer_, settings_.store_retry, [](leader& self) { self.Store(); });
+    return;
+  }
+  // It may be stored yet, or one behind it may be. The same bytes with the same sequence are stored
+  // once at most, so all are sent until the store says what became of them.
+  batch->may_be_stored = batch->may_be_stored || answer.outcome == append_outcome::kUnknown;
+  ++batches_.front().failures;
+  scheduler_.RefuseUnsent();
+  Settle();
+  After(writer_timer_, settings_.store_retry, [](leader& self) { self.SendAgain(); });
+}
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_INTERNAL_LEADER_STORE_H_
--- /dev/null
+++ b/src/rosearch/cell/internal/leader_takeover.h
@@ -0,0 +1,178 @@
+#ifndef ROSEARCH_CELL_INTERNAL_LEADER_TAKEOVER_H_
+#define ROSEARCH_CELL_INTERNAL_LEADER_TAKEOVER_H_
+
+// Beginning and end of a leadership: fencing, reading what earlier ones left, serving, ending.
+// Included by leader.h.
+
+#include "rosearch/cell/leader.h"
+
+namespace rosearch::cell {
+
+template <typename Ports>
+void leader<Ports>::Fence() {
+  // An append without records sets the epoch: from its answer on the store refuses whatever the
+  // former leader still sends, so what is read next is all there will ever be.
+  ports_.Append(stream::kState, {}, writer_proof{"scheduler", epoch_, 0}, std::nullopt,
+                Bind([](leader& self, const append_answer& answer) {
+                  if (answer.outcome == append_outcome::kFenced) {
+                    self.End("fenced");
+                  } else if (answer.outcome == append_outcome::kStored) {
+                    self.ReadState({});
+                  } else {
+                    self.After(self.writer_timer_, self.settings_.store_retry,
+                               [](leader& again) { again.Fence(); });
+                  }
+                }));
+}
+
+template <typename Ports>
+void leader<Ports>::ReadState(const std::string& after) {
+  ports_.Newest(stream::kState, after, Bind([after](leader& self, result<newest_page> page) {
+                  if (page.has_error()) {
+                    self.After(self.writer_timer_, self.settings_.store_retry,
+                               [after](leader& again) { again.ReadState(after); });
+                    return;
+                  }
+                  for (const auto& record : page.value().records) {
+                    if (!self.scheduler_.Restore(record, Now())) {
+                      self.log_.Write(event_line{"record_unreadable", event_weight::kFailure}.Add(
+                          "key", record.key));
+                    }
+                  }
+                  if (page.value().continue_after.empty()) {
+                    self.state_read_ = true;
+                    self.ServeOnceRead();
+                  } else {
+                    self.ReadState(page.value().continue_after);
+                  }
+                }));
+}
+
+template <typename Ports>
+void leader<Ports>::ReadConfiguration(const std::string& after) {
+  ports_.Newest(stream::kConfiguration, after,
+                Bind([after](leader& self, result<newest_page> page) {
+                  if (page.has_error()) {
+                    self.After(self.configuration_timer_, self.settings_.store_retry,
+                               [after](leader& again) { again.ReadConfiguration(after); });
+                    return;
+                  }
+                  for (const auto& record : page.value().records) {
+                    self.TakeConfiguration(record);
+                  }
+                  self.configuration_next_ = page.value().end;
+                  if (!page.value().continue_after.empty()) {
+                    self.ReadConfiguration(page.value().continue_after);
+                  } else if (self.serving_) {
+                    self.FollowConfiguration();
+                  } else {
+                    self.ReadWorkers({}, true);
+                  }
+                }));
+}
+
+template <typename Ports>
+void leader<Ports>::ReadWorkers(const std::string& after, bool first) {
+  // `seen_` collects over all pages what the registry lists; the rest is gone.
+  ports_.Newest(stream::kWorkers, after,
+                Bind([after, first](leader& self, result<newest_page> page) {
+                  if (page.has_error()) {
+                    self.NoteStore(false);
+                    self.After(self.registry_timer_, self.settings_.store_retry,
+                               [after, first](leader& again) { again.ReadWorkers(after, first); });
+                    return;
+                  }
+                  self.NoteStore(true);
+                  std::set<std::string> seen;
+                  for (const auto& record : page.value().records) {
+                    self.TakeWorker(record, &seen);
+                  }
+                  if (after.empty()) {
+                    self.registry_next_ = page.value().end;
+                  }
+                  const bool whole = after.empty() && page.value().continue_after.empty();
+                  if (whole) {
+                    for (const auto& id : self.scheduler_.WatchedWorkers()) {
+                      if (!seen.contains(id)) {
+                        self.Unlist(id);
+                      }
+                    }
+                  }
+                  if (!page.value().continue_after.empty()) {
+                    self.ReadWorkers(page.value().continue_after, first);
+                  } else if (first) {
+                    self.workers_read_ = true;
+                    self.ServeOnceRead();
+                  } else {
+                    self.FollowRegistry();
+                  }
+                }));
+}
+
+template <typename Ports>
+void leader<Ports>::ServeOnceRead() {
+  if (!state_read_ || !workers_read_) {
+    return;
+  }
+  scheduler_.FinishRestore(Now());
+  serving_ = true;
+  last_tick_ = Boottime();
+  const auto took = SteadyNow() - began_at_;
+  metrics_.Observe("rosearch_takeover_seconds", took);
+  log_.Write(event_line{"leader_serves", event_weight::kBelief}
+                 .Add("epoch", epoch_)
+                 .Add("took_ms", took)
+                 .Add("version", scheduler_.configuration().version));
+  WatchAll();
+  FollowConfiguration();
+  FollowRegistry();
+  TickLater();
+  PumpSoon();
+}
+
+template <typename Ports>
+void leader<Ports>::End(std::string_view cause) {
+  if (std::exchange(over_, true)) {
+    return;
+  }
+  log_.Write(event_line{"leader_ends", event_weight::kBelief}
+                 .Add("epoch", epoch_)
+                 .Add("cause", cause)
+                 .Add("led_ms", SteadyNow() - began_at_));
+  tick_timer_.cancel();
+  pass_timer_.cancel();
+  writer_timer_.cancel();
+  registry_timer_.cancel();
+  configuration_timer_.cancel();
+  for (auto& [id, timer] : watches_) {
+    timer->cancel();
+  }
+  for (auto& [id, waiting] : std::exchange(callers_, {})) {
+    for (auto& caller : waiting) {
+      caller.answer({kMayBeStored, {}, 0, true});
+    }
+  }
+  boost::asio::post(io_, [self = this->shared_from_this()] { self->on_end_(); });
+}
+
+template <typename Ports>
+void leader<Ports>::Verify() {
+  if (std::exchange(verifying_, true)) {
+    return;
+  }
+  const auto asked_at = SteadyNow();
+  ports_.Append(stream::kState, {}, writer_proof{"scheduler", epoch_, 0}, std::nullopt,
+                Bind([asked_at](leader& self, const append_answer& answer) {
+                  self.verifying_ = false;
+                  if (answer.outcome == append_outcome::kFenced) {
+                    self.End("fenced");
+                  } else if (answer.outcome == append_outcome::kStored) {
+                    self.OnProof(asked_at);
+                    self.PumpSoon();
+                  }
+                }));
+}
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_INTERNAL_LEADER_TAKEOVER_H_
--- /dev/null
+++ b/src/rosearch/cell/internal/node_callers.h
@@ -0,0 +1,133 @@
+#ifndef ROSEARCH_CELL_INTERNAL_NODE_CALLERS_H_
+#define ROSEARCH_CELL_INTERNAL_NODE_CALLERS_H_
+
+// How a caller's request reaches the leader. Included by node.h.
+
+#include "rosearch/cell/node.h"
+
+namespace rosearch::cell {
+
+template <typename Ports>
+void node<Ports>::Take(http_call call, http_respond respond) {
+  const auto patience = Ports::CallerPatience(call.headers).value_or(kDefaultPatience);
+  const auto now = SteadyNow();
+  auto made = std::make_shared<forwarded>();
+  auto host = call.headers["host"];
+  host = host.substr(0, host.rfind(':'));
+  for (auto& letter : host) {
+    letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+  }
+  made->request = {std::move(call.method), std::move(host), std::move(call.path),
+                   std::move(call.body)};
+  made->answer_by = now + std::min(patience - kAnswerMargin, kForwardPatience);
+  made->refuse_at = now + kLeaderPatience;
+  made->respond = std::move(respond);
+  ++under_way_;
+  Forward(made);
+}
+
+template <typename Ports>
+void node<Ports>::Finish(const std::shared_ptr<forwarded>& call, const caller_answer& answer) {
+  --under_way_;
+  http_response response;
+  response.status = answer.status;
+  response.body = answer.body;
+  if (answer.retry_after_s > 0) {
+    response.headers["Retry-After"] = std::to_string(answer.retry_after_s);
+  }
+  metrics_.Count("rosearch_answers_total{status=\"" + std::to_string(answer.status) + "\"}");
+  call->respond(std::move(response));
+}
+
+template <typename Ports>
+void node<Ports>::ForwardLater(const std::shared_ptr<forwarded>& call) {
+  const auto now = SteadyNow();
+  if (!call->unsure && now >= call->refuse_at) {
+    log_.Write(event_line{"call_refused", event_weight::kFailure}
+                   .Add("path", call->request.path)
+                   .Add("reason", "no_leader")
+                   .Add("known_epoch", election_.Known().epoch));
+    Finish(call, {503, {}, 1, false});
+    return;
+  }
+  if (now >= call->answer_by) {
+    // A leader may have taken the job in: only the caller's next try will tell.
+    log_.Write(event_line{"call_unanswered", event_weight::kFailure}
+                   .Add("path", call->request.path)
+                   .Add("known_epoch", election_.Known().epoch));
+    Finish(call, {504, {}, 0, false});
+    return;
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(io_, kForwardAgain);
+  timer->async_wait([this, call, timer](const boost::system::error_code&) { Forward(call); });
+}
+
+template <typename Ports>
+void node<Ports>::Forward(const std::shared_ptr<forwarded>& call) {
+  const auto now = SteadyNow();
+  const auto left = call->answer_by - now;
+  const auto take = [this, call](const caller_answer& answer) {
+    if (answer.not_leading) {
+      call->unsure = call->unsure || answer.status == kMayBeStored;
+      ForwardLater(call);
+    } else {
+      Finish(call, answer);
+    }
+  };
+  if (leader_ && leader_->Serving()) {
+    leader_->Handle(call->request, left, take);
+    return;
+  }
+  if (leader_ || election_.Known().epoch == 0 || left <= duration{} || !election_.Hears(now)) {
+    ForwardLater(call);
+    return;
+  }
+  wire::peer_frame frame;
+  frame.set_epoch(election_.Known().epoch);
+  auto& sent = *frame.mutable_call();
+  sent.set_method(call->request.method);
+  sent.set_host(call->request.host);
+  sent.set_path(call->request.path);
+  sent.set_body(call->request.body);
+  sent.set_time_left_ms(static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
+  constexpr duration kOneTry = std::chrono::milliseconds{1'000};
+  peers_.Ask(election_.Known().address, std::move(frame), std::min(call->answer_by, now + kOneTry),
+             [this, call, take](const wire::peer_frame* answer) {
+               if (answer == nullptr) {
+                 call->unsure = true;
+                 ForwardLater(call);
+                 return;
+               }
+               const auto& said = answer->answer();
+               take({said.status(), said.body(), said.retry_after_s(), said.not_leading()});
+             });
+}
+
+template <typename Ports>
+void node<Ports>::AnswerCall(const wire::peer_frame& frame) {
+  wire::peer_frame asker;
+  asker.set_exchange(frame.exchange());
+  asker.set_from(frame.from());
+  const auto reply = [this, asker](const caller_answer& answer) {
+    wire::peer_frame sent;
+    sent.set_epoch(election_.Known().epoch);
+    auto& body = *sent.mutable_answer();
+    body.set_status(answer.status);
+    body.set_body(answer.body);
+    body.set_retry_after_s(answer.retry_after_s);
+    body.set_not_leading(answer.not_leading);
+    peers_.Answer(asker, std::move(sent));
+  };
+  if (!leader_) {
+    reply({503, {}, 0, true});
+    return;
+  }
+  const auto& call = frame.call();
+  leader_->Handle({call.method(), call.host(), call.path(), call.body()},
+                  std::chrono::milliseconds{call.time_left_ms()}, reply);
+}
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_INTERNAL_NODE_CALLERS_H_
--- /dev/null
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -0,0 +1,394 @@
+#ifndef ROSEARCH_CELL_INTERNAL_NODE_LEADERSHIP_H_
+#define ROSEARCH_CELL_INTERNAL_NODE_LEADERSHIP_H_
+
+// How a process of a cell finds its leader, and becomes it. Included by node.h.
+
+#include "rosearch/cell/node.h"
+
+namespace rosearch::cell {
+
+template <typename Ports>
+void node<Ports>::Tick() {
+  const auto now = SteadyNow();
+  if (!Leading() && now - pinged_at_ >= kPingEvery) {
+    pinged_at_ = now;
+    Ping();
+  }
+  if (Leading()) {
+    if (leader_->Serving()) {
+      heard_at_ = now;
+      limits_ = leader_->configuration().limits;
+      limits_known_ = leader_->configuration().version > 0;
+    }
+    election_.OnHeard(leader_->epoch(), now);
+    if (!stopping_) {
+      Announce();
+    }
+  } else if (!stopping_ && election_.Doubts(now)) {
+    ClaimIfNobodyLeads();
+  }
+  UpdatePeers();
+  tick_timer_.expires_after(!Leading() && election_.Doubts(now) ? kDoubtTick : kTick);
+  tick_timer_.async_wait([this](const boost::system::error_code& failed) {
+    if (!failed) {
+      Tick();
+    }
+  });
+}
+
+template <typename Ports>
+void node<Ports>::ClaimIfNobodyLeads() {
+  const auto now = SteadyNow();
+  if (!election_.Leaving()) {
+    AskPeersForLeader();
+  }
+  const bool agreed =
+      election_.Leaving() || (!asking_peers_ && now - nobody_hears_at_ < kMemberFresh);
+  if (election_.ShouldClaim(now) && agreed) {
+    Claim();
+  }
+}
+
+template <typename Ports>
+void node<Ports>::UpdatePeers() {
+  const auto now = SteadyNow();
+  const auto before = members_.size();
+  if (Leading()) {
+    std::erase_if(members_,
+                  [&](const auto& each) { return now - each.second.seen_at >= kMemberFresh; });
+  }
+  if (members_.size() != before) {
+    ++members_version_;
+  }
+  std::vector<std::string> addresses;
+  std::vector<std::string> helpers{std::string{}};
+  for (const auto& [address, each] : members_) {
+    addresses.push_back(address);
+    helpers.push_back(address);
+  }
+  outside_.SetPeers(addresses);
+  if (Leading()) {
+    leader_->SetHelpers(helpers);
+  }
+}
+
+template <typename Ports>
+void node<Ports>::Ping() {
+  std::vector<std::string> targets;
+  if (election_.Known().epoch > 0) {
+    targets.push_back(election_.Known().address);
+  } else {
+    targets = seeds_;
+  }
+  for (const auto& target : targets) {
+    wire::peer_frame frame;
+    frame.set_epoch(election_.Known().epoch);
+    *frame.mutable_ping()->mutable_member() = Self();
+    frame.mutable_ping()->set_members_version(members_version_);
+    peers_.Ask(target, std::move(frame), SteadyNow() + kPingPatience,
+               [this](const wire::peer_frame* answer) {
+                 if (answer != nullptr) {
+                   OnPong(*answer);
+                 }
+               });
+  }
+}
+
+template <typename Ports>
+void node<Ports>::OnPong(const wire::peer_frame& frame) {
+  const auto& pong = frame.pong();
+  const auto now = SteadyNow();
+  if (Leading() || frame.epoch() != election_.Known().epoch) {
+    return;
+  }
+  if (!pong.leading() || pong.resigning()) {
+    if (frame.from() == election_.Known().address) {
+      election_.OnLeaderLeaving(frame.epoch());
+    }
+    return;
+  }
+  election_.OnHeard(frame.epoch(), now);
+  heard_at_ = now;
+  if (pong.members_size() > 0) {
+    members_.clear();
+    for (const auto& each : pong.members()) {
+      if (each.address() != peers_.address()) {
+        members_[each.address()] = {each, now};
+      }
+    }
+    members_version_ = pong.members_version();
+  }
+  if (pong.config_version() > 0) {
+    limits_known_ = true;
+    limits_.max_header_bytes = pong.max_header_bytes();
+    limits_.max_body_bytes = pong.max_body_bytes();
+    limits_.header_timeout = std::chrono::milliseconds{pong.header_timeout_ms()};
+    limits_.idle_timeout = std::chrono::milliseconds{pong.idle_timeout_ms()};
+  }
+}
+
+template <typename Ports>
+void node<Ports>::AnswerPing(const wire::peer_frame& frame) {
+  const auto& ping = frame.ping();
+  wire::peer_frame answer;
+  answer.set_epoch(election_.Known().epoch);
+  auto& pong = *answer.mutable_pong();
+  pong.set_leading(Leading());
+  if (Leading()) {
+    const auto [known, fresh] = members_.try_emplace(ping.member().address());
+    known->second = {ping.member(), SteadyNow()};
+    members_version_ += fresh ? 1 : 0;
+    if (frame.epoch() == leader_->epoch()) {
+      leader_->OnPeerSign();
+    }
+    pong.set_leading(leader_->Serving() || !stopping_);
+    pong.set_resigning(stopping_);
+    pong.set_members_version(members_version_);
+    if (ping.members_version() != members_version_) {
+      *pong.add_members() = Self();
+      for (const auto& [address, each] : members_) {
+        *pong.add_members() = each.facts;
+      }
+    }
+    const auto& configuration = leader_->configuration();
+    const auto millis = [](duration span) {
+      return static_cast<std::uint32_t>(
+          std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+    };
+    pong.set_config_version(configuration.version);
+    pong.set_max_header_bytes(configuration.limits.max_header_bytes);
+    pong.set_max_body_bytes(configuration.limits.max_body_bytes);
+    pong.set_header_timeout_ms(millis(configuration.limits.header_timeout));
+    pong.set_idle_timeout_ms(millis(configuration.limits.idle_timeout));
+  }
+  peers_.Answer(frame, std::move(answer));
+}
+
+template <typename Ports>
+void node<Ports>::SayGoodbye(std::uint64_t epoch) {
+  for (const auto& [address, each] : members_) {
+    wire::peer_frame frame;
+    frame.set_epoch(epoch);
+    frame.mutable_notice()->set_resigning(true);
+    peers_.Tell(address, std::move(frame));
+  }
+}
+
+template <typename Ports>
+void node<Ports>::Announce() {
+  // Peers that still follow another leader, or none, learn of this one without the store.
+  const auto now = SteadyNow();
+  for (const auto& [address, each] : members_) {
+    if (now - each.seen_at > kPingEvery * 2) {
+      wire::peer_frame frame;
+      frame.set_epoch(leader_->epoch());
+      frame.mutable_notice()->set_address(peers_.address());
+      peers_.Tell(address, std::move(frame));
+    }
+  }
+}
+
+template <typename Ports>
+void node<Ports>::Receive(const wire::peer_frame& frame) {
+  if (frame.has_ping()) {
+    AnswerPing(frame);
+  } else if (frame.has_relay()) {
+    outside_.Serve(frame);
+  } else if (frame.has_call()) {
+    AnswerCall(frame);
+  } else if (frame.has_query()) {
+    wire::peer_frame answer;
+    answer.set_epoch(election_.Known().epoch);
+    const bool hears = election_.Hears(SteadyNow()) || Leading();
+    answer.mutable_view()->set_heard(hears && !stopping_);
+    answer.mutable_view()->set_leader(election_.Known().address);
+    peers_.Answer(frame, std::move(answer));
+  } else if (frame.has_notice()) {
+    if (frame.notice().resigning()) {
+      election_.OnLeaderLeaving(frame.epoch());
+      if (!Leading() && !stopping_ && election_.Leaving()) {
+        ClaimIfNobodyLeads();
+      }
+    } else {
+      AdoptLeadership({frame.epoch(), frame.notice().address(), {}, 0});
+    }
+  }
+}
+
+template <typename Ports>
+void node<Ports>::AdoptLeadership(const leadership& claimed) {
+  if (!election_.OnLeadership(claimed, SteadyNow())) {
+    return;
+  }
+  log_.Write(event_line{"leader_known", event_weight::kBelief}
+                 .Add("epoch", claimed.epoch)
+                 .Add("leader", claimed.address)
+                 .Add("name", claimed.name));
+  if (leader_ && leader_->epoch() < claimed.epoch) {
+    leader_->End("newer_claim");
+    leader_.reset();
+  }
+  pinged_at_ = time_point{};
+  members_version_ = 0;
+}
+
+template <typename Ports>
+void node<Ports>::FindNewestClaim() {
+  ports_.Newest(stream::kClaims, {}, [this](result<newest_page> page) {
+    if (page.has_error()) {
+      claims_timer_.expires_after(kClaimsRetry);
+      claims_timer_.async_wait([this](const boost::system::error_code& failed) {
+        if (!failed) {
+          FindNewestClaim();
+        }
+      });
+      return;
+    }
+    claims_next_ = page.value().end;
+    for (const auto& record : page.value().records) {
+      OnClaim(record.value, claims_next_ - 1);
+    }
+    election_.OnClaimsRead(SteadyNow());
+    FollowClaims();
+  });
+}
+
+template <typename Ports>
+void node<Ports>::FollowClaims() {
+  const auto asked_at = SteadyNow();
+  ports_.Read(stream::kClaims, claims_next_, kClaimsWait, [this, asked_at](result<log_page> page) {
+    if (page.has_error() || page.value().trimmed) {
+      claims_timer_.expires_after(kClaimsRetry);
+      const bool trimmed = page.has_value();
+      claims_timer_.async_wait([this, trimmed](const boost::system::error_code& failed) {
+        if (!failed) {
+          trimmed ? FindNewestClaim() : FollowClaims();
+        }
+      });
+      return;
+    }
+    auto offset = page.value().next - page.value().records.size();
+    for (const auto& bytes : page.value().records) {
+      if (const auto record = SplitKeyed(bytes)) {
+        OnClaim(record->value, offset);
+      }
+      ++offset;
+    }
+    claims_next_ = page.value().next;
+    if (leader_ && leader_->epoch() == election_.Known().epoch) {
+      leader_->OnProof(asked_at);
+    }
+    FollowClaims();
+  });
+}
+
+template <typename Ports>
+void node<Ports>::OnClaim(const std::string& bytes, std::uint64_t offset) {
+  wire::leader_claim claim;
+  if (!claim.ParseFromString(bytes) || claim.member().address().empty()) {
+    log_.Write(event_line{"claim_unreadable", event_weight::kFailure}.Add("offset", offset));
+    return;
+  }
+  const leadership claimed{offset + 1, claim.member().address(), claim.member().name(),
+                           claim.incarnation()};
+  const bool mine = claim.incarnation() == incarnation_ && claimed.address == peers_.address();
+  const bool news = claimed.epoch > election_.Known().epoch;
+  AdoptLeadership(claimed);
+  if (mine && news && !stopping_) {
+    Lead(claimed.epoch);
+  } else if (claimed.address == peers_.address() && claim.incarnation() != incarnation_) {
+    // An earlier life of this process led: nobody does now.
+    election_.OnLeaderLeaving(claimed.epoch);
+  }
+}
+
+template <typename Ports>
+void node<Ports>::AskPeersForLeader() {
+  const auto now = SteadyNow();
+  if (asking_peers_ || now - asked_peers_at_ < kQueryPatience * 2) {
+    return;
+  }
+  asked_peers_at_ = now;
+  std::vector<std::string> asked;
+  for (const auto& [address, each] : members_) {
+    if (address != election_.Known().address) {
+      asked.push_back(address);
+    }
+  }
+  if (asked.empty()) {
+    nobody_hears_at_ = now;
+    return;
+  }
+  asking_peers_ = true;
+  auto open = std::make_shared<std::size_t>(asked.size());
+  auto heard = std::make_shared<bool>(false);
+  for (const auto& address : asked) {
+    wire::peer_frame frame;
+    frame.set_epoch(election_.Known().epoch);
+    frame.mutable_query();
+    peers_.Ask(address, std::move(frame), now + kQueryPatience,
+               [this, open, heard](const wire::peer_frame* answer) {
+                 const bool hears = answer != nullptr && answer->view().heard() &&
+                                    answer->epoch() >= election_.Known().epoch;
+                 *heard = *heard || hears;
+                 if (--*open > 0) {
+                   return;
+                 }
+                 asking_peers_ = false;
+                 if (*heard) {
+                   election_.OnPeerHears(SteadyNow());
+                 } else {
+                   nobody_hears_at_ = SteadyNow();
+                 }
+               });
+  }
+}
+
+template <typename Ports>
+void node<Ports>::Claim() {
+  if (claiming_) {
+    return;
+  }
+  claiming_ = true;
+  election_.OnClaimSent(SteadyNow());
+  wire::leader_claim claim;
+  *claim.mutable_member() = Self();
+  claim.set_incarnation(incarnation_);
+  const auto bytes = claim.SerializeAsString();
+  log_.Write(event_line{"leadership_claimed", event_weight::kBelief}
+                 .Add("at", claims_next_)
+                 .Add("known_epoch", election_.Known().epoch)
+                 .Add("peers", members_.size()));
+  ports_.Append(stream::kClaims, {JoinKeyed({"leader", bytes})}, std::nullopt, claims_next_,
+                [this, bytes](const append_answer& answer) {
+                  claiming_ = false;
+                  // Without an answer, reading the log of claims tells who won.
+                  if (answer.outcome == append_outcome::kStored) {
+                    OnClaim(bytes, answer.offset);
+                  }
+                });
+}
+
+template <typename Ports>
+void node<Ports>::Lead(std::uint64_t epoch) {
+  if (leader_) {
+    return;
+  }
+  leader_ = std::make_shared<leader<Ports>>(io_, ports_, settings_.leading, epoch, log_, metrics_,
+                                            [this, epoch] {
+                                              if (!leader_ || leader_->epoch() != epoch) {
+                                                return;
+                                              }
+                                              leader_.reset();
+                                              SayGoodbye(epoch);
+                                              election_.OnLeaderLeaving(epoch);
+                                            });
+  for (auto& [address, each] : members_) {
+    each.seen_at = SteadyNow();
+  }
+  leader_->Begin();
+}
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_INTERNAL_NODE_LEADERSHIP_H_
--- /dev/null
+++ b/src/rosearch/cell/internal/node_views.h
@@ -0,0 +1,35 @@
+#ifndef ROSEARCH_CELL_INTERNAL_NODE_VIEWS_H_
+#define ROSEARCH_CELL_INTERNAL_NODE_VIEWS_H_
+
+// What a process of a cell shows to people. Included by node.h.
+
+#include "rosearch/cell/node.h"
+
+namespace rosearch::cell {
+
+template <typename Ports>
+std::string node<Ports>::Dump() const {
+  std::string text = "name=" + settings_.name + " leading=" + (leader_ ? "1" : "0") +
+                     " epoch=" + std::to_string(election_.Known().epoch) +
+                     " leader=" + election_.Known().address +
+                     " peers=" + std::to_string(members_.size()) + '\n';
+  return leader_ ? text + leader_->Dump() : text;
+}
+
+template <typename Ports>
+void node<Ports>::FillMetrics() {
+  metrics_.Set("rosearch_leading", leader_ ? 1 : 0);
+  metrics_.Set("rosearch_peers", static_cast<double>(members_.size()));
+  metrics_.SetTotal("rosearch_relayed_total", outside_.Relayed());
+  if (leader_) {
+    const auto counts = leader_->Counts();
+    metrics_.Set("rosearch_jobs", static_cast<double>(counts.jobs));
+    metrics_.Set("rosearch_waiting_tasks", static_cast<double>(counts.waiting_tasks));
+    metrics_.Set("rosearch_runs", static_cast<double>(counts.runs));
+    metrics_.Set("rosearch_workers_live", static_cast<double>(counts.workers_live));
+  }
+}
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_INTERNAL_NODE_VIEWS_H_
--- /dev/null
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -0,0 +1,342 @@
+// What a scheduler makes of the workers' reports, and of their silence.
+#include <algorithm>
+#include <chrono>
+#include <utility>
+#include <vector>
+
+#include "rosearch/sched/scheduler.h"
+
+namespace rosearch::sched {
+namespace {
+
+/// A worker lists at most so many ends at once; a list of that length may hide later ones.
+constexpr std::size_t kFullList = 500;
+
+/// Tails at this share of their target slow down what fills beside them, and below the second it
+/// gets its speed back.
+constexpr double kTailHigh = 0.75;
+constexpr double kTailLow = 0.5;
+constexpr std::uint32_t kPaceStep = 25;
+
+}  // namespace
+
+void scheduler::TakeEnd(worker_state& worker, const ended_row& row, const instant& now) {
+  if (auto* const run = FindRun(worker.facts.id, row.task, row.run)) {
+    EndRun(*run, row.how, row.checkpoint, now);
+    return;
+  }
+  // An end of a run that an earlier leader began, or that was taken for lost.
+  const auto name = task_name::Parse(row.task);
+  auto* const job = name ? FindJob(name->job) : nullptr;
+  if (job == nullptr || IsTerminal(job->phase)) {
+    return;
+  }
+  auto* const step = job->Step(name->occurrence, name->step);
+  if (step == nullptr || name->index >= step->tasks.size()) {
+    return;
+  }
+  if (row.how != end_kind::kDone && row.how != end_kind::kFailed) {
+    return;
+  }
+  log_.Write(event_line{"old_run_ended"}
+                 .Add("task", row.task)
+                 .Add("run", row.run)
+                 .Add("worker", worker.facts.id)
+                 .Add("how", EndKindName(row.how)));
+  if (step->spec->gang) {
+    ApplyGangEnd(*step, row.run, row.how, worker.facts.id, row.checkpoint, now);
+  } else {
+    ApplyEnd(*step, name->index, row.run, row.how, worker.facts.id, row.checkpoint, now);
+  }
+}
+
+void scheduler::StopStranger(worker_state& worker, const running_row& row, const instant& now) {
+  auto made = std::make_unique<live_run>();
+  made->task = row.task;
+  made->run = row.run;
+  made->worker = &worker;
+  made->started_at = now.steady;
+  made->progressed_at = now.steady;
+  ++worker.strangers;
+  auto& run = *(worker.runs[row.task] = std::move(made));
+  StopRun(run, stop_reason::kStranger, now);
+}
+
+void scheduler::Adopt(worker_state& worker, const running_row& row, const instant& now) {
+  const auto name = task_name::Parse(row.task);
+  auto* const job = name ? FindJob(name->job) : nullptr;
+  const bool wanted = job != nullptr && !IsTerminal(job->phase);
+  while (wanted && name->occurrence >= job->occurrences.size() &&
+         job->occurrences.size() < job->Occurrences()) {
+    OpenSteps(*job, AddOccurrence(*job), now);
+  }
+  auto* const step = wanted ? job->Step(name->occurrence, name->step) : nullptr;
+  const bool known =
+      step != nullptr && name->index < step->tasks.size() && !step->tasks[name->index].done;
+  if (!known || (step->tasks[name->index].live > 0 && !step->spec->may_duplicate)) {
+    StopStranger(worker, row, now);
+    return;
+  }
+  auto made = std::make_unique<live_run>();
+  made->task = row.task;
+  made->run = row.run;
+  made->worker = &worker;
+  made->step = step;
+  made->index = name->index;
+  made->charged = step->spec->need;
+  if (step->spec->uses_leftover) {
+    made->charged.processors_milli = 0;
+  }
+  made->phase = run_phase::kRunning;
+  made->checkpoint = row.checkpoint;
+  made->percent = row.percent;
+  made->started_at = now.steady;
+  made->known_at = now.steady;
+  made->progressed_at = now.steady;
+  ++step->tasks[name->index].live;
+  ++job->live;
+  job->phase = job_phase::kRunning;
+  step->runs.push_back(made.get());
+  worker.used = worker.used + made->charged;
+  worker.service_runs += step->spec->service ? 1 : 0;
+  worker.leftover_runs += step->spec->uses_leftover ? 1 : 0;
+  worker.runs[row.task] = std::move(made);
+  log_.Write(event_line{"run_adopted"}
+                 .Add("task", row.task)
+                 .Add("run", row.run)
+                 .Add("worker", worker.facts.id));
+}
+
+void scheduler::LookForMissing(worker_state& worker, time_point sent_at,
+                               const worker_report& report, const instant& now) {
+  if (report.ended.size() >= kFullList) {
+    return;
+  }
+  std::vector<live_run*> gone;
+  for (const auto& each : worker.runs) {
+    auto& run = *each.second;
+    const bool listed = std::ranges::any_of(report.running, [&](const running_row& row) {
+      return row.run == run.run && row.task == run.task;
+    });
+    if (listed || run.known_at >= sent_at) {
+      run.missing = false;
+      continue;
+    }
+    const bool stopped = run.phase == run_phase::kStopping && run.stop_heard;
+    const bool vanished = run.phase == run_phase::kRunning && std::exchange(run.missing, true);
+    if (stopped || vanished) {
+      gone.push_back(&run);
+    }
+  }
+  for (auto* const run : gone) {
+    EndRun(*run, run->phase == run_phase::kStopping ? end_kind::kStopped : end_kind::kLost, {},
+           now);
+  }
+}
+
+void scheduler::OnReport(const std::string& worker_id, time_point sent_at,
+                         const worker_report& report, const instant& now) {
+  const auto found = workers_.find(worker_id);
+  if (found == workers_.end()) {
+    return;
+  }
+  auto& worker = *found->second;
+  if (worker.session != session_phase::kLive) {
+    log_.Write(event_line{"worker_live", event_weight::kBelief}
+                   .Add("worker", worker_id)
+                   .Add("running", report.running.size())
+                   .Add("ended", report.ended.size())
+                   .Add("silent_watches", worker.silent_watches));
+    ++room_version_;
+    workers_dirty_ = workers_dirty_ || !worker.recorded;
+  }
+  for (const auto& row : report.ended) {
+    if (row.number > worker.seen_end) {
+      worker.seen_end = row.number;
+      TakeEnd(worker, row, now);
+    }
+  }
+  for (const auto& row : report.running) {
+    const auto known = worker.runs.find(row.task);
+    if (known == worker.runs.end()) {
+      Adopt(worker, row, now);
+      continue;
+    }
+    auto& run = *known->second;
+    if (run.run != row.run) {
+      continue;
+    }
+    if (run.phase == run_phase::kStarting || run.phase == run_phase::kUnsure) {
+      run.phase = run_phase::kRunning;
+      run.known_at = now.steady;
+    }
+    if (!row.checkpoint.empty()) {
+      run.checkpoint = row.checkpoint;
+    }
+    if (row.percent != run.percent) {
+      run.percent = row.percent;
+      run.progressed_at = now.steady;
+    }
+    run.load = row.load;
+  }
+  LookForMissing(worker, sent_at, report, now);
+  ReleaseTasks(worker);
+  worker.session = session_phase::kLive;
+  worker.silent_watches = 0;
+  worker.report_sent_at = sent_at;
+  unsettled_.erase(worker_id);
+  PaceLeftovers(worker);
+  AckWhatNeedsNoRecord();
+}
+
+void scheduler::LoseRuns(worker_state& worker, std::string_view cause, const instant& now) {
+  if (!worker.runs.empty()) {
+    log_.Write(event_line{"runs_lost", event_weight::kBelief}
+                   .Add("worker", worker.facts.id)
+                   .Add("runs", worker.runs.size())
+                   .Add("cause", cause));
+  }
+  while (!worker.runs.empty()) {
+    EndRun(*worker.runs.begin()->second, end_kind::kLost, {}, now);
+  }
+}
+
+void scheduler::OnWatchFailed(const std::string& worker_id, watch_failure failure,
+                              const instant& now) {
+  if (failure == watch_failure::kStaleFence) {
+    deposed_ = true;
+    return;
+  }
+  const auto found = workers_.find(worker_id);
+  if (found == workers_.end()) {
+    return;
+  }
+  auto& worker = *found->second;
+  if (failure == watch_failure::kOtherLife) {
+    LoseRuns(worker, "restarted", now);
+    unsettled_.erase(worker_id);
+    DropWorker(worker_id);
+    return;
+  }
+  ++worker.silent_watches;
+  const bool enough = worker.silent_watches >= settings_.silent_after;
+  if (worker.session == session_phase::kLive && enough) {
+    worker.session = session_phase::kSilent;
+    worker.recorded = false;
+    workers_dirty_ = true;
+    log_.Write(event_line{"worker_silent", event_weight::kBelief}
+                   .Add("worker", worker_id)
+                   .Add("runs", worker.runs.size())
+                   .Add("lapses_in_ms", LapseOf(worker) - now.steady));
+  }
+}
+
+void scheduler::DropWorker(const std::string& id) {
+  const auto found = workers_.find(id);
+  if (found == workers_.end()) {
+    return;
+  }
+  ReleaseTasks(*found->second);
+  for (const auto& [job_id, job] : jobs_) {
+    for (const auto& occurrence : job->occurrences) {
+      for (const auto& step : occurrence->steps) {
+        step->advice.Drop(found->second.get());
+      }
+    }
+  }
+  workers_.erase(found);
+  workers_dirty_ = true;
+}
+
+void scheduler::StopStuckRuns(worker_state& worker, const instant& now) {
+  if (worker.session != session_phase::kLive) {
+    return;
+  }
+  for (const auto& [task, run] : worker.runs) {
+    if (run->phase != run_phase::kRunning || run->step == nullptr || run->percent >= 100) {
+      continue;
+    }
+    const auto& spec = *run->step->spec;
+    const auto limit = std::max<duration>(settings_.stuck_after, spec.estimate / 2);
+    if (spec.uses_leftover || now.steady - run->progressed_at < limit) {
+      continue;
+    }
+    if (worker.health.Bad(settings_, now.steady)) {
+      log_.Write(event_line{"worker_quarantined", event_weight::kBelief}
+                     .Add("worker", worker.facts.id)
+                     .Add("cause", "no_progress"));
+    }
+    run->step->tasks[run->index].failed_on = worker.facts.id;
+    if (spec.gang) {
+      BreakGang(*run->step, now);
+    } else {
+      StopRun(*run, stop_reason::kStuck, now);
+    }
+  }
+}
+
+void scheduler::EmptyLeavingWorker(worker_state& worker, const instant& now) {
+  if (!worker.facts.draining || worker.session != session_phase::kLive) {
+    return;
+  }
+  const auto last_call = worker.leaves_at - settings_.stop_timeout - settings_.stuck_after / 2;
+  for (const auto& [task, run] : worker.runs) {
+    if (run->phase != run_phase::kRunning || run->step == nullptr) {
+      continue;
+    }
+    const auto& spec = *run->step->spec;
+    // A service gains nothing by staying; what saves its progress is stopped just in time, so that
+    // the newest checkpoint comes along.
+    const bool in_time = spec.service || (spec.checkpoints && now.steady >= last_call);
+    if (!in_time) {
+      continue;
+    }
+    if (spec.gang) {
+      BreakGang(*run->step, now);
+    } else {
+      StopRun(*run, stop_reason::kLeaving, now);
+    }
+  }
+}
+
+void scheduler::PaceLeftovers(worker_state& worker) {
+  if (worker.leftover_runs == 0 || worker.service_runs == 0) {
+    return;
+  }
+  double worst = 0;
+  for (const auto& [task, run] : worker.runs) {
+    if (run->step == nullptr || run->step->spec->tail_target.count() == 0) {
+      continue;
+    }
+    const auto target =
+        std::chrono::duration<double, std::milli>{run->step->spec->tail_target}.count();
+    worst = std::max(worst, run->load / target);
+  }
+  for (const auto& [task, run] : worker.runs) {
+    if (run->step == nullptr || !run->step->spec->uses_leftover ||
+        run->phase != run_phase::kRunning) {
+      continue;
+    }
+    auto pace = run->pace;
+    if (worst > 1) {
+      pace = 0;
+    } else if (worst > kTailHigh) {
+      pace = pace > kPaceStep ? pace - kPaceStep : 0;
+    } else if (worst < kTailLow) {
+      pace = std::min(100U, pace + kPaceStep);
+    }
+    if (pace == run->pace) {
+      continue;
+    }
+    run->pace = pace;
+    orders_.emplace_back(
+        pace_order{worker.facts.id, worker.facts.address, run->task, run->run, pace});
+    log_.Write(event_line{"run_paced"}
+                   .Add("task", run->task)
+                   .Add("worker", worker.facts.id)
+                   .Add("percent", pace)
+                   .Add("tail_percent", static_cast<int>(worst * 100)));
+  }
+}
+
+}  // namespace rosearch::sched
--- a/src/rosearch/sched/worker_state.cc
+++ b/src/rosearch/sched/worker_state.cc
@@ -12,6 +12,12 @@
   return kNames.at(static_cast<std::size_t>(reason));
 }
 
+std::string_view EndKindName(end_kind how) noexcept {
+  constexpr std::array<std::string_view, 7> kNames{"done",   "failed", "stopped", "lapsed",
+                                                   "broken", "alone",  "lost"};
+  return kNames.at(static_cast<std::size_t>(how));
+}
+
 bool worker_health::Bad(const scheduler_settings& settings, time_point now) {
   ++in_a_row_;
   if (in_a_row_ < settings.failures_to_quarantine && pauses_ == 0) {
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -39,6 +39,9 @@
 /// @return the word for a reason in logs.
 [[nodiscard]] std::string_view StopReasonName(stop_reason reason) noexcept;
 
+/// @return the word for the end of a run in logs.
+[[nodiscard]] std::string_view EndKindName(end_kind how) noexcept;
+
 /// One run of one task at one worker, from the order to start it until it is certainly over.
 struct live_run {
   std::string task;
--- a/test/rosearch/cell/fake_ports.h
+++ b/test/rosearch/cell/fake_ports.h
@@ -31,7 +31,7 @@
 
   void Append(stream, const std::vector<std::string>& records,
               const std::optional<writer_proof>& proof, const std::optional<std::uint64_t>&,
-              append_callback done) {
+              const append_callback& done) {
     ++appends;
     if (silent) {
       return;
@@ -57,12 +57,12 @@
     const bool slow = !records.empty() && reorder && ++carried % 2 == 1;
     Later(slow ? milliseconds{25} : milliseconds{1}, [done, answer] { done(answer); });
   }
-  void Read(stream, std::uint64_t from, duration wait, log_callback done) {
+  void Read(stream, std::uint64_t from, duration wait, const log_callback& done) {
     log_page page;
     page.next = from;
     Later(std::max<duration>(wait, milliseconds{5}), [done, page] { done(page); });
   }
-  void Newest(stream which, const std::string&, newest_callback done) {
+  void Newest(stream which, const std::string&, const newest_callback& done) {
     newest_page page;
     if (which == stream::kConfiguration) {
       page.records = {{"config", "1"}};
@@ -75,16 +75,16 @@
     }
     Later(milliseconds{1}, [done, page] { done(page); });
   }
-  void Start(const sched::start_order& order, std::uint64_t, start_callback done) {
+  void Start(const sched::start_order& order, std::uint64_t, const start_callback& done) {
     starts.push_back(order);
     ended.push_back({++ends, order.task, order.run, sched::end_kind::kDone, ""});
     Later(milliseconds{1}, [done] { done(sched::start_outcome::kStarted); });
   }
-  void Stop(const sched::stop_order&, std::uint64_t, stop_callback done) {
+  void Stop(const sched::stop_order&, std::uint64_t, const stop_callback& done) {
     Later(milliseconds{1}, [done] { done(true, false); });
   }
   void Pace(const sched::pace_order&, std::uint64_t) {}
-  void Watch(const sched::watch_request& watch, std::uint64_t, watch_callback done) {
+  void Watch(const sched::watch_request& watch, std::uint64_t, const watch_callback& done) {
     std::erase_if(ended, [&](const auto& row) { return row.number <= watch.acked_end; });
     Later(milliseconds{5}, [this, done] {
       watch_answer answer;
@@ -92,7 +92,7 @@
       done(answer);
     });
   }
-  void Advise(const std::string&, const sched::advice_query&, advice_callback) {}
+  void Advise(const std::string&, const sched::advice_query&, const advice_callback&) {}
   void SetPeers(const std::vector<std::string>&) {}
 
   static std::optional<sched::cell_configuration> DecodeConfiguration(const std::string&) {
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -202,9 +202,10 @@
   }
 }
 
-void cell_world::EndOf(fake_worker& worker, std::string task, end_kind how) {
-  const auto run = worker.running.at(task);
-  worker.running.erase(task);
+void cell_world::EndOf(fake_worker& worker, const std::string& key, end_kind how) {
+  const auto node = worker.running.extract(key);
+  const auto& task = node.key();
+  const auto& run = node.mapped();
   auto& highest = worker.highest_over[task];
   highest = std::max(highest, run.run);
   worker.ended.push_back({++worker.ended_count, task, run.run, how, run.checkpoint});
--- a/test/rosearch/sched/cell_world.h
+++ b/test/rosearch/sched/cell_world.h
@@ -125,7 +125,7 @@
   start_outcome Apply(const start_order& order, std::uint64_t fence, time_point lease_end);
   bool Apply(const stop_order& order, std::uint64_t fence);
   void Judge(const fake_worker& worker, const start_order& order);
-  void EndOf(fake_worker& worker, std::string task, end_kind how);
+  void EndOf(fake_worker& worker, const std::string& key, end_kind how);
   void AdvanceWorker(fake_worker& worker);
   void Second();
   void Ack(fake_worker& worker, std::uint64_t end);
