--- a/src/rosearch/cell/election.cc
+++ b/src/rosearch/cell/election.cc
@@ -38,8 +38,10 @@
   return old + spread + (small_ ? settings_.small_waits : duration{});
 }
 
-bool election::Hears(time_point now) const {
-  return !leaving_ && heard_at_ != time_point{} && now - heard_at_ < settings_.suspect_after;
+bool election::Hears(time_point now) const { return !leaving_ && Reaches(now); }
+
+bool election::Reaches(time_point now) const {
+  return heard_at_ != time_point{} && now - heard_at_ < settings_.suspect_after;
 }
 
 bool election::Doubts(time_point now) const {
--- a/src/rosearch/cell/election.h
+++ b/src/rosearch/cell/election.h
@@ -76,8 +76,11 @@
   [[nodiscard]] bool Doubts(time_point now) const;
   /// @return whether this process should claim leadership now.
   [[nodiscard]] bool ShouldClaim(time_point now) const;
-  /// @return whether the leader's answer is fresh.
+  /// @return whether the leader's answer is fresh, and it isn't about to stop.
   [[nodiscard]] bool Hears(time_point now) const;
+  /// @return whether the leader's answer is fresh. One that is about to stop leads on until another
+  /// has claimed, so it is still asked.
+  [[nodiscard]] bool Reaches(time_point now) const;
 
   [[nodiscard]] const leadership& Known() const { return known_; }
 
--- a/src/rosearch/cell/internal/node_callers.h
+++ b/src/rosearch/cell/internal/node_callers.h
@@ -78,7 +78,7 @@
     leader_->Handle(call->request, left, take);
     return;
   }
-  if (leader_ || election_.Known().epoch == 0 || left <= duration{} || !election_.Hears(now)) {
+  if (leader_ || election_.Known().epoch == 0 || left <= duration{} || !election_.Reaches(now)) {
     ForwardLater(call);
     return;
   }
--- a/test/rosearch/cell/election_test.cc
+++ b/test/rosearch/cell/election_test.cc
@@ -75,6 +75,7 @@
   made.OnHeard(1, kStart + seconds{5});
   made.OnLeaderLeaving(1);
   CHECK_FALSE(made.Hears(kStart + seconds{5}));
+  CHECK(made.Reaches(kStart + seconds{5}));
   CHECK(made.ShouldClaim(kStart + seconds{5} + milliseconds{120}));
 }
 
