Survive the loss of the last peer; call no job unknown without the claims

Cause 1, certain: with a request under way and the last peer gone, the next peer was chosen modulo 0. It needs a read of the claims of the last 2.5 s now.

--- a/src/rosearch/cell/internal/leader_callers.h
+++ b/src/rosearch/cell/internal/leader_callers.h
@@ -137,7 +137,7 @@
     return;
   }
   const bool gone = !scheduler_.Phase(id, queue).has_value();
-  if (gone && !MayAct()) {
+  if (gone && !KnowsAllJobs()) {
     answer(Unavailable(1));  // a newer leader may know the job
     return;
   }
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -276,7 +276,7 @@
     }
     claims_next_ = page.value().next;
     if (leader_ && leader_->epoch() == election_.Known().epoch) {
-      leader_->OnProof(asked_at);
+      leader_->OnNoNewerClaim(asked_at);
     }
     FollowClaims();
   });
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -58,6 +58,9 @@
   /// Without proof that nobody else leads, nothing is ordered after this. Below
   /// `scheduler_settings::old_leader_silence` by what an order may take to arrive.
   duration proof_life{std::chrono::milliseconds{1'500}};
+  /// So long after a read of the log of claims was sent, jobs that aren't known are called unknown.
+  /// A read waits for up to 1 s; a job must be known at every process 3 s after it was accepted.
+  duration claims_known_for{std::chrono::milliseconds{2'500}};
   /// A gap in our own time longer than this means that the process stood still.
   duration standstill{std::chrono::milliseconds{400}};
   /// While the store hasn't answered for so long, new jobs are refused at once.
@@ -99,7 +102,7 @@
     began_at_ = SteadyNow();
     log_.Write(event_line{"leader_begins", event_weight::kBelief}.Add("epoch", epoch_));
     last_tick_ = Boottime();
-    OnProof(SteadyNow());
+    OnNoNewerClaim(SteadyNow());
     // Beside one another: where an answer of the store takes a quarter of a second, one after the
     // other kept callers waiting for 1.4 s.
     Fence();
@@ -121,6 +124,13 @@
     }
   }
 
+  /// The log of claims was read to its end and shows no newer claim.
+  /// @param asked_at  when that read was sent.
+  void OnNoNewerClaim(time_point asked_at) {
+    no_newer_claim_at_ = std::max(no_newer_claim_at_, asked_at);
+    OnProof(asked_at);
+  }
+
   /// A peer's sign of life that names this leadership. What was received while the process stood
   /// still proves nothing.
   void OnPeerSign() {
@@ -189,6 +199,11 @@
     NoticeStandstill();
     return !over_ && SteadyNow() - proof_at_ < settings_.proof_life;
   }
+  /// @return whether a job that isn't known here is known nowhere. Peers' signs don't count: a peer
+  /// may follow a leader that another has replaced, and that one has accepted jobs since.
+  [[nodiscard]] bool KnowsAllJobs() {
+    return MayAct() && SteadyNow() - no_newer_claim_at_ < settings_.claims_known_for;
+  }
   void NoticeStandstill() {
     const auto now = Boottime();
     if (now - last_tick_ > settings_.standstill) {
@@ -286,6 +301,7 @@
   std::uint64_t registry_next_{0};
   time_point began_at_{};
   time_point proof_at_{};
+  time_point no_newer_claim_at_{};
   time_point passed_at_{};
   time_point stood_still_at_{};
   time_point collect_since_{};
--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -152,6 +152,13 @@
 }
 
 void relayed_client::SendByPeer(const std::shared_ptr<exchange>& sent) {
+  if (helpers_.empty()) {
+    // The last peer may have gone since the direct way was tried.
+    if (sent->under_way == 0 && sent->last) {
+      sent->FinishFailed();
+    }
+    return;
+  }
   const auto peer = ChoosePeer(sent->request.address);
   ++sent->peers_tried;
   ++sent->under_way;
--- a/test/rosearch/cell/leader_test.cc
+++ b/test/rosearch/cell/leader_test.cc
@@ -84,6 +84,21 @@
   CHECK(answer->status == kMayBeStored);
 }
 
+// Another leader was chosen; this one is so busy that it hasn't read of it, while a peer that
+// hasn't either still follows it. A caller asks for a job that the new leader accepted: it must not
+// hear that there is no such job.
+TEST_CASE("a leader that hasn't read the claims lately calls no job unknown") {
+  leading cell;
+  CHECK(cell.Ask("GET", "b")->status == 410);
+  for (int at = 0; at < 27; ++at) {
+    cell.made->OnPeerSign();
+    cell.Run(milliseconds{100});
+  }
+  CHECK(cell.Ask("GET", "b")->status == 503);
+  cell.made->OnNoNewerClaim(SteadyNow());
+  CHECK(cell.Ask("GET", "b")->status == 410);
+}
+
 TEST_CASE("a leader that resigns stores first, then ends") {
   leading cell;
   (void)cell.Ask("POST", "a", "job");
--- /dev/null
+++ b/test/rosearch/cell/relayed_client_test.cc
@@ -0,0 +1,86 @@
+#include "rosearch/cell/relayed_client.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <optional>
+#include <string>
+
+#include "rosearch/net/http_server.h"
+#include "rosearch/platform/clock.h"
+
+namespace rosearch::cell {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A process's way out, beside a target that answers as it is told to.
+class outside {
+ public:
+  explicit outside(unsigned status)
+      : server{io, http_server_settings{},
+               [this, status](const http_call&, const http_respond& respond) {
+                 ++calls;
+                 if (status != 0) {
+                   respond({status, "here"});
+                 }
+               }} {}
+
+  std::optional<result<http_reply>> Send(const reach& how, duration span) {
+    http_request request;
+    request.address = "127.0.0.1:" + std::to_string(server.port());
+    request.answer_by = SteadyNow() + milliseconds{300};
+    std::optional<result<http_reply>> got;
+    client.Send(request, how, [&got](result<http_reply> answer) { got = std::move(answer); });
+    if (lose_peers) {
+      client.SetPeers({});
+    }
+    io.restart();
+    io.run_for(span);
+    return got;
+  }
+
+  boost::asio::io_context io;
+  int calls{0};
+  bool lose_peers{false};
+  http_server server;
+  http_client direct{io};
+  peer_link peers{io, "127.0.0.1:0", 7,
+                  [this](const wire::peer_frame& frame) { client.Serve(frame); }};
+  relayed_client client{io, direct, peers};
+};
+
+}  // namespace
+
+TEST_CASE("a direct answer needs no peer") {
+  outside made{200};
+  const auto got = made.Send({}, milliseconds{200});
+  REQUIRE(got);
+  CHECK(got->value().body == "here");
+  CHECK(made.client.Relayed() == 0);
+}
+
+// The target doesn't answer, and while it is waited for the last peer is lost. The process divided
+// by the number of its peers and ended; every caller with a request there got no answer.
+TEST_CASE("peers that are lost while a request is under way end nothing") {
+  outside made{0};
+  made.client.SetPeers({"127.0.0.1:9"});
+  made.lose_peers = true;
+  const auto got = made.Send({true, false, milliseconds{20}}, milliseconds{600});
+  REQUIRE(got);
+  CHECK(got->has_error());
+}
+
+// The target refuses this process alone; a peer gets the answer.
+TEST_CASE("a refusal that may be meant for this process alone is tried by a peer") {
+  outside made{503};
+  made.client.SetPeers({made.peers.address()});
+  const auto got = made.Send({true, true, milliseconds{100}}, milliseconds{600});
+  REQUIRE(got);
+  CHECK(got->value().status == 503);
+  CHECK(made.client.Relayed() > 0);
+  CHECK(made.calls > 1);
+}
+
+}  // namespace rosearch::cell
