Count a run in one place, whether it was ordered or adopted

BeginRun and Adopt each charged the worker and counted the run in step, job and worker; both call Attach now, the mirror of Detach. No change of behaviour.

--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -244,6 +244,9 @@
   void ReleaseTasks(worker_state& worker);
 
   // scheduler_runs.cc
+  /// Counts a run wherever it has to be counted; `Detach` takes it out again.
+  live_run& Attach(step_state& step, std::uint32_t index, worker_state& worker,
+                   std::uint32_t number, const instant& now);
   live_run& BeginRun(step_state& step, std::uint32_t index, worker_state& worker,
                      std::uint32_t number, std::string checkpoint, std::string ticket,
                      const instant& now);
--- a/src/rosearch/sched/scheduler_reports.cc
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -77,30 +77,11 @@
     StopStranger(worker, row, now);
     return;
   }
-  auto made = std::make_unique<live_run>();
-  made->task = row.task;
-  made->run = row.run;
-  made->worker = &worker;
-  made->step = step;
-  made->index = name->index;
-  made->charged = step->spec->need;
-  if (step->spec->uses_leftover) {
-    made->charged.processors_milli = 0;
-  }
-  made->phase = run_phase::kRunning;
-  made->checkpoint = row.checkpoint;
-  made->percent = row.percent;
-  made->started_at = now.steady;
-  made->known_at = now.steady;
-  made->progressed_at = now.steady;
-  ++step->tasks[name->index].live;
-  ++job->live;
-  job->phase = job_phase::kRunning;
-  step->runs.push_back(made.get());
-  worker.used = worker.used + made->charged;
-  worker.service_runs += step->spec->service ? 1 : 0;
-  worker.leftover_runs += step->spec->uses_leftover ? 1 : 0;
-  worker.runs[row.task] = std::move(made);
+  auto& run = Attach(*step, name->index, worker, row.run, now);
+  run.phase = run_phase::kRunning;
+  run.checkpoint = row.checkpoint;
+  run.percent = row.percent;
+  run.known_at = now.steady;
   log_.Write(event_line{"run_adopted"}
                  .Add("task", row.task)
                  .Add("run", row.run)
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -44,10 +44,8 @@
   return same ? found->second.get() : nullptr;
 }
 
-live_run& scheduler::BeginRun(step_state& step, std::uint32_t index, worker_state& worker,
-                              std::uint32_t number, std::string checkpoint, std::string ticket,
-                              const instant& now) {
-  auto& task = step.tasks[index];
+live_run& scheduler::Attach(step_state& step, std::uint32_t index, worker_state& worker,
+                            std::uint32_t number, const instant& now) {
   auto made = std::make_unique<live_run>();
   made->task = step.Name() + '.' + std::to_string(index);
   made->run = number;
@@ -58,31 +56,39 @@
   if (step.spec->uses_leftover) {
     made->charged.processors_milli = 0;
   }
-  made->ticket = ticket;
-  made->checkpoint = checkpoint;
   made->started_at = now.steady;
   made->progressed_at = now.steady;
-  ++task.live;
+  ++step.tasks[index].live;
   ++step.job->live;
   step.job->phase = job_phase::kRunning;
   step.runs.push_back(made.get());
   worker.used = worker.used + made->charged;
   worker.service_runs += step.spec->service ? 1 : 0;
   worker.leftover_runs += step.spec->uses_leftover ? 1 : 0;
+  auto& run = *made;
+  worker.runs[run.task] = std::move(made);
+  return run;
+}
+
+live_run& scheduler::BeginRun(step_state& step, std::uint32_t index, worker_state& worker,
+                              std::uint32_t number, std::string checkpoint, std::string ticket,
+                              const instant& now) {
+  auto& task = step.tasks[index];
+  auto& run = Attach(step, index, worker, number, now);
+  run.ticket = ticket;
+  run.checkpoint = checkpoint;
   worker.lease_until = std::max(worker.lease_until, now.steady + LongestLease());
-  orders_.emplace_back(start_order{worker.facts.id, worker.facts.address, made->task, number,
+  orders_.emplace_back(start_order{worker.facts.id, worker.facts.address, run.task, number,
                                    step.job->spec, std::move(checkpoint), std::move(ticket)});
   log_.Write(event_line{"run_ordered"}
                  .Add("job", step.job->spec->id)
-                 .Add("task", made->task)
+                 .Add("task", run.task)
                  .Add("run", number)
                  .Add("worker", worker.facts.id)
                  .Add("free_cpu", worker.Free().processors_milli)
                  .Add("free_mb", worker.Free().memory_mb)
                  .Add("attempt", task.failed_runs.size() + 1)
-                 .Add("resumes", static_cast<int>(!made->checkpoint.empty())));
-  auto& run = *made;
-  worker.runs[run.task] = std::move(made);
+                 .Add("resumes", static_cast<int>(!run.checkpoint.empty())));
   return run;
 }
 
