Suspect a leader by its broken connections, and by when peers heard it

Asked after 0.35 s of silence, all peers had heard the leader a moment before its end, and each such word counted as if it had been heard just then: 0.35 s more. A killed process breaks its connections at once, which nobody looked at; and requests already on their way to the lost leader waited a second for its answer. Ruled out: the store (the claim is answered in 9 ms), the pauses before a claim (0.04 s). Change: a peer says when it heard the leader; a broken connection leaves 0.15 s in which somebody must hear it; small processes ask no peers while large ones do; questions to a leader that is replaced end at once.

--- a/src/rosearch/cell/election.cc
+++ b/src/rosearch/cell/election.cc
@@ -12,6 +12,7 @@
   known_ = claimed;
   leaving_ = false;
   heard_at_ = time_point{};
+  broken_at_ = time_point{};
   quiet_since_ = now;
   return true;
 }
@@ -20,6 +21,20 @@
   if (epoch == known_.epoch) {
     heard_at_ = now;
     quiet_since_ = now;
+    broken_at_ = time_point{};
+  }
+}
+
+void election::OnConnectionBroken(time_point now) {
+  if (known_.epoch > 0 && broken_at_ == time_point{}) {
+    broken_at_ = now;
+  }
+}
+
+void election::OnPeerHeard(time_point at) {
+  quiet_since_ = std::max(quiet_since_, at);
+  if (at > broken_at_) {
+    broken_at_ = time_point{};
   }
 }
 
@@ -41,23 +56,34 @@
 bool election::Hears(time_point now) const { return !leaving_ && Reaches(now); }
 
 bool election::Reaches(time_point now) const {
-  return heard_at_ != time_point{} && now - heard_at_ < settings_.suspect_after;
+  return heard_at_ != time_point{} && broken_at_ == time_point{} && now - heard_at_ < settings_.suspect_after;
 }
 
 bool election::Doubts(time_point now) const {
   if (!read_ || quiet_since_ == time_point{}) {
     return false;
   }
-  return leaving_ || known_.epoch == 0 || now - quiet_since_ >= settings_.doubt_after;
+  if (leaving_ || known_.epoch == 0) {
+    return true;
+  }
+  // Small processes ask nobody while larger ones do: thirty that ask thirty take each a third of its
+  // share of the processor.
+  const auto patience = small_ ? settings_.small_waits : duration{};
+  const bool broken = broken_at_ != time_point{} && now - broken_at_ >= patience;
+  return broken || now - quiet_since_ >= settings_.doubt_after + patience;
 }
 
 bool election::ShouldClaim(time_point now) const {
   if (!Doubts(now) || now < claim_again_at_) {
     return false;
   }
-  const bool at_once = leaving_ || known_.epoch == 0;
-  const auto patience = at_once ? duration{} : settings_.suspect_after;
-  return now - quiet_since_ >= patience + OwnDelay(now);
+  const auto own = OwnDelay(now);
+  if (leaving_ || known_.epoch == 0) {
+    return now - quiet_since_ >= own;
+  }
+  const bool broken =
+      broken_at_ != time_point{} && now - broken_at_ >= settings_.broken_after + own;
+  return broken || now - quiet_since_ >= settings_.suspect_after + own;
 }
 
 }  // namespace rosearch::cell
--- a/src/rosearch/cell/election.h
+++ b/src/rosearch/cell/election.h
@@ -27,6 +27,9 @@
   duration suspect_after{std::chrono::milliseconds{600}};
   /// After this silence the peers are asked, so that their answers are there in time.
   duration doubt_after{std::chrono::milliseconds{350}};
+  /// A leader whose connection broke is suspected after this: a sound one is heard again within a
+  /// repeated question, and by some peer far sooner.
+  duration broken_after{std::chrono::milliseconds{150}};
   /// A process with little processor time lets larger ones claim first.
   duration small_waits{std::chrono::milliseconds{500}};
   /// Each process waits up to so long more, so that not all claim at once.
@@ -63,26 +66,32 @@
   bool OnLeadership(const leadership& claimed, time_point now);
   /// The leader answered.
   void OnHeard(std::uint64_t epoch, time_point now);
-  /// The leader said that it is about to stop, or its connection was refused.
+  /// The connection to the leader broke, as it does at once where its process is killed.
+  void OnConnectionBroken(time_point now);
+  /// The leader said that it is about to stop.
   void OnLeaderLeaving(std::uint64_t epoch);
   /// @return whether the leader itself said that it stops; the peers need not be asked.
   [[nodiscard]] bool Leaving() const { return leaving_; }
   /// A claim was sent.
   void OnClaimSent(time_point now) { claim_again_at_ = now + settings_.claim_again; }
-  /// A peer hears the leader that this process doesn't.
-  void OnPeerHears(time_point now) { quiet_since_ = now; }
+  /// A peer heard the leader, and that connection hasn't broken since.
+  /// @param at  when it heard it last. Were the moment of its word taken instead, a dead leader
+  ///            would be suspected 0.35 s later: all peers have heard it a moment ago.
+  void OnPeerHeard(time_point at);
 
   /// @return whether nothing was heard of the leader for long enough to ask the peers.
   [[nodiscard]] bool Doubts(time_point now) const;
   /// @return whether this process should claim leadership now.
   [[nodiscard]] bool ShouldClaim(time_point now) const;
-  /// @return whether the leader's answer is fresh, and it isn't about to stop.
+  /// @return whether the leader's answer is fresh, and it is neither about to stop nor cut off.
   [[nodiscard]] bool Hears(time_point now) const;
   /// @return whether the leader's answer is fresh. One that is about to stop leads on until another
   /// has claimed, so it is still asked.
   [[nodiscard]] bool Reaches(time_point now) const;
 
   [[nodiscard]] const leadership& Known() const { return known_; }
+  /// @return when the leader last answered.
+  [[nodiscard]] time_point HeardAt() const { return heard_at_; }
 
  private:
   [[nodiscard]] duration OwnDelay(time_point now) const;
@@ -96,6 +105,7 @@
   bool leaving_{false};
   time_point heard_at_{};
   time_point quiet_since_{};
+  time_point broken_at_{};  ///< unset: the connection to the leader is whole, as far as is known
   time_point claim_again_at_{};
 };
 
--- a/src/rosearch/cell/internal/node_callers.h
+++ b/src/rosearch/cell/internal/node_callers.h
@@ -89,8 +89,7 @@
   sent.set_host(call->request.host);
   sent.set_path(call->request.path);
   sent.set_body(call->request.body);
-  sent.set_time_left_ms(static_cast<std::uint32_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(left).count()));
+  sent.set_time_left_ms(Millis(left));
   constexpr duration kOneTry = std::chrono::milliseconds{1'000};
   peers_.Ask(election_.Known().address, std::move(frame), std::min(call->answer_by, now + kOneTry),
              [this, call, take](const wire::peer_frame* answer) {
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -28,7 +28,12 @@
     ClaimIfNobodyLeads();
   }
   UpdatePeers();
-  tick_timer_.expires_after(!Leading() && election_.Doubts(now) ? kDoubtTick : kTick);
+  TickAfter(!Leading() && election_.Doubts(now) ? kDoubtTick : kTick);
+}
+
+template <typename Ports>
+void node<Ports>::TickAfter(duration pause) {
+  tick_timer_.expires_after(pause);
   tick_timer_.async_wait([this](const boost::system::error_code& failed) {
     if (!failed) {
       Tick();
@@ -36,14 +41,28 @@
   });
 }
 
+template <typename Ports>
+void node<Ports>::OnConnectionBroken(const std::string& peer) {
+  if (Leading() || stopping_ || peer != election_.Known().address) {
+    return;
+  }
+  log_.Write(event_line{"leader_connection_broken", event_weight::kBelief}
+                 .Add("epoch", election_.Known().epoch)
+                 .Add("leader", peer)
+                 .Add("heard_ms_ago", SteadyNow() - election_.HeardAt()));
+  election_.OnConnectionBroken(SteadyNow());
+  pinged_at_ = time_point{};
+  Tick();
+}
+
 template <typename Ports>
 void node<Ports>::ClaimIfNobodyLeads() {
   const auto now = SteadyNow();
   if (!election_.Leaving()) {
     AskPeersForLeader();
   }
-  const bool agreed =
-      election_.Leaving() || (!asking_peers_ && now - nobody_hears_at_ < kMemberFresh);
+  // Whether a peer hears the leader went into the election as its answer came.
+  const bool agreed = election_.Leaving() || now - asked_all_at_ < kWordFresh;
   if (election_.ShouldClaim(now) && agreed) {
     Claim();
   }
@@ -151,15 +170,11 @@
       }
     }
     const auto& configuration = leader_->configuration();
-    const auto millis = [](duration span) {
-      return static_cast<std::uint32_t>(
-          std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
-    };
     pong.set_config_version(configuration.version);
     pong.set_max_header_bytes(configuration.limits.max_header_bytes);
     pong.set_max_body_bytes(configuration.limits.max_body_bytes);
-    pong.set_header_timeout_ms(millis(configuration.limits.header_timeout));
-    pong.set_idle_timeout_ms(millis(configuration.limits.idle_timeout));
+    pong.set_header_timeout_ms(Millis(configuration.limits.header_timeout));
+    pong.set_idle_timeout_ms(Millis(configuration.limits.idle_timeout));
   }
   peers_.Answer(frame, std::move(answer));
 }
@@ -199,9 +214,13 @@
   } else if (frame.has_query()) {
     wire::peer_frame answer;
     answer.set_epoch(election_.Known().epoch);
-    const bool hears = election_.Hears(SteadyNow()) || Leading();
-    answer.mutable_view()->set_heard(hears && !stopping_);
-    answer.mutable_view()->set_leader(election_.Known().address);
+    const auto now = SteadyNow();
+    const bool hears = election_.Hears(now) || Leading();
+    const auto ago = Leading() ? duration{} : now - election_.HeardAt();
+    auto& view = *answer.mutable_view();
+    view.set_heard(hears && !stopping_);
+    view.set_leader(election_.Known().address);
+    view.set_heard_ms_ago(hears ? Millis(ago) : 0);
     peers_.Answer(frame, std::move(answer));
   } else if (frame.has_notice()) {
     if (frame.notice().resigning()) {
@@ -217,6 +236,7 @@
 
 template <typename Ports>
 void node<Ports>::AdoptLeadership(const leadership& claimed) {
+  const auto former = election_.Known().address;
   if (!election_.OnLeadership(claimed, SteadyNow())) {
     return;
   }
@@ -230,6 +250,12 @@
   }
   pinged_at_ = time_point{};
   members_version_ = 0;
+  if (claimed.address != peers_.address()) {
+    peers_.WatchConnection(claimed.address);
+  }
+  if (!former.empty() && former != claimed.address) {
+    peers_.Abandon(former);
+  }
 }
 
 template <typename Ports>
@@ -305,7 +331,7 @@
 template <typename Ports>
 void node<Ports>::AskPeersForLeader() {
   const auto now = SteadyNow();
-  if (asking_peers_ || now - asked_peers_at_ < kQueryPatience * 2) {
+  if (asking_peers_ || now - asked_peers_at_ < kQueryPatience) {
     return;
   }
   asked_peers_at_ = now;
@@ -316,29 +342,26 @@
     }
   }
   if (asked.empty()) {
-    nobody_hears_at_ = now;
+    asked_all_at_ = now;
     return;
   }
   asking_peers_ = true;
   auto open = std::make_shared<std::size_t>(asked.size());
-  auto heard = std::make_shared<bool>(false);
   for (const auto& address : asked) {
     wire::peer_frame frame;
     frame.set_epoch(election_.Known().epoch);
     frame.mutable_query();
     peers_.Ask(address, std::move(frame), now + kQueryPatience,
-               [this, open, heard](const wire::peer_frame* answer) {
+               [this, open, now](const wire::peer_frame* answer) {
                  const bool hears = answer != nullptr && answer->view().heard() &&
                                     answer->epoch() >= election_.Known().epoch;
-                 *heard = *heard || hears;
-                 if (--*open > 0) {
-                   return;
+                 if (hears) {
+                   const std::chrono::milliseconds ago{answer->view().heard_ms_ago()};
+                   election_.OnPeerHeard(SteadyNow() - ago);
                  }
-                 asking_peers_ = false;
-                 if (*heard) {
-                   election_.OnPeerHears(SteadyNow());
-                 } else {
-                   nobody_hears_at_ = SteadyNow();
+                 if (--*open == 0) {
+                   asking_peers_ = false;
+                   asked_all_at_ = now;
                  }
                });
   }
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -93,6 +93,9 @@
   /// @return whether nothing here is still owed to anybody.
   [[nodiscard]] bool Idle() const { return !leader_ && under_way_ == 0; }
 
+  /// The connection to a peer broke.
+  void OnConnectionBroken(const std::string& peer);
+
   /// Takes a message of a peer.
   void Receive(const wire::peer_frame& frame);
 
@@ -134,6 +137,8 @@
   static constexpr duration kClaimsWait = std::chrono::milliseconds{1'000};
   static constexpr duration kClaimsRetry = std::chrono::milliseconds{200};
   static constexpr duration kQueryPatience = std::chrono::milliseconds{150};
+  /// So long the peers' word counts that none of them hears the leader.
+  static constexpr duration kWordFresh = std::chrono::milliseconds{450};
   /// A request that finds no leader is refused after this: about what a change of leader takes
   /// where the old one said goodbye, and less than the second after which a refused caller comes
   /// back.
@@ -151,9 +156,14 @@
     self.set_processor_milli(settings_.processor_milli);
     return self;
   }
+  [[nodiscard]] static std::uint32_t Millis(duration span) {
+    return static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
+  }
   [[nodiscard]] bool Leading() const { return leader_ != nullptr; }
 
   void Tick();
+  void TickAfter(duration pause);
   void Ping();
   void OnPong(const wire::peer_frame& frame);
   void Announce();
@@ -198,7 +208,7 @@
   time_point heard_at_{time_point::min() + std::chrono::hours{1}};
   time_point pinged_at_{};
   time_point asked_peers_at_{};
-  time_point nobody_hears_at_{};  ///< when the peers last said that they hear no leader either
+  time_point asked_all_at_{};  ///< when the peers were asked who have all answered since, or not
   std::size_t under_way_{0};
 };
 
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <utility>
+#include <vector>
 
 #include "rosearch/platform/clock.h"
 
@@ -26,8 +27,11 @@
 }  // namespace
 
 peer_link::peer_link(boost::asio::io_context& io, const std::string& address, std::uint64_t life,
-                     receive on_message)
-    : io_{io}, on_message_{std::move(on_message)}, next_exchange_{life} {
+                     receive on_message, broken on_broken)
+    : io_{io},
+      on_message_{std::move(on_message)},
+      on_broken_{std::move(on_broken)},
+      next_exchange_{life} {
   transport_ = std::make_unique<peer_transport>(
       address,
       [this, alive = std::weak_ptr<bool>{alive_}](std::string bytes) {
@@ -37,7 +41,14 @@
           }
         });
       },
-      kTransport);
+      kTransport,
+      [this, alive = std::weak_ptr<bool>{alive_}](const std::string& to) {
+        boost::asio::post(io_, [this, alive, to] {
+          if (!alive.expired() && on_broken_) {
+            on_broken_(to);
+          }
+        });
+      });
 }
 
 peer_link::~peer_link() = default;
@@ -85,6 +96,21 @@
   });
 }
 
+void peer_link::Abandon(const std::string& to) {
+  std::vector<answer_callback> ended;
+  for (auto each = questions_.begin(); each != questions_.end();) {
+    if (each->second->to == to) {
+      ended.push_back(std::move(each->second->done));
+      each = questions_.erase(each);
+    } else {
+      ++each;
+    }
+  }
+  for (const auto& done : ended) {
+    done(nullptr);
+  }
+}
+
 void peer_link::Answer(const wire::peer_frame& question, wire::peer_frame answer) {
   answer.set_exchange(question.exchange());
   answer.set_from(address());
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -25,6 +25,8 @@
   using answer_callback = std::function<void(const wire::peer_frame*)>;
   /// Takes a message that answers no question of ours.
   using receive = std::function<void(const wire::peer_frame&)>;
+  /// Gets the address of a watched peer whose connection broke.
+  using broken = std::function<void(const std::string&)>;
 
   /// @param address  host:port to bind.
   /// @param life     drawn at random at each start of the process. Questions are numbered from it:
@@ -32,7 +34,7 @@
   ///                 remember for its former life, and tell a caller that a job was accepted which
   ///                 nobody has ever seen.
   peer_link(boost::asio::io_context& io, const std::string& address, std::uint64_t life,
-            receive on_message);
+            receive on_message, broken on_broken = {});
   ~peer_link();
   peer_link(const peer_link&) = delete;
   peer_link& operator=(const peer_link&) = delete;
@@ -45,6 +47,13 @@
   void Ask(const std::string& to, wire::peer_frame frame, time_point answer_by,
            answer_callback done);
 
+  /// Ends all questions to a peer that is gone without an answer. Whoever asked can turn elsewhere
+  /// at once: a caller's request that was on its way to a leader waited for a second longer.
+  void Abandon(const std::string& to);
+
+  /// Watches the connection to one peer, instead of that to the one before.
+  void WatchConnection(const std::string& to) { transport_->WatchConnection(to); }
+
   /// Answers a question.
   void Answer(const wire::peer_frame& question, wire::peer_frame answer);
 
@@ -74,6 +83,7 @@
 
   boost::asio::io_context& io_;
   receive on_message_;
+  broken on_broken_;
   std::uint64_t next_exchange_;
   std::unordered_map<std::uint64_t, std::unique_ptr<question>> questions_;
   // A question that comes again is not acted upon again; where it was answered, the answer goes out
--- a/src/rosearch/net/peer_transport.cc
+++ b/src/rosearch/net/peer_transport.cc
@@ -17,6 +17,7 @@
 constexpr int kLargestMessage = 32 << 20;
 
 constexpr const char* kWakeAddress = "inproc://wake";
+constexpr const char* kEventsAddress = "inproc://events";
 
 int Count(std::chrono::milliseconds span) { return static_cast<int>(span.count()); }
 
@@ -36,9 +37,11 @@
 
 class peer_transport::impl {
  public:
-  impl(const std::string& address, receive on_message, const peer_transport_options& options)
+  impl(const std::string& address, receive on_message, const peer_transport_options& options,
+       broken on_broken)
       : options_{options},
         on_message_{std::move(on_message)},
+        on_broken_{std::move(on_broken)},
         receiver_{context_, zmq::socket_type::router},
         wake_in_{context_, zmq::socket_type::pair},
         wake_out_{context_, zmq::socket_type::pair} {
@@ -69,6 +72,12 @@
     }
   }
 
+  void WatchConnection(const std::string& to) {
+    const std::scoped_lock lock{mutex_};
+    to_watch_ = to;
+    WakeLocked();
+  }
+
   [[nodiscard]] transport_counters Counters() const {
     const std::scoped_lock lock{counters_mutex_};
     return counters_;
@@ -86,12 +95,53 @@
     while (!stopping_) {
       std::vector<zmq::pollitem_t> items{{receiver_.handle(), 0, ZMQ_POLLIN, 0},
                                          {wake_in_.handle(), 0, ZMQ_POLLIN, 0}};
+      if (events_) {
+        items.push_back({events_.handle(), 0, ZMQ_POLLIN, 0});
+      }
       zmq::poll(items, std::chrono::milliseconds{-1});
       ReceiveAll();
+      Watch();
+      ReceiveEvents();
       SendAll();
     }
   }
 
+  /// Follows `WatchConnection`, on the thread that owns the sockets.
+  void Watch() {
+    std::string wanted;
+    {
+      const std::scoped_lock lock{mutex_};
+      wanted.swap(to_watch_);
+    }
+    if (wanted.empty() || wanted == watched_) {
+      return;
+    }
+    if (const auto former = senders_.find(watched_); former != senders_.end()) {
+      (void)zmq_socket_monitor(former->second.handle(), nullptr, 0);
+    }
+    events_.close();
+    watched_ = wanted;
+    auto& socket = SocketTo(wanted);
+    const auto where = kEventsAddress + std::to_string(++watches_);
+    if (zmq_socket_monitor(socket.handle(), where.c_str(), ZMQ_EVENT_DISCONNECTED) != 0) {
+      LOG(ERROR) << "event=connection_unwatched to=" << wanted << " detail=" << zmq_strerror(errno);
+      return;
+    }
+    events_ = zmq::socket_t{context_, zmq::socket_type::pair};
+    events_.connect(where);
+  }
+
+  void ReceiveEvents() {
+    zmq::message_t part;
+    bool seen = false;
+    while (events_ && events_.recv(part, zmq::recv_flags::dontwait)) {
+      seen = true;  // only breaks are asked for
+    }
+    if (seen && on_broken_) {
+      on_broken_(watched_);
+    }
+  }
+
   void ReceiveAll() {
     zmq::message_t wake;
     while (wake_in_.recv(wake, zmq::recv_flags::dontwait)) {
@@ -140,22 +190,28 @@
   peer_transport_options options_;
   zmq::context_t context_;
   receive on_message_;
+  broken on_broken_;
   zmq::socket_t receiver_;
   zmq::socket_t wake_in_;
   zmq::socket_t wake_out_;  ///< guarded by `mutex_`
   std::string address_;
   std::map<std::string, zmq::socket_t> senders_;
+  zmq::socket_t events_;  ///< of the connection that is watched
+  std::string watched_;
+  std::uint64_t watches_{0};
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
   std::vector<std::pair<std::string, std::string>> outgoing_;
+  std::string to_watch_;  ///< guarded by `mutex_`; empty: no change
   mutable std::mutex counters_mutex_;
   transport_counters counters_;
   std::thread thread_;
 };
 
 peer_transport::peer_transport(const std::string& address, receive on_message,
-                               const peer_transport_options& options)
-    : impl_{std::make_unique<impl>(address, std::move(on_message), options)} {}
+                               const peer_transport_options& options, broken on_broken)
+    : impl_{std::make_unique<impl>(address, std::move(on_message), options,
+                                   std::move(on_broken))} {}
 
 peer_transport::~peer_transport() = default;
 
@@ -163,6 +219,7 @@
 void peer_transport::Send(const std::string& to, std::string bytes) {
   impl_->Send(to, std::move(bytes));
 }
+void peer_transport::WatchConnection(const std::string& to) { impl_->WatchConnection(to); }
 transport_counters peer_transport::Counters() const { return impl_->Counters(); }
 
 }  // namespace rosearch
--- a/src/rosearch/net/peer_transport.h
+++ b/src/rosearch/net/peer_transport.h
@@ -39,12 +39,16 @@
  public:
   /// Called for each message, on the transport's own thread.
   using receive = std::function<void(std::string)>;
+  /// Called with the address that `WatchConnection` named when its connection broke, on the
+  /// transport's own thread.
+  using broken = std::function<void(const std::string&)>;
 
   /// Binds at once.
   /// @param address  host:port; port 0 binds a free one.
   /// @throws zmq::error_t where the address can't be bound.
+  /// @param on_broken  may be empty.
   peer_transport(const std::string& address, receive on_message,
-                 const peer_transport_options& options = {});
+                 const peer_transport_options& options = {}, broken on_broken = {});
   ~peer_transport();
   peer_transport(const peer_transport&) = delete;
   peer_transport& operator=(const peer_transport&) = delete;
@@ -56,6 +60,10 @@
   /// arrive in order or not at all.
   void Send(const std::string& to, std::string bytes);
 
+  /// Watches the connection to one peer instead of that to the one before. A process that is killed
+  /// breaks it at once; a machine without power doesn't. It is made anew by itself.
+  void WatchConnection(const std::string& to);
+
   [[nodiscard]] transport_counters Counters() const;
 
  private:
--- a/test/rosearch/cell/election_test.cc
+++ b/test/rosearch/cell/election_test.cc
@@ -64,10 +64,48 @@
   made.OnClaimsRead(kStart);
   made.OnLeadership(kFirst, kStart);
   made.OnHeard(1, kStart);
-  made.OnPeerHears(kStart + milliseconds{500});
+  made.OnPeerHeard(kStart + milliseconds{500});
   CHECK_FALSE(made.ShouldClaim(kStart + milliseconds{1'000}));
 }
 
+// The leader's machine loses power. All have heard it a moment ago; asked about it half a second
+// later, the peers' word must not count as if the leader had answered just then.
+TEST_CASE("a peer's word counts from when it heard the leader") {
+  auto made = Made();
+  made.OnClaimsRead(kStart);
+  made.OnLeadership(kFirst, kStart);
+  made.OnHeard(1, kStart);
+  made.OnPeerHeard(kStart + milliseconds{50});
+  CHECK_FALSE(made.ShouldClaim(kStart + milliseconds{600}));
+  CHECK(made.ShouldClaim(kStart + milliseconds{750}));
+}
+
+// The leader's process is killed, and all its connections break. Waiting until its silence is
+// certain would keep callers waiting for half a second longer.
+TEST_CASE("a leader whose connection broke is replaced soon") {
+  auto made = Made();
+  made.OnClaimsRead(kStart);
+  made.OnLeadership(kFirst, kStart);
+  made.OnHeard(1, kStart);
+  made.OnConnectionBroken(kStart + milliseconds{20});
+  CHECK(made.Doubts(kStart + milliseconds{20}));
+  CHECK_FALSE(made.Reaches(kStart + milliseconds{20}));
+  CHECK_FALSE(made.ShouldClaim(kStart + milliseconds{100}));
+  CHECK(made.ShouldClaim(kStart + milliseconds{300}));
+}
+
+// Connections are reset on the way; the leader is sound.
+TEST_CASE("a leader that is heard after its connection broke is left alone") {
+  auto made = Made();
+  made.OnClaimsRead(kStart);
+  made.OnLeadership(kFirst, kStart);
+  made.OnHeard(1, kStart);
+  made.OnConnectionBroken(kStart + milliseconds{20});
+  SECTION("by this process") { made.OnHeard(1, kStart + milliseconds{90}); }
+  SECTION("by a peer") { made.OnPeerHeard(kStart + milliseconds{90}); }
+  CHECK_FALSE(made.ShouldClaim(kStart + milliseconds{300}));
+}
+
 TEST_CASE("a leader that says goodbye is replaced at once") {
   auto made = Made();
   made.OnClaimsRead(kStart);
--- /dev/null
+++ b/test/rosearch/cell/node_test.cc
@@ -0,0 +1,257 @@
+#include "rosearch/cell/node.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <catch2/catch.hpp>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "rosearch/cell/fake_ports.h"
+
+namespace rosearch::cell {
+namespace {
+
+using std::chrono::seconds;
+
+/// The log of claims, shared by all processes of a cell.
+class claims_log {
+ public:
+  append_answer Append(const std::string& record, std::uint64_t at) {
+    const std::scoped_lock lock{mutex_};
+    if (at != records_.size()) {
+      return {append_outcome::kMoved, 0, 0};
+    }
+    records_.push_back(record);
+    return {append_outcome::kStored, at, 0};
+  }
+  std::vector<std::string> From(std::uint64_t first) const {
+    const std::scoped_lock lock{mutex_};
+    return {records_.begin() + static_cast<std::ptrdiff_t>(first), records_.end()};
+  }
+
+ private:
+  mutable std::mutex mutex_;
+  std::vector<std::string> records_;
+};
+
+/// The outside of one process: its own state and workers, but the claims of all.
+class claiming_ports : public fake_ports {
+ public:
+  claiming_ports(boost::asio::io_context& io, claims_log& claims)
+      : fake_ports{io}, io_{io}, claims_{claims} {}
+
+  void Append(stream which, const std::vector<std::string>& records,
+              const std::optional<writer_proof>& proof, const std::optional<std::uint64_t>& at,
+              const append_callback& done) {
+    if (which != stream::kClaims) {
+      fake_ports::Append(which, records, proof, at, done);
+      return;
+    }
+    boost::asio::post(io_,
+                      [done, answer = claims_.Append(records.front(), *at)] { done(answer); });
+  }
+  void Read(stream which, std::uint64_t from, duration wait, const log_callback& done) {
+    if (which != stream::kClaims) {
+      fake_ports::Read(which, from, wait, done);
+      return;
+    }
+    auto timer = std::make_shared<boost::asio::steady_timer>(io_, milliseconds{20});
+    timer->async_wait([this, timer, from, done](const boost::system::error_code&) {
+      log_page page;
+      page.records = claims_.From(from);
+      page.next = from + page.records.size();
+      done(page);
+    });
+  }
+  void Newest(stream which, const std::string& after, const newest_callback& done) {
+    if (which != stream::kClaims) {
+      fake_ports::Newest(which, after, done);
+      return;
+    }
+    newest_page page;
+    const auto records = claims_.From(0);
+    page.end = records.size();
+    if (!records.empty()) {
+      page.records.push_back(*SplitKeyed(records.back()));
+    }
+    boost::asio::post(io_, [done, page] { done(page); });
+  }
+
+ private:
+  boost::asio::io_context& io_;
+  claims_log& claims_;
+};
+
+static_assert(cell_ports<claiming_ports>);
+
+/// One process of a cell, on a thread of its own.
+class process {
+ public:
+  process(claims_log& claims, const std::string& address, const std::vector<std::string>& seeds,
+          std::uint64_t life)
+      : ports_{io_, claims},
+        peers_{io_, address, life,
+               [this](const wire::peer_frame& frame) { node_->Receive(frame); },
+               [this](const std::string& peer) { node_->OnConnectionBroken(peer); }},
+        outside_{io_, http_, peers_} {
+    cell_settings settings;
+    settings.name = address;
+    settings.seeds = seeds;
+    node_ = std::make_unique<node<claiming_ports>>(io_, settings, ports_, peers_, outside_, life,
+                                                   0.0, log_, metrics_);
+    node_->Begin();
+    Thaw();
+  }
+  ~process() { Freeze(); }
+  process(const process&) = delete;
+  process& operator=(const process&) = delete;
+
+  /// Stops all work; connections stay open, as those of a machine without power.
+  void Freeze() {
+    io_.stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+  void Thaw() {
+    io_.restart();
+    thread_ = std::thread{[this] { io_.run(); }};
+  }
+
+  /// @return whether it leads and answers, asked on its own thread.
+  [[nodiscard]] bool Leads() {
+    return OnThread([this] {
+      return node_->Ready() && node_->Dump().find("leading=1") != std::string::npos;
+    });
+  }
+  /// @return whether it would answer callers.
+  [[nodiscard]] bool Ready() {
+    return OnThread([this] { return node_->Ready(); });
+  }
+  /// @return whether it wrote a line about that event.
+  [[nodiscard]] bool Logged(const std::string& event) {
+    return OnThread([this, event] {
+      return std::ranges::any_of(log_.lines, [&](const auto& line) {
+        return line.find("event=" + event) != std::string::npos;
+      });
+    });
+  }
+  /// Hands in a job, as a caller's request that comes in here.
+  [[nodiscard]] std::future<unsigned> Submit(const std::string& id) {
+    auto answered = std::make_shared<std::promise<unsigned>>();
+    auto status = answered->get_future();
+    boost::asio::post(io_, [this, id, answered] {
+      http_call call;
+      call.method = "POST";
+      call.path = "/jobs/" + id;
+      call.headers["host"] = "host";
+      call.body = "job";
+      node_->Take(call, [answered](const http_response& said) { answered->set_value(said.status); });
+    });
+    return status;
+  }
+
+ private:
+  template <typename Question>
+  bool OnThread(Question question) {
+    std::promise<bool> said;
+    auto answer = said.get_future();
+    boost::asio::post(io_, [&] { said.set_value(question()); });
+    return answer.get();
+  }
+
+  boost::asio::io_context io_;
+  claiming_ports ports_;
+  http_client http_{io_};
+  kept_lines log_;
+  metric_set metrics_;
+  std::unique_ptr<node<claiming_ports>> node_;
+  peer_link peers_;
+  relayed_client outside_;
+  std::thread thread_;
+};
+
+/// Three processes of one cell, of which one leads.
+class cell_of_three {
+ public:
+  cell_of_three() {
+    for (std::size_t at = 0; at < processes.size(); ++at) {
+      processes[at] = std::make_unique<process>(claims, kAddresses[at],
+                                                std::vector{std::string{kAddresses[0]}}, at + 1);
+      if (at == 0) {
+        Until([this] { return processes[0]->Leads(); });
+      }
+    }
+    Until([this] { return processes[1]->Ready() && processes[2]->Ready(); });
+    std::this_thread::sleep_for(milliseconds{500});
+  }
+
+  /// Waits until something holds.
+  /// @return how long that took.
+  template <typename Question>
+  static duration Until(Question holds) {
+    const auto began = SteadyNow();
+    while (!holds() && SteadyNow() - began < seconds{5}) {
+      std::this_thread::sleep_for(milliseconds{5});
+    }
+    return SteadyNow() - began;
+  }
+  [[nodiscard]] duration UntilOtherLeads() {
+    return Until([this] { return processes[1]->Leads() || processes[2]->Leads(); });
+  }
+
+  static constexpr std::array kAddresses{"127.0.0.1:47311", "127.0.0.1:47312", "127.0.0.1:47313"};
+  claims_log claims;
+  std::array<std::unique_ptr<process>, kAddresses.size()> processes;
+};
+
+}  // namespace
+
+// The machine that leads loses power: nothing is said and no connection breaks. Callers get no
+// answer until another process leads. When that is due, the cases of `election` tell exactly.
+TEST_CASE("a silent leader is replaced") {
+  cell_of_three cell;
+  cell.processes[0]->Freeze();
+  const auto took = cell.UntilOtherLeads();
+  CHECK(took > milliseconds{300});
+  CHECK(took < seconds{3});
+}
+
+// The process that leads is killed. Its connections break at once, but only its silence was noticed,
+// and callers waited for half a second more.
+TEST_CASE("a killed leader is noticed by its connections") {
+  cell_of_three cell;
+  cell.processes[0].reset();
+  CHECK(cell.UntilOtherLeads() < seconds{3});
+  CHECK((cell.processes[1]->Logged("leader_connection_broken") ||
+         cell.processes[2]->Logged("leader_connection_broken")));
+}
+
+// A request is on its way to the leader as it loses power. It must not be given up, nor wait for
+// that answer when another process already leads.
+TEST_CASE("a request on its way to a lost leader goes to the next one") {
+  cell_of_three cell;
+  cell.processes[0]->Freeze();
+  auto status = cell.processes[1]->Submit("a");
+  REQUIRE(status.wait_for(seconds{3}) == std::future_status::ready);
+  CHECK(status.get() == 200);
+}
+
+// Another process stands still for a while and wakes: it must follow the leader that there is.
+TEST_CASE("a process that stood still doesn't take over") {
+  cell_of_three cell;
+  cell.processes[1]->Freeze();
+  std::this_thread::sleep_for(milliseconds{1'500});
+  cell.processes[1]->Thaw();
+  std::this_thread::sleep_for(milliseconds{700});
+  CHECK(cell.processes[0]->Leads());
+  CHECK(cell.processes[1]->Ready());
+}
+
+}  // namespace rosearch::cell
