Tell a slow store from silent connections, and don't fall behind a slow one

Change: a time-out on a kept connection drops the others; another way gets a fresh connection that waits for no other; what is usual is learned from all ways; one exchange finds out for all whether a target is slow; the second batch follows a quarter of an append's usual time later; the store counts as away after three times that.

--- a/src/rosearch/cell/internal/leader_store.h
+++ b/src/rosearch/cell/internal/leader_store.h
@@ -25,8 +25,11 @@
 template <typename Ports>
 bool leader<Ports>::StoreAway() const {
   // An append that failed is the sharpest sign; one that takes long, the other.
-  return !batches_.empty() && (batches_.front().failures > 0 ||
-                               SteadyNow() - batches_.front().sent_at > settings_.store_patience);
+  constexpr int kUnusual = 3;
+  const auto patience = std::clamp(kUnusual * usual_append_, settings_.store_patience,
+                                   settings_.longest_store_patience);
+  return !batches_.empty() &&
+         (batches_.front().failures > 0 || SteadyNow() - batches_.front().sent_at > patience);
 }
 
 template <typename Ports>
@@ -42,9 +45,10 @@
     if (!beside) {
       return;  // looked at again when an answer comes
     }
-    if (now - newest.sent_at < settings_.batch_answer) {
-      After(writer_timer_, settings_.batch_answer - (now - newest.sent_at),
-            [](leader& self) { self.Store(); });
+    const auto apart = std::max<duration>(
+        settings_.batch_answer, usual_append_ / static_cast<int>(settings_.batches));
+    if (now - newest.sent_at < apart) {
+      After(writer_timer_, apart - (now - newest.sent_at), [](leader& self) { self.Store(); });
       return;
     }
   }
@@ -112,7 +116,11 @@
 template <typename Ports>
 void leader<Ports>::TakeStored() {
   while (!batches_.empty() && batches_.front().stored) {
-    metrics_.Observe("rosearch_append_seconds", SteadyNow() - batches_.front().sent_at);
+    const auto took = SteadyNow() - batches_.front().sent_at;
+    metrics_.Observe("rosearch_append_seconds", took);
+    if (batches_.front().failures == 0) {
+      usual_append_ += (took - usual_append_) / 4;
+    }
     const auto number = batches_.front().number;
     batches_.pop_front();
     scheduler_.OnStored(number, Now());
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -42,8 +42,9 @@
   /// Batches under way at once. Where an answer of the store takes a quarter of a second, a job
   /// would wait for the batch before its own as well, both when it is accepted and when it is done.
   std::size_t batches{4};
-  /// A second batch goes out beside one that is older than this; a quick store has answered by
-  /// then.
+  /// A second batch goes out beside one that is older than this, and than a quarter of what an
+  /// append usually takes: a quick store has answered by then, and a slow one, which takes them one
+  /// at a time, isn't sent more than it gets through.
   duration batch_answer{std::chrono::milliseconds{12}};
   /// An append that wasn't answered, or was refused, is sent again after this.
   duration store_retry{std::chrono::milliseconds{100}};
@@ -66,8 +67,11 @@
   duration claims_known_for{std::chrono::milliseconds{2'500}};
   /// A gap in our own time longer than this means that the process stood still.
   duration standstill{std::chrono::milliseconds{400}};
-  /// While the store hasn't answered for so long, new jobs are refused at once.
+  /// While the store hasn't answered for so long, and for three times what an append usually takes,
+  /// new jobs are refused at once.
   duration store_patience{std::chrono::milliseconds{600}};
+  /// Whatever an append usually takes: a caller that is told so then can still come back in time.
+  duration longest_store_patience{std::chrono::milliseconds{1'500}};
   /// A caller that waits for the store gets an answer by then, whatever it is.
   duration caller_patience{std::chrono::milliseconds{2'500}};
 
@@ -310,6 +314,7 @@
   time_point no_newer_claim_at_{};
   time_point passed_at_{};
   time_point stood_still_at_{};
+  duration usual_append_{};  ///< what a batch takes to be stored, smoothed
   time_point collect_since_{};
   time_point sent_again_at_{};
   time_point probed_at_{};
--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -25,6 +25,12 @@
 /// Share of the newest answer in what is usual: a target that turns slow is known after five.
 constexpr double kNewestShare = 0.2;
 
+/// What was held up for longer, as after an outage, counts as this.
+constexpr duration kSlowest = std::chrono::milliseconds{400};
+
+/// An exchange that waits for another one's finding looks so often.
+constexpr duration kLookAgain = std::chrono::milliseconds{20};
+
 /// What a message between processes may take beyond the exchange itself.
 constexpr duration kRelayMargin = std::chrono::milliseconds{40};
 
@@ -54,6 +60,7 @@
   call.set_target(request.target);
   call.set_body(request.body);
   call.set_content_type(request.content_type);
+  call.set_fresh_connection(request.fresh_connection);
   for (const auto& header : request.headers) {
     auto& field = *call.add_headers();
     field.set_name(header.name);
@@ -75,7 +82,8 @@
   std::deque<way> ways;            ///< left to try
   std::vector<std::string> peers_tried{};
   std::uint32_t under_way{0};
-  time_point sent_direct_at{};  ///< unset: not tried
+  time_point last_tried_at{};
+  bool direct_tried{false};
   bool direct_answered{false};
   bool over{false};
   bool may_have_arrived{false};  ///< one try was sent, and nobody knows what became of it
@@ -89,6 +97,8 @@
     done(std::move(answer));
   }
 
+  [[nodiscard]] bool First() const { return !direct_tried && peers_tried.empty(); }
+
   /// @return whether a copy may be sent while another one is under way.
   [[nodiscard]] bool Repeatable() const { return how.by_peer && how.patience > duration{}; }
 
@@ -135,7 +145,7 @@
 }
 
 duration relayed_client::Patience(const exchange& sent) const {
-  if (sent.sent_direct_at != time_point{} && broken_.contains(sent.request.address)) {
+  if (sent.direct_tried && broken_.contains(sent.request.address)) {
     return {};  // the direct way is tried only to see whether it is whole again
   }
   auto patience = sent.how.patience;
@@ -147,19 +157,25 @@
   return sent.how.wait + patience;
 }
 
-void relayed_client::Learn(const exchange& sent) {
+void relayed_client::Learn(const exchange& sent, time_point sent_at) {
   if (!sent.how.learns || sent.how.wait > duration{}) {
     return;
   }
-  const auto took = SteadyNow() - sent.sent_direct_at;
+  const auto took = std::min<duration>(SteadyNow() - sent_at, kSlowest);
   auto& usual = usual_.try_emplace(sent.request.address, kFirstUsual).first->second;
   usual += std::chrono::duration_cast<duration>((took - usual) * kNewestShare);
 }
 
 void relayed_client::TryNext(const std::shared_ptr<exchange>& sent) {
+  const auto broken = broken_.find(sent->request.address);
+  const bool first = sent->First();
+  sent->last_tried_at = SteadyNow();
   while (!sent->ways.empty()) {
     const auto chosen = sent->ways.front();
     sent->ways.pop_front();
+    // Kept connections may be why the way before brought nothing.
+    sent->request.fresh_connection =
+        !first || (chosen == way::kDirect && broken != broken_.end());
     if (chosen == way::kDirect) {
       SendDirect(sent);
       TryNextAfter(sent, Patience(*sent));
@@ -184,11 +200,34 @@
   sent->next.expires_after(patience);
   sent->next.async_wait([this, sent](const boost::system::error_code& failed) {
     if (!failed && !sent->over) {
-      TryNext(sent);
+      TryNextUnlessSlow(sent);
     }
   });
 }
 
+// A target that just turned slow looks like connections that went silent. If all that wait for it
+// were sent again, a store that takes 0.1 s for each append would never get through them. So one
+// exchange finds out for all.
+void relayed_client::TryNextUnlessSlow(const std::shared_ptr<exchange>& sent) {
+  const auto& address = sent->request.address;
+  if (broken_.contains(address)) {
+    TryNext(sent);
+    return;
+  }
+  const auto waited = SteadyNow() - sent->last_tried_at;
+  const auto patience = Patience(*sent);
+  auto& scout = scouts_[address];
+  const auto other = scout.lock();
+  if (waited < patience) {
+    TryNextAfter(sent, patience - waited);  // the target was found to be slow meanwhile
+  } else if (other && other != sent && !other->over) {
+    TryNextAfter(sent, kLookAgain);
+  } else {
+    scout = sent;
+    TryNext(sent);
+  }
+}
+
 void relayed_client::OnFailure(const std::shared_ptr<exchange>& sent, result<http_reply> answer) {
   if (sent->over) {
     return;
@@ -203,8 +242,9 @@
 
 void relayed_client::SendDirect(const std::shared_ptr<exchange>& sent) {
   ++sent->under_way;
-  sent->sent_direct_at = SteadyNow();
-  direct_.Send(sent->request, [this, sent](result<http_reply> answer) {
+  sent->direct_tried = true;
+  const auto sent_at = SteadyNow();
+  direct_.Send(sent->request, [this, sent, sent_at](result<http_reply> answer) {
     --sent->under_way;
     sent->direct_answered = true;
     const auto& address = sent->request.address;
@@ -212,7 +252,7 @@
     if (answer.has_value() && !refused) {
       // Also where a peer was quicker: this way is slow, not broken.
       broken_.erase(address);
-      Learn(*sent);
+      Learn(*sent, sent_at);
       sent->Finish(std::move(answer));
       return;
     }
@@ -242,13 +282,15 @@
 void relayed_client::SendByPeer(const std::shared_ptr<exchange>& sent, const std::string& peer) {
   sent->peers_tried.push_back(peer);
   ++sent->under_way;
-  SendFrom(peer, sent->request, [this, sent, peer](result<http_reply> answer) {
+  const auto sent_at = SteadyNow();
+  SendFrom(peer, sent->request, [this, sent, peer, sent_at](result<http_reply> answer) {
     --sent->under_way;
     const auto& address = sent->request.address;
     const bool refused = sent->how.refusal_may_be_ours && IsRefusal(answer);
     if (answer.has_value() && !refused) {
       good_helper_[address] = peer;
-      const bool direct_silent = sent->sent_direct_at != time_point{} && !sent->direct_answered;
+      Learn(*sent, sent_at);
+      const bool direct_silent = sent->direct_tried && !sent->direct_answered;
       if (direct_silent && !sent->over) {
         // Connections that went silent without a sign bring nothing more. Tried first for each
         // exchange, they held up every batch of records by 0.46 s.
@@ -286,6 +328,7 @@
   request.target = call.target();
   request.body = call.body();
   request.content_type = call.content_type();
+  request.fresh_connection = call.fresh_connection();
   for (const auto& header : call.headers()) {
     request.headers.push_back({header.name(), header.value()});
   }
--- a/src/rosearch/cell/relayed_client.h
+++ b/src/rosearch/cell/relayed_client.h
@@ -69,11 +69,12 @@
   [[nodiscard]] std::deque<way> WaysTo(const std::string& address, const reach& how);
   void TryNext(const std::shared_ptr<exchange>& sent);
   void TryNextAfter(const std::shared_ptr<exchange>& sent, duration patience);
+  void TryNextUnlessSlow(const std::shared_ptr<exchange>& sent);
   void SendDirect(const std::shared_ptr<exchange>& sent);
   void SendByPeer(const std::shared_ptr<exchange>& sent, const std::string& peer);
   void OnFailure(const std::shared_ptr<exchange>& sent, result<http_reply> answer);
   [[nodiscard]] duration Patience(const exchange& sent) const;
-  void Learn(const exchange& sent);
+  void Learn(const exchange& sent, time_point sent_at);
   /// @return a peer to ask; empty where there is none that wasn't tried.
   [[nodiscard]] std::string ChoosePeer(const exchange& sent);
 
@@ -88,7 +89,9 @@
   /// By address whose direct way brought no answer where a peer's did: when the direct way is next
   /// tried, beside a peer, so that nobody waits for it.
   std::unordered_map<std::string, time_point> broken_;
-  /// By address: what a direct answer takes, smoothed.
+  /// By address: the exchange that tries another way on behalf of all.
+  std::unordered_map<std::string, std::weak_ptr<exchange>> scouts_;
+  /// By address: what an answer takes, smoothed.
   std::unordered_map<std::string, duration> usual_;
 };
 
--- a/src/rosearch/platform/http_client.cc
+++ b/src/rosearch/platform/http_client.cc
@@ -162,6 +162,10 @@
 
   static asio::awaitable<void> Run(std::shared_ptr<host_pool> self, http_request request,
                                    http_callback done) {
+    if (request.fresh_connection) {
+      done(co_await self->Exchange(request));
+      co_return;
+    }
     const bool has_slot = co_await self->AcquireSlot(SendDeadline(request));
     if (!has_slot) {
       done(NotSent(request, "no free connection in time"));
@@ -210,7 +214,7 @@
 
   asio::awaitable<result<http_reply>> Exchange(const http_request& request) {
     while (true) {
-      std::unique_ptr<connection> open = TakeIdle();
+      std::unique_ptr<connection> open = request.fresh_connection ? nullptr : TakeIdle();
       if (open == nullptr) {
         result<std::unique_ptr<connection>> made = co_await Connect(request);
         if (made.has_error()) {
@@ -221,6 +225,12 @@
       attempt tried = co_await Try(*open, request);
       const bool again =
           open->reused && (tried.nothing_written || (tried.stale && request.idempotent));
+      const bool silent = open->reused && tried.outcome.has_error() &&
+                          tried.outcome.error().kind == error_kind::kTimeout;
+      if (silent) {
+        // Kept connections go silent together, without a sign: each would hold up one request more.
+        idle_.clear();
+      }
       if (tried.keep_open) {
         Keep(std::move(open));
       }
--- a/src/rosearch/platform/http_client.h
+++ b/src/rosearch/platform/http_client.h
@@ -56,6 +56,9 @@
   std::size_t max_answer_bytes{std::size_t{16} << 20};
   /// Whether it may be sent a second time where a kept connection broke before any answer.
   bool idempotent{false};
+  /// Whether to make a connection for it beyond all limits, though others are kept: those may have
+  /// gone silent, and all that are allowed may be waiting for answers that never come.
+  bool fresh_connection{false};
   /// Counts this request where it is set; must outlive it.
   http_traffic* traffic{nullptr};
 
--- a/test/rosearch/cell/relayed_client_test.cc
+++ b/test/rosearch/cell/relayed_client_test.cc
@@ -2,8 +2,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -23,7 +25,10 @@
                [this, status](const http_call&, const http_respond& respond) {
                  ++calls;
                  if (status != 0 && calls != silent_call) {
-                   respond({status, "here"});
+                   auto timer = std::make_shared<boost::asio::steady_timer>(io, answers_after);
+                   timer->async_wait([timer, respond, status](const boost::system::error_code&) {
+                     respond({status, "here"});
+                   });
                  }
                }} {}
 
@@ -49,6 +54,7 @@
   int calls{0};
   int silent_call{0};  ///< this one is never answered
   bool lose_peers{false};
+  duration answers_after{};
   duration took{};
   http_server server;
   http_client direct{io};
@@ -126,6 +132,33 @@
   CHECK(made.took < milliseconds{200});
 }
 
+// The store turns slow all at once, while eight appends are under way. Sent again by other ways, each
+// would cost the store as much as a new one, and jobs would be refused because it falls behind.
+TEST_CASE("a target that turned slow is not asked twice for everything") {
+  outside made{200};
+  made.client.SetPeers({made.peers.address()});
+  const reach how{true, true, milliseconds{2'000}, {}, true};
+  constexpr int kQuickAnswers = 20;
+  for (int at = 0; at < kQuickAnswers; ++at) {
+    REQUIRE(made.Send(how, milliseconds{600}));
+  }
+  made.answers_after = milliseconds{250};
+  int answered = 0;
+  constexpr int kTogether = 8;
+  for (int at = 0; at < kTogether; ++at) {
+    http_request request;
+    request.address = "127.0.0.1:" + std::to_string(made.server.port());
+    request.answer_by = SteadyNow() + milliseconds{2'000};
+    made.client.Send(request, how, [&answered](const result<http_reply>& answer) {
+      answered += answer.has_value() ? 1 : 0;
+    });
+  }
+  made.io.restart();
+  made.io.run_for(milliseconds{900});
+  CHECK(answered == kTogether);
+  CHECK(made.client.Relayed() <= 2);
+}
+
 // An order to a worker must not be under way twice: whoever is told that it was refused counts on
 // no copy being carried out.
 TEST_CASE("what may not be sent twice waits for its only copy") {
