Replace a leader at once where its machine refuses connections

Ruled out: the store (claims read 0.01 s after the start), small processes (they claim later). Change: a process that starts, or whose connection to the leader broke, knocks at the leader's address; a refusal is certain and counts as its goodbye. Cases in node_test (a process that starts where the leader is gone).

--- a/src/rosearch/cell/election.h
+++ b/src/rosearch/cell/election.h
@@ -68,7 +68,7 @@
   void OnHeard(std::uint64_t epoch, time_point now);
   /// The connection to the leader broke, as it does at once where its process is killed.
   void OnConnectionBroken(time_point now);
-  /// The leader said that it is about to stop.
+  /// The leader said that it is about to stop, or its machine that nobody listens there.
   void OnLeaderLeaving(std::uint64_t epoch);
   /// @return whether the leader itself said that it stops; the peers need not be asked.
   [[nodiscard]] bool Leaving() const { return leaving_; }
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -52,9 +52,45 @@
                  .Add("heard_ms_ago", SteadyNow() - election_.HeardAt()));
   election_.OnConnectionBroken(SteadyNow());
   pinged_at_ = time_point{};
+  Knock();
   Tick();
 }
 
+/// A process that was killed, or whose machine has just been started again, leaves nobody behind who
+/// listens; its machine then refuses connections. That is sure, unlike silence, so nobody need wait.
+template <typename Ports>
+void node<Ports>::Knock() {
+  const auto epoch = election_.Known().epoch;
+  const auto& address = election_.Known().address;
+  const auto colon = address.rfind(':');
+  boost::system::error_code unreadable;
+  const auto host = boost::asio::ip::make_address(address.substr(0, colon), unreadable);
+  if (unreadable || colon == std::string::npos) {
+    return;
+  }
+  const auto port = static_cast<std::uint16_t>(std::atoi(address.c_str() + colon + 1));
+  auto socket = std::make_shared<boost::asio::ip::tcp::socket>(io_);
+  auto patience = std::make_shared<boost::asio::steady_timer>(io_, kKnockPatience);
+  patience->async_wait([socket, patience](const boost::system::error_code&) {
+    boost::system::error_code ignored;
+    socket->close(ignored);
+  });
+  socket->async_connect(
+      {host, port}, [this, epoch, socket, patience](const boost::system::error_code& failed) {
+        patience->cancel();
+        const bool gone = failed == boost::asio::error::connection_refused;
+        if (!gone || Leading() || stopping_ || epoch != election_.Known().epoch) {
+          return;
+        }
+        log_.Write(event_line{"leader_gone", event_weight::kBelief}
+                       .Add("epoch", epoch)
+                       .Add("leader", election_.Known().address)
+                       .Add("cause", "connection_refused"));
+        election_.OnLeaderLeaving(epoch);
+        Tick();
+      });
+}
+
 template <typename Ports>
 void node<Ports>::ClaimIfNobodyLeads() {
   const auto now = SteadyNow();
@@ -275,6 +311,9 @@
       OnClaim(record.value, claims_next_ - 1);
     }
     election_.OnClaimsRead(SteadyNow());
+    if (election_.Known().epoch > 0 && !Leading()) {
+      Knock();
+    }
     FollowClaims();
   });
 }
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -2,9 +2,11 @@
 #define ROSEARCH_CELL_NODE_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <cstdlib>
 #include <map>
 #include <memory>
 #include <optional>
@@ -132,6 +134,8 @@
   static constexpr duration kPingPatience = std::chrono::milliseconds{600};
   /// A member that said nothing for so long is not asked for help.
   static constexpr duration kMemberFresh = std::chrono::milliseconds{1'500};
+  /// A refusal of a connection comes within a round trip.
+  static constexpr duration kKnockPatience = std::chrono::milliseconds{250};
   /// A leader that is to stop and finds no successor within this stops all the same.
   static constexpr duration kHandoverPatience = std::chrono::milliseconds{1'500};
   static constexpr duration kClaimsWait = std::chrono::milliseconds{1'000};
@@ -164,6 +168,7 @@
 
   void Tick();
   void TickAfter(duration pause);
+  void Knock();
   void Ping();
   void OnPong(const wire::peer_frame& frame);
   void Announce();
--- a/test/rosearch/cell/node_test.cc
+++ b/test/rosearch/cell/node_test.cc
@@ -231,6 +231,20 @@
   CHECK(cell.UntilOtherLeads() < seconds{3});
   CHECK((cell.processes[1]->Logged("leader_connection_broken") ||
          cell.processes[2]->Logged("leader_connection_broken")));
+  CHECK((cell.processes[1]->Logged("leader_gone") || cell.processes[2]->Logged("leader_gone")));
+}
+
+// All processes are started again, and the one that led comes up last. The others must not wait for
+// its silence to be certain: its machine says that nobody listens there.
+TEST_CASE("a process that starts where the leader is gone leads at once") {
+  claims_log claims;
+  {
+    process former{claims, "127.0.0.1:47311", {}, 1};
+    cell_of_three::Until([&] { return former.Leads(); });
+  }
+  process next{claims, "127.0.0.1:47312", {"127.0.0.1:47311"}, 2};
+  CHECK(cell_of_three::Until([&] { return next.Leads(); }) < seconds{3});
+  CHECK(next.Logged("leader_gone"));
 }
 
 // A request is on its way to the leader as it loses power. It must not be given up, nor wait for
