--- a/soak/cell/run.py
+++ b/soak/cell/run.py
@@ -38,11 +38,13 @@
     def __init__(self, number, binary, folder, proxy, advice_port):
         self.binary, self.proxy = binary, proxy
         self.port, self.ready, self.peer = free_port(), free_port(), free_port()
+        self.metrics = free_port()
         self.path = os.path.join(folder, f"node-{number}.json")
         self.log = open(os.path.join(folder, f"node-{number}.log"), "ab")
         self.settings = {
             "name": f"node-{number}", "callers_address": f"127.0.0.1:{self.port}",
-            "ready_address": f"127.0.0.1:{self.ready}", "peer_address": f"127.0.0.1:{self.peer}",
+            "ready_address": f"127.0.0.1:{self.ready}",
+            "metrics_address": f"127.0.0.1:{self.metrics}", "peer_address": f"127.0.0.1:{self.peer}",
             "store_address": f"127.0.0.1:{proxy.port}",
             "advice_address": f"127.0.0.1:{advice_port}", "processors": 0.25,
             "file_descriptors": 1024, "grace_s": 4, "max_lease_ms": stand_in.MAX_LEASE_MS,
@@ -265,12 +267,34 @@
         for job_id in open_jobs:
             self.judge.note(f"never ended: {job_id} {self.judge.jobs[job_id]['phase']}")
 
+    async def ask(self, node, *words):
+        """Runs a command against a process's metrics address; returns what it prints."""
+        asked = await asyncio.create_subprocess_exec(
+            self.options.binary, words[0], "--process", f"127.0.0.1:{node.metrics}", *words[1:],
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT)
+        return (await asked.communicate())[0].decode()
+
+    async def explain(self):
+        """Whoever is on call must find the leader, and at it every job, by the commands alone."""
+        dumps = [(node, await self.ask(node, "dump")) for node in self.nodes]
+        leaders = [node for node, text in dumps if " leading=1 " in text]
+        if len(leaders) != 1:
+            self.judge.note(f"{len(leaders)} processes say that they lead")
+            return
+        ended = [job_id for job_id, job in self.judge.jobs.items()
+                 if job["accepted"] and job.get("phase") in ("completed", "failed", "cancelled")]
+        for job_id in ended[-3:]:
+            text = await self.ask(leaders[0], "explain", job_id)
+            if f"job {job_id} phase={self.judge.jobs[job_id]['phase']}" not in text:
+                self.judge.note(f"not explained: {job_id}: {text.strip()}")
+
     async def run(self):
         await self.begin()
         beat = asyncio.create_task(self.beat())
         await asyncio.sleep(2)
         await asyncio.gather(*(self.caller(n) for n in range(4)), self.trouble())
         await self.settle()
+        await self.explain()
         beat.cancel()
         for node in self.nodes:
             await node.end(signal.SIGKILL)
--- a/src/rosearch/cell/internal/leader_callers.h
+++ b/src/rosearch/cell/internal/leader_callers.h
@@ -22,7 +22,7 @@
       } else if (settled.accepted || settled.cancelled) {
         caller.answer({200, "{}", 0, false});
       } else {
-        caller.answer(Unavailable(1));
+        RefuseJob(settled.reason, Unavailable(1), caller.answer);
       }
     }
     if (still.empty()) {
@@ -33,6 +33,13 @@
   }
 }
 
+template <typename Ports>
+void leader<Ports>::RefuseJob(std::string_view reason, const caller_answer& how,
+                              const respond& answer) {
+  metrics_.Count(Labelled("rosearch_jobs_refused_total", "reason", reason));
+  answer(how);
+}
+
 template <typename Ports>
 void leader<Ports>::ExpireCallers() {
   const auto now = SteadyNow();
@@ -63,7 +70,7 @@
                    .Add("job", id)
                    .Add("reason", "unreadable")
                    .Add("detail", read.error().detail));
-    answer({400, R"({"error":")" + read.error().detail + "\"}", 0, false});
+    RefuseJob("unreadable", {400, R"({"error":")" + read.error().detail + "\"}", 0, false}, answer);
     return;
   }
   const auto now = Now();
@@ -86,7 +93,7 @@
                    .Add("job", id)
                    .Add("reason", "store_away")
                    .Add("away_ms", now.steady - batches_.front().sent_at));
-    answer(Unavailable(1));
+    RefuseJob("store_away", Unavailable(1), answer);
     return;
   }
   const auto verdict = scheduler_.Submit(std::move(job), now);
@@ -94,7 +101,7 @@
     answer({200, "{}", 0, false});
   } else if (verdict.verdict == sched::submit_verdict::kRefused) {
     const auto seconds = std::chrono::ceil<std::chrono::seconds>(verdict.retry_after).count();
-    answer({429, {}, static_cast<std::uint32_t>(seconds), false});
+    RefuseJob(verdict.reason, {429, {}, static_cast<std::uint32_t>(seconds), false}, answer);
   } else {
     callers_[id].push_back({std::move(answer), answer_by, false});
     PumpSoon();
--- a/src/rosearch/cell/internal/leader_inputs.h
+++ b/src/rosearch/cell/internal/leader_inputs.h
@@ -26,16 +26,14 @@
 
 template <typename Ports>
 void leader<Ports>::FollowConfiguration() {
-  const auto asked_at = SteadyNow();
   ports_.Read(stream::kConfiguration, configuration_next_, settings_.configuration_wait,
-              Bind([asked_at](leader& self, result<log_page> page) {
+              Bind([](leader& self, result<log_page> page) {
                 if (page.has_error()) {
                   self.NoteStore(false);
                   self.After(self.configuration_timer_, self.settings_.store_retry,
                              [](leader& again) { again.FollowConfiguration(); });
                   return;
                 }
-                (void)asked_at;
                 self.NoteStore(true);
                 if (page.value().trimmed) {
                   self.ReadConfiguration({});
--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -17,6 +17,7 @@
     self.UnlistOverdue();
     self.ExpireCallers();
     self.ProbeStore();
+    self.NoteTimings();
     self.Pump();
     if (!self.over_) {
       self.TickLater();
--- a/src/rosearch/cell/internal/leader_store.h
+++ b/src/rosearch/cell/internal/leader_store.h
@@ -45,8 +45,8 @@
     if (!beside) {
       return;  // looked at again when an answer comes
     }
-    const auto apart = std::max<duration>(
-        settings_.batch_answer, usual_append_ / static_cast<int>(settings_.batches));
+    const auto apart = std::max<duration>(settings_.batch_answer,
+                                          usual_append_ / static_cast<int>(settings_.batches));
     if (now - newest.sent_at < apart) {
       After(writer_timer_, apart - (now - newest.sent_at), [](leader& self) { self.Store(); });
       return;
@@ -61,7 +61,7 @@
     return;
   }
   collect_since_ = time_point{};
-  auto taken = scheduler_.TakeBatch(Now());
+  auto taken = scheduler_.TakeBatch();
   if (taken.records.empty()) {
     scheduler_.OnStored(taken.number, Now());
     PumpSoon();
@@ -163,7 +163,7 @@
     // Certainly not stored: callers learn at once that their jobs were not accepted.
     batches_.clear();
     --sequence_;
-    scheduler_.OnNotStored(number, Now());
+    scheduler_.OnNotStored(number);
     Settle();
     After(writer_timer_, settings_.store_retry, [](leader& self) { self.Store(); });
     return;
--- /dev/null
+++ b/src/rosearch/cell/internal/leader_views.h
@@ -0,0 +1,44 @@
+#ifndef ROSEARCH_CELL_INTERNAL_LEADER_VIEWS_H_
+#define ROSEARCH_CELL_INTERNAL_LEADER_VIEWS_H_
+
+// What a leader counts for people. Included by leader.h.
+
+#include "rosearch/cell/leader.h"
+
+namespace rosearch::cell {
+
+template <typename Ports>
+void leader<Ports>::NoteTimings() {
+  constexpr std::string_view kPhases[]{"queued", "running", "completed", "failed", "cancelled"};
+  for (const auto& timing : scheduler_.TakeTimings()) {
+    const auto priority = std::to_string(timing.priority);
+    const auto phase = kPhases[static_cast<std::size_t>(timing.phase)];
+    metrics_.Observe(timing.ended
+                         ? Labelled("rosearch_job_seconds", "phase", phase, "priority", priority)
+                         : Labelled("rosearch_wait_seconds", "priority", priority),
+                     timing.took);
+  }
+}
+
+template <typename Ports>
+void leader<Ports>::FillMetrics() {
+  const auto counts = scheduler_.Counts(Now());
+  const auto set = [this](const char* name, std::size_t value) {
+    metrics_.Set(name, static_cast<double>(value));
+  };
+  set("rosearch_jobs", counts.jobs);
+  set("rosearch_waiting_tasks", counts.waiting_tasks);
+  set("rosearch_runs", counts.runs);
+  set("rosearch_workers_live", counts.workers_live);
+  set("rosearch_leases_ending", counts.leases_ending);
+  set("rosearch_unsettled_workers", counts.unsettled);
+  set("rosearch_advice_waiting", advice_.Waiting());
+  set("rosearch_callers_waiting", callers_.size());
+  set("rosearch_batches", batches_.size());
+  metrics_.Set("rosearch_oldest_report_seconds",
+               std::chrono::duration<double>{counts.oldest_report}.count());
+}
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_INTERNAL_LEADER_VIEWS_H_
--- a/src/rosearch/cell/internal/node_callers.h
+++ b/src/rosearch/cell/internal/node_callers.h
@@ -26,6 +26,12 @@
   Forward(made);
 }
 
+/// Other methods share one label: callers could otherwise fill the metrics with names of their own.
+inline std::string_view MethodLabel(std::string_view method) {
+  const bool known = method == "POST" || method == "GET" || method == "DELETE";
+  return known ? method : "other";
+}
+
 template <typename Ports>
 void node<Ports>::Finish(const std::shared_ptr<forwarded>& call, const caller_answer& answer) {
   --under_way_;
@@ -35,7 +41,8 @@
   if (answer.retry_after_s > 0) {
     response.headers["Retry-After"] = std::to_string(answer.retry_after_s);
   }
-  metrics_.Count("rosearch_answers_total{status=\"" + std::to_string(answer.status) + "\"}");
+  metrics_.Count(Labelled("rosearch_answers_total", "method", MethodLabel(call->request.method),
+                          "status", std::to_string(answer.status)));
   call->respond(std::move(response));
 }
 
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -56,8 +56,9 @@
   Tick();
 }
 
-/// A process that was killed, or whose machine has just been started again, leaves nobody behind who
-/// listens; its machine then refuses connections. That is sure, unlike silence, so nobody need wait.
+/// A process that was killed, or whose machine has just been started again, leaves nobody behind
+/// who listens; its machine then refuses connections. That is sure, unlike silence, so nobody need
+/// wait.
 template <typename Ports>
 void node<Ports>::Knock() {
   const auto epoch = election_.Known().epoch;
@@ -75,20 +76,20 @@
     boost::system::error_code ignored;
     socket->close(ignored);
   });
-  socket->async_connect(
-      {host, port}, [this, epoch, socket, patience](const boost::system::error_code& failed) {
-        patience->cancel();
-        const bool gone = failed == boost::asio::error::connection_refused;
-        if (!gone || Leading() || stopping_ || epoch != election_.Known().epoch) {
-          return;
-        }
-        log_.Write(event_line{"leader_gone", event_weight::kBelief}
-                       .Add("epoch", epoch)
-                       .Add("leader", election_.Known().address)
-                       .Add("cause", "connection_refused"));
-        election_.OnLeaderLeaving(epoch);
-        Tick();
-      });
+  socket->async_connect({host, port},
+                        [this, epoch, socket, patience](const boost::system::error_code& failed) {
+                          patience->cancel();
+                          const bool gone = failed == boost::asio::error::connection_refused;
+                          if (!gone || Leading() || stopping_ || epoch != election_.Known().epoch) {
+                            return;
+                          }
+                          log_.Write(event_line{"leader_gone", event_weight::kBelief}
+                                         .Add("epoch", epoch)
+                                         .Add("leader", election_.Known().address)
+                                         .Add("cause", "connection_refused"));
+                          election_.OnLeaderLeaving(epoch);
+                          Tick();
+                        });
 }
 
 template <typename Ports>
@@ -140,9 +141,11 @@
     frame.set_epoch(election_.Known().epoch);
     *frame.mutable_ping()->mutable_member() = Self();
     frame.mutable_ping()->set_members_version(members_version_);
-    peers_.Ask(target, std::move(frame), SteadyNow() + kPingPatience,
-               [this](const wire::peer_frame* answer) {
+    const auto asked_at = SteadyNow();
+    peers_.Ask(target, std::move(frame), asked_at + kPingPatience,
+               [this, asked_at](const wire::peer_frame* answer) {
                  if (answer != nullptr) {
+                   metrics_.Observe("rosearch_peer_round_trip_seconds", SteadyNow() - asked_at);
                    OnPong(*answer);
                  }
                });
--- a/src/rosearch/cell/internal/node_views.h
+++ b/src/rosearch/cell/internal/node_views.h
@@ -7,12 +7,17 @@
 
 namespace rosearch::cell {
 
+template <typename Ports>
+std::string node<Ports>::Explain(std::string_view job) const {
+  return leader_ ? leader_->Explain(job) : Dump();
+}
+
 template <typename Ports>
 std::string node<Ports>::Dump() const {
-  std::string text = "name=" + settings_.name + " leading=" + (leader_ ? "1" : "0") +
-                     " epoch=" + std::to_string(election_.Known().epoch) +
-                     " leader=" + election_.Known().address +
-                     " peers=" + std::to_string(members_.size()) + '\n';
+  std::string text =
+      "name=" + settings_.name + " leading=" + (leader_ ? "1" : "0") +
+      " epoch=" + std::to_string(election_.Known().epoch) + " leader=" + election_.Known().address +
+      " leader_name=" + election_.Known().name + " peers=" + std::to_string(members_.size()) + '\n';
   return leader_ ? text + leader_->Dump() : text;
 }
 
@@ -22,11 +27,7 @@
   metrics_.Set("rosearch_peers", static_cast<double>(members_.size()));
   metrics_.SetTotal("rosearch_relayed_total", outside_.Relayed());
   if (leader_) {
-    const auto counts = leader_->Counts();
-    metrics_.Set("rosearch_jobs", static_cast<double>(counts.jobs));
-    metrics_.Set("rosearch_waiting_tasks", static_cast<double>(counts.waiting_tasks));
-    metrics_.Set("rosearch_runs", static_cast<double>(counts.runs));
-    metrics_.Set("rosearch_workers_live", static_cast<double>(counts.workers_live));
+    leader_->FillMetrics();
   }
 }
 
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "rosearch/cell/advice_desk.h"
+#include "rosearch/cell/cell_metrics.h"
 #include "rosearch/cell/ports.h"
 #include "rosearch/core/time.h"
 #include "rosearch/log/event_line.h"
@@ -166,7 +167,11 @@
   void End(std::string_view cause);
 
   [[nodiscard]] std::string Dump() const { return scheduler_.Dump(Now()); }
-  [[nodiscard]] sched::cell_counts Counts() const { return scheduler_.Counts(); }
+  [[nodiscard]] std::string Explain(std::string_view job) const {
+    return scheduler_.Explain(job, Now());
+  }
+  /// Puts what the scheduler counts into the metrics.
+  void FillMetrics();
 
  private:
   using self_pointer = std::shared_ptr<leader>;
@@ -262,6 +267,8 @@
   [[nodiscard]] bool StoreAway() const;
   void Settle();
   void ExpireCallers();
+  void RefuseJob(std::string_view reason, const caller_answer& how, const respond& answer);
+  void NoteTimings();
 
   void AnswerSubmit(const std::string& id, const std::string& queue, const std::string& body,
                     const sched::queue_rules& rules, time_point answer_by, respond answer);
@@ -339,5 +346,6 @@
 #include "rosearch/cell/internal/leader_orders.h"
 #include "rosearch/cell/internal/leader_store.h"
 #include "rosearch/cell/internal/leader_takeover.h"
+#include "rosearch/cell/internal/leader_views.h"
 
 #endif  // ROSEARCH_CELL_LEADER_H_
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "rosearch/cell/cell_metrics.h"
 #include "rosearch/cell/cell_settings.h"
 #include "rosearch/cell/election.h"
 #include "rosearch/cell/leader.h"
@@ -49,7 +50,9 @@
                   SteadyNow()},
         tick_timer_{io},
         claims_timer_{io},
-        handover_timer_{io} {}
+        handover_timer_{io} {
+    DescribeCellMetrics(metrics_);
+  }
 
   /// Begins to look for the leader.
   void Begin() {
@@ -105,6 +108,8 @@
   [[nodiscard]] const sched::client_limits& limits() const { return limits_; }
 
   [[nodiscard]] std::string Dump() const;
+  /// @return where a job stands and what it waits for; at a process that doesn't lead, who does.
+  [[nodiscard]] std::string Explain(std::string_view job) const;
   /// Puts what is counted elsewhere into the metrics.
   void FillMetrics();
 
--- a/src/rosearch/cell/ports.h
+++ b/src/rosearch/cell/ports.h
@@ -75,7 +75,6 @@
   ports.Pace(pace, fence);
   ports.Watch(watch, fence, watch_callback{});
   ports.Advise(text, query, advice_callback{});
-  ports.SetPeers(records);
   { Ports::DecodeConfiguration(text) } -> std::same_as<std::optional<sched::cell_configuration>>;
   { Ports::ConfigurationKey() } -> std::convertible_to<std::string_view>;
   { Ports::DecodeWorker(text, text) } -> std::same_as<std::optional<sched::worker_facts>>;
--- a/src/rosearch/cli/cell_commands.cc
+++ b/src/rosearch/cli/cell_commands.cc
@@ -69,7 +69,12 @@
   return command_line{"dump", "Shows the whole state of the first entry that answers, as JSON.",
                       "dump --entry 127.0.0.1:8081"}
       .AsksEntries()
+      .Option("process", "or of a process of a cell, as text: its metrics address",
+              cxxopts::value<std::string>())
       .Run(words, [](const cxxopts::ParseResult& parsed) {
+        if (parsed.count("process") > 0) {
+          return PrintText(api_client{{parsed["process"].as<std::string>()}}.Ask({"GET", "/dump"}));
+        }
         const auto client = ClientOptions(parsed);
         return PrintAnswer(
             api_client{client.entries}.Ask({"GET", "/v1/dump"}), client.output,
--- a/src/rosearch/cli/job_commands.cc
+++ b/src/rosearch/cli/job_commands.cc
@@ -119,7 +119,15 @@
   });
 }
 
+/// Tells of a job that a process of a cell knows: where its tasks are, and what the rest waits for.
+int ExplainAtProcess(const std::string& process, const std::string& id) {
+  return PrintText(api_client{{process}}.Ask({"GET", "/explain/" + id}));
+}
+
 int Explain(const cxxopts::ParseResult& parsed) {
+  if (parsed.count("process") > 0) {
+    return ExplainAtProcess(parsed["process"].as<std::string>(), WordsOf(parsed, "accepted", 1)[0]);
+  }
   const auto client = ClientOptions(parsed);
   if (parsed.count("accepted") > 0) {
     return ExplainAccepted(client, JobNames(parsed, "accepted").front());
@@ -149,7 +157,9 @@
       "--memory-mb 4096"};
   AddJobOptions(line);
   return line.AsksEntries()
-      .Words("accepted", "or a job that was accepted, as CUSTOMER/JOB")
+      .Words("accepted", "or a job that was accepted, as CUSTOMER/JOB; with --process, its id")
+      .Option("process", "ask a process of a cell: the metrics address of the one that leads",
+              cxxopts::value<std::string>())
       .Run(words, Explain);
 }
 
--- a/src/rosearch/cli/print.cc
+++ b/src/rosearch/cli/print.cc
@@ -142,4 +142,13 @@
   return ExitCodeOf(answer);
 }
 
+int PrintText(const result<http_reply>& answer) {
+  if (answer.has_error()) {
+    std::cerr << "no answer: " << ErrorText(answer.error()) << '\n';
+    return kExitNoAnswer;
+  }
+  std::cout << answer.value().body;
+  return ExitCodeOf(answer);
+}
+
 }  // namespace rosearch
--- a/src/rosearch/cli/print.h
+++ b/src/rosearch/cli/print.h
@@ -52,6 +52,10 @@
 [[nodiscard]] int PrintAnswer(const result<http_reply>& answer, output_format format,
                               const std::function<void(const boost::json::object&)>& table);
 
+/// Prints the body of an answer as it came, or what kept it away.
+/// @return the exit code that stands for it.
+[[nodiscard]] int PrintText(const result<http_reply>& answer);
+
 /// @return the exit code that stands for an answer.
 [[nodiscard]] int ExitCodeOf(const result<http_reply>& answer);
 
--- a/src/rosearch/log/bounded_log.cc
+++ b/src/rosearch/log/bounded_log.cc
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <chrono>
 
@@ -42,17 +43,18 @@
     waiting_ += '\n';
   }
   second_began_ = now;
-  requests_this_second_ = 0;
-  others_this_second_ = 0;
+  written_ = {};
   suppressed_ = 0;
 }
 
 void bounded_log::Write(const event_line& line) {
   const std::scoped_lock lock{mutex_};
   BeginSecond(SteadyNow());
-  const bool request = line.weight() == event_weight::kRequest;
-  auto& count = request ? requests_this_second_ : others_this_second_;
-  const auto most = request ? settings_.request_lines_per_second : settings_.other_lines_per_second;
+  const std::array most_of{settings_.detail_lines_per_second, settings_.request_lines_per_second,
+                           settings_.other_lines_per_second};
+  const auto kind = std::min(static_cast<std::size_t>(line.weight()), most_of.size() - 1);
+  auto& count = written_[kind];
+  const auto most = most_of[kind];
   if (count >= most || waiting_.size() + line.text().size() > settings_.waiting_bytes) {
     ++suppressed_;
     ++dropped_;
--- a/src/rosearch/log/bounded_log.h
+++ b/src/rosearch/log/bounded_log.h
@@ -1,6 +1,7 @@
 #ifndef ROSEARCH_LOG_BOUNDED_LOG_H_
 #define ROSEARCH_LOG_BOUNDED_LOG_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <mutex>
@@ -14,8 +15,11 @@
 /// Bounds of a `bounded_log`.
 struct bounded_log_settings {
   int descriptor{1};  ///< standard output
-  /// Lines about requests that go well, each second; more are counted, not written. At 180 starts
-  /// a second this lets every decision through, and a burst costs no more than this.
+  /// Lines about single steps of jobs, each second; more are counted, not written. At 180 starts a
+  /// second this lets every one through, and a burst costs no more than this.
+  std::uint32_t detail_lines_per_second{500};
+  /// Lines about requests that go well, each second. Apart from the former: where they shared 600
+  /// lines, a burst of 900 starts a second left jobs without a line that they were accepted.
   std::uint32_t request_lines_per_second{600};
   /// Lines of every other kind, each second.
   std::uint32_t other_lines_per_second{1'000};
@@ -49,9 +53,8 @@
   mutable std::mutex mutex_;
   std::string waiting_;
   time_point second_began_{};
-  std::uint32_t requests_this_second_{0};
-  std::uint32_t others_this_second_{0};
-  std::uint64_t suppressed_{0};  ///< in the present second
+  std::array<std::uint32_t, 3> written_{};  ///< this second: details, requests, the rest
+  std::uint64_t suppressed_{0};             ///< in the present second
   std::uint64_t dropped_{0};
 };
 
--- a/src/rosearch/log/event_line.h
+++ b/src/rosearch/log/event_line.h
@@ -12,7 +12,8 @@
 
 /// How much a log line matters where not all can be written.
 enum class event_weight {
-  kRequest,  ///< one of many lines about requests that go well
+  kDetail,   ///< one step of many on a job's way: a run, a question for advice
+  kRequest,  ///< a request that goes well: taken in, accepted, ended
   kFailure,  ///< a request that didn't get what its caller wanted
   kBelief,   ///< a change of what the process holds to be true, start, stop
 };
--- a/src/rosearch/metrics/metric_set.cc
+++ b/src/rosearch/metrics/metric_set.cc
@@ -15,12 +15,23 @@
 constexpr unsigned kBins = 48;
 constexpr double kLeastMs = 0.1;
 constexpr double kMostMs = 100'000;
+constexpr double kSecondsPerMs = 0.001;
 
 auto MakeHistogram() {
   return bh::make_histogram(
       bh::axis::regular<double, bh::axis::transform::log>{kBins, kLeastMs, kMostMs});
 }
 
+/// @return the name without labels.
+std::string FamilyOf(const std::string& name) { return name.substr(0, name.find('{')); }
+
+/// @return the labels of a name, as `a="1",`, so that another one can follow.
+std::string LabelsOf(const std::string& name) {
+  const auto open = name.find('{');
+  return open == std::string::npos ? std::string{}
+                                   : name.substr(open + 1, name.size() - open - 2) + ',';
+}
+
 }  // namespace
 
 struct metric_set::histogram_box {
@@ -57,28 +68,56 @@
   box->sum_ms += ms;
 }
 
+void metric_set::Describe(const std::string& name, const std::string& help) {
+  const std::scoped_lock lock{mutex_};
+  help_[name] = help;
+}
+
+void metric_set::Head(std::ostream& out, const std::string& name, const char* type,
+                      std::string& last) const {
+  auto family = FamilyOf(name);
+  if (family == last) {
+    return;
+  }
+  if (const auto found = help_.find(family); found != help_.end()) {
+    out << "# HELP " << family << ' ' << found->second << '\n';
+  }
+  out << "# TYPE " << family << ' ' << type << '\n';
+  last = std::move(family);
+}
+
 std::string metric_set::Text() const {
   std::ostringstream out;
   const std::scoped_lock lock{mutex_};
+  std::string last;
   for (const auto& [name, value] : counters_) {
+    Head(out, name, "counter", last);
     out << name << ' ' << value << '\n';
   }
   for (const auto& [name, value] : gauges_) {
+    Head(out, name, "gauge", last);
     out << name << ' ';
     // Six digits, as a stream writes them, would let a rate of bytes stand still at 10 MB.
     std::trunc(value) == value ? out << static_cast<std::int64_t>(value) : out << value;
     out << '\n';
   }
   for (const auto& [name, box] : histograms_) {
+    Head(out, name, "histogram", last);
+    const auto family = FamilyOf(name);
+    const auto labels = LabelsOf(name);
+    const auto alone =
+        labels.empty() ? std::string{} : '{' + labels.substr(0, labels.size() - 1) + '}';
+    const double unit = family.ends_with("_seconds") ? kSecondsPerMs : 1.0;
     double below = 0;
     for (const auto& bin : bh::indexed(box->values, bh::coverage::all)) {
       below += *bin;
       const auto upper = bin.bin().upper();
-      out << name << "_bucket{le=\"";
-      std::isinf(upper) ? out << "+Inf" : out << upper;
+      out << family << "_bucket{" << labels << "le=\"";
+      std::isinf(upper) ? out << "+Inf" : out << upper * unit;
       out << "\"} " << below << '\n';
     }
-    out << name << "_count " << below << '\n' << name << "_sum " << box->sum_ms << '\n';
+    out << family << "_count" << alone << ' ' << below << '\n';
+    out << family << "_sum" << alone << ' ' << box->sum_ms * unit << '\n';
   }
   return out.str();
 }
--- a/src/rosearch/metrics/metric_set.h
+++ b/src/rosearch/metrics/metric_set.h
@@ -2,6 +2,7 @@
 #define ROSEARCH_METRICS_METRIC_SET_H_
 
 #include <cstdint>
+#include <iosfwd>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -19,6 +20,10 @@
   metric_set(const metric_set&) = delete;
   metric_set& operator=(const metric_set&) = delete;
 
+  /// Says what a metric tells; shown beside it.
+  /// @param name  without labels.
+  void Describe(const std::string& name, const std::string& help);
+
   /// Adds to a counter.
   /// @param name  with labels, as `rosearch_calls_total{kind="request"}`.
   void Count(const std::string& name, std::uint64_t by = 1);
@@ -29,8 +34,8 @@
   /// Sets a value that may go up and down.
   void Set(const std::string& name, double value);
 
-  /// Takes one span of time into a histogram.
-  /// @param name  without labels.
+  /// Takes one span of time into a histogram: in seconds where its name ends so, else in ms.
+  /// @param name  with labels, as `rosearch_wait_seconds{priority="0"}`.
   void Observe(const std::string& name, duration span);
 
   /// @return everything in the Prometheus text format.
@@ -39,7 +44,10 @@
  private:
   struct histogram_box;
 
+  void Head(std::ostream& out, const std::string& name, const char* type, std::string& last) const;
+
   mutable std::mutex mutex_;
+  std::map<std::string, std::string> help_;
   std::map<std::string, std::uint64_t> counters_;
   std::map<std::string, double> gauges_;
   std::map<std::string, std::unique_ptr<histogram_box>> histograms_;
--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -62,7 +62,6 @@
   bool open{false};             ///< its turn has come
   std::uint32_t gang_runs{0};   ///< gang: runs begun under the present leadership
   bool clearing{false};         ///< gang: broken, waits until all members are gone
-  std::string wait_reason;      ///< why its ready tasks don't run, for people
   std::uint64_t blocked_at{0};  ///< version of the room at which nothing fitted
 
   /// @return tasks that are neither done nor under way.
--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <sstream>
 
 namespace rosearch::sched {
 namespace {
@@ -84,7 +83,7 @@
   }
   auto& worker = *found->second;
   const bool live = worker.session == session_phase::kLive;
-  const bool over = now.steady >= LapseOf(worker) && !unsettled_.contains(id);
+  const bool over = now.steady >= worker.lease_until && !unsettled_.contains(id);
   if (!worker.listed && worker.runs.empty() && (live || over)) {
     log_.Write(event_line{"worker_dropped", event_weight::kBelief}.Add("worker", id));
     DropWorker(id);
@@ -117,7 +116,7 @@
 void scheduler::Tick(const instant& now) {
   Forget(now);
   for (const auto& [id, worker] : workers_) {
-    if (worker->session != session_phase::kLive && now.steady >= LapseOf(*worker)) {
+    if (worker->session != session_phase::kLive && now.steady >= worker->lease_until) {
       LoseRuns(*worker, "lease_lapsed", now);
       SettleWorker(id, "lease_lapsed", now);
     }
@@ -142,37 +141,4 @@
   RetireEnded(now);
 }
 
-cell_counts scheduler::Counts() const {
-  cell_counts counts;
-  counts.jobs = jobs_.size();
-  counts.workers = workers_.size();
-  for (const auto& [id, worker] : workers_) {
-    counts.workers_live += worker->session == session_phase::kLive ? 1 : 0;
-    counts.runs += worker->runs.size();
-  }
-  for (const auto* const step : open_steps_) {
-    counts.waiting_tasks += step->Idle();
-  }
-  return counts;
-}
-
-std::string scheduler::Dump(const instant& now) const {
-  std::ostringstream out;
-  out << "epoch=" << epoch_ << " version=" << configuration_.version
-      << " unsettled=" << unsettled_.size() << '\n';
-  for (const auto& [id, worker] : workers_) {
-    out << "worker " << id << " session=" << static_cast<int>(worker->session)
-        << " listed=" << worker->listed << " recorded=" << worker->recorded
-        << " draining=" << worker->facts.draining << " cpu_free=" << worker->Free().processors_milli
-        << " mb_free=" << worker->Free().memory_mb << " runs=" << worker->runs.size()
-        << " usable=" << worker->health.Usable(now.steady) << '\n';
-  }
-  for (const auto* const step : open_steps_) {
-    out << "step " << step->Name() << " idle=" << step->Idle() << " done=" << step->done << '/'
-        << step->tasks.size() << " startable=" << Startable(*step)
-        << " asking=" << step->advice.asking << '\n';
-  }
-  return out.str();
-}
-
 }  // namespace rosearch::sched
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -65,8 +65,9 @@
 /// A job whose caller waits for the store's word.
 struct settled_job {
   std::string id;
-  bool accepted{false};   ///< else refused: not stored, it never runs
-  bool cancelled{false};  ///< the order to cancel is stored
+  bool accepted{false};       ///< else refused: not stored, it never runs
+  bool cancelled{false};      ///< the order to cancel is stored
+  std::string_view reason{};  ///< refused: why
 
   friend bool operator==(const settled_job&, const settled_job&) = default;
 };
@@ -89,17 +90,33 @@
   kStaleFence,  ///< the worker obeys a newer leader
 };
 
-/// A line about the state for people.
+/// Figures about the state, for people.
 struct cell_counts {
   std::size_t jobs{0};
   std::size_t waiting_tasks{0};
   std::size_t runs{0};
   std::size_t workers_live{0};
   std::size_t workers{0};
+  std::size_t leases_ending{0};  ///< live workers whose lease ends within `kLeaseEnding`
+  std::size_t unsettled{0};      ///< workers that may run old work and haven't answered
+  duration oldest_report{};      ///< age of the oldest newest report of a live worker
 
   friend bool operator==(const cell_counts&, const cell_counts&) = default;
 };
 
+/// A lease that ends within this is about to lapse: it is extended every 0.6 s.
+inline constexpr duration kLeaseEnding = std::chrono::seconds{3};
+
+/// How long a job took to come so far.
+struct job_timing {
+  bool ended{false};  ///< else: its first task was ordered to start
+  job_phase phase{job_phase::kQueued};
+  std::uint32_t priority{0};
+  duration took{};  ///< since its caller handed it in
+
+  friend bool operator==(const job_timing&, const job_timing&) = default;
+};
+
 /// Decides for the whole cell what runs where and when: takes in what callers, workers, advice and
 /// the store say, and gives out orders and records. It reads no clock and does no I/O, so a load
 /// and its faults can be replayed exactly.
@@ -178,12 +195,12 @@
   /// @return whether somebody waits for what there is to store.
   [[nodiscard]] bool HasUrgentRecords() const { return urgent_; }
   /// Collects what has to be stored; one batch at a time.
-  [[nodiscard]] state_batch TakeBatch(const instant& now);
+  [[nodiscard]] state_batch TakeBatch();
   /// The batch is stored.
   void OnStored(std::uint64_t number, const instant& now);
   /// The batch is certainly not stored. New jobs in it are refused for good, the rest is kept for
   /// the next batch.
-  void OnNotStored(std::uint64_t number, const instant& now);
+  void OnNotStored(std::uint64_t number);
   /// Refuses every new job that no batch has carried to the store yet: it is away, and a caller
   /// that is told so at once can come back in time.
   void RefuseUnsent();
@@ -205,9 +222,14 @@
 
   /// @return whether a newer leader was met; this scheduler must decide nothing more.
   [[nodiscard]] bool Deposed() const { return deposed_; }
-  [[nodiscard]] cell_counts Counts() const;
-  /// @return a text for people: jobs with what each waits for, workers with room and health.
+  [[nodiscard]] cell_counts Counts(const instant& now) const;
+  /// @return what jobs took since the last call.
+  [[nodiscard]] std::vector<job_timing> TakeTimings() { return std::exchange(timings_, {}); }
+  /// @return a text for people: steps with what each waits for, workers with room, lease and
+  /// health.
   [[nodiscard]] std::string Dump(const instant& now) const;
+  /// @return a text for people: where one job stands, and why what waits of it waits.
+  [[nodiscard]] std::string Explain(std::string_view id, const instant& now) const;
 
  private:
   struct stored_effects;
@@ -219,6 +241,9 @@
 
   // scheduler_jobs.cc
   job_state* FindJob(std::string_view id);
+  /// @return the step that a task belongs to; null where it isn't known or isn't under way.
+  step_state* FindStep(const task_name& name);
+  void NoteTiming(const job_state& job, bool ended, const instant& now);
   void OpenDue(job_state& job, const instant& now);
   void OpenSteps(job_state& job, occurrence_state& occurrence, const instant& now);
   void FinishTask(step_state& step, std::uint32_t index, const instant& now);
@@ -241,8 +266,9 @@
                   const std::string& progress_text, const instant& now);
   void AckWhatNeedsNoRecord();
   [[nodiscard]] std::string EncodeWorkers(std::vector<std::string>& open) const;
-  void HoldTasks(worker_state& worker, const instant& now);
+  void HoldTasks(worker_state& worker);
   void ReleaseTasks(worker_state& worker);
+  void SetNotBefore(const std::string& task, time_point not_before);
 
   // scheduler_runs.cc
   /// Counts a run wherever it has to be counted; `Detach` takes it out again.
@@ -273,7 +299,6 @@
   void PaceLeftovers(worker_state& worker);
   void DropWorker(const std::string& id);
   void SettleWorker(const std::string& id, std::string_view how, const instant& now);
-  [[nodiscard]] time_point LapseOf(const worker_state& worker) const;
   [[nodiscard]] duration LongestLease() const;
 
   // scheduler_placement.cc
@@ -294,6 +319,9 @@
   bool MakeRoomAt(step_state& step, worker_state& worker, const instant& now);
   [[nodiscard]] std::uint32_t Copies(const step_state& step, const worker_state& worker) const;
 
+  // scheduler_views.cc
+  [[nodiscard]] std::string WhyWaiting(const step_state& step, const instant& now) const;
+
   scheduler_settings settings_;
   std::uint64_t epoch_;
   event_sink& log_;
@@ -307,6 +335,7 @@
   std::map<std::string, double> advised_share_;  ///< by queue: share of named workers allowed
   std::vector<order> orders_;
   std::vector<settled_job> settled_;
+  std::vector<job_timing> timings_;
   std::vector<std::string> acked_;
   std::vector<std::string> dirty_;      ///< jobs with something to store
   std::vector<std::string> forgotten_;  ///< ended jobs whose records are to be dropped
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -32,6 +32,20 @@
   return found == jobs_.end() ? nullptr : found->second.get();
 }
 
+step_state* scheduler::FindStep(const task_name& name) {
+  auto* const job = FindJob(name.job);
+  auto* const step = job == nullptr ? nullptr : job->Step(name.occurrence, name.step);
+  return step != nullptr && name.index < step->tasks.size() ? step : nullptr;
+}
+
+void scheduler::NoteTiming(const job_state& job, bool ended, const instant& now) {
+  // Timetables and services take what their callers asked for, which tells nothing of the cell.
+  if (job.spec->occurrences == 0 && !job.spec->steps.front().service) {
+    const auto handed_in = job.finish_by - job.spec->objective;
+    timings_.push_back({ended, job.phase, job.priority, now.steady - handed_in});
+  }
+}
+
 void scheduler::MarkDirty(job_state& job, bool urgent) {
   urgent_ = urgent_ || urgent;
   if (!job.dirty) {
@@ -251,7 +265,7 @@
     if (ready) {
       step->open = true;
       open_steps_.push_back(step.get());
-      log_.Write(event_line{"step_open"}
+      log_.Write(event_line{"step_open", event_weight::kDetail}
                      .Add("job", job.spec->id)
                      .Add("step", step->Name())
                      .Add("tasks", step->Idle())
@@ -331,6 +345,7 @@
   }
   job.phase = phase;
   job.ended_ms = now.wall_ms;
+  NoteTiming(job, true, now);
   MarkDirty(job, true);
   constexpr std::string_view kNames[]{"queued", "running", "completed", "failed", "cancelled"};
   log_.Write(event_line{
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -94,9 +94,9 @@
   return unseen;
 }
 
-// The load that this answers: a worker dies just as the leader does. Nobody knows what it was told to
-// run, so all old work would wait until its lease has lapsed, 8 s in all; but two workers in three
-// are never allowed to run a given step.
+// The load that this answers: a worker dies just as the leader does. Nobody knows what it was told
+// to run, so all old work would wait until its lease has lapsed, 8 s in all; but two workers in
+// three are never allowed to run a given step.
 void scheduler::AskAboutUnseen(step_state& step, const instant& now) {
   if (step.job->accepted && step.job->advice && !UnseenToAskAbout(step).empty()) {
     AskAdvice(step, step.Idle(), now);
@@ -391,7 +391,7 @@
     expected += score < -kCertain / 2 ? 1.0 : share.first->second;
   }
   step.advice.asking = true;
-  log_.Write(event_line{"advice_asked"}
+  log_.Write(event_line{"advice_asked", event_weight::kDetail}
                  .Add("job", step.job->spec->id)
                  .Add("step", query.step)
                  .Add("workers", query.workers.size())
@@ -428,7 +428,7 @@
       step->advice.Allow(known->second.get(), given->ticket, now.steady + asked.cost.ticket_life);
     }
   }
-  log_.Write(event_line{"advice_given"}
+  log_.Write(event_line{"advice_given", event_weight::kDetail}
                  .Add("job", name->job)
                  .Add("step", asked.step)
                  .Add("asked", asked.workers.size())
--- a/src/rosearch/sched/scheduler_reports.cc
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -27,18 +27,12 @@
   }
   // An end of a run that an earlier leader began, or that was taken for lost.
   const auto name = task_name::Parse(row.task);
-  auto* const job = name ? FindJob(name->job) : nullptr;
-  if (job == nullptr || IsTerminal(job->phase)) {
-    return;
-  }
-  auto* const step = job->Step(name->occurrence, name->step);
-  if (step == nullptr || name->index >= step->tasks.size()) {
-    return;
-  }
-  if (row.how != end_kind::kDone && row.how != end_kind::kFailed) {
+  auto* const step = name ? FindStep(*name) : nullptr;
+  const bool counts = row.how == end_kind::kDone || row.how == end_kind::kFailed;
+  if (step == nullptr || IsTerminal(step->job->phase) || !counts) {
     return;
   }
-  log_.Write(event_line{"old_run_ended"}
+  log_.Write(event_line{"old_run_ended", event_weight::kDetail}
                  .Add("task", row.task)
                  .Add("run", row.run)
                  .Add("worker", worker.facts.id)
@@ -70,9 +64,8 @@
          job->occurrences.size() < job->Occurrences()) {
     OpenSteps(*job, AddOccurrence(*job), now);
   }
-  auto* const step = wanted ? job->Step(name->occurrence, name->step) : nullptr;
-  const bool known =
-      step != nullptr && name->index < step->tasks.size() && !step->tasks[name->index].done;
+  auto* const step = wanted ? FindStep(*name) : nullptr;
+  const bool known = step != nullptr && !step->tasks[name->index].done;
   if (!known || (step->tasks[name->index].live > 0 && !step->spec->may_duplicate)) {
     StopStranger(worker, row, now);
     return;
@@ -82,7 +75,7 @@
   run.checkpoint = row.checkpoint;
   run.percent = row.percent;
   run.known_at = now.steady;
-  log_.Write(event_line{"run_adopted"}
+  log_.Write(event_line{"run_adopted", event_weight::kDetail}
                  .Add("task", row.task)
                  .Add("run", row.run)
                  .Add("worker", worker.facts.id));
@@ -208,7 +201,7 @@
     log_.Write(event_line{"worker_silent", event_weight::kBelief}
                    .Add("worker", worker_id)
                    .Add("runs", worker.runs.size())
-                   .Add("lapses_in_ms", LapseOf(worker) - now.steady));
+                   .Add("lapses_in_ms", worker.lease_until - now.steady));
   }
 }
 
@@ -330,7 +323,7 @@
     run->pace = pace;
     orders_.emplace_back(
         pace_order{worker.facts.id, worker.facts.address, run->task, run->run, pace});
-    log_.Write(event_line{"run_paced"}
+    log_.Write(event_line{"run_paced", event_weight::kDetail}
                    .Add("task", run->task)
                    .Add("worker", worker.facts.id)
                    .Add("percent", pace)
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -31,8 +31,6 @@
   return std::chrono::duration_cast<duration>(slow) + settings_.lapse_margin;
 }
 
-time_point scheduler::LapseOf(const worker_state& worker) const { return worker.lease_until; }
-
 live_run* scheduler::FindRun(const std::string& worker, const std::string& task,
                              std::uint32_t run) {
   const auto holder = workers_.find(worker);
@@ -46,6 +44,9 @@
 
 live_run& scheduler::Attach(step_state& step, std::uint32_t index, worker_state& worker,
                             std::uint32_t number, const instant& now) {
+  if (step.job->phase == job_phase::kQueued) {
+    NoteTiming(*step.job, false, now);
+  }
   auto made = std::make_unique<live_run>();
   made->task = step.Name() + '.' + std::to_string(index);
   made->run = number;
@@ -80,7 +81,7 @@
   worker.lease_until = std::max(worker.lease_until, now.steady + LongestLease());
   orders_.emplace_back(start_order{worker.facts.id, worker.facts.address, run.task, number,
                                    step.job->spec, std::move(checkpoint), std::move(ticket)});
-  log_.Write(event_line{"run_ordered"}
+  log_.Write(event_line{"run_ordered", event_weight::kDetail}
                  .Add("job", step.job->spec->id)
                  .Add("task", run.task)
                  .Add("run", number)
@@ -102,7 +103,7 @@
   run.next_try = now.steady + settings_.stop_retry;
   orders_.emplace_back(
       stop_order{run.worker->facts.id, run.worker->facts.address, run.task, run.run});
-  log_.Write(event_line{"run_stopping", reason == stop_reason::kJobOver ? event_weight::kRequest
+  log_.Write(event_line{"run_stopping", reason == stop_reason::kJobOver ? event_weight::kDetail
                                                                         : event_weight::kFailure}
                  .Add("task", run.task)
                  .Add("run", run.run)
@@ -144,7 +145,7 @@
   const std::string kept = newest;
   const auto took = now.steady - run.started_at;
   const bool good = how == end_kind::kDone || how == end_kind::kStopped;
-  log_.Write(event_line{"run_ended", good ? event_weight::kRequest : event_weight::kFailure}
+  log_.Write(event_line{"run_ended", good ? event_weight::kDetail : event_weight::kFailure}
                  .Add("task", run.task)
                  .Add("run", number)
                  .Add("worker", worker.facts.id)
--- a/src/rosearch/sched/scheduler_store.cc
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -108,7 +108,7 @@
     RestoreJob(id, text.first, text.second, now);
   }
   for (const auto& [id, worker] : workers_) {
-    HoldTasks(*worker, now);
+    HoldTasks(*worker);
   }
   workers_dirty_ = true;
   restored_at_ = now.steady;
@@ -123,7 +123,7 @@
   return !dirty_.empty() || !forgotten_.empty() || workers_dirty_;
 }
 
-state_batch scheduler::TakeBatch(const instant& now) {
+state_batch scheduler::TakeBatch() {
   state_batch batch{next_batch_++, {}};
   stored_effects effects;
   for (const auto& id : std::exchange(dirty_, {})) {
@@ -162,7 +162,6 @@
   }
   urgent_ = false;
   storing_[batch.number] = std::move(effects);
-  (void)now;
   return batch;
 }
 
@@ -210,7 +209,7 @@
   AckWhatNeedsNoRecord();
 }
 
-void scheduler::OnNotStored(std::uint64_t number, const instant& now) {
+void scheduler::OnNotStored(std::uint64_t number) {
   const auto node = storing_.extract(number);
   if (node.empty()) {
     return;
@@ -226,7 +225,6 @@
   }
   forgotten_.insert(forgotten_.end(), effects.forgotten.begin(), effects.forgotten.end());
   workers_dirty_ = workers_dirty_ || effects.workers;
-  (void)now;
 }
 
 void scheduler::DropNewJob(const std::string& id, std::string_view reason) {
@@ -236,7 +234,7 @@
   // It was never accepted, so nothing of it has started; whoever sent it is told so.
   std::erase(dirty_, id);
   jobs_.erase(id);
-  settled_.push_back({id, false, false});
+  settled_.push_back({id, false, false, reason});
   log_.Write(
       event_line{"job_refused", event_weight::kFailure}.Add("job", id).Add("reason", reason));
 }
@@ -279,25 +277,23 @@
   return stored.SerializeAsString();
 }
 
-void scheduler::HoldTasks(worker_state& worker, const instant&) {
-  for (const auto& text : worker.held_tasks) {
-    const auto name = task_name::Parse(text);
-    auto* const job = name ? FindJob(name->job) : nullptr;
-    auto* const step = job == nullptr ? nullptr : job->Step(name->occurrence, name->step);
-    if (step != nullptr && name->index < step->tasks.size()) {
-      step->tasks[name->index].not_before = worker.lease_until;
-    }
+void scheduler::SetNotBefore(const std::string& task, time_point not_before) {
+  const auto name = task_name::Parse(task);
+  auto* const step = name ? FindStep(*name) : nullptr;
+  if (step != nullptr) {
+    step->tasks[name->index].not_before = not_before;
+  }
+}
+
+void scheduler::HoldTasks(worker_state& worker) {
+  for (const auto& task : worker.held_tasks) {
+    SetNotBefore(task, worker.lease_until);
   }
 }
 
 void scheduler::ReleaseTasks(worker_state& worker) {
-  for (const auto& text : std::exchange(worker.held_tasks, {})) {
-    const auto name = task_name::Parse(text);
-    auto* const job = name ? FindJob(name->job) : nullptr;
-    auto* const step = job == nullptr ? nullptr : job->Step(name->occurrence, name->step);
-    if (step != nullptr && name->index < step->tasks.size()) {
-      step->tasks[name->index].not_before = time_point{};
-    }
+  for (const auto& task : std::exchange(worker.held_tasks, {})) {
+    SetNotBefore(task, time_point{});
   }
 }
 
--- /dev/null
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -0,0 +1,159 @@
+// What a scheduler shows to people.
+#include <algorithm>
+#include <chrono>
+#include <sstream>
+
+#include "rosearch/sched/scheduler.h"
+
+namespace rosearch::sched {
+namespace {
+
+std::int64_t Millis(duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+std::string_view PhaseName(job_phase phase) {
+  constexpr std::string_view kNames[]{"queued", "running", "completed", "failed", "cancelled"};
+  return kNames[static_cast<std::size_t>(phase)];
+}
+
+std::string_view SessionName(session_phase phase) {
+  constexpr std::string_view kNames[]{"new", "live", "silent"};
+  return kNames[static_cast<std::size_t>(phase)];
+}
+
+std::string_view RunPhaseName(run_phase phase) {
+  constexpr std::string_view kNames[]{"starting", "unsure", "running", "stopping"};
+  return kNames[static_cast<std::size_t>(phase)];
+}
+
+}  // namespace
+
+cell_counts scheduler::Counts(const instant& now) const {
+  cell_counts counts;
+  counts.jobs = jobs_.size();
+  counts.workers = workers_.size();
+  counts.unsettled = unsettled_.size();
+  for (const auto& [id, worker] : workers_) {
+    counts.runs += worker->runs.size();
+    if (worker->session != session_phase::kLive) {
+      continue;
+    }
+    ++counts.workers_live;
+    counts.leases_ending += worker->lease_until - now.steady < kLeaseEnding ? 1 : 0;
+    counts.oldest_report = std::max(counts.oldest_report, now.steady - worker->report_sent_at);
+  }
+  for (const auto* const step : open_steps_) {
+    counts.waiting_tasks += step->Idle();
+  }
+  return counts;
+}
+
+std::string scheduler::WhyWaiting(const step_state& step, const instant& now) const {
+  if (step.Finished()) {
+    return "nothing";
+  }
+  if (!step.open) {
+    return "earlier_steps";
+  }
+  if (step.Idle() == 0) {
+    return "its_runs";
+  }
+  if (!step.job->accepted) {
+    return "store";
+  }
+  if (!Startable(step)) {
+    return "old_workers unsettled=" + std::to_string(unsettled_.size());
+  }
+  std::size_t out_of_use = 0;
+  std::size_t left_alone = 0;
+  std::size_t unfit = 0;
+  std::size_t not_allowed = 0;
+  std::size_t no_room = 0;
+  std::size_t open = 0;
+  for (const auto& [id, worker] : workers_) {
+    const bool usable = worker->session == session_phase::kLive && worker->listed &&
+                        worker->recorded && !worker->facts.draining && worker->strangers == 0;
+    if (!usable) {
+      ++out_of_use;
+    } else if (!worker->health.Usable(now.steady)) {
+      ++left_alone;
+    } else if (!MayRun(step, nullptr, *worker, now)) {
+      ++unfit;
+    } else if (step.advice.Refused(id)) {
+      ++not_allowed;
+    } else if (!Fits(step, *worker)) {
+      ++no_room;
+    } else {
+      ++open;
+    }
+  }
+  std::ostringstream out;
+  out << (open == 0          ? "workers"
+          : step.job->advice ? "advice"
+                             : "a_pass")
+      << " out_of_use=" << out_of_use << " left_alone=" << left_alone << " unfit=" << unfit
+      << " not_allowed=" << not_allowed << " no_room=" << no_room << " open=" << open;
+  return out.str();
+}
+
+std::string scheduler::Dump(const instant& now) const {
+  std::ostringstream out;
+  out << "epoch=" << epoch_ << " version=" << configuration_.version << " jobs=" << jobs_.size()
+      << " unsettled=" << unsettled_.size() << " batches=" << storing_.size() << '\n';
+  for (const auto& [id, worker] : workers_) {
+    out << "worker " << id << " address=" << worker->facts.address
+        << " session=" << SessionName(worker->session) << " listed=" << worker->listed
+        << " recorded=" << worker->recorded << " draining=" << worker->facts.draining
+        << " cpu_free=" << worker->Free().processors_milli
+        << " mb_free=" << worker->Free().memory_mb << " runs=" << worker->runs.size()
+        << " strangers=" << worker->strangers
+        << " lease_ms=" << Millis(worker->lease_until - now.steady)
+        << " report_ms_ago=" << Millis(now.steady - worker->report_sent_at)
+        << " unacked=" << worker->seen_end - worker->acked_end
+        << " usable=" << worker->health.Usable(now.steady) << '\n';
+  }
+  for (const auto* const step : open_steps_) {
+    out << "step " << step->Name() << " idle=" << step->Idle() << " done=" << step->done << '/'
+        << step->tasks.size() << " asking=" << step->advice.asking
+        << " left_ms=" << Millis(step->job->finish_by - now.steady)
+        << " waits_for=" << WhyWaiting(*step, now) << '\n';
+  }
+  return out.str();
+}
+
+std::string scheduler::Explain(std::string_view id, const instant& now) const {
+  std::ostringstream out;
+  if (const auto ended = ended_.find(std::string{id}); ended != ended_.end()) {
+    out << "job " << id << " phase=" << PhaseName(ended->second.phase)
+        << " ended_ms_ago=" << now.wall_ms - ended->second.ended_ms << '\n';
+    return out.str();
+  }
+  const auto found = jobs_.find(std::string{id});
+  if (found == jobs_.end()) {
+    out << "job " << id << " unknown epoch=" << epoch_ << '\n';
+    return out.str();
+  }
+  const auto& job = *found->second;
+  out << "job " << id << " phase=" << PhaseName(job.phase)
+      << " stored_phase=" << PhaseName(job.stored_phase) << " accepted=" << job.accepted
+      << " restored=" << job.restored << " queue=" << job.spec->queue
+      << " priority=" << job.priority << " max_attempts=" << job.max_attempts
+      << " left_ms=" << Millis(job.finish_by - now.steady) << " runs=" << job.live
+      << (job.accepted ? "" : " waits_for=store") << '\n';
+  for (const auto& occurrence : job.occurrences) {
+    for (const auto& step : occurrence->steps) {
+      out << "step " << step->Name() << " done=" << step->done << '/' << step->tasks.size()
+          << " idle=" << step->Idle() << " waits_for=" << WhyWaiting(*step, now) << '\n';
+      for (const auto* const run : step->runs) {
+        out << "run " << run->task << " run=" << run->run << " worker=" << run->worker->facts.id
+            << " phase=" << RunPhaseName(run->phase) << " percent=" << run->percent
+            << " reason=" << StopReasonName(run->reason)
+            << " since_ms=" << Millis(now.steady - run->started_at) << '\n';
+      }
+    }
+  }
+  return out.str();
+}
+
+}  // namespace rosearch::sched
--- a/test/rosearch/cell/fake_ports.h
+++ b/test/rosearch/cell/fake_ports.h
@@ -93,7 +93,6 @@
     });
   }
   void Advise(const std::string&, const sched::advice_query&, const advice_callback&) {}
-  void SetPeers(const std::vector<std::string>&) {}
 
   static std::optional<sched::cell_configuration> DecodeConfiguration(const std::string&) {
     sched::cell_configuration made;
--- a/test/rosearch/log/bounded_log_test.cc
+++ b/test/rosearch/log/bounded_log_test.cc
@@ -68,16 +68,18 @@
 TEST_CASE("a flood of ordinary lines leaves room for failures, and is counted") {
   pipe_pair ends;
   bounded_log_settings settings{ends.writer()};
-  settings.request_lines_per_second = 10;
+  settings.detail_lines_per_second = 10;
   bounded_log log{settings};
   for (int at = 0; at < 100; ++at) {
-    log.Write(event_line{"run_ordered"}.Add("n", at));
+    log.Write(event_line{"run_ordered", event_weight::kDetail}.Add("n", at));
   }
+  log.Write(event_line{"job_accepted"}.Add("job", "a"));
   log.Write(event_line{"job_refused", event_weight::kFailure});
   log.Flush();
   const auto text = ends.ReadAll();
   CHECK(text.find("n=9\n") != std::string::npos);
   CHECK(text.find("n=10\n") == std::string::npos);
+  CHECK(text.find("job_accepted") != std::string::npos);
   CHECK(text.find("job_refused") != std::string::npos);
   CHECK(log.Dropped() == 90);
 }
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -144,7 +144,7 @@
     return;
   }
   storing_ = true;
-  SendBatch(epoch_, leader_->TakeBatch(Now()), false);
+  SendBatch(epoch_, leader_->TakeBatch(), false);
 }
 
 void cell_world::SendBatch(std::uint64_t epoch, const state_batch& batch, bool may_be_stored) {
@@ -175,7 +175,7 @@
     }
     storing_ = false;
     if (refused) {
-      leader_->OnNotStored(batch.number, Now());
+      leader_->OnNotStored(batch.number);
     } else {
       leader_->OnStored(batch.number, Now());
     }
--- a/test/rosearch/sched/scheduler_test.cc
+++ b/test/rosearch/sched/scheduler_test.cc
@@ -45,7 +45,7 @@
     now.wall_ms += std::chrono::duration_cast<milliseconds>(span).count();
   }
   std::vector<stored_record> Store() {
-    const auto batch = leader.TakeBatch(now);
+    const auto batch = leader.TakeBatch();
     leader.OnStored(batch.number, now);
     for (const auto& record : batch.records) {
       workers_record = record.key == "w" ? record.value : workers_record;
@@ -139,7 +139,7 @@
 TEST_CASE("a job whose append is under way stays pending when the store is away") {
   bench_top top;
   (void)top.Submit("a", 1);
-  const auto batch = top.leader.TakeBatch(top.now);
+  const auto batch = top.leader.TakeBatch();
   top.leader.RefuseUnsent();
   CHECK(top.leader.IsPending("a"));
   CHECK(top.leader.TakeSettled().empty());
@@ -388,7 +388,7 @@
   next.ObserveWorker(facts, first.now);
   (void)next.NextWatch(facts.id, first.now);
   next.OnReport(facts.id, first.now.steady, {}, first.now);
-  const auto batch = next.TakeBatch(first.now);
+  const auto batch = next.TakeBatch();
   next.OnStored(batch.number, first.now);
   CHECK(next.OldRunsSettled());
   next.Schedule(first.now);
@@ -421,11 +421,11 @@
   }
   /// A worker is in the registry, answers, and is recorded.
   void Answers(const std::string& worker, const worker_report& report = {}) {
-    leader.ObserveWorker({worker, "10.0.0.1:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, false, {}},
-                         now);
+    leader.ObserveWorker(
+        {worker, "10.0.0.1:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, false, {}}, now);
     (void)leader.NextWatch(worker, now);
     leader.OnReport(worker, now.steady, report, now);
-    const auto batch = leader.TakeBatch(now);
+    const auto batch = leader.TakeBatch();
     leader.OnStored(batch.number, now);
   }
   std::vector<order> Orders() {
@@ -450,8 +450,8 @@
 }  // namespace
 
 // Workers are replaced one after another, and the leader dies in between. A worker that was leaving
-// is gone by the time the next one leads. What ran there was known; all other old work must not wait
-// for its lease.
+// is gone by the time the next one leads. What ran there was known; all other old work must not
+// wait for its lease.
 TEST_CASE("after a change of leader only the tasks of a leaving worker wait for it") {
   bench_top first;
   (void)first.Submit("a", 1);
@@ -467,9 +467,9 @@
   REQUIRE(starts.size() == 2);
   REQUIRE(starts[0].worker != starts[1].worker);
   const auto& leaving = starts[0];
-  first.leader.ObserveWorker({leaving.worker, "10.0.0.1:80", "pool", "", "", "", {},
-                              {4'000, 8'000, 0}, true, seconds{2}},
-                             first.now);
+  first.leader.ObserveWorker(
+      {leaving.worker, "10.0.0.1:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, true, seconds{2}},
+      first.now);
   REQUIRE(first.leader.HasRecords());
   keep();
   kept["w"] = first.WorkersRecord();
@@ -531,6 +531,40 @@
   CHECK(top.Starts().empty());
 }
 
+// A caller asks why a job takes so long. Whoever is on call asks the leader, and must learn what it
+// waits for.
+TEST_CASE("what a job waits for can be told at every stage") {
+  bench_top top;
+  (void)top.Submit("a", 1);
+  (void)top.Submit("b", 12);
+  CHECK(top.leader.Explain("a", top.now).find("waits_for=store") != std::string::npos);
+  (void)top.Store();
+  CHECK(top.Starts().size() == 8);
+  CHECK(top.leader.Explain("a", top.now).find("waits_for=its_runs") != std::string::npos);
+  const auto room = top.leader.Explain("b", top.now);
+  CHECK(room.find("waits_for=workers") != std::string::npos);
+  CHECK(room.find("no_room=2 open=0") != std::string::npos);
+  CHECK(top.leader.Dump(top.now).find("step b.0.0 idle=5") != std::string::npos);
+  CHECK(top.leader.Explain("c", top.now).find("unknown") != std::string::npos);
+  (void)top.leader.Cancel("b", kQueue, top.now);
+  CHECK(top.leader.Explain("b", top.now).find("phase=cancelled") != std::string::npos);
+}
+
+TEST_CASE("how long jobs wait and take is noted once each") {
+  bench_top top;
+  (void)top.Submit("a", 1);
+  (void)top.Store();
+  top.Pass(milliseconds{40});
+  const auto start = top.Starts().at(0);
+  top.Pass(milliseconds{500});
+  top.Report(start.worker, {{}, {{1, start.task, start.run, end_kind::kDone, ""}}});
+  const auto timings = top.leader.TakeTimings();
+  REQUIRE(timings.size() == 2);
+  CHECK(timings[0] == job_timing{false, job_phase::kQueued, 0, milliseconds{40}});
+  CHECK(timings[1] == job_timing{true, job_phase::kCompleted, 0, milliseconds{540}});
+  CHECK(top.leader.TakeTimings().empty());
+}
+
 TEST_CASE("a newer leader at a worker ends all decisions") {
   bench_top top;
   (void)top.Submit("a", 1);
