--- a/src/rosearch/cell/election.cc
+++ b/src/rosearch/cell/election.cc
@@ -56,7 +56,8 @@
 bool election::Hears(time_point now) const { return !leaving_ && Reaches(now); }
 
 bool election::Reaches(time_point now) const {
-  return heard_at_ != time_point{} && broken_at_ == time_point{} && now - heard_at_ < settings_.suspect_after;
+  return heard_at_ != time_point{} && broken_at_ == time_point{} &&
+         now - heard_at_ < settings_.suspect_after;
 }
 
 bool election::Doubts(time_point now) const {
@@ -66,8 +67,8 @@
   if (leaving_ || known_.epoch == 0) {
     return true;
   }
-  // Small processes ask nobody while larger ones do: thirty that ask thirty take each a third of its
-  // share of the processor.
+  // Small processes ask nobody while larger ones do: thirty that ask thirty take each a third of
+  // its share of the processor.
   const auto patience = small_ ? settings_.small_waits : duration{};
   const bool broken = broken_at_ != time_point{} && now - broken_at_ >= patience;
   return broken || now - quiet_since_ >= settings_.doubt_after + patience;
--- a/src/rosearch/cell/internal/leader_takeover.h
+++ b/src/rosearch/cell/internal/leader_takeover.h
@@ -162,19 +162,19 @@
 template <typename Callback>
 void leader<Ports>::TouchStore(Callback on_answer) {
   const auto asked_at = SteadyNow();
-  ports_.Append(stream::kState, {}, writer_proof{"scheduler", epoch_, 0}, std::nullopt,
-                Bind([asked_at, on_answer = std::move(on_answer)](leader& self,
-                                                                  const append_answer& answer) {
-                  if (answer.outcome == append_outcome::kFenced) {
-                    self.End("fenced");
-                    return;
-                  }
-                  const bool stored = answer.outcome == append_outcome::kStored;
-                  if (stored) {
-                    self.OnProof(asked_at);
-                  }
-                  on_answer(self, asked_at, stored);
-                }));
+  ports_.Append(
+      stream::kState, {}, writer_proof{"scheduler", epoch_, 0}, std::nullopt,
+      Bind([asked_at, on_answer = std::move(on_answer)](leader& self, const append_answer& answer) {
+        if (answer.outcome == append_outcome::kFenced) {
+          self.End("fenced");
+          return;
+        }
+        const bool stored = answer.outcome == append_outcome::kStored;
+        if (stored) {
+          self.OnProof(asked_at);
+        }
+        on_answer(self, asked_at, stored);
+      }));
 }
 
 template <typename Ports>
--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -174,8 +174,7 @@
     const auto chosen = sent->ways.front();
     sent->ways.pop_front();
     // Kept connections may be why the way before brought nothing.
-    sent->request.fresh_connection =
-        !first || (chosen == way::kDirect && broken != broken_.end());
+    sent->request.fresh_connection = !first || (chosen == way::kDirect && broken != broken_.end());
     if (chosen == way::kDirect) {
       SendDirect(sent);
       TryNextAfter(sent, Patience(*sent));
--- a/src/rosearch/net/peer_transport.cc
+++ b/src/rosearch/net/peer_transport.cc
@@ -210,8 +210,8 @@
 
 peer_transport::peer_transport(const std::string& address, receive on_message,
                                const peer_transport_options& options, broken on_broken)
-    : impl_{std::make_unique<impl>(address, std::move(on_message), options,
-                                   std::move(on_broken))} {}
+    : impl_{std::make_unique<impl>(address, std::move(on_message), options, std::move(on_broken))} {
+}
 
 peer_transport::~peer_transport() = default;
 
--- a/test/rosearch/cell/leader_test.cc
+++ b/test/rosearch/cell/leader_test.cc
@@ -56,8 +56,8 @@
   CHECK(first->status == 504);
 }
 
-// The store said nothing for a while and is back, but calls that were made meanwhile still hang. The
-// cell went on refusing jobs until the last of them had given up.
+// The store said nothing for a while and is back, but calls that were made meanwhile still hang.
+// The cell went on refusing jobs until the last of them had given up.
 TEST_CASE("a store that is back is noticed though earlier calls still hang") {
   leading cell;
   cell.ports.silent = true;
--- a/test/rosearch/cell/node_test.cc
+++ b/test/rosearch/cell/node_test.cc
@@ -53,8 +53,7 @@
       fake_ports::Append(which, records, proof, at, done);
       return;
     }
-    boost::asio::post(io_,
-                      [done, answer = claims_.Append(records.front(), *at)] { done(answer); });
+    boost::asio::post(io_, [done, answer = claims_.Append(records.front(), *at)] { done(answer); });
   }
   void Read(stream which, std::uint64_t from, duration wait, const log_callback& done) {
     if (which != stream::kClaims) {
@@ -96,8 +95,7 @@
   process(claims_log& claims, const std::string& address, const std::vector<std::string>& seeds,
           std::uint64_t life)
       : ports_{io_, claims},
-        peers_{io_, address, life,
-               [this](const wire::peer_frame& frame) { node_->Receive(frame); },
+        peers_{io_, address, life, [this](const wire::peer_frame& frame) { node_->Receive(frame); },
                [this](const std::string& peer) { node_->OnConnectionBroken(peer); }},
         outside_{io_, http_, peers_} {
     cell_settings settings;
@@ -126,9 +124,8 @@
 
   /// @return whether it leads and answers, asked on its own thread.
   [[nodiscard]] bool Leads() {
-    return OnThread([this] {
-      return node_->Ready() && node_->Dump().find("leading=1") != std::string::npos;
-    });
+    return OnThread(
+        [this] { return node_->Ready() && node_->Dump().find("leading=1") != std::string::npos; });
   }
   /// @return whether it would answer callers.
   [[nodiscard]] bool Ready() {
@@ -152,7 +149,8 @@
       call.path = "/jobs/" + id;
       call.headers["host"] = "host";
       call.body = "job";
-      node_->Take(call, [answered](const http_response& said) { answered->set_value(said.status); });
+      node_->Take(call,
+                  [answered](const http_response& said) { answered->set_value(said.status); });
     });
     return status;
   }
@@ -223,8 +221,8 @@
   CHECK(took < seconds{3});
 }
 
-// The process that leads is killed. Its connections break at once, but only its silence was noticed,
-// and callers waited for half a second more.
+// The process that leads is killed. Its connections break at once, but only its silence was
+// noticed, and callers waited for half a second more.
 TEST_CASE("a killed leader is noticed by its connections") {
   cell_of_three cell;
   cell.processes[0].reset();
--- a/test/rosearch/cell/peer_link_test.cc
+++ b/test/rosearch/cell/peer_link_test.cc
@@ -14,7 +14,9 @@
   boost::asio::io_context io;
   peer_link link{io, "127.0.0.1:0", 1, [](const wire::peer_frame&) {}};
   int ended = 0;
-  const auto count = [&ended](const wire::peer_frame* answer) { ended += answer == nullptr ? 1 : 0; };
+  const auto count = [&ended](const wire::peer_frame* answer) {
+    ended += answer == nullptr ? 1 : 0;
+  };
   const auto long_enough = SteadyNow() + std::chrono::seconds{60};
   link.Ask("127.0.0.1:9", {}, long_enough, count);
   link.Ask("127.0.0.1:9", {}, long_enough, count);
--- a/test/rosearch/cell/relayed_client_test.cc
+++ b/test/rosearch/cell/relayed_client_test.cc
@@ -132,8 +132,9 @@
   CHECK(made.took < milliseconds{200});
 }
 
-// The store turns slow all at once, while eight appends are under way. Sent again by other ways, each
-// would cost the store as much as a new one, and jobs would be refused because it falls behind.
+// The store turns slow all at once, while eight appends are under way. Sent again by other ways,
+// each would cost the store as much as a new one, and jobs would be refused because it falls
+// behind.
 TEST_CASE("a target that turned slow is not asked twice for everything") {
   outside made{200};
   made.client.SetPeers({made.peers.address()});
