Let small processes claim only while the store answers

Ruled out: the election's pauses (small ones wait 0.5 s more, but an outage is longer). Change: a small process claims only if it has read the claims within 2 s. Case in node_test (both ways).

--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -98,6 +98,12 @@
   if (!election_.Leaving()) {
     AskPeersForLeader();
   }
+  // Claims that hang on a silent store are carried out in any order once it is back. Where the
+  // small processes had sent theirs too, one of them led a cell that took more than its processor.
+  const bool small = settings_.processor_milli < kLargeProcess;
+  if (small && now - claims_read_at_ >= kClaimsFresh) {
+    return;
+  }
   // Whether a peer hears the leader went into the election as its answer came.
   const bool agreed = election_.Leaving() || now - asked_all_at_ < kWordFresh;
   if (election_.ShouldClaim(now) && agreed) {
@@ -313,7 +319,8 @@
     for (const auto& record : page.value().records) {
       OnClaim(record.value, claims_next_ - 1);
     }
-    election_.OnClaimsRead(SteadyNow());
+    claims_read_at_ = SteadyNow();
+    election_.OnClaimsRead(claims_read_at_);
     if (election_.Known().epoch > 0 && !Leading()) {
       Knock();
     }
@@ -343,6 +350,7 @@
       ++offset;
     }
     claims_next_ = page.value().next;
+    claims_read_at_ = SteadyNow();
     if (leader_ && leader_->epoch() == election_.Known().epoch) {
       leader_->OnNoNewerClaim(asked_at);
     }
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -144,6 +144,8 @@
   /// A leader that is to stop and finds no successor within this stops all the same.
   static constexpr duration kHandoverPatience = std::chrono::milliseconds{1'500};
   static constexpr duration kClaimsWait = std::chrono::milliseconds{1'000};
+  /// A store that answers brings a read of the claims within `kClaimsWait` and what it takes itself.
+  static constexpr duration kClaimsFresh = std::chrono::milliseconds{2'000};
   static constexpr duration kClaimsRetry = std::chrono::milliseconds{200};
   static constexpr duration kQueryPatience = std::chrono::milliseconds{150};
   /// So long the peers' word counts that none of them hears the leader.
@@ -218,6 +220,7 @@
   time_point heard_at_{time_point::min() + std::chrono::hours{1}};
   time_point pinged_at_{};
   time_point asked_peers_at_{};
+  time_point claims_read_at_{};
   time_point asked_all_at_{};  ///< when the peers were asked who have all answered since, or not
   std::size_t under_way_{0};
 };
--- a/test/rosearch/cell/node_test.cc
+++ b/test/rosearch/cell/node_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
@@ -24,6 +25,7 @@
  public:
   append_answer Append(const std::string& record, std::uint64_t at) {
     const std::scoped_lock lock{mutex_};
+    ++asked_;
     if (at != records_.size()) {
       return {append_outcome::kMoved, 0, 0};
     }
@@ -35,9 +37,19 @@
     return {records_.begin() + static_cast<std::ptrdiff_t>(first), records_.end()};
   }
 
+  /// From now on nothing is answered.
+  void Silence() { silent_ = true; }
+  [[nodiscard]] bool Silent() const { return silent_; }
+  [[nodiscard]] int Asked() const {
+    const std::scoped_lock lock{mutex_};
+    return asked_;
+  }
+
  private:
   mutable std::mutex mutex_;
   std::vector<std::string> records_;
+  int asked_{0};
+  std::atomic<bool> silent_{false};
 };
 
 /// The outside of one process: its own state and workers, but the claims of all.
@@ -60,6 +72,9 @@
       fake_ports::Read(which, from, wait, done);
       return;
     }
+    if (claims_.Silent()) {
+      return;
+    }
     auto timer = std::make_shared<boost::asio::steady_timer>(io_, milliseconds{20});
     timer->async_wait([this, timer, from, done](const boost::system::error_code&) {
       log_page page;
@@ -93,7 +108,7 @@
 class process {
  public:
   process(claims_log& claims, const std::string& address, const std::vector<std::string>& seeds,
-          std::uint64_t life)
+          std::uint64_t life, std::uint32_t processor_milli = 1'000)
       : ports_{io_, claims},
         peers_{io_, address, life, [this](const wire::peer_frame& frame) { node_->Receive(frame); },
                [this](const std::string& peer) { node_->OnConnectionBroken(peer); }},
@@ -101,6 +116,7 @@
     cell_settings settings;
     settings.name = address;
     settings.seeds = seeds;
+    settings.processor_milli = processor_milli;
     node_ = std::make_unique<node<claiming_ports>>(io_, settings, ports_, peers_, outside_, life,
                                                    0.0, log_, metrics_);
     node_->Begin();
@@ -255,6 +271,30 @@
   CHECK(status.get() == 200);
 }
 
+// The store is away as the leader is lost. A small process must not have a claim hanging there: it
+// would be as likely to win as a large one's when the store is back, and the cell would take more
+// than its processor.
+TEST_CASE("a small process claims only while the store answers") {
+  claims_log claims;
+  auto leader = std::make_unique<process>(claims, "127.0.0.1:47311", std::vector<std::string>{}, 1);
+  cell_of_three::Until([&] { return leader->Leads(); });
+  constexpr std::uint32_t kSmall = 100;
+  process small{claims, "127.0.0.1:47312", {"127.0.0.1:47311"}, 2, kSmall};
+  cell_of_three::Until([&] { return small.Ready(); });
+  const int before = claims.Asked();
+  SECTION("not while it is silent") {
+    claims.Silence();
+    std::this_thread::sleep_for(milliseconds{2'200});
+    leader.reset();
+    std::this_thread::sleep_for(milliseconds{1'500});
+    CHECK(claims.Asked() == before);
+  }
+  SECTION("else it does") {
+    leader.reset();
+    CHECK(cell_of_three::Until([&] { return small.Leads(); }) < seconds{4});
+  }
+}
+
 // Another process stands still for a while and wakes: it must follow the leader that there is.
 TEST_CASE("a process that stood still doesn't take over") {
   cell_of_three cell;
