--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -258,6 +258,8 @@
   [[nodiscard]] submit_answer Admit(const job_spec& job);
   [[nodiscard]] double MeanSlackMs(const job_spec& job);
   [[nodiscard]] bool FitsSomewhere(const job_spec& job) const;
+  /// @return whether there is room for all tasks of a job's first step now.
+  [[nodiscard]] bool HasPlaces(const job_spec& job) const;
   void MarkDirty(job_state& job, bool urgent);
 
   // scheduler_store.cc
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -17,8 +17,11 @@
 /// How much one job moves the mean slack of its queue.
 constexpr double kSlackWeight = 0.05;
 
-/// A cell with this share of its processors free beyond the reserve turns nobody away: what waits
-/// there waits for advice, not for room.
+/// A cell with this share of its processors free beyond the reserve, and with places for all tasks
+/// of a job's first step, doesn't turn the job away: what waits there waits for advice, not for
+/// room. The share alone says little: where tasks of 4 processors leave 4 of 16 free at each
+/// worker, it let in twice the work that there is room for, and 9 jobs in 100 were in time instead
+/// of 45.
 constexpr double kRoomToSpare = 0.05;
 
 /// A refused caller comes back no sooner than this, so that refusing costs less than serving.
@@ -119,6 +122,27 @@
   return mean;
 }
 
+bool scheduler::HasPlaces(const job_spec& job) const {
+  const auto& step = job.steps.front();
+  const double kept = job.priority == 0 ? 0.0 : settings_.urgent_reserve;
+  std::int64_t places = 0;
+  for (const auto& [id, worker] : workers_) {
+    const auto& facts = worker->facts;
+    if (facts.pool != job.pool || worker->session != session_phase::kLive || facts.draining ||
+        !worker->listed) {
+      continue;
+    }
+    const auto reserve =
+        static_cast<std::int64_t>(kept * static_cast<double>(facts.capacity.processors_milli));
+    const auto free = worker->Free();
+    const auto by_processor =
+        (free.processors_milli - reserve) / std::max<std::int64_t>(1, step.need.processors_milli);
+    const auto by_memory = free.memory_mb / std::max<std::int64_t>(1, step.need.memory_mb);
+    places += std::max<std::int64_t>(0, std::min(by_processor, by_memory));
+  }
+  return places >= static_cast<std::int64_t>(step.count);
+}
+
 // The load that this answers: bursts of long work on top of a cell that is four fifths full. What
 // can't start while its objective can still be met would only make everything behind it late too.
 submit_answer scheduler::Admit(const job_spec& job) {
@@ -154,7 +178,7 @@
   const double slack = MeanSlackMs(job) * settings_.admission_slack;
   const double wait = room > 0 ? ahead / room : 0;
   const bool has_room = free > room * (settings_.urgent_reserve + kRoomToSpare);
-  if (room <= 0 || has_room || wait <= slack) {
+  if (room <= 0 || wait <= slack || (has_room && HasPlaces(job))) {
     return {submit_verdict::kPending, {}, {}};
   }
   const auto back = std::chrono::milliseconds{static_cast<std::int64_t>(wait - slack)};
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -39,8 +39,10 @@
       lines, [&](const auto& line) { return line.find(part) != std::string::npos; });
 }
 
-cell_world::cell_world(std::uint64_t seed, const world_faults& faults, std::size_t workers)
-    : random_{seed}, faults_{faults}, now_{std::chrono::seconds{100}} {
+cell_world::cell_world(std::uint64_t seed, const world_faults& faults, std::size_t workers,
+                       const scheduler_settings& settings)
+    : random_{seed}, faults_{faults}, settings_{settings}, now_{std::chrono::seconds{100}} {
+  settings_.max_lease = kMaxLease;
   constexpr std::int64_t kSizes[]{16'000, 16'000, 8'000, 32'000};
   for (std::size_t at = 0; at < workers; ++at) {
     fake_worker made;
@@ -83,9 +85,7 @@
   ++epoch_;
   storing_ = false;
   watched_.clear();
-  scheduler_settings settings;
-  settings.max_lease = kMaxLease;
-  leader_ = std::make_unique<scheduler>(settings, epoch_, log_);
+  leader_ = std::make_unique<scheduler>(settings_, epoch_, log_);
   for (const auto& [key, value] : store_) {
     if (!leader_->Restore({key, value}, Now())) {
       Break("record unreadable: " + key);
@@ -299,7 +299,7 @@
   run.run = order.run;
   run.began = now_;
   run.ends = step.service ? now_ + std::chrono::hours{1} : now_ + step.estimate * percent / 100;
-  run.fails = random_.Chance(faults_.run_fails);
+  run.fails = random_.Chance(faults_.run_fails) || worker->sick;
   run.charged = step.need;
   worker->running[order.task] = run;
   return start_outcome::kStarted;
@@ -456,6 +456,10 @@
 
 // Trouble, callers, time.
 
+void cell_world::SickenWorker(std::size_t number) {
+  std::next(workers_.begin(), static_cast<std::ptrdiff_t>(number))->second.sick = true;
+}
+
 void cell_world::CutWorker(std::size_t number, duration span) {
   auto worker = workers_.begin();
   std::advance(worker, static_cast<std::ptrdiff_t>(number % workers_.size()));
@@ -493,6 +497,8 @@
   if (job.queue.empty()) {
     job.queue = kQueue;
   }
+  constexpr std::uint32_t kLongPriority = 2;
+  job.priority = job.queue == kLongQueue ? kLongPriority : 0;
   job.pool = kPool;
   job.payload = "payload";
   job.max_attempts = kAttempts;
--- a/test/rosearch/sched/cell_world.h
+++ b/test/rosearch/sched/cell_world.h
@@ -43,7 +43,8 @@
 /// store, advice and callers. One seed is one run. Whatever breaks a promise is noted.
 class cell_world {
  public:
-  cell_world(std::uint64_t seed, const world_faults& faults, std::size_t workers);
+  cell_world(std::uint64_t seed, const world_faults& faults, std::size_t workers,
+             const scheduler_settings& settings = {});
   ~cell_world();
 
   /// Hands in a job; the id is made up.
@@ -58,6 +59,8 @@
   /// The leader is gone, another takes over.
   void ReplaceLeader();
   void CutWorker(std::size_t number, duration span);
+  /// From now on every run that starts at a worker fails at its end.
+  void SickenWorker(std::size_t number);
 
   /// @return promises that were broken, in words.
   [[nodiscard]] const std::vector<std::string>& Broken() const { return broken_; }
@@ -65,6 +68,7 @@
   /// @return accepted jobs without a service that haven't ended.
   [[nodiscard]] std::vector<std::string> Unfinished() const;
   [[nodiscard]] std::size_t Starts() const { return starts_; }
+  [[nodiscard]] bool Refused(const std::string& job) const { return jobs_.at(job).refused; }
   [[nodiscard]] std::size_t RunningOf(const std::string& job) const;
   [[nodiscard]] scheduler& Leader() { return *leader_; }
   [[nodiscard]] const kept_log& Log() const { return log_; }
@@ -90,6 +94,7 @@
     std::uint64_t fence{0};
     time_point lease_until{};
     time_point cut_until{};
+    bool sick{false};
     std::uint64_t ended_count{0};
     std::map<std::string, fake_run> running;
     std::vector<ended_row> ended;
@@ -135,6 +140,7 @@
 
   random_source random_;
   world_faults faults_;
+  scheduler_settings settings_;
   kept_log log_;
   time_point now_;
   std::multimap<time_point, std::function<void()>> events_;
