--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -97,7 +97,7 @@
     done(std::move(answer));
   }
 
-  [[nodiscard]] bool First() const { return !direct_tried && peers_tried.empty(); }
+  [[nodiscard]] bool NothingTried() const { return !direct_tried && peers_tried.empty(); }
 
   /// @return whether a copy may be sent while another one is under way.
   [[nodiscard]] bool Repeatable() const { return how.by_peer && how.patience > duration{}; }
@@ -168,7 +168,7 @@
 
 void relayed_client::TryNext(const std::shared_ptr<exchange>& sent) {
   const auto broken = broken_.find(sent->request.address);
-  const bool first = sent->First();
+  const bool first = sent->NothingTried();
   sent->last_tried_at = SteadyNow();
   while (!sent->ways.empty()) {
     const auto chosen = sent->ways.front();
