--- a/src/rosearch/cell/internal/node_callers.h
+++ b/src/rosearch/cell/internal/node_callers.h
@@ -19,6 +19,7 @@
   }
   made->request = {std::move(call.method), std::move(host), std::move(call.path),
                    std::move(call.body)};
+  made->taken_at = now;
   made->answer_by = now + std::min(patience - kAnswerMargin, kForwardPatience);
   made->refuse_at = now + kLeaderPatience;
   made->respond = std::move(respond);
@@ -32,6 +33,17 @@
   return known ? method : "other";
 }
 
+template <typename Ports>
+event_line node<Ports>::LineAbout(const forwarded& call, std::string_view event,
+                                  event_weight weight) {
+  const auto& path = call.request.path;
+  event_line line{event, weight};
+  line.Add("job", std::string_view{path}.substr(path.rfind('/') + 1))
+      .Add("method", MethodLabel(call.request.method))
+      .Add("path", path);
+  return line;
+}
+
 template <typename Ports>
 void node<Ports>::Finish(const std::shared_ptr<forwarded>& call, const caller_answer& answer) {
   --under_way_;
@@ -43,6 +55,12 @@
   }
   metrics_.Count(Labelled("rosearch_answers_total", "method", MethodLabel(call->request.method),
                           "status", std::to_string(answer.status)));
+  const bool asks = call->request.method == "GET";
+  log_.Write(
+      LineAbout(*call, "call_answered", asks ? event_weight::kDetail : event_weight::kRequest)
+          .Add("status", answer.status)
+          .Add("retry_after_s", answer.retry_after_s)
+          .Add("took_ms", SteadyNow() - call->taken_at));
   call->respond(std::move(response));
 }
 
@@ -50,8 +68,7 @@
 void node<Ports>::ForwardLater(const std::shared_ptr<forwarded>& call) {
   const auto now = SteadyNow();
   if (!call->unsure && now >= call->refuse_at) {
-    log_.Write(event_line{"call_refused", event_weight::kFailure}
-                   .Add("path", call->request.path)
+    log_.Write(LineAbout(*call, "call_refused", event_weight::kFailure)
                    .Add("reason", "no_leader")
                    .Add("known_epoch", election_.Known().epoch));
     Finish(call, {503, {}, 1, false});
@@ -59,8 +76,7 @@
   }
   if (now >= call->answer_by) {
     // A leader may have taken the job in: only the caller's next try will tell.
-    log_.Write(event_line{"call_unanswered", event_weight::kFailure}
-                   .Add("path", call->request.path)
+    log_.Write(LineAbout(*call, "call_unanswered", event_weight::kFailure)
                    .Add("known_epoch", election_.Known().epoch));
     Finish(call, {504, {}, 0, false});
     return;
@@ -97,6 +113,11 @@
   sent.set_path(call->request.path);
   sent.set_body(call->request.body);
   sent.set_time_left_ms(Millis(left));
+  log_.Write(LineAbout(*call, "call_forwarded", event_weight::kDetail)
+                 .Add("leader", election_.Known().address)
+                 .Add("epoch", election_.Known().epoch)
+                 .Add("heard_ms_ago", now - election_.HeardAt())
+                 .Add("left_ms", left));
   constexpr duration kOneTry = std::chrono::milliseconds{1'000};
   peers_.Ask(election_.Known().address, std::move(frame), std::min(call->answer_by, now + kOneTry),
              [this, call, take](const wire::peer_frame* answer) {
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -121,6 +121,7 @@
   /// A caller's request on its way to the leader.
   struct forwarded {
     caller_request request;
+    time_point taken_at{};
     time_point answer_by{};
     time_point refuse_at{};  ///< without a leader until then it is refused
     http_respond respond;
@@ -144,7 +145,8 @@
   /// A leader that is to stop and finds no successor within this stops all the same.
   static constexpr duration kHandoverPatience = std::chrono::milliseconds{1'500};
   static constexpr duration kClaimsWait = std::chrono::milliseconds{1'000};
-  /// A store that answers brings a read of the claims within `kClaimsWait` and what it takes itself.
+  /// A store that answers brings a read of the claims within `kClaimsWait` and what it takes
+  /// itself.
   static constexpr duration kClaimsFresh = std::chrono::milliseconds{2'000};
   static constexpr duration kClaimsRetry = std::chrono::milliseconds{200};
   static constexpr duration kQueryPatience = std::chrono::milliseconds{150};
@@ -194,6 +196,9 @@
   void Forward(const std::shared_ptr<forwarded>& call);
   void ForwardLater(const std::shared_ptr<forwarded>& call);
   void Finish(const std::shared_ptr<forwarded>& call, const caller_answer& answer);
+  /// @return a line about a caller's request, with the job's id where it has one.
+  [[nodiscard]] static event_line LineAbout(const forwarded& call, std::string_view event,
+                                            event_weight weight);
 
   boost::asio::io_context& io_;
   cell_settings settings_;
--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -59,10 +59,11 @@
   std::vector<live_run*> runs;  ///< under way
   advice_book advice;
   std::uint32_t done{0};
-  bool open{false};             ///< its turn has come
-  std::uint32_t gang_runs{0};   ///< gang: runs begun under the present leadership
-  bool clearing{false};         ///< gang: broken, waits until all members are gone
-  std::uint64_t blocked_at{0};  ///< version of the room at which nothing fitted
+  bool open{false};              ///< its turn has come
+  std::uint32_t gang_runs{0};    ///< gang: runs begun under the present leadership
+  bool clearing{false};          ///< gang: broken, waits until all members are gone
+  std::uint64_t blocked_at{0};   ///< version of the room at which nothing fitted
+  time_point tell_waiting_at{};  ///< when the log next says what it waits for
 
   /// @return tasks that are neither done nor under way.
   [[nodiscard]] std::uint32_t Idle() const;
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -107,6 +107,20 @@
 /// A lease that ends within this is about to lapse: it is extended every 0.6 s.
 inline constexpr duration kLeaseEnding = std::chrono::seconds{3};
 
+/// What a step waits for, in words of docs/OPERATIONS.md, and what each worker is to it.
+struct wait_view {
+  std::string_view what{};
+  std::size_t unsettled{0};    ///< workers that may run old work and haven't answered
+  std::size_t out_of_use{0};   ///< silent, leaving, gone, or not yet recorded
+  std::size_t left_alone{0};   ///< after failures
+  std::size_t unfit{0};        ///< by label, pool or spreading
+  std::size_t not_allowed{0};  ///< by advice
+  std::size_t no_room{0};
+  std::size_t open{0};
+
+  friend bool operator==(const wait_view&, const wait_view&) = default;
+};
+
 /// How long a job took to come so far.
 struct job_timing {
   bool ended{false};  ///< else: its first task was ordered to start
@@ -280,7 +294,9 @@
                      std::uint32_t number, std::string checkpoint, std::string ticket,
                      const instant& now);
   live_run* FindRun(const std::string& worker, const std::string& task, std::uint32_t run);
-  void StopRun(live_run& run, stop_reason reason, const instant& now);
+  /// @param for_step  preempted: the step that needs the room.
+  void StopRun(live_run& run, stop_reason reason, const instant& now,
+               const step_state* for_step = nullptr);
   void EndRun(live_run& run, end_kind how, const std::string& checkpoint, const instant& now);
   void Detach(live_run& run);
   void ApplyEnd(step_state& step, std::uint32_t index, std::uint32_t run, end_kind how,
@@ -322,7 +338,8 @@
   [[nodiscard]] std::uint32_t Copies(const step_state& step, const worker_state& worker) const;
 
   // scheduler_views.cc
-  [[nodiscard]] std::string WhyWaiting(const step_state& step, const instant& now) const;
+  [[nodiscard]] wait_view WhyWaiting(const step_state& step, const instant& now) const;
+  void TellWaiting(step_state& step, const instant& now);
 
   scheduler_settings settings_;
   std::uint64_t epoch_;
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -7,6 +7,9 @@
 namespace rosearch::sched {
 namespace {
 
+/// A step that waits for less is not worth a line: an answer for advice takes that long.
+constexpr duration kTellWaitingAfter = std::chrono::milliseconds{300};
+
 /// An ended job is looked for so often; a second's delay in forgetting costs nothing.
 constexpr duration kForgetEvery = std::chrono::seconds{1};
 
@@ -288,6 +291,7 @@
     });
     if (ready) {
       step->open = true;
+      step->tell_waiting_at = now.steady + kTellWaitingAfter;
       open_steps_.push_back(step.get());
       log_.Write(event_line{"step_open", event_weight::kDetail}
                      .Add("job", job.spec->id)
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -234,6 +234,7 @@
     if (step->Idle() == 0) {
       continue;
     }
+    TellWaiting(*step, now);
     if (!Startable(*step)) {
       AskAboutUnseen(*step, now);
       continue;
@@ -486,7 +487,7 @@
     return false;
   }
   for (auto* const victim : chosen) {
-    StopRun(*victim, stop_reason::kPreempted, now);
+    StopRun(*victim, stop_reason::kPreempted, now, &step);
   }
   return true;
 }
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -93,7 +93,8 @@
   return run;
 }
 
-void scheduler::StopRun(live_run& run, stop_reason reason, const instant& now) {
+void scheduler::StopRun(live_run& run, stop_reason reason, const instant& now,
+                        const step_state* for_step) {
   if (run.phase == run_phase::kStopping) {
     return;
   }
@@ -109,6 +110,7 @@
                  .Add("run", run.run)
                  .Add("worker", run.worker->facts.id)
                  .Add("reason", StopReasonName(reason))
+                 .Add("for", for_step == nullptr ? "" : for_step->Name())
                  .Add("percent", run.percent));
 }
 
@@ -322,6 +324,12 @@
     if (run->phase == run_phase::kStopping && !run->stop_heard) {
       run->next_try = now.steady + settings_.stop_retry;
       orders_.emplace_back(stop_order{worker.facts.id, worker.facts.address, run->task, run->run});
+      log_.Write(event_line{"order_repeated", event_weight::kFailure}
+                     .Add("task", run->task)
+                     .Add("run", run->run)
+                     .Add("worker", worker.facts.id)
+                     .Add("order", "stop")
+                     .Add("tries", run->tries));
     } else if (run->phase == run_phase::kUnsure && run->tries >= settings_.start_tries) {
       StopRun(*run, stop_reason::kUnanswered, now);
     } else if (run->phase == run_phase::kUnsure) {
@@ -330,6 +338,12 @@
       worker.lease_until = std::max(worker.lease_until, now.steady + LongestLease());
       orders_.emplace_back(start_order{worker.facts.id, worker.facts.address, run->task, run->run,
                                        run->step->job->spec, run->checkpoint, run->ticket});
+      log_.Write(event_line{"order_repeated", event_weight::kFailure}
+                     .Add("task", run->task)
+                     .Add("run", run->run)
+                     .Add("worker", worker.facts.id)
+                     .Add("order", "start")
+                     .Add("tries", run->tries));
     }
   }
 }
--- a/src/rosearch/sched/scheduler_views.cc
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -8,6 +8,9 @@
 namespace rosearch::sched {
 namespace {
 
+/// Between two lines about what one step waits for.
+constexpr duration kTellWaitingEvery = std::chrono::seconds{2};
+
 std::int64_t Millis(duration span) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
@@ -27,6 +30,13 @@
   return kNames[static_cast<std::size_t>(phase)];
 }
 
+std::ostream& operator<<(std::ostream& out, const wait_view& why) {
+  return out << why.what << " unsettled=" << why.unsettled << " out_of_use=" << why.out_of_use
+             << " left_alone=" << why.left_alone << " unfit=" << why.unfit
+             << " not_allowed=" << why.not_allowed << " no_room=" << why.no_room
+             << " open=" << why.open;
+}
+
 }  // namespace
 
 cell_counts scheduler::Counts(const instant& now) const {
@@ -49,52 +59,67 @@
   return counts;
 }
 
-std::string scheduler::WhyWaiting(const step_state& step, const instant& now) const {
+wait_view scheduler::WhyWaiting(const step_state& step, const instant& now) const {
+  wait_view view;
+  view.unsettled = unsettled_.size();
   if (step.Finished()) {
-    return "nothing";
-  }
-  if (!step.open) {
-    return "earlier_steps";
-  }
-  if (step.Idle() == 0) {
-    return "its_runs";
-  }
-  if (!step.job->accepted) {
-    return "store";
+    view.what = "nothing";
+  } else if (!step.open) {
+    view.what = "earlier_steps";
+  } else if (step.Idle() == 0) {
+    view.what = "its_runs";
+  } else if (!step.job->accepted) {
+    view.what = "store";
+  } else if (!Startable(step)) {
+    view.what = "old_workers";
   }
-  if (!Startable(step)) {
-    return "old_workers unsettled=" + std::to_string(unsettled_.size());
+  if (!view.what.empty()) {
+    return view;
   }
-  std::size_t out_of_use = 0;
-  std::size_t left_alone = 0;
-  std::size_t unfit = 0;
-  std::size_t not_allowed = 0;
-  std::size_t no_room = 0;
-  std::size_t open = 0;
   for (const auto& [id, worker] : workers_) {
     const bool usable = worker->session == session_phase::kLive && worker->listed &&
                         worker->recorded && !worker->facts.draining && worker->strangers == 0;
     if (!usable) {
-      ++out_of_use;
+      ++view.out_of_use;
     } else if (!worker->health.Usable(now.steady)) {
-      ++left_alone;
+      ++view.left_alone;
     } else if (!MayRun(step, nullptr, *worker, now)) {
-      ++unfit;
+      ++view.unfit;
     } else if (step.advice.Refused(id)) {
-      ++not_allowed;
+      ++view.not_allowed;
     } else if (!Fits(step, *worker)) {
-      ++no_room;
+      ++view.no_room;
     } else {
-      ++open;
+      ++view.open;
     }
   }
-  std::ostringstream out;
-  out << (open == 0          ? "workers"
-          : step.job->advice ? "advice"
-                             : "a_pass")
-      << " out_of_use=" << out_of_use << " left_alone=" << left_alone << " unfit=" << unfit
-      << " not_allowed=" << not_allowed << " no_room=" << no_room << " open=" << open;
-  return out.str();
+  if (view.open == 0) {
+    view.what = "workers";
+  } else {
+    view.what = step.job->advice ? "advice" : "a_pass";
+  }
+  return view;
+}
+
+void scheduler::TellWaiting(step_state& step, const instant& now) {
+  if (now.steady < step.tell_waiting_at) {
+    return;
+  }
+  step.tell_waiting_at = now.steady + kTellWaitingEvery;
+  const auto why = WhyWaiting(step, now);
+  log_.Write(event_line{"step_waits", event_weight::kDetail}
+                 .Add("job", step.job->spec->id)
+                 .Add("step", step.Name())
+                 .Add("idle", step.Idle())
+                 .Add("left_ms", step.job->finish_by - now.steady)
+                 .Add("waits_for", why.what)
+                 .Add("unsettled", why.unsettled)
+                 .Add("out_of_use", why.out_of_use)
+                 .Add("left_alone", why.left_alone)
+                 .Add("unfit", why.unfit)
+                 .Add("not_allowed", why.not_allowed)
+                 .Add("no_room", why.no_room)
+                 .Add("open", why.open));
 }
 
 std::string scheduler::Dump(const instant& now) const {
