Say once what a phase is called, what a worker takes, how many tasks find room and how an order goes out

Found on reading the change again: the names of phases stood in three places, the test whether a worker takes work in four, the count of places by processors and memory in two, the look for a label in two, and the orders to start and stop were put together both when first given and when repeated. Change: PhaseName, worker_state::TakesWork and MayStart, Places, worker_facts::HasLabel, OrderStart, OrderStop, TellRepeated. Behaviour as before.

--- a/src/rosearch/cell/internal/leader_views.h
+++ b/src/rosearch/cell/internal/leader_views.h
@@ -9,10 +9,9 @@
 
 template <typename Ports>
 void leader<Ports>::NoteTimings() {
-  constexpr std::string_view kPhases[]{"queued", "running", "completed", "failed", "cancelled"};
   for (const auto& timing : scheduler_.TakeTimings()) {
     const auto priority = std::to_string(timing.priority);
-    const auto phase = kPhases[static_cast<std::size_t>(timing.phase)];
+    const auto phase = sched::PhaseName(timing.phase);
     metrics_.Observe(timing.ended
                          ? Labelled("rosearch_job_seconds", "phase", phase, "priority", priority)
                          : Labelled("rosearch_wait_seconds", "priority", priority),
--- a/src/rosearch/sched/job_spec.h
+++ b/src/rosearch/sched/job_spec.h
@@ -1,9 +1,11 @@
 #ifndef ROSEARCH_SCHED_JOB_SPEC_H_
 #define ROSEARCH_SCHED_JOB_SPEC_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "rosearch/core/resources.h"
@@ -62,6 +64,12 @@
   kCancelled,  ///< its caller took it back
 };
 
+/// @return the word for a phase in logs and metrics.
+[[nodiscard]] constexpr std::string_view PhaseName(job_phase phase) noexcept {
+  constexpr std::string_view kNames[]{"queued", "running", "completed", "failed", "cancelled"};
+  return kNames[static_cast<std::size_t>(phase)];
+}
+
 /// @return whether a job in that phase never starts anything again.
 [[nodiscard]] constexpr bool IsTerminal(job_phase phase) noexcept {
   return phase >= job_phase::kCompleted;
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -293,6 +293,9 @@
   live_run& BeginRun(step_state& step, std::uint32_t index, worker_state& worker,
                      std::uint32_t number, std::string checkpoint, std::string ticket,
                      const instant& now);
+  void OrderStart(live_run& run, const instant& now);
+  void OrderStop(live_run& run, const instant& now);
+  void TellRepeated(const live_run& run, std::string_view order);
   live_run* FindRun(const std::string& worker, const std::string& task, std::uint32_t run);
   /// @param for_step  preempted: the step that needs the room.
   void StopRun(live_run& run, stop_reason reason, const instant& now,
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -31,6 +31,16 @@
 constexpr duration kLeastRetryAfter = std::chrono::seconds{1};
 constexpr duration kMostRetryAfter = std::chrono::seconds{20};
 
+/// @return how many tasks of that need find room by processors and memory; below zero where there
+/// is
+///         less than none.
+std::int64_t Places(const resources& need, const resources& room) {
+  const auto by_processor =
+      room.processors_milli / std::max<std::int64_t>(1, need.processors_milli);
+  const auto by_memory = room.memory_mb / std::max<std::int64_t>(1, need.memory_mb);
+  return std::min(by_processor, by_memory);
+}
+
 }  // namespace
 
 job_state* scheduler::FindJob(std::string_view id) {
@@ -94,15 +104,9 @@
     std::uint32_t places = 0;
     for (const auto& [id, worker] : workers_) {
       const auto& facts = worker->facts;
-      const bool labelled =
-          step.required_label.empty() ||
-          std::ranges::find(facts.labels, step.required_label) != facts.labels.end();
-      if (facts.pool == job.pool && labelled && step.need.FitsIn(facts.capacity)) {
-        const auto by_processor =
-            facts.capacity.processors_milli / std::max<std::int64_t>(1, step.need.processors_milli);
-        const auto by_memory =
-            facts.capacity.memory_mb / std::max<std::int64_t>(1, step.need.memory_mb);
-        auto most = static_cast<std::uint32_t>(std::min(by_processor, by_memory));
+      if (facts.pool == job.pool && facts.HasLabel(step.required_label) &&
+          step.need.FitsIn(facts.capacity)) {
+        auto most = static_cast<std::uint32_t>(Places(step.need, facts.capacity));
         if (step.per_worker_limit > 0) {
           most = std::min(most, step.per_worker_limit);
         }
@@ -131,17 +135,13 @@
   std::int64_t places = 0;
   for (const auto& [id, worker] : workers_) {
     const auto& facts = worker->facts;
-    if (facts.pool != job.pool || worker->session != session_phase::kLive || facts.draining ||
-        !worker->listed) {
+    if (facts.pool != job.pool || !worker->TakesWork()) {
       continue;
     }
-    const auto reserve =
+    auto room = worker->Free();
+    room.processors_milli -=
         static_cast<std::int64_t>(kept * static_cast<double>(facts.capacity.processors_milli));
-    const auto free = worker->Free();
-    const auto by_processor =
-        (free.processors_milli - reserve) / std::max<std::int64_t>(1, step.need.processors_milli);
-    const auto by_memory = free.memory_mb / std::max<std::int64_t>(1, step.need.memory_mb);
-    places += std::max<std::int64_t>(0, std::min(by_processor, by_memory));
+    places += std::max<std::int64_t>(0, Places(step.need, room));
   }
   return places >= static_cast<std::int64_t>(step.count);
 }
@@ -153,8 +153,7 @@
   double free = 0;   // of these, not in use now
   double ahead = 0;  // work that goes before it or beside it, the same times ms
   for (const auto& [id, worker] : workers_) {
-    if (worker->facts.pool != job.pool || worker->session != session_phase::kLive ||
-        worker->facts.draining || !worker->listed) {
+    if (worker->facts.pool != job.pool || !worker->TakesWork()) {
       continue;
     }
     room += static_cast<double>(worker->facts.capacity.processors_milli);
@@ -375,11 +374,10 @@
   job.ended_ms = now.wall_ms;
   NoteTiming(job, true, now);
   MarkDirty(job, true);
-  constexpr std::string_view kNames[]{"queued", "running", "completed", "failed", "cancelled"};
   log_.Write(event_line{
       "job_ended", phase == job_phase::kFailed ? event_weight::kFailure : event_weight::kRequest}
                  .Add("job", job.spec->id)
-                 .Add("phase", kNames[static_cast<std::size_t>(phase)])
+                 .Add("phase", PhaseName(phase))
                  .Add("left_ms", job.finish_by - now.steady)
                  .Add("runs", job.live));
   for (auto& occurrence : job.occurrences) {
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -43,10 +43,6 @@
   return static_cast<std::uint32_t>((epoch - 1) * kRunsPerEpoch + count);
 }
 
-bool HasLabel(const worker_facts& facts, const std::string& label) {
-  return label.empty() || std::ranges::find(facts.labels, label) != facts.labels.end();
-}
-
 double Load(const worker_state& worker, const resources& extra) {
   const auto& capacity = worker.facts.capacity;
   const auto after = worker.used + extra;
@@ -112,11 +108,10 @@
                        const instant& now) const {
   const auto& facts = worker.facts;
   const auto& spec = *step.spec;
-  if (worker.session != session_phase::kLive || !worker.listed || !worker.recorded ||
-      facts.draining || worker.strangers > 0 || facts.pool != step.job->pool) {
+  if (!worker.MayStart() || facts.pool != step.job->pool) {
     return false;
   }
-  if (!worker.health.Usable(now.steady) || !HasLabel(facts, spec.required_label)) {
+  if (!worker.health.Usable(now.steady) || !facts.HasLabel(spec.required_label)) {
     return false;
   }
   if (spec.per_worker_limit > 0 && Copies(step, worker) >= spec.per_worker_limit) {
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -71,16 +71,36 @@
   return run;
 }
 
+void scheduler::OrderStart(live_run& run, const instant& now) {
+  auto& worker = *run.worker;
+  worker.lease_until = std::max(worker.lease_until, now.steady + LongestLease());
+  orders_.emplace_back(start_order{worker.facts.id, worker.facts.address, run.task, run.run,
+                                   run.step->job->spec, run.checkpoint, run.ticket});
+}
+
+void scheduler::OrderStop(live_run& run, const instant& now) {
+  const auto& facts = run.worker->facts;
+  run.next_try = now.steady + settings_.stop_retry;
+  orders_.emplace_back(stop_order{facts.id, facts.address, run.task, run.run});
+}
+
+void scheduler::TellRepeated(const live_run& run, std::string_view order) {
+  log_.Write(event_line{"order_repeated", event_weight::kFailure}
+                 .Add("task", run.task)
+                 .Add("run", run.run)
+                 .Add("worker", run.worker->facts.id)
+                 .Add("order", order)
+                 .Add("tries", run.tries));
+}
+
 live_run& scheduler::BeginRun(step_state& step, std::uint32_t index, worker_state& worker,
                               std::uint32_t number, std::string checkpoint, std::string ticket,
                               const instant& now) {
   auto& task = step.tasks[index];
   auto& run = Attach(step, index, worker, number, now);
-  run.ticket = ticket;
-  run.checkpoint = checkpoint;
-  worker.lease_until = std::max(worker.lease_until, now.steady + LongestLease());
-  orders_.emplace_back(start_order{worker.facts.id, worker.facts.address, run.task, number,
-                                   step.job->spec, std::move(checkpoint), std::move(ticket)});
+  run.ticket = std::move(ticket);
+  run.checkpoint = std::move(checkpoint);
+  OrderStart(run, now);
   log_.Write(event_line{"run_ordered", event_weight::kDetail}
                  .Add("job", step.job->spec->id)
                  .Add("task", run.task)
@@ -101,9 +121,7 @@
   run.phase = run_phase::kStopping;
   run.reason = reason;
   run.stop_heard = false;
-  run.next_try = now.steady + settings_.stop_retry;
-  orders_.emplace_back(
-      stop_order{run.worker->facts.id, run.worker->facts.address, run.task, run.run});
+  OrderStop(run, now);
   log_.Write(event_line{"run_stopping", reason == stop_reason::kJobOver ? event_weight::kDetail
                                                                         : event_weight::kFailure}
                  .Add("task", run.task)
@@ -322,28 +340,15 @@
       continue;
     }
     if (run->phase == run_phase::kStopping && !run->stop_heard) {
-      run->next_try = now.steady + settings_.stop_retry;
-      orders_.emplace_back(stop_order{worker.facts.id, worker.facts.address, run->task, run->run});
-      log_.Write(event_line{"order_repeated", event_weight::kFailure}
-                     .Add("task", run->task)
-                     .Add("run", run->run)
-                     .Add("worker", worker.facts.id)
-                     .Add("order", "stop")
-                     .Add("tries", run->tries));
+      OrderStop(*run, now);
+      TellRepeated(*run, "stop");
     } else if (run->phase == run_phase::kUnsure && run->tries >= settings_.start_tries) {
       StopRun(*run, stop_reason::kUnanswered, now);
     } else if (run->phase == run_phase::kUnsure) {
       ++run->tries;
       run->phase = run_phase::kStarting;
-      worker.lease_until = std::max(worker.lease_until, now.steady + LongestLease());
-      orders_.emplace_back(start_order{worker.facts.id, worker.facts.address, run->task, run->run,
-                                       run->step->job->spec, run->checkpoint, run->ticket});
-      log_.Write(event_line{"order_repeated", event_weight::kFailure}
-                     .Add("task", run->task)
-                     .Add("run", run->run)
-                     .Add("worker", worker.facts.id)
-                     .Add("order", "start")
-                     .Add("tries", run->tries));
+      OrderStart(*run, now);
+      TellRepeated(*run, "start");
     }
   }
 }
--- a/src/rosearch/sched/scheduler_views.cc
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -15,11 +15,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
 
-std::string_view PhaseName(job_phase phase) {
-  constexpr std::string_view kNames[]{"queued", "running", "completed", "failed", "cancelled"};
-  return kNames[static_cast<std::size_t>(phase)];
-}
-
 std::string_view SessionName(session_phase phase) {
   constexpr std::string_view kNames[]{"new", "live", "silent"};
   return kNames[static_cast<std::size_t>(phase)];
@@ -77,9 +72,7 @@
     return view;
   }
   for (const auto& [id, worker] : workers_) {
-    const bool usable = worker->session == session_phase::kLive && worker->listed &&
-                        worker->recorded && !worker->facts.draining && worker->strangers == 0;
-    if (!usable) {
+    if (!worker->MayStart()) {
       ++view.out_of_use;
     } else if (!worker->health.Usable(now.steady)) {
       ++view.left_alone;
--- a/src/rosearch/sched/worker_facts.h
+++ b/src/rosearch/sched/worker_facts.h
@@ -1,6 +1,7 @@
 #ifndef ROSEARCH_SCHED_WORKER_FACTS_H_
 #define ROSEARCH_SCHED_WORKER_FACTS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -24,6 +25,11 @@
   bool draining{false};        ///< it leaves: nothing new may start there
   duration least_time_left{};  ///< while draining: it stays at least so long
 
+  /// @return whether it carries a label; the empty one is carried by all.
+  [[nodiscard]] bool HasLabel(const std::string& label) const {
+    return label.empty() || std::ranges::find(labels, label) != labels.end();
+  }
+
   friend bool operator==(const worker_facts&, const worker_facts&) = default;
 };
 
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -124,6 +124,13 @@
   std::uint32_t leftover_runs{0};
 
   [[nodiscard]] resources Free() const { return facts.capacity - used; }
+  /// @return whether it is there and doesn't leave.
+  [[nodiscard]] bool TakesWork() const {
+    return session == session_phase::kLive && listed && !facts.draining;
+  }
+  /// @return whether runs may be started there: it is stored as one that may run anything, and all
+  ///         that runs there is known.
+  [[nodiscard]] bool MayStart() const { return TakesWork() && recorded && strangers == 0; }
 };
 
 }  // namespace rosearch::sched
