--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -62,21 +62,17 @@
 template <typename Ports>
 void node<Ports>::Knock() {
   const auto epoch = election_.Known().epoch;
-  const auto& address = election_.Known().address;
-  const auto colon = address.rfind(':');
-  boost::system::error_code unreadable;
-  const auto host = boost::asio::ip::make_address(address.substr(0, colon), unreadable);
-  if (unreadable || colon == std::string::npos) {
+  const auto endpoint = ParseAddress(election_.Known().address);
+  if (!endpoint) {
     return;
   }
-  const auto port = static_cast<std::uint16_t>(std::atoi(address.c_str() + colon + 1));
   auto socket = std::make_shared<boost::asio::ip::tcp::socket>(io_);
   auto patience = std::make_shared<boost::asio::steady_timer>(io_, kKnockPatience);
   patience->async_wait([socket, patience](const boost::system::error_code&) {
     boost::system::error_code ignored;
     socket->close(ignored);
   });
-  socket->async_connect({host, port},
+  socket->async_connect(*endpoint,
                         [this, epoch, socket, patience](const boost::system::error_code& failed) {
                           patience->cancel();
                           const bool gone = failed == boost::asio::error::connection_refused;
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -6,7 +6,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
-#include <cstdlib>
 #include <map>
 #include <memory>
 #include <optional>
@@ -24,6 +23,7 @@
 #include "rosearch/log/event_line.h"
 #include "rosearch/metrics/metric_set.h"
 #include "rosearch/net/http_server.h"
+#include "rosearch/platform/address.h"
 #include "rosearch/platform/clock.h"
 #include "rosearch/wire/cell.pb.h"
 
--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -34,13 +34,6 @@
 /// What a message between processes may take beyond the exchange itself.
 constexpr duration kRelayMargin = std::chrono::milliseconds{40};
 
-/// @return whether a failure is certain to have reached nobody.
-bool WasNotSent(const result<http_reply>& answer) {
-  return answer.has_error() && (answer.error().kind == error_kind::kTargetUnreachable ||
-                                answer.error().kind == error_kind::kDeadlinePassed ||
-                                answer.error().kind == error_kind::kNoOwner);
-}
-
 bool IsRefusal(const result<http_reply>& answer) {
   return answer.has_value() && (answer.value().status == 429 || answer.value().status == 503);
 }
@@ -104,14 +97,14 @@
 
   /// Keeps a try that brought no good answer.
   void Keep(result<http_reply> answer) {
-    may_have_arrived = may_have_arrived || (answer.has_error() && !WasNotSent(answer));
+    may_have_arrived = may_have_arrived || (answer.has_error() && !WasNotSent(answer.error()));
     last = std::move(answer);
   }
 
   /// Ends without a good answer. One refusal doesn't make up for another try that may still be
   /// carried out: told as refused, a job would run that its caller was told never would.
   void FinishFailed() {
-    if (may_have_arrived && (last->has_value() || WasNotSent(*last))) {
+    if (may_have_arrived && (last->has_value() || WasNotSent(last->error()))) {
       Finish(error{error_kind::kTimeout, "one try may have arrived"});
       return;
     }
--- a/src/rosearch/platform/http_client.cc
+++ b/src/rosearch/platform/http_client.cc
@@ -18,13 +18,13 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
-#include <charconv>
 #include <list>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <utility>
 
+#include "rosearch/platform/address.h"
 #include "rosearch/platform/clock.h"
 
 namespace rosearch {
@@ -45,26 +45,6 @@
   return std::chrono::steady_clock::time_point{std::min(moment.time_since_epoch(), kLatest)};
 }
 
-std::optional<tcp::endpoint> ParseAddress(std::string_view address) {
-  const auto colon = address.rfind(':');
-  if (colon == std::string_view::npos) {
-    return std::nullopt;
-  }
-  auto host = address.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  const auto port_text = address.substr(colon + 1);
-  std::uint16_t port = 0;
-  const auto parsed = std::from_chars(port_text.data(), port_text.data() + port_text.size(), port);
-  error_code failed;
-  const auto ip = asio::ip::make_address(std::string{host}, failed);
-  if (failed || parsed.ec != std::errc{} || parsed.ptr != port_text.data() + port_text.size()) {
-    return std::nullopt;
-  }
-  return tcp::endpoint{ip, port};
-}
-
 error MakeError(error_kind kind, const http_request& request, std::string_view cause) {
   return error{kind,
                request.method + " " + request.address + request.target + ": " + std::string{cause}};
@@ -392,6 +372,11 @@
   return {};
 }
 
+bool WasNotSent(const error& failed) noexcept {
+  return failed.kind == error_kind::kTargetUnreachable ||
+         failed.kind == error_kind::kDeadlinePassed || failed.kind == error_kind::kNoOwner;
+}
+
 class http_client::impl {
  public:
   impl(asio::io_context& io, const http_options& options) : io_{io}, options_{options} {}
--- a/src/rosearch/platform/http_client.h
+++ b/src/rosearch/platform/http_client.h
@@ -90,6 +90,9 @@
 /// span to the last moment at which the former owner could have written.
 inline constexpr duration kWrittenBytesLinger = std::chrono::seconds{2};
 
+/// @return whether an exchange that failed so is certain to have reached nobody.
+[[nodiscard]] bool WasNotSent(const error& failed) noexcept;
+
 using http_callback = std::function<void(result<http_reply>)>;
 
 /// An HTTP/1.1 client that keeps connections open and shares them. Safe to call from any thread.
--- a/test/rosearch/sched/scheduler_test.cc
+++ b/test/rosearch/sched/scheduler_test.cc
@@ -52,6 +52,13 @@
     }
     return batch.records;
   }
+  /// Stores what there is and keeps the newest record of each key, that of the workers included.
+  void Keep() {
+    for (const auto& record : Store()) {
+      kept[record.key] = record.value;
+    }
+    kept["w"] = workers_record;
+  }
   void Report(const std::string& worker, const worker_report& report) {
     (void)leader.NextWatch(worker, now);
     leader.OnReport(worker, now.steady, report, now);
@@ -83,15 +90,53 @@
     return starts;
   }
 
-  [[nodiscard]] const std::string& WorkersRecord() const { return workers_record; }
-
-  std::string workers_record;  ///< newest that was stored
+  std::string workers_record;               ///< newest that was stored
+  std::map<std::string, std::string> kept;  ///< see `Keep`
   kept_log log;
   instant now{time_point{seconds{1'000}}, 1'000'000};
   sched::scheduler leader;
   std::vector<stop_order> stops;
 };
 
+/// What a leader left in the store, and the one that follows it.
+class successor {
+ public:
+  explicit successor(const bench_top& former)
+      : now{former.now}, leader{scheduler_settings{}, 2, log} {
+    leader.Configure(former.leader.configuration(), now);
+    for (const auto& [key, value] : former.kept) {
+      REQUIRE(leader.Restore({key, value}, now));
+    }
+    leader.FinishRestore(now);
+  }
+  /// A worker is in the registry, answers, and is recorded.
+  void Answers(const std::string& worker, const worker_report& report = {}) {
+    leader.ObserveWorker(
+        {worker, "10.0.0.1:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, false, {}}, now);
+    (void)leader.NextWatch(worker, now);
+    leader.OnReport(worker, now.steady, report, now);
+    const auto batch = leader.TakeBatch();
+    leader.OnStored(batch.number, now);
+  }
+  std::vector<order> Orders() {
+    leader.Schedule(now);
+    return leader.TakeOrders();
+  }
+  std::vector<std::string> Started() {
+    std::vector<std::string> tasks;
+    for (const auto& decided : Orders()) {
+      if (const auto* const start = std::get_if<start_order>(&decided)) {
+        tasks.push_back(start->task);
+      }
+    }
+    return tasks;
+  }
+
+  instant now;
+  kept_log log;
+  scheduler leader;
+};
+
 }  // namespace
 
 TEST_CASE("nothing of a job starts before its record is stored") {
@@ -358,13 +403,7 @@
   bench_top first;
   (void)first.Submit("a", 1);
   (void)first.Submit("b", 1);
-  std::map<std::string, std::string> kept;
-  const auto keep = [&] {
-    for (const auto& record : first.Store()) {
-      kept[record.key] = record.value;
-    }
-  };
-  keep();
+  first.Keep();
   const auto starts = first.Starts();
   REQUIRE(starts.size() == 2);
   REQUIRE(starts[0].worker != starts[1].worker);
@@ -372,83 +411,24 @@
   first.leader.OnWatchFailed(lost.worker, watch_failure::kNoAnswer, first.now);
   first.leader.OnWatchFailed(lost.worker, watch_failure::kNoAnswer, first.now);
   REQUIRE(first.leader.HasRecords());
-  keep();
+  first.Keep();
 
-  kept_log log;
-  scheduler next{scheduler_settings{}, 2, log};
-  next.Configure(first.leader.configuration(), first.now);
-  kept["w"] = first.WorkersRecord();
-  for (const auto& [key, value] : kept) {
-    CHECK(next.Restore({key, value}, first.now));
-  }
-  next.FinishRestore(first.now);
-  CHECK_FALSE(next.OldRunsSettled());
-  worker_facts facts{starts[1].worker,  "10.0.0.1:80", "pool", "", "", "", {},
-                     {4'000, 8'000, 0}, false,         {}};
-  next.ObserveWorker(facts, first.now);
-  (void)next.NextWatch(facts.id, first.now);
-  next.OnReport(facts.id, first.now.steady, {}, first.now);
-  const auto batch = next.TakeBatch();
-  next.OnStored(batch.number, first.now);
-  CHECK(next.OldRunsSettled());
-  next.Schedule(first.now);
-  const auto orders = next.TakeOrders();
+  successor next{first};
+  CHECK_FALSE(next.leader.OldRunsSettled());
+  next.Answers(starts[1].worker);
+  CHECK(next.leader.OldRunsSettled());
+  const auto orders = next.Orders();
   REQUIRE(orders.size() == 1);
   CHECK(std::get<start_order>(orders[0]).task == starts[1].task);
-  auto later = first.now;
-  later.steady += seconds{9};
-  next.Tick(later);
-  next.Schedule(later);
-  const auto rest = next.TakeOrders();
+  next.now.steady += seconds{9};
+  next.leader.Tick(next.now);
+  const auto rest = next.Orders();
   CHECK(std::ranges::any_of(rest, [&](const auto& each) {
     const auto* const start = std::get_if<start_order>(&each);
     return start != nullptr && start->task == lost.task;
   }));
 }
 
-namespace {
-
-/// What a leader left in the store, and the one that follows it.
-class successor {
- public:
-  successor(bench_top& former, const std::map<std::string, std::string>& kept)
-      : now{former.now}, leader{scheduler_settings{}, 2, log} {
-    leader.Configure(former.leader.configuration(), now);
-    for (const auto& [key, value] : kept) {
-      REQUIRE(leader.Restore({key, value}, now));
-    }
-    leader.FinishRestore(now);
-  }
-  /// A worker is in the registry, answers, and is recorded.
-  void Answers(const std::string& worker, const worker_report& report = {}) {
-    leader.ObserveWorker(
-        {worker, "10.0.0.1:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, false, {}}, now);
-    (void)leader.NextWatch(worker, now);
-    leader.OnReport(worker, now.steady, report, now);
-    const auto batch = leader.TakeBatch();
-    leader.OnStored(batch.number, now);
-  }
-  std::vector<order> Orders() {
-    leader.Schedule(now);
-    return leader.TakeOrders();
-  }
-  std::vector<std::string> Started() {
-    std::vector<std::string> tasks;
-    for (const auto& decided : Orders()) {
-      if (const auto* const start = std::get_if<start_order>(&decided)) {
-        tasks.push_back(start->task);
-      }
-    }
-    return tasks;
-  }
-
-  instant now;
-  kept_log log;
-  scheduler leader;
-};
-
-}  // namespace
-
 // Workers are replaced one after another, and the leader dies in between. A worker that was leaving
 // is gone by the time the next one leads. What ran there was known; all other old work must not
 // wait for its lease.
@@ -456,13 +436,7 @@
   bench_top first;
   (void)first.Submit("a", 1);
   (void)first.Submit("b", 1);
-  std::map<std::string, std::string> kept;
-  const auto keep = [&] {
-    for (const auto& record : first.Store()) {
-      kept[record.key] = record.value;
-    }
-  };
-  keep();
+  first.Keep();
   const auto starts = first.Starts();
   REQUIRE(starts.size() == 2);
   REQUIRE(starts[0].worker != starts[1].worker);
@@ -471,10 +445,9 @@
       {leaving.worker, "10.0.0.1:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, true, seconds{2}},
       first.now);
   REQUIRE(first.leader.HasRecords());
-  keep();
-  kept["w"] = first.WorkersRecord();
+  first.Keep();
 
-  successor next{first, kept};
+  successor next{first};
   next.Answers(starts[1].worker);
   CHECK(next.leader.OldRunsSettled());
   CHECK(next.Started() == std::vector{starts[1].task});
@@ -493,13 +466,9 @@
   first.leader.Configure(advised, first.now);
   (void)first.Submit("a", 1);
   (void)first.Submit("b", 1);
-  std::map<std::string, std::string> kept;
-  for (const auto& record : first.Store()) {
-    kept[record.key] = record.value;
-  }
-  kept["w"] = first.WorkersRecord();
+  first.Keep();
 
-  successor next{first, kept};
+  successor next{first};
   next.Answers("w1");
   CHECK_FALSE(next.leader.OldRunsSettled());
   std::size_t asked = 0;
