Ask for advice in the order in which questions are due, and take lost answers for lost

The five processes that take long questions were busy with those for ever.

Change: a question is due at the moment it was asked, put off by 0.6 s for each step of priority, and the one that is due first goes first. An answer that is lost anywhere no longer blocks: the scheduler stores until when an answer may come and asks again after it (advice_overdue), the desk takes a process whose answer is overdue for free again, and a step asked twice keeps its place. advice_given tells how long it took.

--- a/src/rosearch/cell/advice_desk.cc
+++ b/src/rosearch/cell/advice_desk.cc
@@ -19,38 +19,45 @@
   std::vector<helper> next;
   for (const auto& address : helpers) {
     const auto known = std::ranges::find(helpers_, address, &helper::address);
-    next.push_back({address, known != helpers_.end() && known->busy});
+    next.push_back({address, known != helpers_.end() ? known->busy_until : time_point{}});
   }
   // A process that is busy and no longer named is dropped: its answer still comes or times out.
   helpers_ = std::move(next);
 }
 
-void advice_desk::Add(sched::advice_query query) {
+void advice_desk::Add(sched::advice_query query, time_point now) {
   auto& queue = CostOf(query) > kLong ? long_ : urgent_;
-  const auto place = std::ranges::find_if(
-      queue, [&](const auto& other) { return other.priority > query.priority; });
-  queue.insert(place, std::move(query));
+  auto due = now + kPutOff * static_cast<int>(query.priority);
+  for (auto* const each : {&urgent_, &long_}) {
+    const auto same = [&](const waiting& other) { return other.query.step == query.step; };
+    if (const auto known = std::ranges::find_if(*each, same); known != each->end()) {
+      due = known->due;
+      each->erase(known);
+    }
+  }
+  const auto place = std::ranges::upper_bound(queue, due, {}, &waiting::due);
+  queue.insert(place, {std::move(query), due});
 }
 
-advice_desk::helper* advice_desk::FreeHelper(bool long_question) {
+advice_desk::helper* advice_desk::FreeHelper(bool long_question, time_point now) {
   const auto urgent_only =
       helpers_.size() > 1 ? std::max<std::size_t>(1, helpers_.size() / kUrgentOnlyShare) : 0;
   for (std::size_t at = 0; at < helpers_.size(); ++at) {
-    if (!helpers_[at].busy && (!long_question || at >= urgent_only)) {
+    if (helpers_[at].busy_until <= now && (!long_question || at >= urgent_only)) {
       return &helpers_[at];
     }
   }
   return nullptr;
 }
 
-std::optional<advice_desk::assignment> advice_desk::Next() {
+std::optional<advice_desk::assignment> advice_desk::Next(time_point now) {
   for (auto* const queue : {&urgent_, &long_}) {
     if (queue->empty()) {
       continue;
     }
-    if (auto* const free = FreeHelper(queue == &long_)) {
-      free->busy = true;
-      assignment made{free->address, std::move(queue->front())};
+    if (auto* const free = FreeHelper(queue == &long_, now)) {
+      assignment made{free->address, std::move(queue->front().query)};
+      free->busy_until = now + CostOf(made.query) + kAnswerGrace;
       queue->pop_front();
       return made;
     }
@@ -61,7 +68,7 @@
 void advice_desk::Done(const std::string& address) {
   const auto found = std::ranges::find(helpers_, address, &helper::address);
   if (found != helpers_.end()) {
-    found->busy = false;
+    found->busy_until = time_point{};
   }
 }
 
--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -120,7 +120,7 @@
 
 template <typename Ports>
 void leader<Ports>::AskForAdvice() {
-  while (auto next = advice_.Next()) {
+  while (auto next = advice_.Next(SteadyNow())) {
     const auto asked_at = SteadyNow();
     const auto& asked_now = *next;
     ports_.Advise(asked_now.helper, asked_now.query,
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -251,7 +251,7 @@
   void Dispatch(sched::start_order&& decided);
   void Dispatch(sched::stop_order&& decided);
   void Dispatch(sched::pace_order&& decided) { ports_.Pace(decided, epoch_); }
-  void Dispatch(sched::advice_query&& decided) { advice_.Add(std::move(decided)); }
+  void Dispatch(sched::advice_query&& decided) { advice_.Add(std::move(decided), SteadyNow()); }
   void AskForAdvice();
   void Watch(const std::string& worker);
   void WatchAll();
--- a/src/rosearch/sched/advice_book.h
+++ b/src/rosearch/sched/advice_book.h
@@ -49,10 +49,28 @@
     std::erase_if(allowed_, [&](const auto& each) { return each.worker == worker; });
   }
 
-  bool asking{false};         ///< a question is under way
+  /// Takes in that a question was asked.
+  /// @param by  when its answer must be there; after that it is taken for lost.
+  void Ask(time_point now, time_point by) {
+    asked_at_ = now;
+    answer_by_ = by;
+  }
+  /// Takes in that a question was answered, or never will be.
+  void Answered() { answer_by_ = time_point{}; }
+  /// @return whether the answer to a question may still come.
+  [[nodiscard]] bool Asking(time_point now) const { return now < answer_by_; }
+  /// @return whether a question is past the moment by which its answer had to be there.
+  [[nodiscard]] bool Overdue(time_point now) const {
+    return answer_by_ != time_point{} && now >= answer_by_;
+  }
+  /// @return when the newest question was asked.
+  [[nodiscard]] time_point asked_at() const { return asked_at_; }
+
   time_point ask_again_at{};  ///< no further question before
 
  private:
+  time_point asked_at_{};
+  time_point answer_by_{};  ///< zero: nothing is asked
   std::vector<allowance> allowed_;
   std::unordered_set<std::string> refused_;
 };
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -336,6 +336,7 @@
                      const instant& now);
   void AskAboutUnseen(step_state& step, const instant& now);
   void AskAdvice(step_state& step, std::uint32_t tasks, const instant& now);
+  void TellOverdueAdvice(step_state& step, const instant& now);
   void MakeRoom(step_state& step, std::uint32_t tasks, const instant& now);
   bool MakeRoomAt(step_state& step, worker_state& worker, const instant& now);
   [[nodiscard]] std::uint32_t Copies(const step_state& step, const worker_state& worker) const;
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -351,9 +351,10 @@
 }
 
 void scheduler::AskAdvice(step_state& step, std::uint32_t tasks, const instant& now) {
-  if (step.advice.asking || now.steady < step.advice.ask_again_at) {
+  if (step.advice.Asking(now.steady) || now.steady < step.advice.ask_again_at) {
     return;
   }
+  TellOverdueAdvice(step, now);
   const auto share = advised_share_.try_emplace(step.job->spec->queue, kFirstAdvisedShare);
   const auto ticket_by = now.steady + settings_.ticket_margin;
   std::vector<std::pair<double, worker_state*>> candidates;
@@ -386,7 +387,9 @@
     query.workers.push_back(worker->facts.id);
     expected += score < -kCertain / 2 ? 1.0 : share.first->second;
   }
-  step.advice.asking = true;
+  const auto cost =
+      query.cost.base + query.cost.per_worker * static_cast<int>(query.workers.size());
+  step.advice.Ask(now.steady, now.steady + cost + settings_.advice_patience);
   log_.Write(event_line{"advice_asked", event_weight::kDetail}
                  .Add("job", step.job->spec->id)
                  .Add("step", query.step)
@@ -395,6 +398,20 @@
   orders_.emplace_back(std::move(query));
 }
 
+// The load that this answers: the answer to a question is lost with the process that asked, or on
+// its way. One notices by a step that waits for advice although a question was asked long ago; it
+// would wait for ever, with room for all its tasks.
+void scheduler::TellOverdueAdvice(step_state& step, const instant& now) {
+  if (!step.advice.Overdue(now.steady)) {
+    return;
+  }
+  log_.Write(event_line{"advice_overdue", event_weight::kFailure}
+                 .Add("job", step.job->spec->id)
+                 .Add("step", step.Name())
+                 .Add("asked_ms_ago", now.steady - step.advice.asked_at()));
+  step.advice.Answered();
+}
+
 void scheduler::OnAdvice(const advice_query& asked, const std::vector<advised_worker>* allowed,
                          const instant& now) {
   const auto name = task_name::Parse(asked.step + ".0");
@@ -403,7 +420,7 @@
   if (step == nullptr) {
     return;
   }
-  step->advice.asking = false;
+  step->advice.Answered();
   step->blocked_at = 0;
   if (allowed == nullptr) {
     step->advice.ask_again_at = now.steady + settings_.advice_retry;
@@ -428,7 +445,8 @@
                  .Add("job", name->job)
                  .Add("step", asked.step)
                  .Add("asked", asked.workers.size())
-                 .Add("allowed", allowed->size()));
+                 .Add("allowed", allowed->size())
+                 .Add("took_ms", now.steady - step->advice.asked_at()));
 }
 
 void scheduler::MakeRoom(step_state& step, std::uint32_t tasks, const instant& now) {
--- a/src/rosearch/sched/scheduler_settings.h
+++ b/src/rosearch/sched/scheduler_settings.h
@@ -57,6 +57,9 @@
   duration stuck_after{std::chrono::milliseconds{2'500}};
   /// Unanswered advice is asked for again after this.
   duration advice_retry{std::chrono::milliseconds{250}};
+  /// A question that isn't answered so long after what it costs is taken for lost and asked again.
+  /// Above the 2.4 s that one in a hundred waited for a process to ask it while all were busy.
+  duration advice_patience{std::chrono::milliseconds{4'000}};
   /// Share of the slack of a job's objective that waiting may use up before a job is refused.
   double admission_slack{0.9};
 
--- a/src/rosearch/sched/scheduler_views.cc
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -133,7 +133,7 @@
   }
   for (const auto* const step : open_steps_) {
     out << "step " << step->Name() << " idle=" << step->Idle() << " done=" << step->done << '/'
-        << step->tasks.size() << " asking=" << step->advice.asking
+        << step->tasks.size() << " asking=" << step->advice.Asking(now.steady)
         << " left_ms=" << Millis(step->job->finish_by - now.steady)
         << " waits_for=" << WhyWaiting(*step, now) << '\n';
   }
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -372,6 +372,10 @@
 }
 
 void cell_world::CarryOut(const advice_query& decided) {
+  // Nothing is drawn where none are lost: the days of the other faults stay as they are.
+  if (faults_.advice_lost > 0 && random_.Chance(faults_.advice_lost)) {
+    return;
+  }
   const auto cost =
       decided.cost.base + decided.cost.per_worker * static_cast<int>(decided.workers.size());
   After(cost, [this, decided, epoch = epoch_] {
--- a/test/rosearch/sched/cell_world.h
+++ b/test/rosearch/sched/cell_world.h
@@ -33,6 +33,7 @@
   double store_refuses{0};     ///< an append is refused
   double store_silent{0};      ///< an append is stored, its answer is lost
   double store_drops{0};       ///< an append is neither stored nor answered
+  double advice_lost{0};       ///< a question for advice is never answered
   double worker_dies{0};       ///< each second, for each worker: it restarts with another id
   double worker_cut{0};        ///< each second, for each worker: unreachable for 1 to 9 s
   double leader_dies{0};       ///< each second
--- a/test/rosearch/sched/random_days_test.cc
+++ b/test/rosearch/sched/random_days_test.cc
@@ -120,6 +120,17 @@
   }
 }
 
+// Answers to questions for advice are lost with the process that asked. A caller would notice a job
+// that is accepted and never starts, in a cell with room for it.
+TEST_CASE("lost answers to questions for advice keep no job waiting for ever") {
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    world_faults faults;
+    faults.advice_lost = 0.25;
+    faults.run_fails = 0.05;
+    PlayDay(seed, faults);
+  }
+}
+
 namespace {
 
 void PlayTroubledDays(std::uint64_t first, std::uint64_t last) {
--- a/test/rosearch/sched/scheduler_test.cc
+++ b/test/rosearch/sched/scheduler_test.cc
@@ -490,6 +490,30 @@
   CHECK(next.leader.OldRunsSettled());
 }
 
+// The process that asked for advice dies before it has the answer. The caller sees a job that is
+// accepted and never starts, with most of the room free.
+TEST_CASE("a question for advice that is never answered is asked again") {
+  bench_top top{1};
+  auto advised = top.leader.configuration();
+  advised.version = 2;
+  advised.queues[0].advice = advice_cost{milliseconds{20}, milliseconds{1}, seconds{2}};
+  top.leader.Configure(advised, top.now);
+  (void)top.Submit("a", 1);
+  (void)top.Store();
+  const auto questions = [&] {
+    top.leader.Schedule(top.now);
+    const auto orders = top.leader.TakeOrders();
+    return std::ranges::count_if(
+        orders, [](const auto& each) { return std::holds_alternative<advice_query>(each); });
+  };
+  CHECK(questions() == 1);
+  top.Pass(scheduler_settings{}.advice_patience);
+  CHECK(questions() == 0);
+  top.Pass(milliseconds{30});
+  CHECK(questions() == 1);
+  CHECK(top.log.Has("event=advice_overdue"));
+}
+
 TEST_CASE("a leaving worker gets no new work") {
   bench_top top{1};
   worker_facts facts{"w0", "10.0.0.1:80",     "pool", "",        "", "",
