Keep room for urgent work only where there is any; hold room while its ticket is asked for

Cause: a tenth of every worker was kept for urgent work in every pool; in a pool that no urgent queue uses, tasks of 31 of 64 processors then ran alone on their workers. Change: the reserve counts only in pools that an urgent queue uses.

Cause: one job of one task asked 23 times in 39 s. Each time it asked about the worker that had room just then, and the room was gone when the answer came; advice was busy for 6.4 of 7 processes' time, and the questions of long work waited for 6 s, one in twenty for 22 s. Change: what is known to be allowed is held for the step while its ticket is under way, against steps of the same or lower priority; workers without room are named too, as far as a quarter of a question's cost goes, since whom advice allows doesn't change. Advice has a file of its own.

--- a/src/rosearch/sched/advice_book.h
+++ b/src/rosearch/sched/advice_book.h
@@ -41,6 +41,10 @@
     const auto found = std::ranges::find(allowed_, worker, &allowance::worker);
     return found == allowed_.end() ? nullptr : &*found;
   }
+  [[nodiscard]] const allowance* Find(const worker_state* worker) const {
+    const auto found = std::ranges::find(allowed_, worker, &allowance::worker);
+    return found == allowed_.end() ? nullptr : &*found;
+  }
   [[nodiscard]] const std::vector<allowance>& Allowed() const { return allowed_; }
   [[nodiscard]] bool Refused(const std::string& worker) const { return refused_.contains(worker); }
 
@@ -66,6 +70,9 @@
   /// @return when the newest question was asked.
   [[nodiscard]] time_point asked_at() const { return asked_at_; }
 
+  /// @return when the answer to the newest question must be there.
+  [[nodiscard]] time_point answer_by() const { return answer_by_; }
+
   time_point ask_again_at{};  ///< no further question before
 
  private:
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -327,23 +328,39 @@
   // scheduler_placement.cc
   [[nodiscard]] bool Startable(const step_state& step) const;
   [[nodiscard]] bool MayRunUnseen(const step_state& step) const;
-  [[nodiscard]] std::vector<std::string> UnseenToAskAbout(const step_state& step) const;
   void PlaceTasks(step_state& step, const instant& now);
   [[nodiscard]] bool MayRun(const step_state& step, const task_state* task,
                             const worker_state& worker, const instant& now) const;
+  /// @return the share of each worker of a pool that is kept for urgent work. None where no queue
+  ///         of the pool is urgent: kept there, it left every second place for half a worker's
+  ///         processors empty.
+  [[nodiscard]] double Reserve(const std::string& pool) const;
   [[nodiscard]] bool Fits(const step_state& step, const worker_state& worker) const;
   [[nodiscard]] double Score(const step_state& step, const worker_state& worker) const;
   worker_state* Pick(const step_state& step, const task_state& task, bool advised,
                      const instant& now);
+  void MakeRoom(step_state& step, std::uint32_t tasks, const instant& now);
+  bool MakeRoomAt(step_state& step, worker_state& worker, const instant& now);
+  [[nodiscard]] std::uint32_t Copies(const step_state& step, const worker_state& worker) const;
+
+  // scheduler_advice.cc
+  /// Workers that a question may name, the best of each kind first.
+  struct advice_candidates {
+    std::vector<worker_state*> allowed;  ///< with room; advice allows them, their tickets expired
+    std::vector<worker_state*> unknown;  ///< with room; nothing is known of them
+    std::vector<worker_state*> full;     ///< without room now; nothing is known of them
+  };
+  [[nodiscard]] advice_candidates WhomToAskAbout(const step_state& step, const instant& now);
+  [[nodiscard]] std::vector<std::string> UnseenToAskAbout(const step_state& step) const;
   void AskAboutUnseen(step_state& step, const instant& now);
   void AskAdvice(step_state& step, std::uint32_t tasks, const instant& now);
   /// @return whether a question for a step may be asked now; one that is overdue is given up.
   [[nodiscard]] bool MayAsk(step_state& step, const instant& now);
   void SendQuestion(step_state& step, std::vector<std::string> workers, std::uint32_t tasks,
                     const instant& now);
-  void MakeRoom(step_state& step, std::uint32_t tasks, const instant& now);
-  bool MakeRoomAt(step_state& step, worker_state& worker, const instant& now);
-  [[nodiscard]] std::uint32_t Copies(const step_state& step, const worker_state& worker) const;
+  /// Keeps room for one task of a step until the answer that it waits for has come.
+  void HoldRoom(step_state& step, worker_state& worker);
+  void ReleaseRoom(step_state& step);
 
   // scheduler_gangs.cc
   void PlaceGang(step_state& step, const instant& now);
@@ -361,6 +378,7 @@
   std::uint64_t epoch_;
   event_sink& log_;
   cell_configuration configuration_;
+  std::set<std::string> urgent_pools_;  ///< pools that an urgent queue uses
   std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
   std::unordered_map<std::string, ended_job> ended_;
   std::map<std::string, std::unique_ptr<worker_state>> workers_;  ///< in a fixed order
--- /dev/null
+++ b/src/rosearch/sched/scheduler_advice.cc
@@ -0,0 +1,217 @@
+// What a scheduler asks the advice service, and what it makes of the answers.
+//
+// The load that this answers: a question costs from 20 ms to 0.8 s of a process's time, almost all
+// of it whatever the number of workers named; a ticket lives for 2 s; and room that many steps wait
+// for is gone before the answer that allows its use has come.
+#include <algorithm>
+
+#include "rosearch/sched/scheduler.h"
+
+namespace rosearch::sched {
+namespace {
+
+/// Share of named workers that advice allows, before any answer was seen.
+constexpr double kFirstAdvisedShare = 0.4;
+constexpr double kAdvisedShareWeight = 0.1;
+
+/// Names asked for beyond the need: some that are allowed will have filled up meanwhile.
+constexpr double kSpareNames = 1.5;
+constexpr std::size_t kFewestNames = 6;
+
+/// Workers that are out of reach after a change of leader and are asked about; where more are, most
+/// are about to answer.
+constexpr std::size_t kMostUnseen = 8;
+
+/// Workers without room are named for this share of what a question costs anyway: whom advice
+/// allows doesn't change, and what is known of them saves questions once they have room.
+constexpr double kAheadShare = 0.25;
+
+}  // namespace
+
+std::vector<std::string> scheduler::UnseenToAskAbout(const step_state& step) const {
+  std::vector<std::string> unseen;
+  if (!step.job->restored || unsettled_.size() > kMostUnseen) {
+    return unseen;
+  }
+  for (const auto& [id, lapses_at] : unsettled_) {
+    const auto* const worker = workers_.at(id).get();
+    const bool allowed = std::ranges::any_of(
+        step.advice.Allowed(), [&](const auto& each) { return each.worker == worker; });
+    if (!allowed && !step.advice.Refused(id)) {
+      unseen.push_back(id);
+    }
+  }
+  return unseen;
+}
+
+// The load that this answers: a worker dies just as the leader does. Nobody knows what it was told
+// to run, so all old work would wait until its lease has lapsed, 8 s in all; but two workers in
+// three are never allowed to run a given step.
+void scheduler::AskAboutUnseen(step_state& step, const instant& now) {
+  if (step.job->accepted && step.job->advice && !UnseenToAskAbout(step).empty()) {
+    AskAdvice(step, step.Idle(), now);
+  }
+}
+
+scheduler::advice_candidates scheduler::WhomToAskAbout(const step_state& step,
+                                                       const instant& now) {
+  const auto ticket_by = now.steady + settings_.ticket_margin;
+  advice_candidates found;
+  for (const auto& [id, worker] : workers_) {
+    if (step.advice.Refused(id) || !MayRun(step, nullptr, *worker, now)) {
+      continue;
+    }
+    const auto* const allowance = step.advice.Find(worker.get());
+    const bool room = Fits(step, *worker);
+    if (allowance == nullptr && room) {
+      found.unknown.push_back(worker.get());
+    } else if (allowance == nullptr && step.spec->need.FitsIn(worker->facts.capacity)) {
+      found.full.push_back(worker.get());
+    } else if (allowance != nullptr && room && allowance->expires <= ticket_by) {
+      found.allowed.push_back(worker.get());
+    }
+  }
+  const auto score = [&](const worker_state* worker) { return Score(step, *worker); };
+  std::ranges::stable_sort(found.allowed, {}, score);
+  std::ranges::stable_sort(found.unknown, {}, score);
+  return found;
+}
+
+void scheduler::AskAdvice(step_state& step, std::uint32_t tasks, const instant& now) {
+  if (!MayAsk(step, now)) {
+    return;
+  }
+  const auto found = WhomToAskAbout(step, now);
+  auto names = UnseenToAskAbout(step);
+  const bool nobody = found.allowed.empty() && found.unknown.empty() && found.full.empty();
+  if (names.empty() && nobody) {
+    step.advice.ask_again_at = now.steady + settings_.ticket_margin;
+    return;
+  }
+  const double wanted = kSpareNames * tasks;
+  const auto share = advised_share_.try_emplace(step.job->spec->queue, kFirstAdvisedShare);
+  double expected = 0;
+  const auto name = [&](const std::vector<worker_state*>& workers, double likely) {
+    for (const auto* const worker : workers) {
+      const bool enough = expected >= wanted && names.size() >= kFewestNames;
+      if (enough || names.size() >= settings_.most_names) {
+        return;
+      }
+      names.push_back(worker->facts.id);
+      expected += likely;
+    }
+  };
+  name(found.allowed, 1.0);
+  name(found.unknown, share.first->second);
+  const auto& cost = *step.job->advice;
+  const auto each = std::max<duration>(cost.per_worker, duration{1});
+  auto ahead = static_cast<std::size_t>(kAheadShare * static_cast<double>(cost.base / each));
+  for (const auto* const worker : found.full) {
+    if (ahead == 0 || expected >= wanted || names.size() >= settings_.most_names) {
+      break;
+    }
+    names.push_back(worker->facts.id);
+    --ahead;
+  }
+  if (names.empty()) {
+    step.advice.ask_again_at = now.steady + settings_.ticket_margin;
+    return;
+  }
+  SendQuestion(step, std::move(names), tasks, now);
+  auto left = tasks;
+  for (auto* const worker : found.allowed) {
+    for (auto room = worker->FreeFor(step); left > 0 && step.spec->need.FitsIn(room); --left) {
+      room = room - step.spec->need;
+      HoldRoom(step, *worker);
+    }
+  }
+}
+
+void scheduler::SendQuestion(step_state& step, std::vector<std::string> workers,
+                             std::uint32_t tasks, const instant& now) {
+  advice_query query{step.Name(), std::move(workers), *step.job->advice, step.job->priority};
+  const auto cost =
+      query.cost.base + query.cost.per_worker * static_cast<int>(query.workers.size());
+  step.advice.Ask(now.steady, now.steady + cost + settings_.advice_patience);
+  log_.Write(event_line{"advice_asked", event_weight::kDetail}
+                 .Add("job", step.job->spec->id)
+                 .Add("step", query.step)
+                 .Add("workers", query.workers.size())
+                 .Add("tasks", tasks));
+  orders_.emplace_back(std::move(query));
+}
+
+// The load that this answers: many steps wait for the same scarce room, as accelerators. While one
+// asks for its ticket another takes the room, and both ask again: one job of one task asked 23
+// times in 39 s.
+void scheduler::HoldRoom(step_state& step, worker_state& worker) {
+  step.holds_room = true;
+  worker.holds.push_back({&step, step.spec->need, step.advice.answer_by()});
+}
+
+void scheduler::ReleaseRoom(step_state& step) {
+  if (!std::exchange(step.holds_room, false)) {
+    return;
+  }
+  for (const auto& [id, worker] : workers_) {
+    std::erase_if(worker->holds, [&](const auto& hold) { return hold.step == &step; });
+  }
+  ++room_version_;
+}
+
+// The load that this answers: the answer to a question is lost with the process that asked, or on
+// its way. One notices by a step that waits for advice although a question was asked long ago; it
+// would wait for ever, with room for all its tasks.
+bool scheduler::MayAsk(step_state& step, const instant& now) {
+  if (step.advice.Asking(now.steady) || now.steady < step.advice.ask_again_at) {
+    return false;
+  }
+  if (!step.advice.Overdue(now.steady)) {
+    return true;
+  }
+  log_.Write(event_line{"advice_overdue", event_weight::kFailure}
+                 .Add("job", step.job->spec->id)
+                 .Add("step", step.Name())
+                 .Add("asked_ms_ago", now.steady - step.advice.asked_at()));
+  step.advice.Answered();
+  return true;
+}
+
+void scheduler::OnAdvice(const advice_query& asked, const std::vector<advised_worker>* allowed,
+                         const instant& now) {
+  const auto name = task_name::Parse(asked.step + ".0");
+  auto* const job = name ? FindJob(name->job) : nullptr;
+  auto* const step = job == nullptr ? nullptr : job->Step(name->occurrence, name->step);
+  if (step == nullptr) {
+    return;
+  }
+  step->advice.Answered();
+  step->blocked_at = 0;
+  if (allowed == nullptr) {
+    step->advice.ask_again_at = now.steady + settings_.advice_retry;
+    log_.Write(event_line{"advice_missing", event_weight::kFailure}
+                   .Add("job", name->job)
+                   .Add("step", asked.step));
+    return;
+  }
+  auto& share = advised_share_.try_emplace(job->spec->queue, kFirstAdvisedShare).first->second;
+  const auto seen = static_cast<double>(allowed->size()) /
+                    static_cast<double>(std::max<std::size_t>(1, asked.workers.size()));
+  share += kAdvisedShareWeight * (seen - share);
+  for (const auto& worker : asked.workers) {
+    const auto given = std::ranges::find(*allowed, worker, &advised_worker::worker);
+    if (given == allowed->end()) {
+      step->advice.Refuse(worker);
+    } else if (const auto known = workers_.find(worker); known != workers_.end()) {
+      step->advice.Allow(known->second.get(), given->ticket, now.steady + asked.cost.ticket_life);
+    }
+  }
+  log_.Write(event_line{"advice_given", event_weight::kDetail}
+                 .Add("job", name->job)
+                 .Add("step", asked.step)
+                 .Add("asked", asked.workers.size())
+                 .Add("allowed", allowed->size())
+                 .Add("took_ms", now.steady - step->advice.asked_at()));
+}
+
+}  // namespace rosearch::sched
--- a/src/rosearch/sched/scheduler_gangs.cc
+++ b/src/rosearch/sched/scheduler_gangs.cc
@@ -22,7 +22,7 @@
   const auto fitting = [&](const worker_state& worker) {
     const auto& mine = promised[&worker];
     const bool below = spec.per_worker_limit == 0 || mine.members < spec.per_worker_limit;
-    return below && spec.need.FitsIn(worker.Free() - mine.room);
+    return below && spec.need.FitsIn(worker.FreeFor(step) - mine.room);
   };
   std::vector<worker_state*> places;
   while (places.size() < step.tasks.size()) {
@@ -53,6 +53,9 @@
   if (step.clearing || !step.runs.empty()) {
     return;
   }
+  if (!step.advice.Asking(now.steady)) {
+    ReleaseRoom(step);
+  }
   const bool held = std::ranges::any_of(
       step.tasks, [&](const auto& task) { return task.not_before > now.steady; });
   if (held) {
@@ -113,7 +116,8 @@
       unknown.push_back(worker.get());
     }
   }
-  auto named = GangPlaces(step, allowed);
+  const auto places = GangPlaces(step, allowed);
+  auto named = places;
   std::ranges::sort(named);
   named.erase(std::ranges::unique(named).begin(), named.end());
   if (named.empty()) {
@@ -128,8 +132,12 @@
   for (const auto* const worker : named) {
     names.push_back(worker->facts.id);
   }
-  if (!names.empty()) {
-    SendQuestion(step, std::move(names), static_cast<std::uint32_t>(step.tasks.size()), now);
+  if (names.empty()) {
+    return;
+  }
+  SendQuestion(step, std::move(names), static_cast<std::uint32_t>(step.tasks.size()), now);
+  for (auto* const worker : places) {
+    HoldRoom(step, *worker);
   }
 }
 
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -93,6 +93,12 @@
                  .Add("before", configuration_.version)
                  .Add("queues", configuration.queues.size()));
   configuration_ = std::move(configuration);
+  urgent_pools_.clear();
+  for (const auto& rules : configuration_.queues) {
+    if (rules.priority == 0) {
+      urgent_pools_.insert(rules.pool);
+    }
+  }
   for (auto& [id, job] : jobs_) {
     ResolveRules(*job);
   }
@@ -131,7 +137,7 @@
 
 bool scheduler::HasPlaces(const job_spec& job) const {
   const auto& step = job.steps.front();
-  const double kept = job.priority == 0 ? 0.0 : settings_.urgent_reserve;
+  const double kept = job.priority == 0 ? 0.0 : Reserve(job.pool);
   std::int64_t places = 0;
   for (const auto& [id, worker] : workers_) {
     const auto& facts = worker->facts;
@@ -179,7 +185,7 @@
   // One job's estimates are off by half or more; the mean over its queue is not.
   const double slack = MeanSlackMs(job) * settings_.admission_slack;
   const double wait = room > 0 ? ahead / room : 0;
-  const bool has_room = free > room * (settings_.urgent_reserve + kRoomToSpare);
+  const bool has_room = free > room * (Reserve(job.pool) + kRoomToSpare);
   if (room <= 0 || wait <= slack || (has_room && HasPlaces(job))) {
     return {submit_verdict::kPending, {}, {}};
   }
@@ -382,6 +388,7 @@
                  .Add("runs", job.live));
   for (auto& occurrence : job.occurrences) {
     for (auto& step : occurrence->steps) {
+      ReleaseRoom(*step);
       const auto runs = step->runs;
       for (auto* const run : runs) {
         StopRun(*run, stop_reason::kJobOver, now);
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -21,21 +21,6 @@
 constexpr double kSlow = 0.4;
 constexpr double kFailedHere = 1.5;
 
-/// Share of named workers that advice allows, before any answer was seen.
-constexpr double kFirstAdvisedShare = 0.4;
-constexpr double kAdvisedShareWeight = 0.1;
-
-/// Taken off the score of workers that advice has allowed before; more than any score.
-constexpr double kCertain = 100.0;
-
-/// Names asked for beyond the need: some that are allowed will have filled up meanwhile.
-constexpr double kSpareNames = 1.5;
-constexpr std::size_t kFewestNames = 6;
-
-/// Workers that are out of reach after a change of leader and are asked about; where more are, most
-/// are about to answer.
-constexpr std::size_t kMostUnseen = 8;
-
 double Load(const worker_state& worker, const resources& extra) {
   const auto& capacity = worker.facts.capacity;
   const auto after = worker.used + extra;
@@ -67,31 +52,6 @@
   });
 }
 
-std::vector<std::string> scheduler::UnseenToAskAbout(const step_state& step) const {
-  std::vector<std::string> unseen;
-  if (!step.job->restored || unsettled_.size() > kMostUnseen) {
-    return unseen;
-  }
-  for (const auto& [id, lapses_at] : unsettled_) {
-    const auto* const worker = workers_.at(id).get();
-    const bool allowed = std::ranges::any_of(
-        step.advice.Allowed(), [&](const auto& each) { return each.worker == worker; });
-    if (!allowed && !step.advice.Refused(id)) {
-      unseen.push_back(id);
-    }
-  }
-  return unseen;
-}
-
-// The load that this answers: a worker dies just as the leader does. Nobody knows what it was told
-// to run, so all old work would wait until its lease has lapsed, 8 s in all; but two workers in
-// three are never allowed to run a given step.
-void scheduler::AskAboutUnseen(step_state& step, const instant& now) {
-  if (step.job->accepted && step.job->advice && !UnseenToAskAbout(step).empty()) {
-    AskAdvice(step, step.Idle(), now);
-  }
-}
-
 std::uint32_t scheduler::Copies(const step_state& step, const worker_state& worker) const {
   return static_cast<std::uint32_t>(
       std::ranges::count_if(step.runs, [&](const auto* run) { return run->worker == &worker; }));
@@ -118,8 +78,12 @@
       step.runs, [&](const auto* run) { return run->worker == &worker && run->index == index; });
 }
 
+double scheduler::Reserve(const std::string& pool) const {
+  return urgent_pools_.contains(pool) ? settings_.urgent_reserve : 0.0;
+}
+
 bool scheduler::Fits(const step_state& step, const worker_state& worker) const {
-  const auto free = worker.Free();
+  const auto free = worker.FreeFor(step);
   const auto& need = step.spec->need;
   if (step.spec->uses_leftover) {
     return need.memory_mb <= free.memory_mb && need.accelerators <= free.accelerators &&
@@ -132,7 +96,7 @@
     return true;
   }
   const auto& capacity = worker.facts.capacity;
-  const auto kept = static_cast<std::int64_t>(settings_.urgent_reserve *
+  const auto kept = static_cast<std::int64_t>(Reserve(step.job->pool) *
                                               static_cast<double>(capacity.processors_milli));
   // What is too large for the rest of this worker may use all of it: it would fit nowhere else.
   const bool huge = need.processors_milli + kept > capacity.processors_milli;
@@ -240,6 +204,9 @@
 
 void scheduler::PlaceTasks(step_state& step, const instant& now) {
   const bool advised = step.job->advice.has_value();
+  if (!step.advice.Asking(now.steady)) {
+    ReleaseRoom(step);
+  }
   std::uint32_t left = 0;
   bool paused = false;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
@@ -274,113 +241,6 @@
   }
 }
 
-void scheduler::AskAdvice(step_state& step, std::uint32_t tasks, const instant& now) {
-  if (!MayAsk(step, now)) {
-    return;
-  }
-  const auto share = advised_share_.try_emplace(step.job->spec->queue, kFirstAdvisedShare);
-  const auto ticket_by = now.steady + settings_.ticket_margin;
-  std::vector<std::pair<double, worker_state*>> candidates;
-  for (const auto& [id, worker] : workers_) {
-    if (!Fits(step, *worker) || step.advice.Refused(id) || !MayRun(step, nullptr, *worker, now)) {
-      continue;
-    }
-    const auto* const allowance = step.advice.Find(worker.get());
-    if (allowance != nullptr && allowance->expires > ticket_by) {
-      continue;
-    }
-    // Workers that are known to be allowed come first: their answer is certain.
-    candidates.emplace_back(Score(step, *worker) - (allowance != nullptr ? kCertain : 0.0),
-                            worker.get());
-  }
-  auto names = UnseenToAskAbout(step);
-  if (candidates.empty() && names.empty()) {
-    step.advice.ask_again_at = now.steady + settings_.ticket_margin;
-    return;
-  }
-  std::ranges::sort(candidates, {}, [](const auto& each) { return each.first; });
-  const double wanted = kSpareNames * tasks;
-  double expected = 0;
-  for (const auto& [score, worker] : candidates) {
-    const bool enough = expected >= wanted && names.size() >= kFewestNames;
-    if (enough || names.size() >= settings_.most_names) {
-      break;
-    }
-    names.push_back(worker->facts.id);
-    expected += score < -kCertain / 2 ? 1.0 : share.first->second;
-  }
-  SendQuestion(step, std::move(names), tasks, now);
-}
-
-void scheduler::SendQuestion(step_state& step, std::vector<std::string> workers,
-                             std::uint32_t tasks, const instant& now) {
-  advice_query query{step.Name(), std::move(workers), *step.job->advice, step.job->priority};
-  const auto cost =
-      query.cost.base + query.cost.per_worker * static_cast<int>(query.workers.size());
-  step.advice.Ask(now.steady, now.steady + cost + settings_.advice_patience);
-  log_.Write(event_line{"advice_asked", event_weight::kDetail}
-                 .Add("job", step.job->spec->id)
-                 .Add("step", query.step)
-                 .Add("workers", query.workers.size())
-                 .Add("tasks", tasks));
-  orders_.emplace_back(std::move(query));
-}
-
-// The load that this answers: the answer to a question is lost with the process that asked, or on
-// its way. One notices by a step that waits for advice although a question was asked long ago; it
-// would wait for ever, with room for all its tasks.
-bool scheduler::MayAsk(step_state& step, const instant& now) {
-  if (step.advice.Asking(now.steady) || now.steady < step.advice.ask_again_at) {
-    return false;
-  }
-  if (!step.advice.Overdue(now.steady)) {
-    return true;
-  }
-  log_.Write(event_line{"advice_overdue", event_weight::kFailure}
-                 .Add("job", step.job->spec->id)
-                 .Add("step", step.Name())
-                 .Add("asked_ms_ago", now.steady - step.advice.asked_at()));
-  step.advice.Answered();
-  return true;
-}
-
-void scheduler::OnAdvice(const advice_query& asked, const std::vector<advised_worker>* allowed,
-                         const instant& now) {
-  const auto name = task_name::Parse(asked.step + ".0");
-  auto* const job = name ? FindJob(name->job) : nullptr;
-  auto* const step = job == nullptr ? nullptr : job->Step(name->occurrence, name->step);
-  if (step == nullptr) {
-    return;
-  }
-  step->advice.Answered();
-  step->blocked_at = 0;
-  if (allowed == nullptr) {
-    step->advice.ask_again_at = now.steady + settings_.advice_retry;
-    log_.Write(event_line{"advice_missing", event_weight::kFailure}
-                   .Add("job", name->job)
-                   .Add("step", asked.step));
-    return;
-  }
-  auto& share = advised_share_.try_emplace(job->spec->queue, kFirstAdvisedShare).first->second;
-  const auto seen = static_cast<double>(allowed->size()) /
-                    static_cast<double>(std::max<std::size_t>(1, asked.workers.size()));
-  share += kAdvisedShareWeight * (seen - share);
-  for (const auto& worker : asked.workers) {
-    const auto given = std::ranges::find(*allowed, worker, &advised_worker::worker);
-    if (given == allowed->end()) {
-      step->advice.Refuse(worker);
-    } else if (const auto known = workers_.find(worker); known != workers_.end()) {
-      step->advice.Allow(known->second.get(), given->ticket, now.steady + asked.cost.ticket_life);
-    }
-  }
-  log_.Write(event_line{"advice_given", event_weight::kDetail}
-                 .Add("job", name->job)
-                 .Add("step", asked.step)
-                 .Add("asked", asked.workers.size())
-                 .Add("allowed", allowed->size())
-                 .Add("took_ms", now.steady - step->advice.asked_at()));
-}
-
 void scheduler::MakeRoom(step_state& step, std::uint32_t tasks, const instant& now) {
   std::vector<worker_state*> candidates;
   if (step.job->advice) {
--- a/src/rosearch/sched/worker_state.cc
+++ b/src/rosearch/sched/worker_state.cc
@@ -30,4 +30,14 @@
   return true;
 }
 
+resources worker_state::FreeFor(const step_state& step) const {
+  auto free = Free();
+  for (const auto& hold : holds) {
+    if (hold.step != &step && hold.step->job->priority <= step.job->priority) {
+      free = free - hold.room;
+    }
+  }
+  return free;
+}
+
 }  // namespace rosearch::sched
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -97,6 +97,15 @@
   kSilent,  ///< the last watch was not answered
 };
 
+/// Room that waits for one step while the proof that it may run there is on its way.
+struct room_hold {
+  const step_state* step{nullptr};
+  resources room{};
+  time_point until{};  ///< then it is anybody's
+
+  friend bool operator==(const room_hold&, const room_hold&) = default;
+};
+
 /// One life of a worker: what it holds, what we have promised there and what it last said.
 struct worker_state {
   worker_facts facts;
@@ -122,8 +131,11 @@
   std::unordered_map<std::string, std::unique_ptr<live_run>> runs;  ///< by task
   std::uint32_t service_runs{0};
   std::uint32_t leftover_runs{0};
+  std::vector<room_hold> holds;
 
   [[nodiscard]] resources Free() const { return facts.capacity - used; }
+  /// @return the room that a step may use: what others of no lower priority hold is not its.
+  [[nodiscard]] resources FreeFor(const step_state& step) const;
   /// @return whether it is there and doesn't leave.
   [[nodiscard]] bool TakesWork() const {
     return session == session_phase::kLive && listed && !facts.draining;
