Move runs far slower than their siblings, leave their workers alone; switches for mechanisms

Nothing compared a run's progress with that of its siblings.

Change: a worker most of whose judged runs take 2.5 times what their siblings take elsewhere (4 times where one run alone tells) is left alone for 3 s, doubling; its slow runs are stopped and start elsewhere where that is sooner by a third, within a budget, or get a second copy where the step allows it. Lines worker_slow and run_slow.

Each mechanism can be switched off by the setting 'without', for the ablation and for baselines of tests. The world of tests has slow workers, accelerators and a limit of questions at a time.

--- a/src/rosearch/cell/cell_settings.cc
+++ b/src/rosearch/cell/cell_settings.cc
@@ -61,7 +61,7 @@
         std::chrono::duration<double, std::milli>{Number(key, ms, 0, kDayMs)});
   }
 
-  std::vector<std::string> Addresses(std::string_view key) {
+  std::vector<std::string> Texts(std::string_view key) {
     std::vector<std::string> found;
     const auto* const value = from_.if_contains(key);
     if (value == nullptr || value->is_null()) {
@@ -72,13 +72,19 @@
       return found;
     }
     for (const auto& each : value->as_array()) {
-      if (each.is_string() && IsAddress(each.as_string())) {
+      if (each.is_string()) {
         found.emplace_back(each.as_string());
       }
     }
     return found;
   }
 
+  std::vector<std::string> Addresses(std::string_view key) {
+    auto found = Texts(key);
+    std::erase_if(found, [](const auto& text) { return !IsAddress(text); });
+    return found;
+  }
+
   [[nodiscard]] const std::string& fault() const { return fault_; }
 
  private:
@@ -135,6 +141,20 @@
   scheduler.max_lease =
       std::min(sched::kLongestLease, in.Millis("max_lease_ms", scheduler.max_lease));
   scheduler.stop_timeout = in.Millis("stop_timeout_ms", scheduler.stop_timeout);
+  for (const auto& name : in.Texts("without")) {
+    const auto which = sched::MechanismNamed(name);
+    if (!which) {
+      return error{error_kind::kInvalidRequest, "without names no mechanism: " + name};
+    }
+    scheduler.off.Add(*which);
+  }
+  if (!scheduler.Uses(sched::mechanism::kBatchesBeside)) {
+    made.leading.batches = 1;
+  }
+  if (!scheduler.Uses(sched::mechanism::kEarlyElection)) {
+    made.electing.broken_after = made.electing.suspect_after;
+  }
+  scheduler.restore = in.Millis("restore_ms", scheduler.restore);
   if (!in.fault().empty()) {
     return error{error_kind::kInvalidRequest, in.fault()};
   }
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -124,6 +124,13 @@
     addresses.push_back(address);
     helpers.push_back(address);
   }
+  const auto& scheduler = settings_.leading.scheduler;
+  if (!scheduler.Uses(sched::mechanism::kSecondWay)) {
+    addresses.clear();
+  }
+  if (!scheduler.Uses(sched::mechanism::kAdviceByAll)) {
+    helpers.resize(1);
+  }
   outside_.SetPeers(addresses);
   if (Leading()) {
     leader_->SetHelpers(helpers);
--- a/src/rosearch/sched/job_state.cc
+++ b/src/rosearch/sched/job_state.cc
@@ -43,7 +43,7 @@
 std::uint32_t step_state::Idle() const {
   std::uint32_t idle = 0;
   for (const auto& task : tasks) {
-    idle += !task.done && task.live == 0 ? 1 : 0;
+    idle += WantsStart(task) ? 1 : 0;
   }
   return idle;
 }
--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -37,8 +37,9 @@
 /// One task of an open step.
 struct task_state {
   bool done{false};
-  std::uint32_t live{0};  ///< runs that may be under way
-  std::uint32_t runs{0};  ///< runs begun under the present leadership
+  std::uint32_t live{0};   ///< runs that may be under way
+  bool wants_copy{false};  ///< its run is slow: a second one may start beside it
+  std::uint32_t runs{0};   ///< runs begun under the present leadership
   /// Runs that ended failed. Ends are listed again until they are acknowledged, also to a new
   /// leader and there in any order: counted by number alone, one failure would count twice and a
   /// job fail too early, or one would be missed and a task tried more often than allowed.
@@ -46,9 +47,15 @@
   std::string checkpoint;       ///< newest known; empty: none
   std::string failed_on;        ///< worker of the last failure
   time_point not_before{};      ///< no start before
+  duration took{};              ///< done: how long its run worked; zero where that isn't known
   std::uint32_t quick_ends{0};  ///< of a service: runs in a row that ended early
 };
 
+/// @return whether a task is to be started.
+[[nodiscard]] inline bool WantsStart(const task_state& task) {
+  return !task.done && (task.live == 0 || task.wants_copy);
+}
+
 /// One step of one occurrence of a job.
 struct step_state {
   struct job_state* job{nullptr};
@@ -66,7 +73,7 @@
   std::uint64_t blocked_at{0};   ///< version of the room at which nothing fitted
   time_point tell_waiting_at{};  ///< when the log next says what it waits for
 
-  /// @return tasks that are neither done nor under way.
+  /// @return tasks that are to be started.
   [[nodiscard]] std::uint32_t Idle() const;
   /// @return JOB.OCCURRENCE.STEP.
   [[nodiscard]] std::string Name() const;
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -122,6 +122,15 @@
   friend bool operator==(const wait_view&, const wait_view&) = default;
 };
 
+/// What is to be expected of a run that is under way.
+struct run_outlook {
+  double slowdown{1.0};  ///< its time against that of its siblings elsewhere
+  duration remaining{};  ///< at its present speed
+  duration elsewhere{};  ///< a new start, the stop included
+
+  friend bool operator==(const run_outlook&, const run_outlook&) = default;
+};
+
 /// How long a job took to come so far.
 struct job_timing {
   bool ended{false};  ///< else: its first task was ordered to start
@@ -325,6 +334,18 @@
   /// @return the number of a task's so many-th run under this leadership.
   [[nodiscard]] std::uint32_t RunNumber(std::uint32_t count) const;
 
+  // scheduler_progress.cc
+  /// @return what a step's tasks take elsewhere than at a worker, by what ended and what is under
+  ///         way; nothing where too few tell.
+  [[nodiscard]] std::optional<duration> TypicalTime(const step_state& step,
+                                                    const worker_state& beside) const;
+  /// @return how long a run goes on at its present speed, and how its speed compares.
+  [[nodiscard]] std::optional<run_outlook> Outlook(const live_run& run, const instant& now) const;
+  void NoteSpeed(const live_run& run, duration took);
+  void RescueSlowRuns(worker_state& worker, const instant& now);
+  void Rescue(live_run& run, const run_outlook& outlook, const instant& now);
+  [[nodiscard]] bool MayRescue() const;
+
   // scheduler_placement.cc
   [[nodiscard]] bool Startable(const step_state& step) const;
   [[nodiscard]] bool MayRunUnseen(const step_state& step) const;
--- a/src/rosearch/sched/scheduler_advice.cc
+++ b/src/rosearch/sched/scheduler_advice.cc
@@ -53,8 +53,7 @@
   }
 }
 
-scheduler::advice_candidates scheduler::WhomToAskAbout(const step_state& step,
-                                                       const instant& now) {
+scheduler::advice_candidates scheduler::WhomToAskAbout(const step_state& step, const instant& now) {
   const auto ticket_by = now.steady + settings_.ticket_margin;
   advice_candidates found;
   for (const auto& [id, worker] : workers_) {
@@ -105,7 +104,8 @@
   name(found.unknown, share.first->second);
   const auto& cost = *step.job->advice;
   const auto each = std::max<duration>(cost.per_worker, duration{1});
-  auto ahead = static_cast<std::size_t>(kAheadShare * static_cast<double>(cost.base / each));
+  const double share_ahead = settings_.Uses(mechanism::kAdviceAhead) ? kAheadShare : 0.0;
+  auto ahead = static_cast<std::size_t>(share_ahead * static_cast<double>(cost.base / each));
   for (const auto* const worker : found.full) {
     if (ahead == 0 || expected >= wanted || names.size() >= settings_.most_names) {
       break;
@@ -145,6 +145,9 @@
 // asks for its ticket another takes the room, and both ask again: one job of one task asked 23
 // times in 39 s.
 void scheduler::HoldRoom(step_state& step, worker_state& worker) {
+  if (!settings_.Uses(mechanism::kHold)) {
+    return;
+  }
   step.holds_room = true;
   worker.holds.push_back({&step, step.spec->need, step.advice.answer_by()});
 }
--- a/src/rosearch/sched/scheduler_gangs.cc
+++ b/src/rosearch/sched/scheduler_gangs.cc
@@ -123,8 +123,7 @@
   if (named.empty()) {
     // Whom advice allows doesn't change: all workers are asked about at once, since a name costs a
     // seventieth of a question. Those with room for a member come first.
-    std::ranges::stable_partition(unknown,
-                                  [&](const auto* worker) { return Fits(step, *worker); });
+    std::ranges::stable_partition(unknown, [&](const auto* worker) { return Fits(step, *worker); });
     unknown.resize(std::min(unknown.size(), settings_.most_names));
     named = std::move(unknown);
   }
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -208,8 +208,8 @@
                    .Add("workers", workers_.size()));
     return {submit_verdict::kRefused, {}, "never_fits"};
   }
-  const bool service = job.steps.front().service;
-  const auto admitted = service ? submit_answer{submit_verdict::kPending, {}, {}} : Admit(job);
+  const bool always = job.steps.front().service || !settings_.Uses(mechanism::kAdmission);
+  const auto admitted = always ? submit_answer{submit_verdict::kPending, {}, {}} : Admit(job);
   if (admitted.verdict == submit_verdict::kRefused) {
     log_.Write(event_line{"job_refused", event_weight::kFailure}
                    .Add("job", job.id)
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -64,7 +64,8 @@
   if (!worker.MayStart() || facts.pool != step.job->pool) {
     return false;
   }
-  if (!worker.health.Usable(now.steady) || !facts.HasLabel(spec.required_label)) {
+  if ((settings_.Uses(mechanism::kHealth) && !worker.health.Usable(now.steady)) ||
+      !facts.HasLabel(spec.required_label)) {
     return false;
   }
   if (spec.per_worker_limit > 0 && Copies(step, worker) >= spec.per_worker_limit) {
@@ -79,7 +80,8 @@
 }
 
 double scheduler::Reserve(const std::string& pool) const {
-  return urgent_pools_.contains(pool) ? settings_.urgent_reserve : 0.0;
+  const bool kept = settings_.Uses(mechanism::kReserve) && urgent_pools_.contains(pool);
+  return kept ? settings_.urgent_reserve : 0.0;
 }
 
 bool scheduler::Fits(const step_state& step, const worker_state& worker) const {
@@ -108,7 +110,8 @@
   const double load = Load(worker, spec.need);
   // Long work packs tight, so that whole workers stay open for large tasks; urgent work and
   // services spread out, so that one worker's loss or slowness hits few of them.
-  double score = Urgent(step) ? load : -load;
+  const bool spreads = Urgent(step) || !settings_.Uses(mechanism::kPacking);
+  double score = spreads ? load : -load;
   if (!spec.data_rack.empty() && spec.data_rack != worker.facts.rack) {
     score += kOffDataRack;
   }
@@ -173,7 +176,8 @@
   const auto key = [&](const step_state* step) {
     const auto& job = *step->job;
     const bool service = step->spec->service;
-    const bool hopeless = !service && now.steady > job.finish_by + 2 * job.spec->objective;
+    const bool hopeless = settings_.Uses(mechanism::kHopelessLast) && !service &&
+                          now.steady > job.finish_by + 2 * job.spec->objective;
     return std::tuple{service ? 0 : 1, hopeless ? 1 : 0, job.priority, job.finish_by};
   };
   std::vector<std::pair<decltype(key(nullptr)), step_state*>> sorted;
@@ -211,7 +215,7 @@
   bool paused = false;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     auto& task = step.tasks[index];
-    if (task.done || task.live > 0) {
+    if (!WantsStart(task)) {
       continue;
     }
     if (task.not_before > now.steady) {
@@ -233,7 +237,7 @@
   if (advised) {
     AskAdvice(step, left, now);
   }
-  if (Urgent(step)) {
+  if (Urgent(step) && settings_.Uses(mechanism::kPreemption)) {
     MakeRoom(step, left, now);
   }
   if (!advised && !paused) {
--- a/src/rosearch/sched/scheduler_reports.cc
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -18,6 +18,9 @@
 constexpr double kTailLow = 0.5;
 constexpr std::uint32_t kPaceStep = 25;
 
+/// Beyond what resuming takes: an order on its way, and a report that is a little old.
+constexpr duration kSettled = std::chrono::milliseconds{150};
+
 }  // namespace
 
 void scheduler::TakeEnd(worker_state& worker, const ended_row& row, const instant& now) {
@@ -151,6 +154,9 @@
       run.percent = row.percent;
       run.progressed_at = now.steady;
     }
+    if (!run.measured_from && now.steady >= run.started_at + settings_.restore + kSettled) {
+      run.measured_from = progress_mark{now.steady, row.percent};
+    }
     run.load = row.load;
   }
   LookForMissing(worker, sent_at, report, now);
@@ -159,6 +165,7 @@
   worker.silent_watches = 0;
   worker.report_sent_at = sent_at;
   SettleWorker(worker_id, "answered", now);
+  RescueSlowRuns(worker, now);
   PaceLeftovers(worker);
   AckWhatNeedsNoRecord();
 }
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -67,6 +67,7 @@
   made->started_at = now.steady;
   made->progressed_at = now.steady;
   ++step.tasks[index].live;
+  step.tasks[index].wants_copy = false;
   ++step.job->live;
   step.job->phase = job_phase::kRunning;
   step.runs.push_back(made.get());
@@ -107,6 +108,9 @@
   auto& run = Attach(step, index, worker, number, now);
   run.ticket = std::move(ticket);
   run.checkpoint = std::move(checkpoint);
+  if (run.checkpoint.empty()) {
+    run.measured_from = progress_mark{now.steady, 0};
+  }
   OrderStart(run, now);
   log_.Write(event_line{"run_ordered", event_weight::kDetail}
                  .Add("job", step.job->spec->id)
@@ -181,6 +185,7 @@
                  .Add("took_ms", took));
   if (how == end_kind::kDone) {
     worker.health.Good();
+    NoteSpeed(run, took);
     if (step != nullptr && step->spec->estimate.count() > 0 && run.checkpoint.empty()) {
       const double ratio =
           std::chrono::duration<double>{took} / std::chrono::duration<double>{step->spec->estimate};
--- a/src/rosearch/sched/scheduler_settings.h
+++ b/src/rosearch/sched/scheduler_settings.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "rosearch/core/time.h"
+#include "rosearch/sched/mechanism.h"
 
 namespace rosearch::sched {
 
@@ -15,6 +16,10 @@
 /// Bounds and weights of the scheduler. The platform's own bounds come from the process's settings;
 /// the others are defaults measured on replayed load.
 struct scheduler_settings {
+  /// What is switched off, to measure what it is worth.
+  mechanism_set off{};
+  [[nodiscard]] bool Uses(mechanism which) const { return !off.Has(which); }
+
   /// Lease that workers are given, by their own clocks: what the platform grants at most, but no
   /// more than `kLongestLease`.
   duration max_lease{std::chrono::seconds{6}};
@@ -28,6 +33,9 @@
   duration old_leader_silence{std::chrono::milliseconds{2'000}};
   /// Longest that a worker takes to end a run on order; from the platform's settings.
   duration stop_timeout{std::chrono::milliseconds{900}};
+  /// What a run that resumes from a checkpoint takes before it goes on; from the platform's
+  /// settings.
+  duration restore{std::chrono::milliseconds{600}};
   /// How long an ended job is still known to callers: 120 s are promised, 30 s are margin.
   duration keep_ended{std::chrono::seconds{150}};
   /// An occurrence starts so long after its due time, so that clocks that differ by a few
@@ -55,6 +63,16 @@
   duration refusal_pause{std::chrono::milliseconds{700}};
   /// A run whose progress stands still for longer than this, and than half its estimate, hangs.
   duration stuck_after{std::chrono::milliseconds{2'500}};
+  /// A run that works so many times slower than its siblings do elsewhere is taken for slow. Twice
+  /// what workers and tasks differ by on a sound cell: 1.25 / 0.8 by worker, 1.3 by task.
+  double slow_factor{2.5};
+  /// A slow run is moved where it would go on for so many times longer than a new start elsewhere
+  /// takes, the stop included.
+  double rescue_gain{1.3};
+  /// At most this share of all runs, and at least `least_rescues`, is stopped as slow at a time:
+  /// where everything is slow, moving helps nobody.
+  double rescue_share{0.05};
+  std::size_t least_rescues{4};
   /// Unanswered advice is asked for again after this.
   duration advice_retry{std::chrono::milliseconds{250}};
   /// A question that isn't answered so long after what it costs is taken for lost and asked again.
--- a/src/rosearch/sched/worker_state.cc
+++ b/src/rosearch/sched/worker_state.cc
@@ -6,9 +6,9 @@
 namespace rosearch::sched {
 
 std::string_view StopReasonName(stop_reason reason) noexcept {
-  constexpr std::array<std::string_view, 9> kNames{"none",       "job_over",    "other_copy",
-                                                   "unanswered", "gang_broken", "preempted",
-                                                   "stuck",      "leaving",     "stranger"};
+  constexpr std::array<std::string_view, 10> kNames{
+      "none",      "job_over", "other_copy", "unanswered", "gang_broken",
+      "preempted", "stuck",    "leaving",    "slow",       "stranger"};
   return kNames.at(static_cast<std::size_t>(reason));
 }
 
@@ -30,6 +30,14 @@
   return true;
 }
 
+duration worker_health::Slow(const scheduler_settings& settings, time_point now) {
+  const auto doubled = settings.quarantine * (1U << std::min(slow_pauses_, 10U));
+  const auto pause = std::min(doubled, settings.longest_quarantine);
+  shunned_until_ = std::max(shunned_until_, now + pause);
+  ++slow_pauses_;
+  return pause;
+}
+
 resources worker_state::FreeFor(const step_state& step) const {
   auto free = Free();
   for (const auto& hold : holds) {
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -33,6 +34,7 @@
   kPreempted,   ///< makes room for more urgent work
   kStuck,       ///< its progress stands still
   kLeaving,     ///< its worker leaves before it can end
+  kSlow,        ///< it works so slowly that it ends sooner elsewhere
   kStranger,    ///< belongs to no job that is known
 };
 
@@ -42,6 +44,14 @@
 /// @return the word for the end of a run in logs.
 [[nodiscard]] std::string_view EndKindName(end_kind how) noexcept;
 
+/// How far a run was at a moment.
+struct progress_mark {
+  time_point at{};
+  std::uint32_t percent{0};
+
+  friend bool operator==(const progress_mark&, const progress_mark&) = default;
+};
+
 /// One run of one task at one worker, from the order to start it until it is certainly over.
 struct live_run {
   std::string task;
@@ -55,10 +65,14 @@
   std::string ticket;
   std::string checkpoint;  ///< newest that the worker reported
   std::uint32_t percent{0};
-  std::uint32_t tries{1};       ///< sendings of the order to start
-  time_point started_at{};      ///< when it was first ordered
-  time_point known_at{};        ///< when the worker's word of it, or of its stop, came
-  time_point progressed_at{};   ///< when `percent` last grew
+  std::uint32_t tries{1};      ///< sendings of the order to start
+  time_point started_at{};     ///< when it was first ordered
+  time_point known_at{};       ///< when the worker's word of it, or of its stop, came
+  time_point progressed_at{};  ///< when `percent` last grew
+  /// From where its speed is measured: its start or, where it resumes or was taken over, the first
+  /// report.
+  std::optional<progress_mark> measured_from{};
+  bool copied{false};           ///< another copy was started since this one is slow
   time_point next_try{kNever};  ///< when an unanswered order is sent again
   bool stop_heard{false};       ///< the worker answered the order to stop
   bool missing{false};          ///< it wasn't in the last report, though it should have been
@@ -77,16 +91,22 @@
   /// Takes in a run that failed, hung or was refused for bad health.
   /// @return whether the worker is to be left alone from now on.
   bool Bad(const scheduler_settings& settings, time_point now);
+  /// Takes in that a run works far slower than it does elsewhere.
+  /// @return how long the worker is left alone.
+  duration Slow(const scheduler_settings& settings, time_point now);
+  /// Takes in that a run worked as fast as elsewhere.
+  void Swift() { slow_pauses_ = 0; }
   /// Leaves the worker alone for a while without holding it against it.
   void Pause(time_point until) { shunned_until_ = std::max(shunned_until_, until); }
 
   [[nodiscard]] bool Usable(time_point now) const { return now >= shunned_until_; }
   /// @return whether a task that already failed should rather go elsewhere.
-  [[nodiscard]] bool Suspect() const { return in_a_row_ > 0 || pauses_ > 0; }
+  [[nodiscard]] bool Suspect() const { return in_a_row_ > 0 || pauses_ > 0 || slow_pauses_ > 0; }
 
  private:
   std::uint32_t in_a_row_{0};
   std::uint32_t pauses_{0};
+  std::uint32_t slow_pauses_{0};
   time_point shunned_until_{};
 };
 
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -17,7 +17,7 @@
 constexpr duration kStopTime = std::chrono::milliseconds{300};
 constexpr std::uint32_t kAttempts = 4;
 
-cell_configuration Configuration() {
+cell_configuration Configuration(const world_shape& shape) {
   cell_configuration made;
   made.version = 1;
   made.queues = {{"quick", "cell.test", "/jobs/", std::string{cell_world::kPool}, 0, kAttempts, 1.5,
@@ -27,6 +27,12 @@
                  {"long", "cell.test", "/plans/", std::string{cell_world::kPool}, 2, kAttempts, 2.2,
                   std::chrono::milliseconds{1'200}, std::nullopt}};
   made.pools = {{std::string{cell_world::kPool}, false, false}};
+  if (shape.long_advice != advice_cost{}) {
+    made.queues[1].advice = shape.long_advice;
+  }
+  if (!shape.urgent_queue) {
+    made.queues.erase(made.queues.begin());
+  }
   return made;
 }
 
@@ -40,8 +46,13 @@
 }
 
 cell_world::cell_world(std::uint64_t seed, const world_faults& faults, std::size_t workers,
-                       const scheduler_settings& settings)
-    : random_{seed}, faults_{faults}, settings_{settings}, now_{std::chrono::seconds{100}} {
+                       const scheduler_settings& settings, const world_shape& shape)
+    : random_{seed},
+      faults_{faults},
+      settings_{settings},
+      shape_{shape},
+      advice_free_at_(shape.advice_processes),
+      now_{std::chrono::seconds{100}} {
   settings_.max_lease = kMaxLease;
   constexpr std::int64_t kSizes[]{16'000, 16'000, 8'000, 32'000};
   for (std::size_t at = 0; at < workers; ++at) {
@@ -52,6 +63,9 @@
     made.facts.rack = "r" + std::to_string(at / 4);
     made.facts.labels = {"a", made.facts.rack};
     made.facts.capacity = {kSizes[at % 4], kSizes[at % 4] * 4, 0};
+    if (shape.worker != resources{}) {
+      made.facts.capacity = shape.worker;
+    }
     workers_[made.facts.id] = std::move(made);
   }
   Lead();
@@ -91,7 +105,7 @@
       Break("record unreadable: " + key);
     }
   }
-  leader_->Configure(Configuration(), Now());
+  leader_->Configure(Configuration(shape_), Now());
   for (const auto& [id, worker] : workers_) {
     leader_->ObserveWorker(worker.facts, Now());
   }
@@ -298,7 +312,8 @@
   fake_run run;
   run.run = order.run;
   run.began = now_;
-  run.ends = step.service ? now_ + std::chrono::hours{1} : now_ + step.estimate * percent / 100;
+  const auto work = std::chrono::duration_cast<duration>(step.estimate * worker->slowdown);
+  run.ends = step.service ? now_ + std::chrono::hours{1} : now_ + work * percent / 100;
   run.fails = random_.Chance(faults_.run_fails) || worker->sick;
   run.charged = step.need;
   worker->running[order.task] = run;
@@ -378,13 +393,19 @@
   }
   const auto cost =
       decided.cost.base + decided.cost.per_worker * static_cast<int>(decided.workers.size());
-  After(cost, [this, decided, epoch = epoch_] {
+  auto answered_at = now_ + cost;
+  if (!advice_free_at_.empty()) {
+    auto& free_at = *std::ranges::min_element(advice_free_at_);
+    free_at = std::max(free_at, now_) + cost;
+    answered_at = free_at;
+  }
+  At(answered_at, [this, decided, epoch = epoch_] {
     if (epoch != epoch_) {
       return;
     }
     std::vector<advised_worker> allowed;
     for (const auto& worker : decided.workers) {
-      if (std::hash<std::string>{}(decided.step + worker) % 10 < 7) {
+      if (std::hash<std::string>{}(decided.step + worker) % 10 < shape_.allowed_tenths) {
         allowed.push_back({worker, "ticket"});
       }
     }
@@ -464,6 +485,10 @@
   std::next(workers_.begin(), static_cast<std::ptrdiff_t>(number))->second.sick = true;
 }
 
+void cell_world::SlowWorker(std::size_t number, double factor) {
+  std::next(workers_.begin(), static_cast<std::ptrdiff_t>(number))->second.slowdown = factor;
+}
+
 void cell_world::CutWorker(std::size_t number, duration span) {
   auto worker = workers_.begin();
   std::advance(worker, static_cast<std::ptrdiff_t>(number % workers_.size()));
--- a/test/rosearch/sched/cell_world.h
+++ b/test/rosearch/sched/cell_world.h
@@ -40,12 +40,21 @@
   double old_leader_talks{0};  ///< an order of a former leader arrives seconds later
 };
 
+/// What a world is made of.
+struct world_shape {
+  resources worker{};               ///< of each; zero: 8 to 32 processors and no accelerators
+  advice_cost long_advice{};        ///< of the queue of long work; zero: it needs none
+  std::uint32_t allowed_tenths{7};  ///< workers in ten that advice allows
+  std::size_t advice_processes{0};  ///< questions answered at a time; zero: any number
+  bool urgent_queue{true};          ///< urgent work uses the same workers
+};
+
 /// A cell in virtual time: one scheduler at a time, workers that start whatever they are told, a
 /// store, advice and callers. One seed is one run. Whatever breaks a promise is noted.
 class cell_world {
  public:
   cell_world(std::uint64_t seed, const world_faults& faults, std::size_t workers,
-             const scheduler_settings& settings = {});
+             const scheduler_settings& settings = {}, const world_shape& shape = {});
   ~cell_world();
 
   /// Hands in a job; the id is made up.
@@ -62,6 +71,8 @@
   void CutWorker(std::size_t number, duration span);
   /// From now on every run that starts at a worker fails at its end.
   void SickenWorker(std::size_t number);
+  /// From now on every run that starts at a worker takes so many times as long; 1: as ever.
+  void SlowWorker(std::size_t number, double factor);
 
   /// @return promises that were broken, in words.
   [[nodiscard]] const std::vector<std::string>& Broken() const { return broken_; }
@@ -96,6 +107,7 @@
     time_point lease_until{};
     time_point cut_until{};
     bool sick{false};
+    double slowdown{1};
     std::uint64_t ended_count{0};
     std::map<std::string, fake_run> running;
     std::vector<ended_row> ended;
@@ -142,6 +154,8 @@
   random_source random_;
   world_faults faults_;
   scheduler_settings settings_;
+  world_shape shape_;
+  std::vector<time_point> advice_free_at_;  ///< by process that asks
   kept_log log_;
   time_point now_;
   std::multimap<time_point, std::function<void()>> events_;
--- a/test/rosearch/sched/load_test.cc
+++ b/test/rosearch/sched/load_test.cc
@@ -101,16 +101,109 @@
   return urgent.InTime(world, milliseconds{600}, milliseconds{200});
 }
 
+scheduler_settings Without(mechanism which) {
+  scheduler_settings settings;
+  settings.off.Add(which);
+  return settings;
+}
+
+/// Workers turn slow by a factor of seven for six seconds, each time others, under quick work.
+double SlowWorkers(const scheduler_settings& settings) {
+  cell_world world{14, {}, kWorkers, settings};
+  world.Run(seconds{1});
+  handed_in urgent;
+  for (int at = 0; at < 240; ++at) {
+    constexpr int kRound = 120;
+    if (at % kRound == 0) {
+      world.SlowWorker(static_cast<std::size_t>(3 + at / kRound), 7.0);
+      world.SlowWorker(static_cast<std::size_t>(15 + at / kRound), 7.0);
+    } else if (at % kRound == kRound / 2) {
+      world.SlowWorker(static_cast<std::size_t>(3 + at / kRound), 1.0);
+      world.SlowWorker(static_cast<std::size_t>(15 + at / kRound), 1.0);
+    }
+    urgent.Add(world, Job(8, 1'300, milliseconds{700}, false));
+    world.Run(milliseconds{100});
+  }
+  world.Run(seconds{30});
+  CHECK(world.Broken().empty());
+  return urgent.InTime(world, milliseconds{700} * 3, milliseconds{200});
+}
+
+/// Workers with eight accelerators each, of which advice allows three in ten, and questions that
+/// cost half a second at three processes.
+world_shape Accelerators() {
+  world_shape shape;
+  shape.worker = {64'000, 128'000, 8};
+  shape.long_advice = {milliseconds{560}, milliseconds{8}, seconds{2}};
+  shape.allowed_tenths = 3;
+  shape.advice_processes = 3;
+  shape.urgent_queue = false;
+  return shape;
+}
+
+job_spec Accelerated(std::uint32_t tasks, std::int64_t processors, std::int64_t accelerators,
+                     milliseconds estimate) {
+  auto job = Job(tasks, processors, estimate, true);
+  job.steps[0].need = {processors, 10'000, accelerators};
+  return job;
+}
+
+/// Jobs that need all accelerators of a worker beside small ones that need one for each task.
+double ScarceAccelerators(const scheduler_settings& settings, const world_shape& shape) {
+  cell_world world{15, {}, 13, settings, shape};
+  world.Run(seconds{1});
+  handed_in large;
+  for (int at = 0; at < 100; ++at) {
+    large.Add(world, Accelerated(1, 31'000, at % 2 == 0 ? 8 : 4, milliseconds{5'000}));
+    if (at % 2 == 0) {
+      (void)world.Submit(Accelerated(6, 5'600, 1, milliseconds{3'000}));
+    }
+    world.Run(milliseconds{500});
+  }
+  world.Run(seconds{60});
+  CHECK(world.Broken().empty());
+  return large.InTime(world, milliseconds{5'000}, seconds{4});
+}
+
 }  // namespace
 
+// A worker that turns slow holds few runs for long and so looks empty: each job puts a task there,
+// and its caller waits for that one task seven times as long as for all the others.
+TEST_CASE("a slow worker holds up few jobs") {
+  const double ours = SlowWorkers({});
+  const double baseline = SlowWorkers(Without(mechanism::kRescue));
+  std::cout << "beside slow workers within three times their time: " << ours
+            << ", without moving slow runs " << baseline << '\n';
+  CHECK(ours > 0.97);
+  CHECK(ours > baseline);
+}
+
+// Many jobs wait for the accelerators of the few workers that advice allows them. While one asks
+// for its ticket another takes the room; both ask again, and the answers come ever later.
+TEST_CASE("scarce accelerators go to the one whose ticket is asked for") {
+  const double ours = ScarceAccelerators({}, Accelerators());
+  auto without = Without(mechanism::kHold);
+  const double ahead = ScarceAccelerators(without, Accelerators());
+  without.off.Add(mechanism::kAdviceAhead);
+  const double baseline = ScarceAccelerators(without, Accelerators());
+  std::cout << "large accelerated jobs in time: " << ours << ", without holding room " << ahead
+            << ", without asking ahead either " << baseline << '\n';
+  CHECK(ours > 0.9);
+  CHECK(ours >= ahead);
+  CHECK(ours > baseline);
+}
+
 // Callers with urgent jobs come all at once while the cell is full of work that can't be stopped.
 // Without room kept for them they wait until some of it ends.
 TEST_CASE("a burst of urgent work finds room in a full cell") {
-  scheduler_settings without;
-  without.urgent_reserve = 0;
+  auto without = Without(mechanism::kReserve);
+  const double advised_ahead = UrgentBurst(without);
+  without.off.Add(mechanism::kAdviceAhead);
   const double ours = UrgentBurst({});
   const double baseline = UrgentBurst(without);
-  std::cout << "urgent burst in time: " << ours << ", without a reserve " << baseline << '\n';
+  std::cout << "urgent burst in time: " << ours << ", without a reserve " << advised_ahead
+            << ", without asking ahead either " << baseline << '\n';
+  CHECK(ours > advised_ahead);
   CHECK(ours > 0.9);
   CHECK(ours > baseline + 0.2);
 }
--- a/test/rosearch/sched/scheduler_test.cc
+++ b/test/rosearch/sched/scheduler_test.cc
@@ -514,6 +514,26 @@
   CHECK(top.log.Has("event=advice_overdue"));
 }
 
+// Tasks that take half a worker each come to workers that no urgent queue uses. A share of each
+// worker kept for urgent work all the same leaves every second place empty, and callers wait.
+TEST_CASE("room for urgent work is kept only where a queue is urgent") {
+  const auto places = [](std::uint32_t other_priority) {
+    bench_top top{1};
+    auto rules = top.leader.configuration();
+    rules.version = 2;
+    rules.queues[0].priority = 1;
+    rules.queues.push_back(rules.queues[0]);
+    rules.queues[1].path_prefix = "/other/";
+    rules.queues[1].priority = other_priority;
+    top.leader.Configure(rules, top.now);
+    (void)top.Submit("a", 2, 2'000);
+    (void)top.Store();
+    return top.Starts().size();
+  };
+  CHECK(places(1) == 2);
+  CHECK(places(0) == 1);
+}
+
 TEST_CASE("a leaving worker gets no new work") {
   bench_top top{1};
   worker_facts facts{"w0", "10.0.0.1:80",     "pool", "",        "", "",
