--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -66,15 +66,15 @@
   std::vector<live_run*> runs;  ///< under way
   advice_book advice;
   std::uint32_t done{0};
-  bool open{false};              ///< its turn has come
-  std::uint32_t gang_runs{0};    ///< gang: runs begun under the present leadership
-  bool holds_room{false};        ///< some worker holds room for it
-  bool claims_room{false};       ///< some worker is claimed for it
-  time_point open_since{};       ///< when its turn came
-  time_point claim_again_at{};   ///< its claims are not looked at before
-  bool clearing{false};          ///< gang: broken, waits until all members are gone
-  std::uint64_t blocked_at{0};   ///< version of the room at which nothing fitted
-  time_point tell_waiting_at{};  ///< when the log next says what it waits for
+  bool open{false};               ///< its turn has come
+  std::uint32_t gang_runs{0};     ///< gang: runs begun under the present leadership
+  bool holds_room{false};         ///< some worker holds room for it
+  bool reserves_room{false};      ///< some worker is reserved for it
+  time_point open_since{};        ///< when its turn came
+  time_point reserve_again_at{};  ///< its reservations are not looked at before
+  bool clearing{false};           ///< gang: broken, waits until all members are gone
+  std::uint64_t blocked_at{0};    ///< version of the room at which nothing fitted
+  time_point tell_waiting_at{};   ///< when the log next says what it waits for
 
   /// @return tasks that are to be started.
   [[nodiscard]] std::uint32_t Idle() const;
--- a/src/rosearch/sched/mechanism.h
+++ b/src/rosearch/sched/mechanism.h
@@ -18,7 +18,7 @@
   kHealth,         ///< workers that fail or hang are left alone
   kAdviceAhead,    ///< workers without room are asked about, too
   kHold,           ///< room is held while its ticket is asked for
-  kClaim,          ///< a step that waits long claims workers that it may run on
+  kReservation,    ///< a step that waits long reserves workers that it may run on
   kRescue,         ///< runs far slower than their siblings are moved
   kSpeeds,         ///< quick work prefers workers that are fast, long work the others
   kHopelessLast,   ///< jobs that are far too late go behind all others
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -383,17 +383,18 @@
   void HoldRoom(step_state& step, worker_state& worker);
   void ReleaseRoom(step_state& step);
 
-  // scheduler_claims.cc
-  /// Claims workers for tasks of a step that has waited long, and stops there what may be stopped.
-  void ClaimWorkers(step_state& step, std::uint32_t tasks, const instant& now);
-  void ReleaseClaims(step_state& step);
-  /// @return workers that the step may run on and nobody else claims, the soonest free first.
-  [[nodiscard]] std::vector<worker_state*> Claimable(const step_state& step,
-                                                     const instant& now) const;
+  // scheduler_reservations.cc
+  /// Reserves workers for tasks of a step that has waited long, and stops there what may be
+  /// stopped.
+  void ReserveWorkers(step_state& step, std::uint32_t tasks, const instant& now);
+  void ReleaseReservations(step_state& step);
+  /// @return workers that the step may run on and nobody else has reserved, the soonest free first.
+  [[nodiscard]] std::vector<worker_state*> Reservable(const step_state& step,
+                                                      const instant& now) const;
   /// @return how long it takes until a worker has room for a task of a step, as far as is known.
   [[nodiscard]] duration UntilRoom(const step_state& step, const worker_state& worker,
                                    const instant& now) const;
-  /// @return whether a worker that a step claims has room by the time that an answer takes.
+  /// @return whether a worker that a step reserves has room by the time that an answer takes.
   [[nodiscard]] bool SoonFree(const step_state& step, const worker_state& worker,
                               const instant& now) const;
   [[nodiscard]] bool MayPreempt(const step_state& step, const live_run& run) const;
--- a/src/rosearch/sched/scheduler_advice.cc
+++ b/src/rosearch/sched/scheduler_advice.cc
@@ -145,8 +145,8 @@
 // asks for its ticket another takes the room, and both ask again: one job of one task asked 23
 // times in 39 s.
 void scheduler::HoldRoom(step_state& step, worker_state& worker) {
-  const auto* const claim = worker.Claim();
-  if (claim != nullptr && claim->step == &step) {
+  const auto* const reservation = worker.Reservation();
+  if (reservation != nullptr && reservation->step == &step) {
     return;
   }
   if (!settings_.Uses(mechanism::kHold)) {
@@ -162,7 +162,7 @@
   }
   for (const auto& [id, worker] : workers_) {
     std::erase_if(worker->holds,
-                  [&](const auto& hold) { return hold.step == &step && !hold.claim; });
+                  [&](const auto& hold) { return hold.step == &step && !hold.reserved; });
   }
   ++room_version_;
 }
--- a/src/rosearch/sched/scheduler_gangs.cc
+++ b/src/rosearch/sched/scheduler_gangs.cc
@@ -79,14 +79,14 @@
                 [&](const auto* worker) { return !MayRun(step, nullptr, *worker, now); });
   const auto places = GangPlaces(step, candidates);
   if (!places.empty()) {
-    ReleaseClaims(step);
+    ReleaseReservations(step);
     StartGang(step, places, now);
     return;
   }
   if (advised) {
     AskGangAdvice(step, now);
   }
-  ClaimWorkers(step, static_cast<std::uint32_t>(step.tasks.size()), now);
+  ReserveWorkers(step, static_cast<std::uint32_t>(step.tasks.size()), now);
 }
 
 void scheduler::StartGang(step_state& step, const std::vector<worker_state*>& places,
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -390,7 +390,7 @@
   for (auto& occurrence : job.occurrences) {
     for (auto& step : occurrence->steps) {
       ReleaseRoom(*step);
-      ReleaseClaims(*step);
+      ReleaseReservations(*step);
       const auto runs = step->runs;
       for (auto* const run : runs) {
         StopRun(*run, stop_reason::kJobOver, now);
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -239,7 +239,7 @@
              allowance == nullptr ? std::string{} : allowance->ticket, now);
   }
   if (left == 0) {
-    ReleaseClaims(step);
+    ReleaseReservations(step);
     return;
   }
   if (advised) {
@@ -248,7 +248,7 @@
   if (Urgent(step)) {
     MakeRoom(step, left, now);
   } else {
-    ClaimWorkers(step, left, now);
+    ReserveWorkers(step, left, now);
   }
   if (!advised && !paused) {
     step.blocked_at = room_version_;
--- a/src/rosearch/sched/scheduler_claims.cc
+++ b/src/rosearch/sched/scheduler_reservations.cc
@@ -3,8 +3,8 @@
 // The load that this answers: advice allows a job two workers of thirteen, and it needs all
 // accelerators of one. Small work refills each hole there, since it fits sooner: such jobs waited
 // for 20 s and more, four to seven on each replayed day, and ended later than three times what
-// their callers had been promised. A claim keeps what frees up at one worker for the step, and
-// stops what has lower priority and saves its progress.
+// their callers had been promised. A reservation keeps what frees up at one worker for the step,
+// and stops what has lower priority and saves its progress.
 #include <algorithm>
 #include <chrono>
 
@@ -63,19 +63,20 @@
 
 bool scheduler::SoonFree(const step_state& step, const worker_state& worker,
                          const instant& now) const {
-  const auto* const claim = worker.Claim();
-  if (claim == nullptr || claim->step != &step || !step.job->advice) {
+  const auto* const reservation = worker.Reservation();
+  if (reservation == nullptr || reservation->step != &step || !step.job->advice) {
     return false;
   }
   const auto& cost = *step.job->advice;
   return UntilRoom(step, worker, now) <= cost.base + cost.per_worker;
 }
 
-std::vector<worker_state*> scheduler::Claimable(const step_state& step, const instant& now) const {
+std::vector<worker_state*> scheduler::Reservable(const step_state& step, const instant& now) const {
   std::vector<std::pair<duration, worker_state*>> found;
   const auto consider = [&](worker_state& worker) {
-    const auto* const claim = worker.Claim();
-    if ((claim != nullptr && claim->step != &step) || !MayRun(step, nullptr, worker, now)) {
+    const auto* const reservation = worker.Reservation();
+    if ((reservation != nullptr && reservation->step != &step) ||
+        !MayRun(step, nullptr, worker, now)) {
       return;
     }
     const auto until = UntilRoom(step, worker, now);
@@ -101,47 +102,49 @@
   return workers;
 }
 
-void scheduler::ClaimWorkers(step_state& step, std::uint32_t tasks, const instant& now) {
-  const bool due =
-      now.steady >= step.open_since + settings_.claim_after && now.steady >= step.claim_again_at;
-  if (!settings_.Uses(mechanism::kClaim) || !due || step.spec->uses_leftover) {
+void scheduler::ReserveWorkers(step_state& step, std::uint32_t tasks, const instant& now) {
+  const bool due = now.steady >= step.open_since + settings_.reserve_after &&
+                   now.steady >= step.reserve_again_at;
+  if (!settings_.Uses(mechanism::kReservation) || !due || step.spec->uses_leftover) {
     return;
   }
-  step.claim_again_at = now.steady + settings_.claim_every;
+  step.reserve_again_at = now.steady + settings_.reserve_every;
   std::size_t pool = 0;
-  std::size_t claimed = 0;
+  std::size_t others = 0;
   std::vector<const worker_state*> before;
   for (const auto& [id, worker] : workers_) {
     if (worker->facts.pool != step.job->pool) {
       continue;
     }
     ++pool;
-    const auto* const claim = worker->Claim();
-    if (claim != nullptr && claim->step == &step) {
+    const auto* const reservation = worker->Reservation();
+    if (reservation != nullptr && reservation->step == &step) {
       before.push_back(worker.get());
-    } else if (claim != nullptr) {
-      ++claimed;
+    } else if (reservation != nullptr) {
+      ++others;
     }
   }
   const auto most = std::max<std::size_t>(
-      1, static_cast<std::size_t>(settings_.claim_share * static_cast<double>(pool)));
-  auto chosen = Claimable(step, now);
-  const auto left = most > claimed ? most - claimed : 0;
+      1, static_cast<std::size_t>(settings_.reserved_most * static_cast<double>(pool)));
+  auto chosen = Reservable(step, now);
+  const auto left = most > others ? most - others : 0;
   chosen.resize(std::min({chosen.size(), left, static_cast<std::size_t>(tasks)}));
-  ReleaseClaims(step);
-  // A gang that claims a part of what it needs might wait for ever for one that claims the rest.
+  ReleaseReservations(step);
+  // A gang that reserves a part of what it needs might wait for ever for one that reserves the
+  // rest.
   if (chosen.empty() || (step.spec->gang && chosen.size() < tasks)) {
     return;
   }
-  step.claims_room = true;
+  step.reserves_room = true;
   for (auto* const worker : chosen) {
-    worker->holds.push_back({&step, step.spec->need, true, now.steady + 2 * settings_.claim_every});
+    worker->holds.push_back(
+        {&step, step.spec->need, true, now.steady + 2 * settings_.reserve_every});
     const bool stops = !step.spec->need.FitsIn(worker->FreeFor(step)) &&
                        settings_.Uses(mechanism::kPreemption) && MakeRoomAt(step, *worker, now);
     if (std::ranges::find(before, worker) != before.end()) {
       continue;
     }
-    log_.Write(event_line{"worker_claimed", event_weight::kDetail}
+    log_.Write(event_line{"worker_reserved", event_weight::kDetail}
                    .Add("job", step.job->spec->id)
                    .Add("step", step.Name())
                    .Add("worker", worker->facts.id)
@@ -151,13 +154,13 @@
   }
 }
 
-void scheduler::ReleaseClaims(step_state& step) {
-  if (!std::exchange(step.claims_room, false)) {
+void scheduler::ReleaseReservations(step_state& step) {
+  if (!std::exchange(step.reserves_room, false)) {
     return;
   }
   for (const auto& [id, worker] : workers_) {
     std::erase_if(worker->holds,
-                  [&](const auto& hold) { return hold.step == &step && hold.claim; });
+                  [&](const auto& hold) { return hold.step == &step && hold.reserved; });
   }
   ++room_version_;
 }
--- a/src/rosearch/sched/scheduler_settings.h
+++ b/src/rosearch/sched/scheduler_settings.h
@@ -75,12 +75,12 @@
   std::size_t least_rescues{4};
   /// Unanswered advice is asked for again after this.
   duration advice_retry{std::chrono::milliseconds{250}};
-  /// A step that found no place among the workers that it may run on for so long claims some.
-  duration claim_after{std::chrono::milliseconds{1'000}};
-  /// Claims are looked at again so often, and last twice as long.
-  duration claim_every{std::chrono::milliseconds{200}};
-  /// At most this share of a pool's workers is claimed at a time.
-  double claim_share{0.34};
+  /// A step that found no place among the workers that it may run on for so long reserves some.
+  duration reserve_after{std::chrono::milliseconds{1'000}};
+  /// Reservations are looked at again so often, and last twice as long.
+  duration reserve_every{std::chrono::milliseconds{200}};
+  /// At most this share of a pool's workers is reserved at a time.
+  double reserved_most{0.34};
   /// A question that isn't answered so long after what it costs is taken for lost and asked again.
   /// Above the 2.4 s that one in a hundred waited for a process to ask it while all were busy.
   duration advice_patience{std::chrono::milliseconds{4'000}};
--- a/src/rosearch/sched/worker_state.cc
+++ b/src/rosearch/sched/worker_state.cc
@@ -38,8 +38,8 @@
   return pause;
 }
 
-const room_hold* worker_state::Claim() const {
-  const auto found = std::ranges::find_if(holds, &room_hold::claim);
+const room_hold* worker_state::Reservation() const {
+  const auto found = std::ranges::find_if(holds, &room_hold::reserved);
   return found == holds.end() ? nullptr : &*found;
 }
 
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -121,8 +121,9 @@
 struct room_hold {
   const step_state* step{nullptr};
   resources room{};
-  /// The step claims it before it is free; else it only waits for the proof that it may run there.
-  bool claim{false};
+  /// The step reserves it before it is free; else it only waits for the proof that it may run
+  /// there.
+  bool reserved{false};
   time_point until{};  ///< then it is anybody's
 
   friend bool operator==(const room_hold&, const room_hold&) = default;
@@ -157,8 +158,8 @@
   std::vector<room_hold> holds;
 
   [[nodiscard]] resources Free() const { return facts.capacity - used; }
-  /// @return the claim on this worker; null where nobody has one.
-  [[nodiscard]] const room_hold* Claim() const;
+  /// @return the reservation of this worker; null where nobody has one.
+  [[nodiscard]] const room_hold* Reservation() const;
   /// @return the room that a step may use: what others of no lower priority hold is not its.
   [[nodiscard]] resources FreeFor(const step_state& step) const;
   /// @return whether it is there and doesn't leave.
--- a/test/rosearch/sched/load_test.cc
+++ b/test/rosearch/sched/load_test.cc
@@ -209,9 +209,9 @@
 // gap there, since it fits sooner, and the caller's job waits while others come and go.
 TEST_CASE("a job that few workers may run gets one of them") {
   const double ours = FewAllowed({});
-  const double baseline = FewAllowed(Without(mechanism::kClaim));
-  std::cout << "whole workers for jobs that few may run, in time: " << ours << ", without claims "
-            << baseline << '\n';
+  const double baseline = FewAllowed(Without(mechanism::kReservation));
+  std::cout << "whole workers for jobs that few may run, in time: " << ours
+            << ", without reservations " << baseline << '\n';
   CHECK(ours > 0.8);
   CHECK(ours > baseline + 0.1);
 }
