--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -68,7 +68,6 @@
   std::uint32_t done{0};
   bool open{false};               ///< its turn has come
   std::uint32_t gang_runs{0};     ///< gang: runs begun under the present leadership
-  bool holds_room{false};         ///< some worker holds room for it
   bool reserves_room{false};      ///< some worker is reserved for it
   time_point open_since{};        ///< when its turn came
   time_point reserve_again_at{};  ///< its reservations are not looked at before
--- a/src/rosearch/sched/mechanism.h
+++ b/src/rosearch/sched/mechanism.h
@@ -17,7 +17,6 @@
   kPacking,        ///< long work fills workers up, urgent work spreads
   kHealth,         ///< workers that fail or hang are left alone
   kAdviceAhead,    ///< workers without room are asked about, too
-  kHold,           ///< room is held while its ticket is asked for
   kReservation,    ///< a step that waits long reserves workers that it may run on
   kRescue,         ///< runs far slower than their siblings are moved
   kSpeeds,         ///< quick work prefers workers that are fast, long work the others
@@ -28,7 +27,7 @@
   kEarlyElection,  ///< a leader is suspected once its connection breaks
 };
 
-inline constexpr std::size_t kMechanisms = 15;
+inline constexpr std::size_t kMechanisms = 14;
 
 /// Mechanisms that are switched off.
 class mechanism_set {
--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -120,7 +120,9 @@
       LoseRuns(*worker, "lease_lapsed", now);
       SettleWorker(id, "lease_lapsed", now);
     }
-    std::erase_if(worker->holds, [&](const auto& hold) { return hold.until <= now.steady; });
+    if (worker->reservation && worker->reservation->until <= now.steady) {
+      worker->reservation.reset();
+    }
     RetryOrders(*worker, now);
     StopStuckRuns(*worker, now);
     EmptyLeavingWorker(*worker, now);
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -379,9 +379,6 @@
   [[nodiscard]] bool MayAsk(step_state& step, const instant& now);
   void SendQuestion(step_state& step, std::vector<std::string> workers, std::uint32_t tasks,
                     const instant& now);
-  /// Keeps room for one task of a step until the answer that it waits for has come.
-  void HoldRoom(step_state& step, worker_state& worker);
-  void ReleaseRoom(step_state& step);
 
   // scheduler_reservations.cc
   /// Reserves workers for tasks of a step that has waited long, and stops there what may be
--- a/src/rosearch/sched/scheduler_advice.cc
+++ b/src/rosearch/sched/scheduler_advice.cc
@@ -1,8 +1,7 @@
 // What a scheduler asks the advice service, and what it makes of the answers.
 //
 // The load that this answers: a question costs from 20 ms to 0.8 s of a process's time, almost all
-// of it whatever the number of workers named; a ticket lives for 2 s; and room that many steps wait
-// for is gone before the answer that allows its use has come.
+// of it whatever the number of workers named, and a ticket lives for 2 s.
 #include <algorithm>
 
 #include "rosearch/sched/scheduler.h"
@@ -118,13 +117,6 @@
     return;
   }
   SendQuestion(step, std::move(names), tasks, now);
-  auto left = tasks;
-  for (auto* const worker : found.allowed) {
-    for (auto room = worker->FreeFor(step); left > 0 && step.spec->need.FitsIn(room); --left) {
-      room = room - step.spec->need;
-      HoldRoom(step, *worker);
-    }
-  }
 }
 
 void scheduler::SendQuestion(step_state& step, std::vector<std::string> workers,
@@ -141,32 +133,6 @@
   orders_.emplace_back(std::move(query));
 }
 
-// The load that this answers: many steps wait for the same scarce room, as accelerators. While one
-// asks for its ticket another takes the room, and both ask again: one job of one task asked 23
-// times in 39 s.
-void scheduler::HoldRoom(step_state& step, worker_state& worker) {
-  const auto* const reservation = worker.Reservation();
-  if (reservation != nullptr && reservation->step == &step) {
-    return;
-  }
-  if (!settings_.Uses(mechanism::kHold)) {
-    return;
-  }
-  step.holds_room = true;
-  worker.holds.push_back({&step, step.spec->need, false, step.advice.answer_by()});
-}
-
-void scheduler::ReleaseRoom(step_state& step) {
-  if (!std::exchange(step.holds_room, false)) {
-    return;
-  }
-  for (const auto& [id, worker] : workers_) {
-    std::erase_if(worker->holds,
-                  [&](const auto& hold) { return hold.step == &step && !hold.reserved; });
-  }
-  ++room_version_;
-}
-
 // The load that this answers: the answer to a question is lost with the process that asked, or on
 // its way. One notices by a step that waits for advice although a question was asked long ago; it
 // would wait for ever, with room for all its tasks.
--- a/src/rosearch/sched/scheduler_gangs.cc
+++ b/src/rosearch/sched/scheduler_gangs.cc
@@ -53,9 +53,6 @@
   if (step.clearing || !step.runs.empty()) {
     return;
   }
-  if (!step.advice.Asking(now.steady)) {
-    ReleaseRoom(step);
-  }
   const bool held = std::ranges::any_of(
       step.tasks, [&](const auto& task) { return task.not_before > now.steady; });
   if (held) {
@@ -120,8 +117,7 @@
       unknown.push_back(worker.get());
     }
   }
-  const auto places = GangPlaces(step, allowed);
-  auto named = places;
+  auto named = GangPlaces(step, allowed);
   std::ranges::sort(named);
   named.erase(std::ranges::unique(named).begin(), named.end());
   if (named.empty()) {
@@ -135,12 +131,8 @@
   for (const auto* const worker : named) {
     names.push_back(worker->facts.id);
   }
-  if (names.empty()) {
-    return;
-  }
-  SendQuestion(step, std::move(names), static_cast<std::uint32_t>(step.tasks.size()), now);
-  for (auto* const worker : places) {
-    HoldRoom(step, *worker);
+  if (!names.empty()) {
+    SendQuestion(step, std::move(names), static_cast<std::uint32_t>(step.tasks.size()), now);
   }
 }
 
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -389,7 +389,6 @@
                  .Add("runs", job.live));
   for (auto& occurrence : job.occurrences) {
     for (auto& step : occurrence->steps) {
-      ReleaseRoom(*step);
       ReleaseReservations(*step);
       const auto runs = step->runs;
       for (auto* const run : runs) {
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -215,9 +215,6 @@
 
 void scheduler::PlaceTasks(step_state& step, const instant& now) {
   const bool advised = step.job->advice.has_value();
-  if (!step.advice.Asking(now.steady)) {
-    ReleaseRoom(step);
-  }
   std::uint32_t left = 0;
   bool paused = false;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
--- a/src/rosearch/sched/scheduler_reservations.cc
+++ b/src/rosearch/sched/scheduler_reservations.cc
@@ -63,8 +63,7 @@
 
 bool scheduler::SoonFree(const step_state& step, const worker_state& worker,
                          const instant& now) const {
-  const auto* const reservation = worker.Reservation();
-  if (reservation == nullptr || reservation->step != &step || !step.job->advice) {
+  if (!worker.ReservedFor(step) || !step.job->advice) {
     return false;
   }
   const auto& cost = *step.job->advice;
@@ -74,9 +73,8 @@
 std::vector<worker_state*> scheduler::Reservable(const step_state& step, const instant& now) const {
   std::vector<std::pair<duration, worker_state*>> found;
   const auto consider = [&](worker_state& worker) {
-    const auto* const reservation = worker.Reservation();
-    if ((reservation != nullptr && reservation->step != &step) ||
-        !MayRun(step, nullptr, worker, now)) {
+    const bool taken = worker.reservation && !worker.ReservedFor(step);
+    if (taken || !MayRun(step, nullptr, worker, now)) {
       return;
     }
     const auto until = UntilRoom(step, worker, now);
@@ -117,10 +115,9 @@
       continue;
     }
     ++pool;
-    const auto* const reservation = worker->Reservation();
-    if (reservation != nullptr && reservation->step == &step) {
+    if (worker->ReservedFor(step)) {
       before.push_back(worker.get());
-    } else if (reservation != nullptr) {
+    } else if (worker->reservation) {
       ++others;
     }
   }
@@ -137,8 +134,8 @@
   }
   step.reserves_room = true;
   for (auto* const worker : chosen) {
-    worker->holds.push_back(
-        {&step, step.spec->need, true, now.steady + 2 * settings_.reserve_every});
+    worker->reservation = room_reservation{&step, step.job->priority, step.spec->need,
+                                           now.steady + 2 * settings_.reserve_every};
     const bool stops = !step.spec->need.FitsIn(worker->FreeFor(step)) &&
                        settings_.Uses(mechanism::kPreemption) && MakeRoomAt(step, *worker, now);
     if (std::ranges::find(before, worker) != before.end()) {
@@ -159,8 +156,9 @@
     return;
   }
   for (const auto& [id, worker] : workers_) {
-    std::erase_if(worker->holds,
-                  [&](const auto& hold) { return hold.step == &step && hold.reserved; });
+    if (worker->ReservedFor(step)) {
+      worker->reservation.reset();
+    }
   }
   ++room_version_;
 }
--- a/src/rosearch/sched/worker_state.cc
+++ b/src/rosearch/sched/worker_state.cc
@@ -38,19 +38,10 @@
   return pause;
 }
 
-const room_hold* worker_state::Reservation() const {
-  const auto found = std::ranges::find_if(holds, &room_hold::reserved);
-  return found == holds.end() ? nullptr : &*found;
-}
-
 resources worker_state::FreeFor(const step_state& step) const {
-  auto free = Free();
-  for (const auto& hold : holds) {
-    if (hold.step != &step && hold.step->job->priority <= step.job->priority) {
-      free = free - hold.room;
-    }
-  }
-  return free;
+  const bool not_its =
+      reservation && reservation->step != &step && reservation->priority <= step.job->priority;
+  return not_its ? Free() - reservation->room : Free();
 }
 
 }  // namespace rosearch::sched
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -117,16 +117,15 @@
   kSilent,  ///< the last watch was not answered
 };
 
-/// Room that nobody else of the same or lower priority may use.
-struct room_hold {
-  const step_state* step{nullptr};
+/// Room at a worker that a step which waited long keeps for itself; nobody else of the same or a
+/// lower priority may use it.
+struct room_reservation {
+  const step_state* step{nullptr};  ///< told apart by; never followed
+  std::uint32_t priority{0};
   resources room{};
-  /// The step reserves it before it is free; else it only waits for the proof that it may run
-  /// there.
-  bool reserved{false};
   time_point until{};  ///< then it is anybody's
 
-  friend bool operator==(const room_hold&, const room_hold&) = default;
+  friend bool operator==(const room_reservation&, const room_reservation&) = default;
 };
 
 /// One life of a worker: what it holds, what we have promised there and what it last said.
@@ -155,12 +154,15 @@
   std::unordered_map<std::string, std::unique_ptr<live_run>> runs;  ///< by task
   std::uint32_t service_runs{0};
   std::uint32_t leftover_runs{0};
-  std::vector<room_hold> holds;
+  std::optional<room_reservation> reservation;
 
   [[nodiscard]] resources Free() const { return facts.capacity - used; }
-  /// @return the reservation of this worker; null where nobody has one.
-  [[nodiscard]] const room_hold* Reservation() const;
-  /// @return the room that a step may use: what others of no lower priority hold is not its.
+  /// @return whether a step has reserved room here.
+  [[nodiscard]] bool ReservedFor(const step_state& step) const {
+    return reservation && reservation->step == &step;
+  }
+  /// @return the room that a step may use: what others of no lower priority have reserved
+  ///         is not its.
   [[nodiscard]] resources FreeFor(const step_state& step) const;
   /// @return whether it is there and doesn't leave.
   [[nodiscard]] bool TakesWork() const {
