Say once what a question for advice costs; drop an accessor that nothing calls

Change: CostOf stands beside advice_query in sched and serves the scheduler, the desk, the adapter and the test; advice_book::answer_by is gone. No behaviour changed, no case touched but for the call. Run on it: test_sched, test_cell, test_adapter, the linter on the three sources, the check of events; all passed.

--- a/src/rosearch/cell/advice_desk.cc
+++ b/src/rosearch/cell/advice_desk.cc
@@ -11,10 +11,6 @@
 
 }  // namespace
 
-duration CostOf(const sched::advice_query& query) {
-  return query.cost.base + query.cost.per_worker * static_cast<int>(query.workers.size());
-}
-
 void advice_desk::SetHelpers(const std::vector<std::string>& helpers) {
   std::vector<helper> next;
   for (const auto& address : helpers) {
--- a/src/rosearch/cell/advice_desk.h
+++ b/src/rosearch/cell/advice_desk.h
@@ -76,9 +76,6 @@
   queue long_;
 };
 
-/// @return how long the service works at a question.
-[[nodiscard]] duration CostOf(const sched::advice_query& query);
-
 }  // namespace rosearch::cell
 
 #endif  // ROSEARCH_CELL_ADVICE_DESK_H_
--- a/src/rosearch/sched/advice_book.h
+++ b/src/rosearch/sched/advice_book.h
@@ -70,9 +70,6 @@
   /// @return when the newest question was asked.
   [[nodiscard]] time_point asked_at() const { return asked_at_; }
 
-  /// @return when the answer to the newest question must be there.
-  [[nodiscard]] time_point answer_by() const { return answer_by_; }
-
   time_point ask_again_at{};  ///< no further question before
 
  private:
--- a/src/rosearch/sched/order.h
+++ b/src/rosearch/sched/order.h
@@ -57,6 +57,11 @@
   friend bool operator==(const advice_query&, const advice_query&) = default;
 };
 
+/// @return how long the advice service works at a question.
+[[nodiscard]] inline duration CostOf(const advice_query& query) {
+  return query.cost.base + query.cost.per_worker * static_cast<int>(query.workers.size());
+}
+
 using order = std::variant<start_order, stop_order, pace_order, advice_query>;
 
 /// A worker that may run a step, with the proof that the worker wants to see.
--- a/src/rosearch/sched/scheduler_advice.cc
+++ b/src/rosearch/sched/scheduler_advice.cc
@@ -126,9 +126,7 @@
 void scheduler::SendQuestion(step_state& step, std::vector<std::string> workers,
                              std::uint32_t tasks, const instant& now) {
   advice_query query{step.Name(), std::move(workers), *step.job->advice, step.job->priority};
-  const auto cost =
-      query.cost.base + query.cost.per_worker * static_cast<int>(query.workers.size());
-  step.advice.Ask(now.steady, now.steady + cost + settings_.advice_patience);
+  step.advice.Ask(now.steady, now.steady + CostOf(query) + settings_.advice_patience);
   log_.Write(event_line{"advice_asked", event_weight::kDetail}
                  .Add("job", step.job->spec->id)
                  .Add("step", query.step)
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -391,8 +391,7 @@
   if (faults_.advice_lost > 0 && random_.Chance(faults_.advice_lost)) {
     return;
   }
-  const auto cost =
-      decided.cost.base + decided.cost.per_worker * static_cast<int>(decided.workers.size());
+  const auto cost = CostOf(decided);
   auto answered_at = now_ + cost;
   if (!advice_free_at_.empty()) {
     auto& free_at = *std::ranges::min_element(advice_free_at_);
