--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,8 @@
 # Everything a newcomer types. Each target installs what it needs first; the second time nothing is rebuilt.
 BUILD ?= build/release
+# Paths relative to the checkout: another checkout of the same code, as CI's, finds what was compiled here.
+export CCACHE_BASEDIR := $(CURDIR)
+export CCACHE_NOHASHDIR := 1
 
 .PHONY: deps build run test lint format bench proto sanitize soak
 deps:
--- a/scripts/tidy_one.sh
+++ b/scripts/tidy_one.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs clang-tidy on one file, unless the same preprocessed text passed with the same settings before.
+# Runs clang-tidy on one file, unless the same preprocessed text passed with the same settings before, here or in
+# another checkout.
 set -euo pipefail
 build=$1
 file=$2
@@ -15,7 +16,7 @@
 )
 # Not part of the build: a stale file or one whose library is missing.
 [ -n "$command" ] || { echo "tidy: $file is in no target"; exit 1; }
-key=$( (eval "$command -E -P $file" 2>/dev/null; cat .clang-tidy "$file") | sha256sum | cut -d' ' -f1)
+key=$( (eval "$command -E -P $file" 2>/dev/null | sed "s|$PWD/||g"; cat .clang-tidy "$file") | sha256sum | cut -d' ' -f1)
 stamps=${XDG_CACHE_HOME:-$HOME/.cache}/rosearch-tidy
 [ -e "$stamps/$key" ] && exit 0
 if ! clang-tidy --quiet -p "$build" "$file" >"$build/tidy-$key.log" 2>&1; then
