Look at a waiting step only when room was freed where it may run; measure a pool's load 20 times a second

Cause: a leader of 540 workers spent 135 to 265 ms of each second in passes over all that waits (every 4 ms, each waiting step with advice anew), sorted 540 workers by a score worked out at each comparison for each question, and walked all runs and all jobs for each job handed in. Cost rose with what waits, so it fell off a cliff in each burst. Ruled out: log lines (0.5 us each, 1,000 a second), metrics, Tick (16 ms a second). Change: a step that found no place is looked at again when room was freed at a worker that may run it, when advice comes, when its question is overdue, or after 50 ms; scores are worked out once and sorted as far as a question can name; admission uses figures of a pool that are at most 50 ms old; a step that needs one place stops looking at the first.

--- a/src/rosearch/sched/advice_book.h
+++ b/src/rosearch/sched/advice_book.h
@@ -67,6 +67,8 @@
   [[nodiscard]] bool Overdue(time_point now) const {
     return answer_by_ != time_point{} && now >= answer_by_;
   }
+  /// @return when a question under way is taken for lost; zero where none is.
+  [[nodiscard]] time_point answer_by() const { return answer_by_; }
   /// @return when the newest question was asked.
   [[nodiscard]] time_point asked_at() const { return asked_at_; }
 
--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -73,6 +73,7 @@
   time_point reserve_again_at{};  ///< its reservations are not looked at before
   bool clearing{false};           ///< gang: broken, waits until all members are gone
   std::uint64_t blocked_at{0};    ///< version of the room at which nothing fitted
+  time_point look_again_at{};     ///< blocked until then, unless room is freed before
   time_point tell_waiting_at{};   ///< when the log next says what it waits for
 
   /// @return tasks that are to be started.
--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -51,7 +51,7 @@
     workers_dirty_ = true;
   }
   if (worker->facts.capacity != facts.capacity || worker->facts.draining != facts.draining) {
-    ++room_version_;
+    NoteRoom(*worker);
   }
   worker->facts = facts;
 }
@@ -138,8 +138,6 @@
         step->runs.size() < step->tasks.size()) {
       BreakGang(*step, now);
     }
-    // What only time unblocks: pauses that end, workers that are trusted again.
-    step->blocked_at = 0;
   }
   RetireEnded(now);
 }
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -101,6 +101,7 @@
   std::size_t leases_ending{0};  ///< live workers whose lease ends within `kLeaseEnding`
   std::size_t unsettled{0};      ///< workers that may run old work and haven't answered
   duration oldest_report{};      ///< age of the oldest newest report of a live worker
+  std::uint64_t looks{0};        ///< tries to place a waiting step, since the beginning
 
   friend bool operator==(const cell_counts&, const cell_counts&) = default;
 };
@@ -141,6 +142,20 @@
   friend bool operator==(const job_timing&, const job_timing&) = default;
 };
 
+/// What the workers of a pool that take work hold, and what waits for them; processors in
+/// thousandths.
+struct pool_load {
+  double capacity{0};
+  double free{0};                             ///< not in use
+  double services{0};                         ///< used by services
+  std::map<std::uint32_t, double> running{};  ///< used by other runs, by priority
+  /// Work of tasks that wait, services aside: thousandths of a processor times ms, by priority.
+  std::map<std::uint32_t, double> waiting{};
+  time_point measure_again_at{};
+
+  friend bool operator==(const pool_load&, const pool_load&) = default;
+};
+
 /// Decides for the whole cell what runs where and when: takes in what callers, workers, advice and
 /// the store say, and gives out orders and records. It reads no clock and does no I/O, so a load
 /// and its faults can be replayed exactly.
@@ -279,7 +294,10 @@
   void ResolveRules(job_state& job) const;
   void RetireEnded(const instant& now);
   void FinishOccurrence(job_state& job, occurrence_state& occurrence, const instant& now);
-  [[nodiscard]] submit_answer Admit(const job_spec& job);
+  [[nodiscard]] submit_answer Admit(const job_spec& job, const instant& now);
+  [[nodiscard]] pool_load MeasureLoad(const std::string& pool) const;
+  /// @return what a pool holds and what waits for it, measured lately.
+  [[nodiscard]] const pool_load& LoadOf(const std::string& pool, const instant& now);
   [[nodiscard]] double MeanSlackMs(const job_spec& job);
   [[nodiscard]] bool FitsSomewhere(const job_spec& job) const;
   /// @return whether there is room for all tasks of a job's first step now.
@@ -348,6 +366,17 @@
 
   // scheduler_placement.cc
   [[nodiscard]] bool Startable(const step_state& step) const;
+  /// @return whether a step that found no place would find none now: no room was freed since where
+  ///         it may run.
+  [[nodiscard]] bool StillBlocked(const step_state& step, const instant& now) const;
+  /// Takes in that a step found no place.
+  void Block(step_state& step, const instant& now) const;
+  /// Takes in that room was freed at a worker.
+  void NoteRoom(worker_state& worker) { worker.room_version = ++room_version_; }
+  /// Takes in that any step may find room now.
+  void NoteRoomEverywhere() { all_room_version_ = ++room_version_; }
+  /// @return the open steps that may find a place now, in the order in which they are served.
+  [[nodiscard]] std::vector<step_state*> InOrder(const instant& now);
   [[nodiscard]] bool MayRunUnseen(const step_state& step) const;
   void PlaceTasks(step_state& step, const instant& now);
   [[nodiscard]] bool MayRun(const step_state& step, const task_state* task,
@@ -371,6 +400,9 @@
     std::vector<worker_state*> unknown;  ///< with room; nothing is known of them
     std::vector<worker_state*> full;     ///< without room now; nothing is known of them
   };
+  /// @return those workers that a question can name at most, the best for a step first.
+  [[nodiscard]] std::vector<worker_state*> BestFirst(
+      const step_state& step, const std::vector<worker_state*>& workers) const;
   [[nodiscard]] advice_candidates WhomToAskAbout(const step_state& step, const instant& now);
   /// @return names for a question that lets so many tasks of a step start.
   [[nodiscard]] std::vector<std::string> WhomToName(const step_state& step, std::uint32_t tasks,
@@ -421,6 +453,7 @@
   std::map<std::string, std::unique_ptr<worker_state>> workers_;  ///< in a fixed order
   std::map<std::string, time_point> unsettled_;  ///< see `OldRunsSettled`; when each lapses
   std::vector<step_state*> open_steps_;
+  std::map<std::string, pool_load> loads_;       ///< by pool
   std::map<std::string, double> mean_slack_ms_;  ///< by queue: time that its jobs can wait
   std::map<std::string, double> advised_share_;  ///< by queue: share of named workers allowed
   std::vector<order> orders_;
@@ -435,8 +468,10 @@
   bool ends_dirty_{false};  ///< ends were taken in that nothing stored depends on
   bool urgent_{false};
   bool deposed_{false};
-  std::uint64_t room_version_{1};  ///< rises whenever room is freed or a worker comes
+  std::uint64_t room_version_{1};      ///< rises whenever room is freed or a worker comes
+  std::uint64_t all_room_version_{1};  ///< at the last change that may concern any step
   std::uint64_t next_batch_{1};
+  std::uint64_t looks_{0};
   std::map<std::uint64_t, stored_effects> storing_;
   time_point next_forget_{};
   time_point restored_at_{};
--- a/src/rosearch/sched/scheduler_advice.cc
+++ b/src/rosearch/sched/scheduler_advice.cc
@@ -53,6 +53,25 @@
   }
 }
 
+std::vector<worker_state*> scheduler::BestFirst(const step_state& step,
+                                                const std::vector<worker_state*>& workers) const {
+  // A score costs more than a comparison, and a pool has hundreds of workers: each is worked out
+  // once. Of equal ones the first comes first.
+  std::vector<std::pair<double, std::size_t>> scored;
+  scored.reserve(workers.size());
+  for (std::size_t at = 0; at < workers.size(); ++at) {
+    scored.emplace_back(Score(step, *workers[at]), at);
+  }
+  const auto most = std::min(scored.size(), settings_.most_names);
+  std::ranges::partial_sort(scored, scored.begin() + static_cast<std::ptrdiff_t>(most));
+  std::vector<worker_state*> best;
+  best.reserve(most);
+  for (std::size_t at = 0; at < most; ++at) {
+    best.push_back(workers[scored[at].second]);
+  }
+  return best;
+}
+
 scheduler::advice_candidates scheduler::WhomToAskAbout(const step_state& step, const instant& now) {
   const auto ticket_by = now.steady + settings_.ticket_margin;
   advice_candidates found;
@@ -70,9 +89,8 @@
       found.allowed.push_back(worker.get());
     }
   }
-  const auto score = [&](const worker_state* worker) { return Score(step, *worker); };
-  std::ranges::stable_sort(found.allowed, {}, score);
-  std::ranges::stable_sort(found.unknown, {}, score);
+  found.allowed = BestFirst(step, found.allowed);
+  found.unknown = BestFirst(step, found.unknown);
   return found;
 }
 
--- a/src/rosearch/sched/scheduler_gangs.cc
+++ b/src/rosearch/sched/scheduler_gangs.cc
@@ -84,6 +84,7 @@
     AskGangAdvice(step, now);
   }
   ReserveWorkers(step, static_cast<std::uint32_t>(step.tasks.size()), now);
+  Block(step, now);
 }
 
 void scheduler::StartGang(step_state& step, const std::vector<worker_state*>& places,
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -31,6 +31,10 @@
 constexpr duration kLeastRetryAfter = std::chrono::seconds{1};
 constexpr duration kMostRetryAfter = std::chrono::seconds{20};
 
+/// What admission knows of a pool is as old as this at most: to look at all runs and all that waits
+/// for each of hundreds of jobs a second costs more than placing them.
+constexpr duration kMeasureLoadEvery = std::chrono::milliseconds{50};
+
 /// @return how many tasks of that need find room by processors and memory; below zero where there
 /// is
 ///         less than none.
@@ -102,13 +106,17 @@
   for (auto& [id, job] : jobs_) {
     ResolveRules(*job);
   }
-  ++room_version_;
+  NoteRoomEverywhere();
 }
 
 bool scheduler::FitsSomewhere(const job_spec& job) const {
   for (const auto& step : job.steps) {
+    const auto wanted = step.gang ? step.count : 1U;
     std::uint32_t places = 0;
     for (const auto& [id, worker] : workers_) {
+      if (places >= wanted) {
+        break;
+      }
       const auto& facts = worker->facts;
       if (facts.pool == job.pool && facts.HasLabel(step.required_label) &&
           step.need.FitsIn(facts.capacity)) {
@@ -119,7 +127,7 @@
         places += std::max(1U, most);
       }
     }
-    if (places == 0 || (step.gang && places < step.count)) {
+    if (places < wanted) {
       return false;
     }
   }
@@ -152,40 +160,64 @@
   return places >= static_cast<std::int64_t>(step.count);
 }
 
-// The load that this answers: bursts of long work on top of a cell that is four fifths full. What
-// can't start while its objective can still be met would only make everything behind it late too.
-submit_answer scheduler::Admit(const job_spec& job) {
-  double room = 0;   // thousandths of a processor that this class of work may use
-  double free = 0;   // of these, not in use now
-  double ahead = 0;  // work that goes before it or beside it, the same times ms
+pool_load scheduler::MeasureLoad(const std::string& pool) const {
+  pool_load load;
   for (const auto& [id, worker] : workers_) {
-    if (worker->facts.pool != job.pool || !worker->TakesWork()) {
+    if (worker->facts.pool != pool || !worker->TakesWork()) {
       continue;
     }
-    room += static_cast<double>(worker->facts.capacity.processors_milli);
-    free += static_cast<double>(worker->Free().processors_milli);
+    load.capacity += static_cast<double>(worker->facts.capacity.processors_milli);
+    load.free += static_cast<double>(worker->Free().processors_milli);
     for (const auto& [task, run] : worker->runs) {
-      const bool first = run->step != nullptr &&
-                         (run->step->spec->service || run->step->job->priority < job.priority);
-      room -= first ? static_cast<double>(run->charged.processors_milli) : 0;
+      if (run->step == nullptr) {
+        continue;
+      }
+      const auto charged = static_cast<double>(run->charged.processors_milli);
+      (run->step->spec->service ? load.services : load.running[run->step->job->priority]) +=
+          charged;
     }
   }
-  for (const auto& [id, other] : jobs_) {
-    if (IsTerminal(other->phase) || other->pool != job.pool || other->priority > job.priority) {
+  for (const auto& [id, job] : jobs_) {
+    if (IsTerminal(job->phase) || job->pool != pool) {
       continue;
     }
-    for (const auto& occurrence : other->occurrences) {
+    for (const auto& occurrence : job->occurrences) {
       for (const auto& step : occurrence->steps) {
         const auto idle = occurrence->done || step->spec->service ? 0U : step->Idle();
         const auto ms = std::chrono::duration<double, std::milli>{step->spec->estimate}.count();
-        ahead += idle * static_cast<double>(step->spec->need.processors_milli) * ms;
+        load.waiting[job->priority] +=
+            idle * static_cast<double>(step->spec->need.processors_milli) * ms;
       }
     }
   }
+  return load;
+}
+
+const pool_load& scheduler::LoadOf(const std::string& pool, const instant& now) {
+  auto& known = loads_[pool];
+  if (now.steady >= known.measure_again_at) {
+    known = MeasureLoad(pool);
+    known.measure_again_at = now.steady + kMeasureLoadEvery;
+  }
+  return known;
+}
+
+// The load that this answers: bursts of long work on top of a cell that is four fifths full. What
+// can't start while its objective can still be met would only make everything behind it late too.
+submit_answer scheduler::Admit(const job_spec& job, const instant& now) {
+  const auto& load = LoadOf(job.pool, now);
+  double room = load.capacity - load.services;  // that this class of work may use
+  for (const auto& [priority, charged] : load.running) {
+    room -= priority < job.priority ? charged : 0;
+  }
+  double ahead = 0;  // work that goes before it or beside it
+  for (const auto& [priority, work] : load.waiting) {
+    ahead += priority <= job.priority ? work : 0;
+  }
   // One job's estimates are off by half or more; the mean over its queue is not.
   const double slack = MeanSlackMs(job) * settings_.admission_slack;
   const double wait = room > 0 ? ahead / room : 0;
-  const bool has_room = free > room * (Reserve(job.pool) + kRoomToSpare);
+  const bool has_room = load.free > room * (Reserve(job.pool) + kRoomToSpare);
   if (room <= 0 || wait <= slack || (has_room && HasPlaces(job))) {
     return {submit_verdict::kPending, {}, {}};
   }
@@ -209,7 +241,7 @@
     return {submit_verdict::kRefused, {}, "never_fits"};
   }
   const bool always = job.steps.front().service || !settings_.Uses(mechanism::kAdmission);
-  const auto admitted = always ? submit_answer{submit_verdict::kPending, {}, {}} : Admit(job);
+  const auto admitted = always ? submit_answer{submit_verdict::kPending, {}, {}} : Admit(job, now);
   if (admitted.verdict == submit_verdict::kRefused) {
     log_.Write(event_line{"job_refused", event_weight::kFailure}
                    .Add("job", job.id)
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -26,6 +26,11 @@
 constexpr double kSlowForLong = -1.0;
 constexpr double kFailedHere = 1.5;
 
+/// A step that found no place is looked at after this even where no room was freed: what time alone
+/// unblocks, as a worker that is trusted again or a ticket that has to be renewed, can wait so
+/// long.
+constexpr duration kLookAgain = std::chrono::milliseconds{50};
+
 double Load(const worker_state& worker, const resources& extra) {
   const auto& capacity = worker.facts.capacity;
   const auto after = worker.used + extra;
@@ -171,13 +176,30 @@
   return best;
 }
 
-void scheduler::Schedule(const instant& now) {
-  if (deposed_) {
-    return;
+// The load that this answers: hundreds of steps wait for room, and some of 1,400 runs a second end
+// in each pass. Looking at every step in every pass cost a leader all its time just when most
+// waited; each end concerns only the few steps that may run where it was.
+bool scheduler::StillBlocked(const step_state& step, const instant& now) const {
+  if (step.blocked_at < all_room_version_ || now.steady >= step.look_again_at) {
+    return false;
   }
-  RetireEnded(now);
-  std::erase_if(open_steps_,
-                [](const auto* step) { return step->Finished() || IsTerminal(step->job->phase); });
+  if (!step.job->advice) {
+    return step.blocked_at == room_version_;
+  }
+  return std::ranges::none_of(step.advice.Allowed(), [&](const auto& allowance) {
+    return allowance.worker->room_version > step.blocked_at;
+  });
+}
+
+void scheduler::Block(step_state& step, const instant& now) const {
+  step.blocked_at = room_version_;
+  step.look_again_at = now.steady + kLookAgain;
+  if (step.advice.answer_by() > now.steady) {
+    step.look_again_at = std::min(step.look_again_at, step.advice.answer_by());
+  }
+}
+
+std::vector<step_state*> scheduler::InOrder(const instant& now) {
   // Services that lost a task come first: their users are without it. Then by the operator's
   // priority, and the job that has to be ready first. A job that is hopelessly late goes last.
   const auto key = [&](const step_state* step) {
@@ -188,24 +210,34 @@
     return std::tuple{service ? 0 : 1, hopeless ? 1 : 0, job.priority, job.finish_by};
   };
   std::vector<std::pair<decltype(key(nullptr)), step_state*>> sorted;
-  sorted.reserve(open_steps_.size());
   for (auto* const step : open_steps_) {
-    sorted.emplace_back(key(step), step);
+    const bool waits = !StillBlocked(*step, now) && step->Idle() > 0;
+    if (waits) {
+      sorted.emplace_back(key(step), step);
+    }
   }
   std::ranges::stable_sort(sorted, {}, [](const auto& each) { return each.first; });
+  std::vector<step_state*> steps;
+  steps.reserve(sorted.size());
   for (const auto& [ignored, step] : sorted) {
-    if (step->Idle() == 0) {
-      continue;
-    }
+    steps.push_back(step);
+  }
+  return steps;
+}
+
+void scheduler::Schedule(const instant& now) {
+  if (deposed_) {
+    return;
+  }
+  RetireEnded(now);
+  std::erase_if(open_steps_,
+                [](const auto* step) { return step->Finished() || IsTerminal(step->job->phase); });
+  for (auto* const step : InOrder(now)) {
+    ++looks_;
     TellWaiting(*step, now);
     if (!Startable(*step)) {
       AskAboutUnseen(*step, now);
-      continue;
-    }
-    if (step->blocked_at == room_version_) {
-      continue;
-    }
-    if (step->spec->gang) {
+    } else if (step->spec->gang) {
       PlaceGang(*step, now);
     } else {
       PlaceTasks(*step, now);
@@ -247,8 +279,8 @@
   } else {
     ReserveWorkers(step, left, now);
   }
-  if (!advised && !paused) {
-    step.blocked_at = room_version_;
+  if (!paused) {
+    Block(step, now);
   }
 }
 
--- a/src/rosearch/sched/scheduler_reservations.cc
+++ b/src/rosearch/sched/scheduler_reservations.cc
@@ -164,9 +164,9 @@
   for (const auto& [id, worker] : workers_) {
     if (worker->ReservedFor(step)) {
       worker->reservation.reset();
+      NoteRoom(*worker);
     }
   }
-  ++room_version_;
 }
 
 }  // namespace rosearch::sched
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -159,7 +159,7 @@
   } else {
     --worker.strangers;
   }
-  ++room_version_;
+  NoteRoom(worker);
   worker.runs.erase(std::string{run.task});
 }
 
--- a/src/rosearch/sched/scheduler_store.cc
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -202,7 +202,7 @@
                             found->second->session == session_phase::kLive;
     if (still_open && !found->second->recorded) {
       found->second->recorded = true;
-      ++room_version_;
+      NoteRoom(*found->second);
     }
   }
   RetireEnded(now);
--- a/test/rosearch/sched/load_test.cc
+++ b/test/rosearch/sched/load_test.cc
@@ -266,6 +266,41 @@
   CHECK(ours > baseline + 0.2);
 }
 
+// Three times the quick work that there is room for: hundreds of steps wait, and runs end all the
+// time. A leader that looked at all of them in every pass had no time left for anything else just
+// when most was to be done, and nobody was served.
+TEST_CASE("looking for places costs what was freed, not what waits") {
+  constexpr std::size_t kManyWorkers = 100;
+  constexpr int kRounds = 250;
+  constexpr milliseconds kPause{8};
+  scheduler_settings all_taken;
+  all_taken.off.Add(mechanism::kAdmission);
+  world_shape shape;
+  shape.allowed_tenths = 1;
+  cell_world world{16, {}, kManyWorkers, all_taken, shape};
+  world.Run(seconds{1});
+  for (int at = 0; at < kRounds; ++at) {
+    (void)world.Submit(Job(10, 4'000, milliseconds{600}, false));
+    world.Run(kPause);
+  }
+  const auto counts = [&] { return world.Leader().Counts(world.Now()); };
+  const auto waiting_steps = counts().waiting_tasks / 10;
+  const auto looks_before = counts().looks;
+  const auto starts_before = world.Starts();
+  constexpr seconds kWatched{2};
+  world.Run(kWatched);
+  const auto looks = static_cast<double>(counts().looks - looks_before);
+  const auto freed = static_cast<double>(world.Starts() - starts_before);
+  // Each step now and then, and each run that ends concerns those that may run where it was.
+  constexpr double kLooksPerSecond = 20;
+  constexpr double kAllowedShare = 0.1;
+  const auto waiting = static_cast<double>(waiting_steps);
+  CHECK(waiting > 100);
+  CHECK(looks <
+        2 * waiting * kLooksPerSecond * kWatched.count() + 2 * freed * waiting * kAllowedShare);
+  CHECK(world.Broken().empty());
+}
+
 // Twice the work that there is room for. Taken in all of it, every job is late; turned away at
 // once, a part's callers can come back, and the rest is in time.
 TEST_CASE("what can't be done in time is refused, so that the rest is") {
