Answer peers' pings beside the leader's work, so that a busy leader isn't taken for a dead one

Change: the leader leaves a sign with the transport's thread, which answers pings of peers that hold the same list of members; it holds for 2.5 s, so a loop that stands still is noticed. Small processes ping each 0.5 s; they claim later anyway. Tests: 'a leader that is busy is not replaced', 'a leader that stands still is replaced'. A frozen process in these tests withdraws its sign: a machine without power has no thread that answers.

--- a/src/rosearch/cell/election.cc
+++ b/src/rosearch/cell/election.cc
@@ -57,7 +57,7 @@
 
 bool election::Reaches(time_point now) const {
   return heard_at_ != time_point{} && broken_at_ == time_point{} &&
-         now - heard_at_ < settings_.suspect_after;
+         now - heard_at_ < settings_.suspect_after + Patience();
 }
 
 bool election::Doubts(time_point now) const {
@@ -69,7 +69,7 @@
   }
   // Small processes ask nobody while larger ones do: thirty that ask thirty take each a third of
   // its share of the processor.
-  const auto patience = small_ ? settings_.small_waits : duration{};
+  const auto patience = Patience();
   const bool broken = broken_at_ != time_point{} && now - broken_at_ >= patience;
   return broken || now - quiet_since_ >= settings_.doubt_after + patience;
 }
--- a/src/rosearch/cell/election.h
+++ b/src/rosearch/cell/election.h
@@ -95,6 +95,8 @@
 
  private:
   [[nodiscard]] duration OwnDelay(time_point now) const;
+  /// @return how much longer this process hears nothing before it minds: small ones ask less often.
+  [[nodiscard]] duration Patience() const { return small_ ? settings_.small_waits : duration{}; }
 
   election_settings settings_;
   bool small_;
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -10,7 +10,7 @@
 template <typename Ports>
 void node<Ports>::Tick() {
   const auto now = SteadyNow();
-  if (!Leading() && now - pinged_at_ >= kPingEvery) {
+  if (!Leading() && now - pinged_at_ >= PingEvery(settings_.processor_milli)) {
     pinged_at_ = now;
     Ping();
   }
@@ -23,6 +23,7 @@
     election_.OnHeard(leader_->epoch(), now);
     if (!stopping_) {
       Announce();
+      PublishSign();
     }
   } else if (!stopping_ && election_.Doubts(now)) {
     ClaimIfNobodyLeads();
@@ -194,13 +195,39 @@
   }
 }
 
+template <typename Ports>
+wire::peer_frame node<Ports>::Pong() const {
+  wire::peer_frame frame;
+  frame.set_epoch(election_.Known().epoch);
+  auto& pong = *frame.mutable_pong();
+  pong.set_leading(leader_->Serving() || !stopping_);
+  pong.set_resigning(stopping_);
+  pong.set_members_version(members_version_);
+  const auto& configuration = leader_->configuration();
+  pong.set_config_version(configuration.version);
+  pong.set_max_header_bytes(configuration.limits.max_header_bytes);
+  pong.set_max_body_bytes(configuration.limits.max_body_bytes);
+  pong.set_header_timeout_ms(Millis(configuration.limits.header_timeout));
+  pong.set_idle_timeout_ms(Millis(configuration.limits.idle_timeout));
+  return frame;
+}
+
+// A leader with more to do than it has time for answered its peers late, was taken for dead and
+// replaced; its successor read all workers anew, which overloaded it, too. So the word that it
+// leads doesn't wait behind its work.
+template <typename Ports>
+void node<Ports>::PublishSign() {
+  if (leader_->epoch() == election_.Known().epoch) {
+    peers_.SetSign(std::make_unique<wire::peer_frame>(Pong()), SteadyNow() + kSignLife);
+  }
+}
+
 template <typename Ports>
 void node<Ports>::AnswerPing(const wire::peer_frame& frame) {
   const auto& ping = frame.ping();
   wire::peer_frame answer;
   answer.set_epoch(election_.Known().epoch);
-  auto& pong = *answer.mutable_pong();
-  pong.set_leading(Leading());
+  answer.mutable_pong()->set_leading(Leading());
   if (Leading()) {
     const auto [known, fresh] = members_.try_emplace(ping.member().address());
     known->second = {ping.member(), SteadyNow()};
@@ -208,21 +235,17 @@
     if (frame.epoch() == leader_->epoch()) {
       leader_->OnPeerSign();
     }
-    pong.set_leading(leader_->Serving() || !stopping_);
-    pong.set_resigning(stopping_);
-    pong.set_members_version(members_version_);
+    if (peers_.SignAnswers(frame)) {
+      return;
+    }
+    answer = Pong();
     if (ping.members_version() != members_version_) {
+      auto& pong = *answer.mutable_pong();
       *pong.add_members() = Self();
       for (const auto& [address, each] : members_) {
         *pong.add_members() = each.facts;
       }
     }
-    const auto& configuration = leader_->configuration();
-    pong.set_config_version(configuration.version);
-    pong.set_max_header_bytes(configuration.limits.max_header_bytes);
-    pong.set_max_body_bytes(configuration.limits.max_body_bytes);
-    pong.set_header_timeout_ms(Millis(configuration.limits.header_timeout));
-    pong.set_idle_timeout_ms(Millis(configuration.limits.idle_timeout));
   }
   peers_.Answer(frame, std::move(answer));
 }
@@ -242,7 +265,7 @@
   // Peers that still follow another leader, or none, learn of this one without the store.
   const auto now = SteadyNow();
   for (const auto& [address, each] : members_) {
-    if (now - each.seen_at > kPingEvery * 2) {
+    if (now - each.seen_at > PingEvery(each.facts.processor_milli()) * 2) {
       wire::peer_frame frame;
       frame.set_epoch(leader_->epoch());
       frame.mutable_notice()->set_address(peers_.address());
@@ -295,6 +318,7 @@
   if (leader_ && leader_->epoch() < claimed.epoch) {
     leader_->End("newer_claim");
     leader_.reset();
+    WithdrawSign();
   }
   pinged_at_ = time_point{};
   members_version_ = 0;
@@ -456,6 +480,7 @@
                                                 return;
                                               }
                                               leader_.reset();
+                                              WithdrawSign();
                                               SayGoodbye(epoch);
                                               election_.OnLeaderLeaving(epoch);
                                             });
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -87,6 +87,7 @@
     if (!leader_) {
       return;
     }
+    WithdrawSign();
     SayGoodbye(leader_->epoch());
     handover_timer_.expires_after(kHandoverPatience);
     handover_timer_.async_wait([this](const boost::system::error_code& failed) {
@@ -137,6 +138,11 @@
   /// While the leader is in doubt, when every moment counts.
   static constexpr duration kDoubtTick = std::chrono::milliseconds{30};
   static constexpr duration kPingEvery = std::chrono::milliseconds{200};
+  /// Small processes claim later anyway, and most processes are small: asked by a hundred five
+  /// times a second, a leader would spend a tenth of its time on their pings.
+  static constexpr duration kSmallPingEvery = std::chrono::milliseconds{500};
+  /// A leader whose loop hasn't turned for so long stands still, whatever its other thread says.
+  static constexpr duration kSignLife = std::chrono::milliseconds{2'500};
   static constexpr duration kPingPatience = std::chrono::milliseconds{600};
   /// A member that said nothing for so long is not asked for help.
   static constexpr duration kMemberFresh = std::chrono::milliseconds{1'500};
@@ -174,6 +180,9 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
   }
   [[nodiscard]] bool Leading() const { return leader_ != nullptr; }
+  [[nodiscard]] static duration PingEvery(std::uint32_t processor_milli) {
+    return processor_milli < kLargeProcess ? kSmallPingEvery : kPingEvery;
+  }
 
   void Tick();
   void TickAfter(duration pause);
@@ -192,6 +201,11 @@
   void Lead(std::uint64_t epoch);
   void UpdatePeers();
   void AnswerPing(const wire::peer_frame& frame);
+  /// @return what this process, which leads, says to a ping; without the list of members.
+  [[nodiscard]] wire::peer_frame Pong() const;
+  /// Renews the sign by which peers see that this process leads, also while it is busy.
+  void PublishSign();
+  void WithdrawSign() { peers_.SetSign(nullptr, {}); }
   void AnswerCall(const wire::peer_frame& frame);
   void Forward(const std::shared_ptr<forwarded>& call);
   void ForwardLater(const std::shared_ptr<forwarded>& call);
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -33,15 +33,7 @@
       on_broken_{std::move(on_broken)},
       next_exchange_{life} {
   transport_ = std::make_unique<peer_transport>(
-      address,
-      [this, alive = std::weak_ptr<bool>{alive_}](std::string bytes) {
-        boost::asio::post(io_, [this, alive, bytes = std::move(bytes)] {
-          if (!alive.expired()) {
-            Receive(bytes);
-          }
-        });
-      },
-      kTransport,
+      address, [this](const std::string& bytes) { HandOver(bytes); }, kTransport,
       [this, alive = std::weak_ptr<bool>{alive_}](const std::string& to) {
         boost::asio::post(io_, [this, alive, to] {
           if (!alive.expired() && on_broken_) {
@@ -138,11 +130,43 @@
   return !fresh;
 }
 
-void peer_link::Receive(const std::string& bytes) {
-  wire::peer_frame frame;
-  if (!frame.ParseFromString(bytes)) {
+void peer_link::SetSign(std::unique_ptr<wire::peer_frame> sign, time_point until) {
+  if (sign) {
+    sign->set_from(address());
+  }
+  const std::scoped_lock lock{sign_mutex_};
+  sign_ = std::move(sign);
+  sign_until_ = until;
+}
+
+bool peer_link::SignAnswers(const wire::peer_frame& ping) const {
+  const std::scoped_lock lock{sign_mutex_};
+  return sign_ && SteadyNow() < sign_until_ && ping.epoch() == sign_->epoch() &&
+         ping.ping().members_version() == sign_->pong().members_version();
+}
+
+void peer_link::HandOver(const std::string& bytes) {
+  auto frame = std::make_shared<wire::peer_frame>();
+  if (!frame->ParseFromString(bytes)) {
     return;  // from a stranger: whoever asked asks again, and nothing hangs on one message
   }
+  if (frame->has_ping() && SignAnswers(*frame)) {
+    std::unique_lock lock{sign_mutex_};
+    if (sign_) {
+      sign_->set_exchange(frame->exchange());
+      auto answer = sign_->SerializeAsString();
+      lock.unlock();
+      transport_->Send(frame->from(), std::move(answer));
+    }
+  }
+  boost::asio::post(io_, [this, alive = std::weak_ptr<bool>{alive_}, frame] {
+    if (!alive.expired()) {
+      Receive(*frame);
+    }
+  });
+}
+
+void peer_link::Receive(const wire::peer_frame& frame) {
   const bool is_answer =
       frame.has_pong() || frame.has_view() || frame.has_answer() || frame.has_relayed();
   if (!is_answer) {
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -18,7 +19,8 @@
 namespace rosearch::cell {
 
 /// Questions and answers between the processes of a cell. All calls and callbacks run on the
-/// thread of the io_context; the transport's own thread only hands messages over.
+/// thread of the io_context; the transport's own thread reads messages, answers pings by the sign
+/// that it was given, and hands the messages over.
 class peer_link {
  public:
   /// Gets the answer, or nothing where none came in time.
@@ -57,6 +59,15 @@
   /// Answers a question.
   void Answer(const wire::peer_frame& question, wire::peer_frame answer);
 
+  /// Lets the transport's own thread answer pings of peers that follow the same leadership and hold
+  /// the same list of members: a process that has more to do than it has time for is late, not
+  /// dead, and must not look so.
+  /// @param sign   a pong; null: this process no longer leads.
+  /// @param until  then the thread that should have renewed it stands still.
+  void SetSign(std::unique_ptr<wire::peer_frame> sign, time_point until);
+  /// @return whether the transport's thread answers a ping.
+  [[nodiscard]] bool SignAnswers(const wire::peer_frame& ping) const;
+
   /// @return host:port that is bound.
   [[nodiscard]] const std::string& address() const;
 
@@ -78,7 +89,9 @@
     time_point forget_at;
   };
   void Wait(std::uint64_t exchange);
-  void Receive(const std::string& bytes);
+  /// Takes a message on the transport's own thread.
+  void HandOver(const std::string& bytes);
+  void Receive(const wire::peer_frame& frame);
   [[nodiscard]] bool IsRepeat(const wire::peer_frame& question);
 
   boost::asio::io_context& io_;
@@ -91,6 +104,9 @@
   std::unordered_map<std::string, std::string> answers_;  ///< by asker and number; empty: not yet
   std::deque<received> received_;
   std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
+  mutable std::mutex sign_mutex_;
+  std::unique_ptr<wire::peer_frame> sign_;  ///< guarded by `sign_mutex_`, as the next
+  time_point sign_until_{};
   std::unique_ptr<peer_transport> transport_;
 };
 
--- a/test/rosearch/cell/node_test.cc
+++ b/test/rosearch/cell/node_test.cc
@@ -126,8 +126,10 @@
   process(const process&) = delete;
   process& operator=(const process&) = delete;
 
-  /// Stops all work; connections stay open, as those of a machine without power.
+  /// Stops all work; connections stay open, as those of a machine without power. No thread of it
+  /// answers any more.
   void Freeze() {
+    peers_.SetSign(nullptr, {});
     io_.stop();
     if (thread_.joinable()) {
       thread_.join();
@@ -138,6 +140,11 @@
     thread_ = std::thread{[this] { io_.run(); }};
   }
 
+  /// Keeps its main thread busy; other threads of it go on.
+  void KeepBusy(duration span) {
+    boost::asio::post(io_, [span] { std::this_thread::sleep_for(span); });
+  }
+
   /// @return whether it leads and answers, asked on its own thread.
   [[nodiscard]] bool Leads() {
     return OnThread(
@@ -237,6 +244,29 @@
   CHECK(took < seconds{3});
 }
 
+// A leader has more to do than it has time for and answers nothing for a while. Taken for dead, it
+// was replaced, and each successor, which read all workers anew, was overloaded and replaced, too:
+// callers were served by nobody.
+TEST_CASE("a leader that is busy is not replaced") {
+  cell_of_three cell;
+  cell.processes[0]->KeepBusy(milliseconds{1'800});
+  std::this_thread::sleep_for(milliseconds{1'700});
+  CHECK_FALSE(cell.processes[1]->Leads());
+  CHECK_FALSE(cell.processes[2]->Leads());
+  CHECK(cell.claims.Asked() == 1);
+  CHECK(cell.processes[0]->Leads());
+}
+
+// The thread that decides never comes back, while the one that answers peers still runs: the cell
+// would have a leader that does nothing.
+TEST_CASE("a leader that stands still is replaced") {
+  cell_of_three cell;
+  cell.processes[0]->KeepBusy(seconds{7});
+  const auto took = cell.UntilOtherLeads();
+  CHECK(took > seconds{2});
+  CHECK(took < seconds{5});
+}
+
 // The process that leads is killed. Its connections break at once, but only its silence was
 // noticed, and callers waited for half a second more.
 TEST_CASE("a killed leader is noticed by its connections") {
