Let four large peers carry a large cell's exchanges with its workers

Ruled out: longer waits of watches (a fifth of them answer for no end; the rest carries ends). Change: above 150 workers, orders and watches go to the peer that ranks highest for the worker, of four large ones; questions and answers of one peer are collected for 4 ms into one message, are sent once and not remembered. A carrier that doesn't answer rests for 2 s, and what it had on its way goes otherwise at once; a target that its carrier can't reach is reached directly. It can be switched off (without carriers). Tests: relayed_client_test, four cases ('a carrier that is gone is not asked again' and its neighbours).

--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -108,6 +108,28 @@
   }
 }
 
+template <typename Ports>
+std::vector<std::string> node<Ports>::Carriers() const {
+  const bool many = Leading() && leader_->Workers() > kCarryAbove;
+  if (!many || !settings_.leading.scheduler.Uses(sched::mechanism::kCarriers)) {
+    return {};
+  }
+  // In an order that mixes failure domains and stays the same while the members do.
+  std::vector<std::pair<std::size_t, std::string>> large;
+  for (const auto& [address, each] : members_) {
+    if (each.facts.processor_milli() >= kLargeProcess) {
+      large.emplace_back(std::hash<std::string>{}(address), address);
+    }
+  }
+  std::ranges::sort(large);
+  large.resize(std::min(large.size(), kCarriers));
+  std::vector<std::string> carriers;
+  for (const auto& [rank, address] : large) {
+    carriers.push_back(address);
+  }
+  return carriers;
+}
+
 template <typename Ports>
 void node<Ports>::UpdatePeers() {
   const auto now = SteadyNow();
@@ -133,6 +155,7 @@
     helpers.resize(1);
   }
   outside_.SetPeers(addresses);
+  outside_.SetCarriers(Carriers());
   if (Leading()) {
     leader_->SetHelpers(helpers);
   }
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -120,6 +120,8 @@
   /// @return whether jobs are taken and answered.
   [[nodiscard]] bool Serving() const { return serving_ && !over_; }
   [[nodiscard]] std::uint64_t epoch() const { return epoch_; }
+  /// @return workers that are known.
+  [[nodiscard]] std::size_t Workers() const { return watches_.size(); }
   [[nodiscard]] const sched::cell_configuration& configuration() const {
     return scheduler_.configuration();
   }
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -141,6 +141,11 @@
   /// Small processes claim later anyway, and most processes are small: asked by a hundred five
   /// times a second, a leader would spend a tenth of its time on their pings.
   static constexpr duration kSmallPingEvery = std::chrono::milliseconds{500};
+  /// A leader of more workers than this has peers carry its exchanges with them; of fewer it makes
+  /// them itself, at less cost in all.
+  static constexpr std::size_t kCarryAbove = 150;
+  /// Each takes a good part of a large process's idle time; more would leave bundles half empty.
+  static constexpr std::size_t kCarriers = 4;
   /// A leader whose loop hasn't turned for so long stands still, whatever its other thread says.
   static constexpr duration kSignLife = std::chrono::milliseconds{2'500};
   static constexpr duration kPingPatience = std::chrono::milliseconds{600};
@@ -200,6 +205,8 @@
   void Claim();
   void Lead(std::uint64_t epoch);
   void UpdatePeers();
+  /// @return the peers that carry this leader's exchanges with workers.
+  [[nodiscard]] std::vector<std::string> Carriers() const;
   void AnswerPing(const wire::peer_frame& frame);
   /// @return what this process, which leads, says to a ping; without the list of members.
   [[nodiscard]] wire::peer_frame Pong() const;
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -31,7 +31,8 @@
     : io_{io},
       on_message_{std::move(on_message)},
       on_broken_{std::move(on_broken)},
-      next_exchange_{life} {
+      next_exchange_{life},
+      collect_timer_{io} {
   transport_ = std::make_unique<peer_transport>(
       address, [this](const std::string& bytes) { HandOver(bytes); }, kTransport,
       [this, alive = std::weak_ptr<bool>{alive_}](const std::string& to) {
@@ -52,10 +53,45 @@
   transport_->Send(to, frame.SerializeAsString());
 }
 
+std::uint64_t peer_link::NextExchange() {
+  next_exchange_ += next_exchange_ + 1 == 0 ? 2 : 1;  // 0 marks a message that asks nothing
+  return next_exchange_;
+}
+
+void peer_link::Collect(const std::string& to, wire::peer_frame frame) {
+  if (collected_.empty()) {
+    collect_timer_.expires_after(kCollect);
+    collect_timer_.async_wait(
+        [this, alive = std::weak_ptr<bool>{alive_}](const boost::system::error_code& failed) {
+          if (!failed && !alive.expired()) {
+            SendCollected();
+          }
+        });
+  }
+  *collected_[to].mutable_bundle()->add_frames() = std::move(frame);
+}
+
+void peer_link::SendCollected() {
+  for (auto& [to, bundle] : std::exchange(collected_, {})) {
+    Tell(to, std::move(bundle));
+  }
+}
+
+void peer_link::AskOnce(const std::string& to, wire::peer_frame frame, time_point answer_by,
+                        answer_callback done) {
+  const auto exchange = NextExchange();
+  frame.set_exchange(exchange);
+  frame.set_from(address());
+  frame.set_once(true);
+  Collect(to, std::move(frame));
+  questions_[exchange] = std::make_unique<question>(
+      question{to, {}, answer_by, std::move(done), boost::asio::steady_timer{io_}});
+  Wait(exchange);
+}
+
 void peer_link::Ask(const std::string& to, wire::peer_frame frame, time_point answer_by,
                     answer_callback done) {
-  next_exchange_ += next_exchange_ + 1 == 0 ? 2 : 1;  // 0 marks a message that asks nothing
-  const auto exchange = next_exchange_;
+  const auto exchange = NextExchange();
   frame.set_exchange(exchange);
   frame.set_from(address());
   transport_->Send(to, frame.SerializeAsString());
@@ -66,7 +102,8 @@
 
 void peer_link::Wait(std::uint64_t exchange) {
   auto& asked = *questions_[exchange];
-  const auto next = std::min(asked.answer_by, SteadyNow() + kRepeat);
+  const bool repeats = asked.frame.exchange() != 0;
+  const auto next = repeats ? std::min(asked.answer_by, SteadyNow() + kRepeat) : asked.answer_by;
   asked.timer.expires_after(next - SteadyNow());
   asked.timer.async_wait([this, exchange, alive = std::weak_ptr<bool>{alive_}](
                              const boost::system::error_code& failed) {
@@ -106,6 +143,10 @@
 void peer_link::Answer(const wire::peer_frame& question, wire::peer_frame answer) {
   answer.set_exchange(question.exchange());
   answer.set_from(address());
+  if (question.once()) {
+    Collect(question.from(), std::move(answer));
+    return;
+  }
   auto bytes = answer.SerializeAsString();
   const auto known = answers_.find(KeyOf(question));
   if (known != answers_.end()) {
@@ -167,10 +208,16 @@
 }
 
 void peer_link::Receive(const wire::peer_frame& frame) {
+  if (frame.has_bundle()) {
+    for (const auto& each : frame.bundle().frames()) {
+      Receive(each);
+    }
+    return;
+  }
   const bool is_answer =
       frame.has_pong() || frame.has_view() || frame.has_answer() || frame.has_relayed();
   if (!is_answer) {
-    const bool repeat = frame.exchange() != 0 && IsRepeat(frame);
+    const bool repeat = frame.exchange() != 0 && !frame.once() && IsRepeat(frame);
     if (!repeat) {
       on_message_(frame);
     }
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -49,6 +49,11 @@
   void Ask(const std::string& to, wire::peer_frame frame, time_point answer_by,
            answer_callback done);
 
+  /// Sends a question once, together with others to the same peer: for what is cheaper to lose than
+  /// to repeat. Its answer comes the same way.
+  void AskOnce(const std::string& to, wire::peer_frame frame, time_point answer_by,
+               answer_callback done);
+
   /// Ends all questions to a peer that is gone without an answer. Whoever asked can turn elsewhere
   /// at once: a caller's request that was on its way to a leader waited for a second longer.
   void Abandon(const std::string& to);
@@ -75,6 +80,9 @@
   /// slow day, so that an answer that is under way is rarely asked for twice.
   static constexpr duration kRepeat = std::chrono::milliseconds{150};
 
+  /// What goes out in bundles is collected for so long.
+  static constexpr duration kCollect = std::chrono::milliseconds{4};
+
  private:
   struct question {
     std::string to;
@@ -89,6 +97,10 @@
     time_point forget_at;
   };
   void Wait(std::uint64_t exchange);
+  [[nodiscard]] std::uint64_t NextExchange();
+  /// Sends a message together with others to the same peer, a little later.
+  void Collect(const std::string& to, wire::peer_frame frame);
+  void SendCollected();
   /// Takes a message on the transport's own thread.
   void HandOver(const std::string& bytes);
   void Receive(const wire::peer_frame& frame);
@@ -103,6 +115,8 @@
   // again. Otherwise one lost answer would make a peer carry out an order twice.
   std::unordered_map<std::string, std::string> answers_;  ///< by asker and number; empty: not yet
   std::deque<received> received_;
+  std::unordered_map<std::string, wire::peer_frame> collected_;  ///< bundles by peer
+  boost::asio::steady_timer collect_timer_;
   std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
   mutable std::mutex sign_mutex_;
   std::unique_ptr<wire::peer_frame> sign_;  ///< guarded by `sign_mutex_`, as the next
--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -31,9 +31,15 @@
 /// An exchange that waits for another one's finding looks so often.
 constexpr duration kLookAgain = std::chrono::milliseconds{20};
 
+/// A carrier that didn't answer is left alone for so long; by then it is gone, or sound again.
+constexpr duration kCarrierRests = std::chrono::milliseconds{2'000};
+
 /// What a message between processes may take beyond the exchange itself.
 constexpr duration kRelayMargin = std::chrono::milliseconds{40};
 
+/// The same for a carrier, which collects answers and has many others to make.
+constexpr duration kCarrierMargin = std::chrono::milliseconds{150};
+
 bool IsRefusal(const result<http_reply>& answer) {
   return answer.has_value() && (answer.value().status == 429 || answer.value().status == 503);
 }
@@ -124,6 +130,13 @@
   if (!how.by_peer) {
     return {way::kDirect};
   }
+  if (how.carried && !carriers_.empty()) {
+    const auto failed = uncarried_.find(address);
+    if (failed == uncarried_.end() || SteadyNow() >= failed->second) {
+      uncarried_.erase(address);
+      return {way::kCarrier, way::kDirect, way::kPeer};
+    }
+  }
   const auto broken = broken_.find(address);
   if (broken == broken_.end()) {
     return {way::kDirect, way::kPeer, way::kPeer};
@@ -173,6 +186,14 @@
       TryNextAfter(sent, Patience(*sent));
       return;
     }
+    if (chosen == way::kCarrier) {
+      if (const auto carrier = CarrierOf(sent->request.address); !carrier.empty()) {
+        SendByCarrier(sent, carrier);
+        TryNextAfter(sent, Patience(*sent));
+        return;
+      }
+      continue;
+    }
     // Peers may have gone since the first way was tried.
     if (const auto peer = ChoosePeer(*sent); !peer.empty()) {
       SendByPeer(sent, peer);
@@ -253,6 +274,66 @@
   });
 }
 
+std::string relayed_client::CarrierOf(const std::string& address) const {
+  // The carrier that ranks highest for an address: where one goes, only its addresses move.
+  const auto now = SteadyNow();
+  const std::string* best = nullptr;
+  std::size_t best_rank = 0;
+  for (const auto& carrier : carriers_) {
+    const auto rests = resting_.find(carrier);
+    if (rests != resting_.end() && now < rests->second) {
+      continue;
+    }
+    const auto rank = std::hash<std::string>{}(carrier + address);
+    if (best == nullptr || rank > best_rank) {
+      best = &carrier;
+      best_rank = rank;
+    }
+  }
+  return best == nullptr ? std::string{} : *best;
+}
+
+// The load that this answers: a peer that carries exchanges with a hundred workers loses power.
+// Each of them would wait for its own time-out, and what ended there meanwhile be seen late.
+void relayed_client::RestCarrier(const std::string& carrier) {
+  const auto now = SteadyNow();
+  auto& until = resting_[carrier];
+  if (now < until) {
+    return;
+  }
+  until = now + kCarrierRests;
+  if (log_ != nullptr) {
+    log_->Write(event_line{"carrier_silent", event_weight::kBelief}
+                    .Add("carrier", carrier)
+                    .Add("left_alone_ms", kCarrierRests));
+  }
+  peers_.Abandon(carrier);
+}
+
+void relayed_client::SendByCarrier(const std::shared_ptr<exchange>& sent,
+                                   const std::string& carrier) {
+  sent->peers_tried.push_back(carrier);
+  ++sent->under_way;
+  ++relayed_;
+  peers_.AskOnce(carrier, ToWire(sent->request), sent->request.answer_by + kCarrierMargin,
+                 [this, sent, carrier](const wire::peer_frame* frame) {
+                   --sent->under_way;
+                   if (frame == nullptr) {
+                     RestCarrier(carrier);
+                     OnFailure(sent, error{error_kind::kTimeout, "no answer of the carrier"});
+                     return;
+                   }
+                   auto answer = FromWire(frame->relayed());
+                   if (answer.has_value()) {
+                     sent->Finish(std::move(answer));
+                     return;
+                   }
+                   // The carrier may be cut off from this target alone.
+                   uncarried_[sent->request.address] = SteadyNow() + kCarrierRests;
+                   OnFailure(sent, std::move(answer));
+                 });
+}
+
 std::string relayed_client::ChoosePeer(const exchange& sent) {
   const auto untried = [&](const std::string& peer) {
     return std::ranges::find(sent.peers_tried, peer) == sent.peers_tried.end();
@@ -329,6 +410,7 @@
   wire::peer_frame asker;
   asker.set_exchange(question.exchange());
   asker.set_from(question.from());
+  asker.set_once(question.once());
   direct_.Send(std::move(request), [this, asker](result<http_reply> answer) {
     wire::peer_frame frame;
     auto& relayed = *frame.mutable_relayed();
--- a/src/rosearch/cell/relayed_client.h
+++ b/src/rosearch/cell/relayed_client.h
@@ -13,6 +13,7 @@
 #include "rosearch/cell/peer_link.h"
 #include "rosearch/core/result.h"
 #include "rosearch/core/time.h"
+#include "rosearch/log/event_line.h"
 #include "rosearch/platform/http_client.h"
 
 namespace rosearch::cell {
@@ -34,6 +35,8 @@
   /// went silent is then noticed in 0.06 s where the target answers in 5 ms, and a target that
   /// answers in 0.5 s isn't asked twice for everything.
   bool learns{false};
+  /// Whether a carrier makes the exchange where there are any.
+  bool carried{false};
 
   friend bool operator==(const reach&, const reach&) = default;
 };
@@ -43,12 +46,18 @@
 /// leads though nothing else is wrong.
 class relayed_client {
  public:
-  relayed_client(boost::asio::io_context& io, http_client& direct, peer_link& peers)
-      : io_{io}, direct_{direct}, peers_{peers} {}
+  /// @param log  may be null.
+  relayed_client(boost::asio::io_context& io, http_client& direct, peer_link& peers,
+                 event_sink* log = nullptr)
+      : io_{io}, direct_{direct}, peers_{peers}, log_{log} {}
 
   /// Names the peers that may be asked.
   void SetPeers(std::vector<std::string> peers) { helpers_ = std::move(peers); }
 
+  /// Names the peers that make all exchanges that may be carried; empty: none. Two thousand
+  /// exchanges a second with workers take most of a leader's processor, and its peers are idle.
+  void SetCarriers(std::vector<std::string> carriers) { carriers_ = std::move(carriers); }
+
   /// Sends a request; the callback runs once, on the thread of the io_context. The answer of a peer
   /// carries no headers.
   void Send(http_request request, const reach& how, http_callback done);
@@ -63,7 +72,7 @@
   [[nodiscard]] std::uint64_t Relayed() const { return relayed_; }
 
  private:
-  enum class way : std::uint8_t { kDirect, kPeer };
+  enum class way : std::uint8_t { kCarrier, kDirect, kPeer };
   struct exchange;
 
   [[nodiscard]] std::deque<way> WaysTo(const std::string& address, const reach& how);
@@ -72,6 +81,12 @@
   void TryNextUnlessSlow(const std::shared_ptr<exchange>& sent);
   void SendDirect(const std::shared_ptr<exchange>& sent);
   void SendByPeer(const std::shared_ptr<exchange>& sent, const std::string& peer);
+  void SendByCarrier(const std::shared_ptr<exchange>& sent, const std::string& carrier);
+  /// @return the peer that carries exchanges with an address, always the same while the carriers
+  ///         are; empty where none can.
+  [[nodiscard]] std::string CarrierOf(const std::string& address) const;
+  /// Leaves a carrier alone that didn't answer.
+  void RestCarrier(const std::string& carrier);
   void OnFailure(const std::shared_ptr<exchange>& sent, result<http_reply> answer);
   [[nodiscard]] duration Patience(const exchange& sent) const;
   void Learn(const exchange& sent, time_point sent_at);
@@ -81,7 +96,12 @@
   boost::asio::io_context& io_;
   http_client& direct_;
   peer_link& peers_;
+  event_sink* log_;
   std::vector<std::string> helpers_;
+  std::vector<std::string> carriers_;
+  std::unordered_map<std::string, time_point> resting_;  ///< carriers, until when
+  /// By address that a carrier failed to reach: until when it is reached otherwise.
+  std::unordered_map<std::string, time_point> uncarried_;
   /// By address: the peer that reached it last. Staying with it keeps what is sent in order.
   std::unordered_map<std::string, std::string> good_helper_;
   std::size_t next_helper_{0};
--- a/test/rosearch/cell/relayed_client_test.cc
+++ b/test/rosearch/cell/relayed_client_test.cc
@@ -16,6 +16,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 /// A process's way out, beside a target that answers as it is told to.
 class outside {
@@ -50,6 +51,19 @@
     return got;
   }
 
+  /// Makes the connection to itself as a peer: what is sent before there is one is dropped.
+  void Connect() {
+    http_request nowhere;
+    nowhere.answer_by = SteadyNow() + seconds{2};
+    bool connected = false;
+    client.SendFrom(peers.address(), nowhere,
+                    [&connected](const result<http_reply>&) { connected = true; });
+    while (!connected) {
+      io.run_one();
+    }
+    client.SetCarriers({peers.address()});
+  }
+
   boost::asio::io_context io;
   int calls{0};
   int silent_call{0};  ///< this one is never answered
@@ -84,6 +98,66 @@
   CHECK(got->has_error());
 }
 
+TEST_CASE("what may be carried goes by way of a carrier") {
+  outside made{200};
+  made.Connect();
+  const auto before = made.client.Relayed();
+  const auto got = made.Send({.patience = {}, .carried = true}, milliseconds{600});
+  REQUIRE(got);
+  CHECK(got->value().body == "here");
+  CHECK(made.client.Relayed() == before + 1);
+  CHECK(made.calls == 1);
+  const auto direct = made.Send({}, milliseconds{200});
+  REQUIRE(direct);
+  CHECK(made.client.Relayed() == before + 1);
+}
+
+// The peer that carries a leader's exchanges with workers loses power. Orders would get no answer
+// one after the other, and callers wait for tasks that nobody starts.
+TEST_CASE("a carrier that is gone is not asked again") {
+  outside made{200};
+  made.client.SetCarriers({"127.0.0.1:9"});
+  const reach order{.patience = {}, .carried = true};
+  const auto lost = made.Send(order, seconds{2});
+  REQUIRE(lost);
+  CHECK(lost->error().kind == error_kind::kTimeout);
+  CHECK(made.calls == 0);
+  const auto next = made.Send(order, milliseconds{200});
+  REQUIRE(next);
+  CHECK(next->value().body == "here");
+}
+
+// The same, while another exchange that may wait long is on its way there: it must not wait for its
+// own time-out, since what ends at the worker meanwhile is seen late.
+TEST_CASE("what a lost carrier had on its way goes otherwise at once") {
+  outside made{200};
+  made.client.SetCarriers({"127.0.0.1:9"});
+  http_request watch;
+  watch.address = "127.0.0.1:" + std::to_string(made.server.port());
+  watch.answer_by = SteadyNow() + seconds{20};
+  std::optional<result<http_reply>> watched;
+  made.client.Send(watch, {.wait = seconds{19}, .carried = true},
+                   [&watched](result<http_reply> answer) { watched = std::move(answer); });
+  (void)made.Send({.patience = {}, .carried = true}, seconds{2});
+  made.io.run_for(milliseconds{100});
+  REQUIRE(watched);
+  CHECK(watched->value().body == "here");
+}
+
+// A carrier is cut off from one worker, which this process reaches.
+TEST_CASE("a target that its carrier can't reach is reached directly") {
+  outside made{0};
+  made.Connect();
+  const auto before = made.client.Relayed();
+  const reach order{.patience = {}, .carried = true};
+  const auto lost = made.Send(order, seconds{2});
+  REQUIRE(lost);
+  CHECK(lost->has_error());
+  CHECK(made.client.Relayed() == before + 1);
+  (void)made.Send(order, seconds{2});
+  CHECK(made.client.Relayed() == before + 1);
+}
+
 // The target refuses this process alone; a peer gets the answer.
 TEST_CASE("a refusal that may be meant for this process alone is tried by a peer") {
   outside made{503};
