Shed load where the leader is late: fewer looks, wider batches, no judging by its own delay, fewer new jobs

Cause: a leader that has more to do than time took everything in, in the order in which it came. With a quarter of a processor 2 jobs in 100 were in time, and none in the 8 s after the processor was back: all it did was for jobs that were late already. Change: the delay of the tick is measured (histogram, metric, lines leader_late and leader_prompt); two late ticks in a row count. Then, in this order: workers keep back longer what tells of no end, ends collect at the workers, passes collect more, runs and workers aren't judged by times that contain the delay, and new jobs (services aside) that would wait for the leader longer than their slack are refused at once; how many are taken in for each tick is halved while it is late and rises by one while it isn't. Tests: load_test 'a leader with less processor decides less and doesn't collapse' at 1, 1/2, 1/4 and 1/8 (in time 1, 1, 0.4625, 0.186, and 1 in what comes from 2 s after on); 'a leader with less processor that turns nothing away serves nobody' (0.4625 against 0.02). The world of these tests can now charge a leader for each message, look and order.

--- a/src/rosearch/cell/cell_metrics.cc
+++ b/src/rosearch/cell/cell_metrics.cc
@@ -26,6 +26,8 @@
     metric_help{"rosearch_leading", "1 where this process leads."},
     metric_help{"rosearch_leases_ending", "Live workers whose lease ends within 3 s."},
     metric_help{"rosearch_log_lines_dropped_total", "Log lines that were never written."},
+    metric_help{"rosearch_loop_delay_seconds",
+                "How late the leader does what is due; everything waits so long."},
     metric_help{"rosearch_oldest_report_seconds",
                 "Age of the oldest newest report of a live worker."},
     metric_help{"rosearch_peer_round_trip_seconds", "From a ping of the leader to its answer."},
--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -8,10 +8,23 @@
 
 namespace rosearch::cell {
 
+template <typename Ports>
+void leader<Ports>::NoteDelay(duration delay) {
+  scheduler_.NoteDelay(delay);
+  metrics_.Observe("rosearch_loop_delay_seconds", delay);
+  const bool late = delay > settings_.late_after;
+  if (std::exchange(late_, late) != late) {
+    log_.Write(event_line{late ? "leader_late" : "leader_prompt", event_weight::kBelief}
+                   .Add("epoch", epoch_)
+                   .Add("delay_ms", delay));
+  }
+}
+
 template <typename Ports>
 void leader<Ports>::TickLater() {
-  After(tick_timer_, settings_.tick, [](leader& self) {
+  After(tick_timer_, settings_.tick, [due = SteadyNow() + settings_.tick](leader& self) {
     self.NoticeStandstill();
+    self.NoteDelay(SteadyNow() - due);
     const auto now = Now();
     self.scheduler_.Tick(now);
     self.UnlistOverdue();
@@ -69,13 +82,14 @@
     return;
   }
   const auto now = SteadyNow();
-  if (now - passed_at_ >= settings_.pass) {
+  const auto pause = std::max(settings_.pass, scheduler_.PassPause());
+  if (now - passed_at_ >= pause) {
     passed_at_ = now;
     scheduler_.Schedule(Now());
     return;
   }
   pass_pending_ = true;
-  After(pass_timer_, settings_.pass - (now - passed_at_), [](leader& self) {
+  After(pass_timer_, pause - (now - passed_at_), [](leader& self) {
     self.pass_pending_ = false;
     self.Pump();
   });
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -38,6 +38,8 @@
   duration pass{std::chrono::milliseconds{4}};
   /// Between two looks at what time alone changes.
   duration tick{std::chrono::milliseconds{50}};
+  /// What is due comes so late where the process has more to do than it has time for.
+  duration late_after{std::chrono::milliseconds{100}};
   /// Records that nobody waits for are collected for so long, so that one append carries many.
   duration collect{std::chrono::milliseconds{15}};
   /// Batches under way at once. Where an answer of the store takes a quarter of a second, a job
@@ -246,6 +248,8 @@
   void UnlistOverdue();
 
   void TickLater();
+  /// Takes in how late a tick came: so long does everything wait that reaches this process.
+  void NoteDelay(duration delay);
   void PumpSoon();
   void Pump();
   void SchedulePass();
@@ -330,6 +334,7 @@
   time_point store_failed_at_{};
   time_point store_away_since_{};
   duration last_tick_{};
+  bool late_{false};  ///< the process was late by more than `leader_settings::late_after`
   bool store_reached_{true};
   bool state_read_{false};
   bool workers_read_{false};
--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -21,6 +21,11 @@
 constexpr duration kBusyWait = std::chrono::milliseconds{600};
 constexpr duration kIdleWait = std::chrono::milliseconds{2'000};
 
+/// A late leader has workers keep back for as long as while nothing runs there what tells of no
+/// end, and lets ends collect there for about as long as it is late.
+constexpr duration kLongestCollect = std::chrono::milliseconds{500};
+constexpr duration kLongestPassPause = std::chrono::milliseconds{100};
+
 }  // namespace
 
 void scheduler::ObserveWorker(const worker_facts& facts, const instant& now) {
@@ -92,7 +97,7 @@
   const bool answers = live && worker.silent_watches == 0;
   watch_request watch{id, worker.facts.address, worker.acked_end, answers, duration{}};
   if (answers && worker.seen_end == worker.acked_end) {
-    watch.wait = worker.runs.empty() ? kIdleWait : kBusyWait;
+    watch.wait = worker.runs.empty() || Late() ? kIdleWait : kBusyWait;
   }
   if (answers) {
     worker.lease_until = std::max(worker.lease_until, now.steady + LongestLease());
@@ -110,7 +115,26 @@
     return worker.silent_watches > 0 ? kSilentPause : duration{};
   }
   const auto together = kUnackedPausePerWorker * static_cast<int>(workers_.size());
-  return worker.seen_end > worker.acked_end ? std::max(kUnackedPause, together) : duration{};
+  const auto collect = Late() ? std::min(loop_delay_, kLongestCollect) : duration{};
+  return worker.seen_end > worker.acked_end ? std::max({kUnackedPause, together, collect})
+                                            : collect;
+}
+
+void scheduler::NoteDelay(duration delay) {
+  loop_delay_ = std::min(std::exchange(newest_delay_, delay), delay);
+  // What is taken in makes the process late only a little later, so a late one begins anew with
+  // few jobs at a time.
+  const auto taken = std::exchange(admitted_, 0);
+  if (Late()) {
+    admit_most_ = std::max(1U, std::min(taken, admit_most_) / 2);
+  } else {
+    admit_most_ = std::min(admit_most_ + 1, kAnyNumber);
+  }
+}
+
+duration scheduler::PassPause() const {
+  // A quarter of what everything waits anyway adds little to it.
+  return std::min(loop_delay_ / 4, kLongestPassPause);
 }
 
 void scheduler::Tick(const instant& now) {
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -254,6 +254,13 @@
 
   /// Looks after what time alone changes; call every 50 ms or so.
   void Tick(const instant& now);
+  /// Takes in how late the process just was with what was due; call with each `Tick`.
+  void NoteDelay(duration delay);
+  /// @return how long to let inputs collect for one pass, beyond the usual: a late leader decides
+  ///         about more at a time.
+  [[nodiscard]] duration PassPause() const;
+  /// @return whether what is due waits noticeably for the process.
+  [[nodiscard]] bool Late() const { return loop_delay_ > kLate; }
   /// Places what can be placed. Call after inputs; several may share one call.
   void Schedule(const instant& now);
   /// @return the orders decided since the last call.
@@ -262,6 +269,8 @@
   /// @return whether a newer leader was met; this scheduler must decide nothing more.
   [[nodiscard]] bool Deposed() const { return deposed_; }
   [[nodiscard]] cell_counts Counts(const instant& now) const;
+  /// @return tries to place a waiting step, since the beginning.
+  [[nodiscard]] std::uint64_t Looks() const { return looks_; }
   /// @return what jobs took since the last call.
   [[nodiscard]] std::vector<job_timing> TakeTimings() { return std::exchange(timings_, {}); }
   /// @return a text for people: steps with what each waits for, workers with room, lease and
@@ -295,6 +304,8 @@
   void RetireEnded(const instant& now);
   void FinishOccurrence(job_state& job, occurrence_state& occurrence, const instant& now);
   [[nodiscard]] submit_answer Admit(const job_spec& job, const instant& now);
+  /// @return how long a job would wait for the leader's own time, in ms.
+  [[nodiscard]] double WaitsForLeaderMs(const job_spec& job) const;
   [[nodiscard]] pool_load MeasureLoad(const std::string& pool) const;
   /// @return what a pool holds and what waits for it, measured lately.
   [[nodiscard]] const pool_load& LoadOf(const std::string& pool, const instant& now);
@@ -443,6 +454,11 @@
   [[nodiscard]] wait_view WhyWaiting(const step_state& step, const instant& now) const;
   void TellWaiting(step_state& step, const instant& now);
 
+  /// A leader that is later than this sheds load: it looks less often, decides about more at a
+  /// time, doesn't judge workers by times that are its own, and takes in fewer jobs.
+  static constexpr duration kLate = std::chrono::milliseconds{50};
+  static constexpr std::uint32_t kAnyNumber = 1U << 20U;
+
   scheduler_settings settings_;
   std::uint64_t epoch_;
   event_sink& log_;
@@ -472,6 +488,10 @@
   std::uint64_t all_room_version_{1};  ///< at the last change that may concern any step
   std::uint64_t next_batch_{1};
   std::uint64_t looks_{0};
+  duration newest_delay_{};  ///< as `NoteDelay` was last told
+  duration loop_delay_{};    ///< what everything waits for the process; one late tick isn't enough
+  std::uint32_t admitted_{0};             ///< jobs taken in since the last tick
+  std::uint32_t admit_most_{kAnyNumber};  ///< jobs that may be taken in until the next one
   std::map<std::uint64_t, stored_effects> storing_;
   time_point next_forget_{};
   time_point restored_at_{};
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -202,9 +202,21 @@
   return known;
 }
 
+// The load that this answers: the leader has more to do than it has time for, as its machine turned
+// slow. What is taken in then would only make all that was accepted before it late, too.
+double scheduler::WaitsForLeaderMs(const job_spec& job) const {
+  const auto delay = std::chrono::duration<double, std::milli>{loop_delay_}.count();
+  return delay * settings_.turns_per_step * static_cast<double>(job.steps.size());
+}
+
 // The load that this answers: bursts of long work on top of a cell that is four fifths full. What
 // can't start while its objective can still be met would only make everything behind it late too.
 submit_answer scheduler::Admit(const job_spec& job, const instant& now) {
+  // One job's estimates are off by half or more; the mean over its queue is not.
+  const double slack = MeanSlackMs(job) * settings_.admission_slack;
+  if (WaitsForLeaderMs(job) > slack || admitted_ >= admit_most_) {
+    return {submit_verdict::kRefused, kLeastRetryAfter, "leader_busy"};
+  }
   const auto& load = LoadOf(job.pool, now);
   double room = load.capacity - load.services;  // that this class of work may use
   for (const auto& [priority, charged] : load.running) {
@@ -214,8 +226,6 @@
   for (const auto& [priority, work] : load.waiting) {
     ahead += priority <= job.priority ? work : 0;
   }
-  // One job's estimates are off by half or more; the mean over its queue is not.
-  const double slack = MeanSlackMs(job) * settings_.admission_slack;
   const double wait = room > 0 ? ahead / room : 0;
   const bool has_room = load.free > room * (Reserve(job.pool) + kRoomToSpare);
   if (room <= 0 || wait <= slack || (has_room && HasPlaces(job))) {
@@ -250,6 +260,7 @@
                    .Add("jobs", jobs_.size()));
     return admitted;
   }
+  ++admitted_;
   auto made = std::make_unique<job_state>();
   made->finish_by = now.steady + job.objective;
   log_.Write(event_line{"job_received"}
--- a/src/rosearch/sched/scheduler_progress.cc
+++ b/src/rosearch/sched/scheduler_progress.cc
@@ -98,7 +98,7 @@
 }
 
 void scheduler::NoteSpeed(const live_run& run, duration took) {
-  if (run.step == nullptr || !run.checkpoint.empty() || run.step->spec->service) {
+  if (run.step == nullptr || !run.checkpoint.empty() || run.step->spec->service || Late()) {
     return;
   }
   const auto typical = TypicalTime(*run.step, *run.worker);
@@ -132,7 +132,9 @@
 }
 
 void scheduler::RescueSlowRuns(worker_state& worker, const instant& now) {
-  if (!settings_.Uses(mechanism::kRescue)) {
+  // Reports that waited for a late leader make each run look slow, and moving runs is more work
+  // yet.
+  if (!settings_.Uses(mechanism::kRescue) || Late()) {
     return;
   }
   std::vector<std::pair<live_run*, run_outlook>> slow;
--- a/src/rosearch/sched/scheduler_settings.h
+++ b/src/rosearch/sched/scheduler_settings.h
@@ -89,6 +89,9 @@
   duration advice_patience{std::chrono::milliseconds{4'000}};
   /// Share of the slack of a job's objective that waiting may use up before a job is refused.
   double admission_slack{0.9};
+  /// For each of its steps a job waits so often until the leader has done what came before: its
+  /// record, advice, starts, ends, the next record.
+  double turns_per_step{8};
 
   friend bool operator==(const scheduler_settings&, const scheduler_settings&) = default;
 };
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -13,6 +13,7 @@
 constexpr duration kPatience = std::chrono::milliseconds{400};
 constexpr duration kMaxLease = std::chrono::seconds{6};
 constexpr duration kTick = std::chrono::milliseconds{50};
+constexpr duration kPass = std::chrono::milliseconds{4};
 constexpr duration kStoreAnswer = std::chrono::milliseconds{5};
 constexpr duration kStopTime = std::chrono::milliseconds{300};
 constexpr std::uint32_t kAttempts = 4;
@@ -110,19 +111,26 @@
     leader_->ObserveWorker(worker.facts, Now());
   }
   leader_->FinishRestore(Now());
-  After(kHop, [this, epoch = epoch_] { Tick(epoch); });
+  TickAfter(kHop);
 }
 
-void cell_world::Tick(std::uint64_t epoch) {
+void cell_world::TickAfter(duration pause) {
+  After(pause, [this, epoch = epoch_, due = now_ + pause] {
+    ToLeader([this, epoch, due] { Tick(epoch, due); });
+  });
+}
+
+void cell_world::Tick(std::uint64_t epoch, time_point due) {
   if (epoch != epoch_) {
     return;
   }
   for (auto& [id, worker] : workers_) {
     AdvanceWorker(worker);
   }
+  leader_->NoteDelay(now_ - due);
   leader_->Tick(Now());
   Pump();
-  After(kTick, [this, epoch] { Tick(epoch); });
+  TickAfter(kTick);
 }
 
 void cell_world::ReplaceLeader() {
@@ -130,9 +138,57 @@
   Lead();
 }
 
+void cell_world::ToLeader(std::function<void()> what) {
+  if (shape_.cost == leader_cost{}) {
+    what();
+    return;
+  }
+  inbox_.push_back(std::move(what));
+  WorkSoon();
+}
+
+void cell_world::WorkSoon() {
+  if (!inbox_.empty() && !std::exchange(working_, true)) {
+    At(std::max(now_, busy_until_), [this] { Work(); });
+  }
+}
+
+void cell_world::Work() {
+  const auto what = std::move(inbox_.front());
+  inbox_.pop_front();
+  const auto looks_before = leader_->Looks();
+  const auto orders_before = orders_;
+  what();
+  const auto looks = static_cast<int>(leader_->Looks() - looks_before);
+  const auto orders = static_cast<int>(orders_ - orders_before);
+  const auto& cost = shape_.cost;
+  const auto took = cost.message + cost.look * looks + cost.order * orders;
+  busy_until_ = now_ + std::chrono::duration_cast<duration>(took / processor_);
+  working_ = false;
+  WorkSoon();
+}
+
 void cell_world::Pump() {
+  if (shape_.cost == leader_cost{}) {
+    Pass();
+    return;
+  }
+  if (std::exchange(pass_pending_, true)) {
+    return;
+  }
+  At(std::max(now_, passed_at_ + std::max(kPass, leader_->PassPause())), [this] {
+    ToLeader([this] {
+      pass_pending_ = false;
+      passed_at_ = now_;
+      Pass();
+    });
+  });
+}
+
+void cell_world::Pass() {
   leader_->Schedule(Now());
   const auto orders = leader_->TakeOrders();
+  orders_ += orders.size();
   for (const auto& decided : orders) {
     CarryOut(decided);
   }
@@ -187,13 +243,18 @@
       SendBatch(epoch, batch, may_be_stored || silent || dropped);
       return;
     }
-    storing_ = false;
-    if (refused) {
-      leader_->OnNotStored(batch.number);
-    } else {
-      leader_->OnStored(batch.number, Now());
-    }
-    Pump();
+    ToLeader([this, epoch, batch, refused] {
+      if (epoch != epoch_) {
+        return;
+      }
+      storing_ = false;
+      if (refused) {
+        leader_->OnNotStored(batch.number);
+      } else {
+        leader_->OnStored(batch.number, Now());
+      }
+      Pump();
+    });
   });
 }
 
@@ -355,18 +416,23 @@
           const auto outcome = cut ? start_outcome::kUnknown : Apply(decided, fence, lease_end);
           const bool answered = !cut && !late && !lost;
           After(answered ? kHop : kPatience, [this, decided, outcome, answered, late, fence] {
-            if (fence == epoch_ && !late) {
-              leader_->OnStartAnswer(decided, answered ? outcome : start_outcome::kUnknown, Now());
-              Pump();
-            }
+            ToLeader([this, decided, outcome, answered, late, fence] {
+              if (fence == epoch_ && !late) {
+                leader_->OnStartAnswer(decided, answered ? outcome : start_outcome::kUnknown,
+                                       Now());
+                Pump();
+              }
+            });
           });
         });
   if (late) {
     After(kPatience, [this, decided, fence = epoch_] {
-      if (fence == epoch_) {
-        leader_->OnStartAnswer(decided, start_outcome::kUnknown, Now());
-        Pump();
-      }
+      ToLeader([this, decided, fence] {
+        if (fence == epoch_) {
+          leader_->OnStartAnswer(decided, start_outcome::kUnknown, Now());
+          Pump();
+        }
+      });
     });
   }
 }
@@ -378,10 +444,12 @@
     const bool cut = worker != nullptr && !Reachable(*worker);
     const bool heard = !cut && Apply(decided, fence) && !lost;
     After(heard ? kHop : kPatience, [this, decided, heard, fence] {
-      if (fence == epoch_) {
-        leader_->OnStopAnswer(decided, heard, Now());
-        Pump();
-      }
+      ToLeader([this, decided, heard, fence] {
+        if (fence == epoch_) {
+          leader_->OnStopAnswer(decided, heard, Now());
+          Pump();
+        }
+      });
     });
   });
 }
@@ -408,8 +476,12 @@
         allowed.push_back({worker, "ticket"});
       }
     }
-    leader_->OnAdvice(decided, &allowed, Now());
-    Pump();
+    ToLeader([this, decided, allowed, epoch] {
+      if (epoch == epoch_) {
+        leader_->OnAdvice(decided, &allowed, Now());
+        Pump();
+      }
+    });
   });
 }
 
@@ -441,10 +513,12 @@
                          : epoch < worker->fence ? watch_failure::kStaleFence
                                                  : watch_failure::kNoAnswer;
     After(failure == watch_failure::kNoAnswer ? kPatience : kHop, [this, id, epoch, failure, next] {
-      if (epoch == epoch_) {
-        leader_->OnWatchFailed(id, failure, Now());
-        next();
-      }
+      ToLeader([this, id, epoch, failure, next] {
+        if (epoch == epoch_) {
+          leader_->OnWatchFailed(id, failure, Now());
+          next();
+        }
+      });
     });
     return;
   }
@@ -471,10 +545,12 @@
     report.running.push_back({task, run.run, run.checkpoint, percent, 0});
   }
   After(kHop, [this, id, epoch, report, sent_at, next] {
-    if (epoch == epoch_) {
-      leader_->OnReport(id, sent_at, report, Now());
-      next();
-    }
+    ToLeader([this, id, epoch, report, sent_at, next] {
+      if (epoch == epoch_) {
+        leader_->OnReport(id, sent_at, report, Now());
+        next();
+      }
+    });
   });
 }
 
@@ -537,7 +613,9 @@
   known.handed_in = now_;
   const auto answer = leader_->Submit(job, Now());
   known.refused = answer.verdict == submit_verdict::kRefused;
-  Pump();
+  if (!known.refused) {
+    Pump();
+  }
   return job.id;
 }
 
--- a/test/rosearch/sched/cell_world.h
+++ b/test/rosearch/sched/cell_world.h
@@ -2,6 +2,7 @@
 #define TEST_ROSEARCH_SCHED_CELL_WORLD_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -40,6 +41,15 @@
   double old_leader_talks{0};  ///< an order of a former leader arrives seconds later
 };
 
+/// What deciding costs a leader with a whole processor; zero: nothing.
+struct leader_cost {
+  duration message{};  ///< to take in one answer, report or request
+  duration look{};     ///< to try to place a waiting step
+  duration order{};    ///< to give one order
+
+  friend bool operator==(const leader_cost&, const leader_cost&) = default;
+};
+
 /// What a world is made of.
 struct world_shape {
   resources worker{};               ///< of each; zero: 8 to 32 processors and no accelerators
@@ -47,6 +57,7 @@
   std::uint32_t allowed_tenths{7};  ///< workers in ten that advice allows
   std::size_t advice_processes{0};  ///< questions answered at a time; zero: any number
   bool urgent_queue{true};          ///< urgent work uses the same workers
+  leader_cost cost{};
 };
 
 /// A cell in virtual time: one scheduler at a time, workers that start whatever they are told, a
@@ -69,6 +80,8 @@
   /// The leader is gone, another takes over.
   void ReplaceLeader();
   void CutWorker(std::size_t number, duration span);
+  /// From now on the leader has that share of a processor.
+  void SetProcessor(double share) { processor_ = share; }
   /// From now on every run that starts at a worker fails at its end.
   void SickenWorker(std::size_t number);
   /// From now on every run that starts at a worker takes so many times as long; 1: as ever.
@@ -127,9 +140,17 @@
 
   void At(time_point when, std::function<void()> what);
   void After(duration span, std::function<void()> what) { At(now_ + span, std::move(what)); }
+  /// Has the leader take something in, once it has done what came before.
+  void ToLeader(std::function<void()> what);
+  void WorkSoon();
+  void Work();
+  /// Has the leader decide: at once where that costs nothing, else in passes.
   void Pump();
+  void Pass();
   void Lead();
-  void Tick(std::uint64_t epoch);
+  /// @param due  when the leader should have come to it.
+  void Tick(std::uint64_t epoch, time_point due);
+  void TickAfter(duration pause);
   void StoreSoon();
   void SendBatch(std::uint64_t epoch, const state_batch& batch, bool may_be_stored);
   void Watch(const std::string& id, std::uint64_t epoch);
@@ -161,6 +182,13 @@
   std::multimap<time_point, std::function<void()>> events_;
   std::unique_ptr<scheduler> leader_;
   std::uint64_t epoch_{0};
+  double processor_{1};
+  std::deque<std::function<void()>> inbox_;  ///< what the leader has yet to take in
+  time_point busy_until_{};
+  time_point passed_at_{};
+  std::size_t orders_{0};  ///< that the leader gave
+  bool working_{false};
+  bool pass_pending_{false};
   std::map<std::string, std::string> store_;
   bool storing_{false};
   std::map<std::string, fake_worker> workers_;
--- a/test/rosearch/sched/load_test.cc
+++ b/test/rosearch/sched/load_test.cc
@@ -301,6 +301,67 @@
   CHECK(world.Broken().empty());
 }
 
+/// Quick work at a cell whose leader has some share of a processor for twelve seconds, then all of
+/// it.
+struct slowed_result {
+  double before{0};  ///< in time while the leader had a whole processor
+  double slowed{0};  ///< in time while it had a share of one
+  double after{0};   ///< in time of what came two seconds later and on
+  bool lost{false};  ///< something accepted never ended
+};
+slowed_result SlowedLeader(double processor, const scheduler_settings& settings = {}) {
+  constexpr std::size_t kManyWorkers = 100;
+  constexpr milliseconds kPause{10};
+  world_shape shape;
+  // Three fifths of a processor for this load.
+  shape.cost = {std::chrono::microseconds{200}, std::chrono::microseconds{200},
+                std::chrono::microseconds{300}};
+  cell_world world{17, {}, kManyWorkers, settings, shape};
+  world.Run(seconds{1});
+  const auto hand_in = [&](seconds span) {
+    handed_in jobs;
+    for (milliseconds at{0}; at < span; at += kPause) {
+      jobs.Add(world, Job(6, 1'300, milliseconds{300}, false));
+      world.Run(kPause);
+    }
+    return jobs;
+  };
+  const auto before = hand_in(seconds{6});
+  world.SetProcessor(processor);
+  const auto slowed = hand_in(seconds{12});
+  world.SetProcessor(1.0);
+  (void)hand_in(seconds{2});
+  const auto after = hand_in(seconds{6});
+  world.Run(seconds{60});
+  CHECK(world.Broken().empty());
+  const auto in_time = [&](const handed_in& jobs) {
+    return jobs.InTime(world, milliseconds{300}, milliseconds{400});
+  };
+  return {in_time(before), in_time(slowed), in_time(after), !world.Unfinished().empty()};
+}
+
+// The machine of the leader turns slow, or has other work. It may decide less, but what it serves
+// must not fall faster than its processor does, and it must be back soon after.
+TEST_CASE("a leader with less processor decides less and doesn't collapse") {
+  const double processor = GENERATE(1.0, 0.5, 0.25, 0.125);
+  const auto got = SlowedLeader(processor);
+  std::cout << "leader with " << processor << " of a processor: in time " << got.before
+            << " before, " << got.slowed << " meanwhile, " << got.after << " after\n";
+  CHECK(got.before > 0.95);
+  CHECK(got.slowed >= got.before * processor);
+  CHECK(got.after >= got.before - 0.02);
+  CHECK_FALSE(got.lost);
+}
+
+// The same, taking in whatever comes: everything is late, also what comes after.
+TEST_CASE("a leader with less processor that turns nothing away serves nobody") {
+  const auto ours = SlowedLeader(0.25);
+  const auto baseline = SlowedLeader(0.25, Without(mechanism::kAdmission));
+  std::cout << "leader with a quarter of a processor: in time " << ours.slowed << ", taking in all "
+            << baseline.slowed << ", and after it " << baseline.after << '\n';
+  CHECK(ours.slowed > baseline.slowed + 0.2);
+}
+
 // Twice the work that there is room for. Taken in all of it, every job is late; turned away at
 // once, a part's callers can come back, and the rest is in time.
 TEST_CASE("what can't be done in time is refused, so that the rest is") {
