Count what changed, not what exists: ends without record by worker, running steps without a walk over their tasks

Change: workers with ends that aren't stored are kept as a set; a step whose tasks all run says so at once.

--- /dev/null
+++ b/benchmark/leader_bench.cc
@@ -0,0 +1,152 @@
+// What deciding costs a leader, by the number of its workers.
+#include <benchmark/benchmark.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "rosearch/sched/scheduler.h"
+
+namespace rosearch::sched {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char* kQueue = "cell.test/jobs/";
+constexpr std::uint32_t kTasks = 10;
+/// Share of a pool's room that services take, which run all the time.
+constexpr double kServices = 0.5;
+
+class no_log final : public event_sink {
+ public:
+  void Write(const event_line&) override {}
+};
+
+/// A scheduler whose workers, store and advice answer at once.
+class full_cell {
+ public:
+  explicit full_cell(std::size_t workers) : leader_{scheduler_settings{}, 1, log_} {
+    cell_configuration made;
+    made.version = 1;
+    made.queues = {
+        {"quick", "cell.test", "/jobs/", "pool", 0, 2, 1.5, milliseconds{250},
+         advice_cost{milliseconds{39}, std::chrono::microseconds{559}, milliseconds{2'500}}}};
+    made.pools = {{"pool", false, false}};
+    leader_.Configure(made, now_);
+    for (std::size_t at = 0; at < workers; ++at) {
+      worker_facts facts;
+      facts.id = "worker-" + std::to_string(at);
+      facts.address = "10.0.0.1:80";
+      facts.pool = "pool";
+      facts.capacity = {16'000, 32'768, 0};
+      leader_.ObserveWorker(facts, now_);
+    }
+    leader_.FinishRestore(now_);
+    Store();
+    for (const auto& id : leader_.WatchedWorkers()) {
+      leader_.OnReport(id, now_.steady, {}, now_);
+    }
+    Store();
+    const auto services = static_cast<std::size_t>(kServices * static_cast<double>(workers));
+    for (std::size_t at = 0; at < services; ++at) {
+      HandIn(true);
+      Settle(false);
+    }
+  }
+
+  /// Hands in a job and takes it to its end.
+  void ServeOne() {
+    HandIn(false);
+    Settle(true);
+    now_.steady += milliseconds{4};
+    now_.wall_ms += 4;
+  }
+
+ private:
+  void HandIn(bool service) {
+    job_spec job;
+    job.id = "job-" + std::to_string(next_job_++);
+    job.queue = kQueue;
+    job.pool = "pool";
+    job.max_attempts = 2;
+    job.steps.resize(1);
+    job.steps[0].count = kTasks;
+    job.steps[0].need = {service ? 1'600 : 800, 1'000, 0};
+    job.steps[0].estimate = milliseconds{640};
+    job.steps[0].service = service;
+    job.objective = milliseconds{1'210};
+    (void)leader_.Submit(std::move(job), now_);
+    Store();
+  }
+  void Store() {
+    const auto batch = leader_.TakeBatch();
+    leader_.OnStored(batch.number, now_);
+  }
+  /// Carries orders out until there are none.
+  void Settle(bool ends) {
+    std::vector<start_order> started;
+    for (;;) {
+      leader_.Schedule(now_);
+      const auto orders = leader_.TakeOrders();
+      if (orders.empty()) {
+        break;
+      }
+      for (const auto& each : orders) {
+        if (const auto* const query = std::get_if<advice_query>(&each)) {
+          Advise(*query);
+        } else if (const auto* const start = std::get_if<start_order>(&each)) {
+          leader_.OnStartAnswer(*start, start_outcome::kStarted, now_);
+          started.push_back(*start);
+        }
+      }
+    }
+    for (const auto& each : started) {
+      auto& runs = running_[each.worker];
+      runs.push_back({each.task, each.run, {}, 100, 0});
+      if (!ends) {
+        continue;
+      }
+      runs.pop_back();
+      worker_report report;
+      report.running = runs;
+      report.ended.push_back({++ended_[each.worker], each.task, each.run, end_kind::kDone, {}});
+      leader_.OnReport(each.worker, now_.steady, report, now_);
+    }
+    Store();
+    (void)leader_.TakeSettled();
+    (void)leader_.TakeAcked();
+    (void)leader_.TakeTimings();
+  }
+  void Advise(const advice_query& query) {
+    std::vector<advised_worker> allowed;
+    for (std::size_t at = 0; at < query.workers.size(); ++at) {
+      if (at % 10 < 7) {
+        allowed.push_back({query.workers[at], "ticket"});
+      }
+    }
+    leader_.OnAdvice(query, &allowed, now_);
+  }
+
+  no_log log_;
+  instant now_{time_point{std::chrono::seconds{100}}, 100'000};
+  scheduler leader_;
+  std::uint64_t next_job_{1};
+  std::unordered_map<std::string, std::vector<running_row>> running_;  ///< by worker
+  std::unordered_map<std::string, std::uint64_t> ended_;               ///< by worker
+};
+
+/// One job of ten tasks from its handing in to its end; items are starts.
+void ServeQuickJobs(benchmark::State& state) {
+  full_cell cell{static_cast<std::size_t>(state.range(0))};
+  for (auto _ : state) {
+    cell.ServeOne();
+  }
+  state.SetItemsProcessed(state.iterations() * kTasks);
+}
+BENCHMARK(ServeQuickJobs)->Arg(50)->Arg(540)->Arg(1'000);
+
+}  // namespace
+}  // namespace rosearch::sched
--- a/src/rosearch/sched/job_state.cc
+++ b/src/rosearch/sched/job_state.cc
@@ -41,6 +41,10 @@
 }
 
 std::uint32_t step_state::Idle() const {
+  // Mostly all tasks run, and hundreds of steps are asked in each pass.
+  if (!spec->may_duplicate && runs.size() + done >= tasks.size()) {
+    return 0;
+  }
   std::uint32_t idle = 0;
   for (const auto& task : tasks) {
     idle += WantsStart(task) ? 1 : 0;
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -476,6 +476,7 @@
   std::vector<settled_job> settled_;
   std::vector<job_timing> timings_;
   std::vector<std::string> acked_;
+  std::set<std::string> unacked_;       ///< workers with ends that aren't stored
   std::vector<std::string> dirty_;      ///< jobs with something to store
   std::vector<std::string> forgotten_;  ///< ended jobs whose records are to be dropped
   std::vector<std::string> retiring_;   ///< jobs that may have become ended ones
--- a/src/rosearch/sched/scheduler_reports.cc
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -130,6 +130,7 @@
   for (const auto& row : report.ended) {
     if (row.number > worker.seen_end) {
       worker.seen_end = row.number;
+      unacked_.insert(worker_id);
       TakeEnd(worker, row, now);
     }
   }
@@ -236,6 +237,7 @@
     return;
   }
   ReleaseTasks(*found->second);
+  unacked_.erase(id);
   for (const auto& [job_id, job] : jobs_) {
     for (const auto& occurrence : job->occurrences) {
       for (const auto& step : occurrence->steps) {
--- a/src/rosearch/sched/scheduler_store.cc
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -155,10 +155,8 @@
     effects.workers = true;
     batch.records.push_back({std::string{kWorkersKey}, EncodeWorkers(effects.recorded)});
   }
-  for (const auto& [id, worker] : workers_) {
-    if (worker->seen_end > worker->acked_end) {
-      effects.ends.emplace_back(id, worker->seen_end);
-    }
+  for (const auto& id : unacked_) {
+    effects.ends.emplace_back(id, workers_.at(id)->seen_end);
   }
   urgent_ = false;
   storing_[batch.number] = std::move(effects);
@@ -194,6 +192,9 @@
     if (found != workers_.end() && found->second->acked_end < end) {
       found->second->acked_end = end;
       acked_.push_back(id);
+      if (end == found->second->seen_end) {
+        unacked_.erase(id);
+      }
     }
   }
   for (const auto& id : effects.recorded) {
@@ -301,11 +302,10 @@
   if (!dirty_.empty() || !storing_.empty()) {
     return;
   }
-  for (const auto& [id, worker] : workers_) {
-    if (worker->seen_end > worker->acked_end) {
-      worker->acked_end = worker->seen_end;
-      acked_.push_back(id);
-    }
+  for (const auto& id : std::exchange(unacked_, {})) {
+    auto& worker = *workers_.at(id);
+    worker.acked_end = worker.seen_end;
+    acked_.push_back(id);
   }
 }
 
