--- a/scripts/measure/ablate.py
+++ b/scripts/measure/ablate.py
@@ -17,7 +17,7 @@
 import days
 
 MECHANISMS = ("admission,reserve,preemption,packing,health,advice_ahead,reservation,rescue,speeds,hopeless_last,"
-              "advice_by_all,batches_beside,second_way,early_election,carriers")
+              "advice_by_all,batches_beside,second_way,early_election,relays")
 TEMPLATE = "deploy/settings.json.in"
 
 
--- a/src/rosearch/cell/cell_metrics.cc
+++ b/src/rosearch/cell/cell_metrics.cc
@@ -32,7 +32,7 @@
                 "Age of the oldest newest report of a live worker."},
     metric_help{"rosearch_peer_round_trip_seconds", "From a ping of the leader to its answer."},
     metric_help{"rosearch_peers", "Other processes of the cell that are known."},
-    metric_help{"rosearch_placement_looks_total",
+    metric_help{"rosearch_placement_attempts_total",
                 "Tries to place a step that waits; how much deciding costs."},
     metric_help{"rosearch_relayed_total", "Exchanges that went by way of a peer."},
     metric_help{"rosearch_runs", "Runs that may be under way."},
--- a/src/rosearch/cell/election.cc
+++ b/src/rosearch/cell/election.cc
@@ -50,7 +50,8 @@
   const auto age = std::min(1.0, std::log2(seconds) / 10);
   const auto old = std::chrono::duration_cast<duration>(settings_.old_waits * age);
   const auto spread = std::chrono::duration_cast<duration>(settings_.spread * jitter_);
-  return old + spread + (small_ ? settings_.small_waits : duration{});
+  const auto late = now < late_until_ ? settings_.late_waits : duration{};
+  return old + spread + late + (small_ ? settings_.small_waits : duration{});
 }
 
 bool election::Hears(time_point now) const { return !leaving_ && Reaches(now); }
--- a/src/rosearch/cell/election.h
+++ b/src/rosearch/cell/election.h
@@ -32,6 +32,12 @@
   duration broken_after{std::chrono::milliseconds{150}};
   /// A process with little processor time lets larger ones claim first.
   duration small_waits{std::chrono::milliseconds{500}};
+  /// A process whose own timers come later than this hears others late, too.
+  duration late_after{std::chrono::milliseconds{100}};
+  /// For so long after that it lets others claim first, and by so much: it would take a sound
+  /// leader for dead, and lead worse.
+  duration late_for{std::chrono::milliseconds{2'000}};
+  duration late_waits{std::chrono::milliseconds{1'200}};
   /// Each process waits up to so long more, so that not all claim at once.
   duration spread{std::chrono::milliseconds{25}};
   /// A process that has run for about a quarter of an hour waits so long more, a younger one less:
@@ -68,6 +74,12 @@
   void OnHeard(std::uint64_t epoch, time_point now);
   /// The connection to the leader broke, as it does at once where its process is killed.
   void OnConnectionBroken(time_point now);
+  /// Something that was due here came late.
+  void OnOwnDelay(duration delay, time_point now) {
+    if (delay >= settings_.late_after) {
+      late_until_ = now + settings_.late_for;
+    }
+  }
   /// The leader said that it is about to stop, or its machine that nobody listens there.
   void OnLeaderLeaving(std::uint64_t epoch);
   /// @return whether the leader itself said that it stops; the peers need not be asked.
@@ -109,6 +121,7 @@
   time_point quiet_since_{};
   time_point broken_at_{};  ///< unset: the connection to the leader is whole, as far as is known
   time_point claim_again_at_{};
+  time_point late_until_{};  ///< this process is taken for slow until then
 };
 
 }  // namespace rosearch::cell
--- a/src/rosearch/cell/internal/leader_views.h
+++ b/src/rosearch/cell/internal/leader_views.h
@@ -34,7 +34,7 @@
   set("rosearch_advice_waiting", advice_.Waiting());
   set("rosearch_callers_waiting", callers_.size());
   set("rosearch_batches", batches_.size());
-  metrics_.SetTotal("rosearch_placement_looks_total", counts.looks);
+  metrics_.SetTotal("rosearch_placement_attempts_total", counts.placement_attempts);
   metrics_.Set("rosearch_oldest_report_seconds",
                std::chrono::duration<double>{counts.oldest_report}.count());
 }
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -10,6 +10,9 @@
 template <typename Ports>
 void node<Ports>::Tick() {
   const auto now = SteadyNow();
+  if (tick_due_ != time_point{}) {
+    election_.OnOwnDelay(now - tick_due_, now);
+  }
   if (!Leading() && now - pinged_at_ >= PingEvery(settings_.processor_milli)) {
     pinged_at_ = now;
     Ping();
@@ -23,7 +26,7 @@
     election_.OnHeard(leader_->epoch(), now);
     if (!stopping_) {
       Announce();
-      PublishSign();
+      PublishPingReply();
     }
   } else if (!stopping_ && election_.Doubts(now)) {
     ClaimIfNobodyLeads();
@@ -34,6 +37,7 @@
 
 template <typename Ports>
 void node<Ports>::TickAfter(duration pause) {
+  tick_due_ = SteadyNow() + pause;
   tick_timer_.expires_after(pause);
   tick_timer_.async_wait([this](const boost::system::error_code& failed) {
     if (!failed) {
@@ -109,9 +113,9 @@
 }
 
 template <typename Ports>
-std::vector<std::string> node<Ports>::Carriers() const {
-  const bool many = Leading() && leader_->Workers() > kCarryAbove;
-  if (!many || !settings_.leading.scheduler.Uses(sched::mechanism::kCarriers)) {
+std::vector<std::string> node<Ports>::Relays() const {
+  const bool many = Leading() && leader_->Workers() > kRelayAbove;
+  if (!many || !settings_.leading.scheduler.Uses(sched::mechanism::kRelays)) {
     return {};
   }
   // In an order that mixes failure domains and stays the same while the members do.
@@ -122,12 +126,12 @@
     }
   }
   std::ranges::sort(large);
-  large.resize(std::min(large.size(), kCarriers));
-  std::vector<std::string> carriers;
+  large.resize(std::min(large.size(), kRelays));
+  std::vector<std::string> relays;
   for (const auto& [rank, address] : large) {
-    carriers.push_back(address);
+    relays.push_back(address);
   }
-  return carriers;
+  return relays;
 }
 
 template <typename Ports>
@@ -155,7 +159,7 @@
     helpers.resize(1);
   }
   outside_.SetPeers(addresses);
-  outside_.SetCarriers(Carriers());
+  outside_.SetRelays(Relays());
   if (Leading()) {
     leader_->SetHelpers(helpers);
   }
@@ -239,9 +243,9 @@
 // replaced; its successor read all workers anew, which overloaded it, too. So the word that it
 // leads doesn't wait behind its work.
 template <typename Ports>
-void node<Ports>::PublishSign() {
+void node<Ports>::PublishPingReply() {
   if (leader_->epoch() == election_.Known().epoch) {
-    peers_.SetSign(std::make_unique<wire::peer_frame>(Pong()), SteadyNow() + kSignLife);
+    peers_.SetPingReply(std::make_unique<wire::peer_frame>(Pong()), SteadyNow() + kPingReplyLife);
   }
 }
 
@@ -258,7 +262,7 @@
     if (frame.epoch() == leader_->epoch()) {
       leader_->OnPeerSign();
     }
-    if (peers_.SignAnswers(frame)) {
+    if (peers_.RepliesTo(frame)) {
       return;
     }
     answer = Pong();
@@ -341,7 +345,7 @@
   if (leader_ && leader_->epoch() < claimed.epoch) {
     leader_->End("newer_claim");
     leader_.reset();
-    WithdrawSign();
+    WithdrawPingReply();
   }
   pinged_at_ = time_point{};
   members_version_ = 0;
@@ -503,7 +507,7 @@
                                                 return;
                                               }
                                               leader_.reset();
-                                              WithdrawSign();
+                                              WithdrawPingReply();
                                               SayGoodbye(epoch);
                                               election_.OnLeaderLeaving(epoch);
                                             });
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -87,7 +87,7 @@
     if (!leader_) {
       return;
     }
-    WithdrawSign();
+    WithdrawPingReply();
     SayGoodbye(leader_->epoch());
     handover_timer_.expires_after(kHandoverPatience);
     handover_timer_.async_wait([this](const boost::system::error_code& failed) {
@@ -138,16 +138,16 @@
   /// While the leader is in doubt, when every moment counts.
   static constexpr duration kDoubtTick = std::chrono::milliseconds{30};
   static constexpr duration kPingEvery = std::chrono::milliseconds{200};
-  /// Small processes claim later anyway, and most processes are small: asked by a hundred five
-  /// times a second, a leader would spend a tenth of its time on their pings.
+  /// Small processes claim later anyway, and most processes are small: pinged by each of them as
+  /// often, the leader of a large cell would be busy with little else.
   static constexpr duration kSmallPingEvery = std::chrono::milliseconds{500};
   /// A leader of more workers than this has peers carry its exchanges with them; of fewer it makes
   /// them itself, at less cost in all.
-  static constexpr std::size_t kCarryAbove = 150;
+  static constexpr std::size_t kRelayAbove = 150;
   /// Each takes a good part of a large process's idle time; more would leave bundles half empty.
-  static constexpr std::size_t kCarriers = 4;
+  static constexpr std::size_t kRelays = 4;
   /// A leader whose loop hasn't turned for so long stands still, whatever its other thread says.
-  static constexpr duration kSignLife = std::chrono::milliseconds{2'500};
+  static constexpr duration kPingReplyLife = std::chrono::milliseconds{2'500};
   static constexpr duration kPingPatience = std::chrono::milliseconds{600};
   /// A member that said nothing for so long is not asked for help.
   static constexpr duration kMemberFresh = std::chrono::milliseconds{1'500};
@@ -206,13 +206,13 @@
   void Lead(std::uint64_t epoch);
   void UpdatePeers();
   /// @return the peers that carry this leader's exchanges with workers.
-  [[nodiscard]] std::vector<std::string> Carriers() const;
+  [[nodiscard]] std::vector<std::string> Relays() const;
   void AnswerPing(const wire::peer_frame& frame);
   /// @return what this process, which leads, says to a ping; without the list of members.
   [[nodiscard]] wire::peer_frame Pong() const;
-  /// Renews the sign by which peers see that this process leads, also while it is busy.
-  void PublishSign();
-  void WithdrawSign() { peers_.SetSign(nullptr, {}); }
+  /// Renews the reply to pings by which peers see that this process leads, also while it is busy.
+  void PublishPingReply();
+  void WithdrawPingReply() { peers_.SetPingReply(nullptr, {}); }
   void AnswerCall(const wire::peer_frame& frame);
   void Forward(const std::shared_ptr<forwarded>& call);
   void ForwardLater(const std::shared_ptr<forwarded>& call);
@@ -245,6 +245,7 @@
   std::uint64_t claims_next_{0};
   time_point heard_at_{time_point::min() + std::chrono::hours{1}};
   time_point pinged_at_{};
+  time_point tick_due_{};
   time_point asked_peers_at_{};
   time_point claims_read_at_{};
   time_point asked_all_at_{};  ///< when the peers were asked who have all answered since, or not
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -171,19 +171,31 @@
   return !fresh;
 }
 
-void peer_link::SetSign(std::unique_ptr<wire::peer_frame> sign, time_point until) {
-  if (sign) {
-    sign->set_from(address());
+void peer_link::SetPingReply(std::unique_ptr<wire::peer_frame> reply, time_point until) {
+  if (reply) {
+    reply->set_from(address());
   }
-  const std::scoped_lock lock{sign_mutex_};
-  sign_ = std::move(sign);
-  sign_until_ = until;
+  const std::scoped_lock lock{reply_mutex_};
+  ping_reply_ = std::move(reply);
+  ping_reply_until_ = until;
 }
 
-bool peer_link::SignAnswers(const wire::peer_frame& ping) const {
-  const std::scoped_lock lock{sign_mutex_};
-  return sign_ && SteadyNow() < sign_until_ && ping.epoch() == sign_->epoch() &&
-         ping.ping().members_version() == sign_->pong().members_version();
+bool peer_link::RepliesTo(const wire::peer_frame& ping) const {
+  const std::scoped_lock lock{reply_mutex_};
+  return RepliesToLocked(ping);
+}
+
+bool peer_link::RepliesToLocked(const wire::peer_frame& ping) const {
+  return ping_reply_ && SteadyNow() < ping_reply_until_ && ping.epoch() == ping_reply_->epoch() &&
+         ping.ping().members_version() == ping_reply_->pong().members_version();
+}
+
+void peer_link::ReplyToPing(const wire::peer_frame& ping) {
+  const std::scoped_lock lock{reply_mutex_};
+  if (RepliesToLocked(ping)) {
+    ping_reply_->set_exchange(ping.exchange());
+    transport_->Send(ping.from(), ping_reply_->SerializeAsString());
+  }
 }
 
 void peer_link::HandOver(const std::string& bytes) {
@@ -191,14 +203,8 @@
   if (!frame->ParseFromString(bytes)) {
     return;  // from a stranger: whoever asked asks again, and nothing hangs on one message
   }
-  if (frame->has_ping() && SignAnswers(*frame)) {
-    std::unique_lock lock{sign_mutex_};
-    if (sign_) {
-      sign_->set_exchange(frame->exchange());
-      auto answer = sign_->SerializeAsString();
-      lock.unlock();
-      transport_->Send(frame->from(), std::move(answer));
-    }
+  if (frame->has_ping()) {
+    ReplyToPing(*frame);
   }
   boost::asio::post(io_, [this, alive = std::weak_ptr<bool>{alive_}, frame] {
     if (!alive.expired()) {
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -19,8 +19,8 @@
 namespace rosearch::cell {
 
 /// Questions and answers between the processes of a cell. All calls and callbacks run on the
-/// thread of the io_context; the transport's own thread reads messages, answers pings by the sign
-/// that it was given, and hands the messages over.
+/// thread of the io_context; the transport's own thread reads messages, answers pings with the
+/// reply that it was given, and hands the messages over.
 class peer_link {
  public:
   /// Gets the answer, or nothing where none came in time.
@@ -67,11 +67,11 @@
   /// Lets the transport's own thread answer pings of peers that follow the same leadership and hold
   /// the same list of members: a process that has more to do than it has time for is late, not
   /// dead, and must not look so.
-  /// @param sign   a pong; null: this process no longer leads.
+  /// @param reply  a pong; null: this process no longer leads.
   /// @param until  then the thread that should have renewed it stands still.
-  void SetSign(std::unique_ptr<wire::peer_frame> sign, time_point until);
+  void SetPingReply(std::unique_ptr<wire::peer_frame> reply, time_point until);
   /// @return whether the transport's thread answers a ping.
-  [[nodiscard]] bool SignAnswers(const wire::peer_frame& ping) const;
+  [[nodiscard]] bool RepliesTo(const wire::peer_frame& ping) const;
 
   /// @return host:port that is bound.
   [[nodiscard]] const std::string& address() const;
@@ -101,6 +101,9 @@
   /// Sends a message together with others to the same peer, a little later.
   void Collect(const std::string& to, wire::peer_frame frame);
   void SendCollected();
+  [[nodiscard]] bool RepliesToLocked(const wire::peer_frame& ping) const;
+  /// Answers a ping on the transport's own thread, where there is a reply for it.
+  void ReplyToPing(const wire::peer_frame& ping);
   /// Takes a message on the transport's own thread.
   void HandOver(const std::string& bytes);
   void Receive(const wire::peer_frame& frame);
@@ -118,9 +121,9 @@
   std::unordered_map<std::string, wire::peer_frame> collected_;  ///< bundles by peer
   boost::asio::steady_timer collect_timer_;
   std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
-  mutable std::mutex sign_mutex_;
-  std::unique_ptr<wire::peer_frame> sign_;  ///< guarded by `sign_mutex_`, as the next
-  time_point sign_until_{};
+  mutable std::mutex reply_mutex_;
+  std::unique_ptr<wire::peer_frame> ping_reply_;  ///< guarded by `reply_mutex_`, as the next
+  time_point ping_reply_until_{};
   std::unique_ptr<peer_transport> transport_;
 };
 
--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -31,14 +31,14 @@
 /// An exchange that waits for another one's finding looks so often.
 constexpr duration kLookAgain = std::chrono::milliseconds{20};
 
-/// A carrier that didn't answer is left alone for so long; by then it is gone, or sound again.
-constexpr duration kCarrierRests = std::chrono::milliseconds{2'000};
+/// A relay that didn't answer is left alone for so long; by then it is gone, or sound again.
+constexpr duration kRelayRests = std::chrono::milliseconds{2'000};
 
 /// What a message between processes may take beyond the exchange itself.
 constexpr duration kRelayMargin = std::chrono::milliseconds{40};
 
-/// The same for a carrier, which collects answers and has many others to make.
-constexpr duration kCarrierMargin = std::chrono::milliseconds{150};
+/// The same for a relay, which collects answers and has many others to make.
+constexpr duration kBusyRelayMargin = std::chrono::milliseconds{150};
 
 bool IsRefusal(const result<http_reply>& answer) {
   return answer.has_value() && (answer.value().status == 429 || answer.value().status == 503);
@@ -130,11 +130,11 @@
   if (!how.by_peer) {
     return {way::kDirect};
   }
-  if (how.carried && !carriers_.empty()) {
-    const auto failed = uncarried_.find(address);
-    if (failed == uncarried_.end() || SteadyNow() >= failed->second) {
-      uncarried_.erase(address);
-      return {way::kCarrier, way::kDirect, way::kPeer};
+  if (how.by_relay && !relays_.empty()) {
+    const auto failed = unrelayed_.find(address);
+    if (failed == unrelayed_.end() || SteadyNow() >= failed->second) {
+      unrelayed_.erase(address);
+      return {way::kRelay, way::kDirect, way::kPeer};
     }
   }
   const auto broken = broken_.find(address);
@@ -186,9 +186,9 @@
       TryNextAfter(sent, Patience(*sent));
       return;
     }
-    if (chosen == way::kCarrier) {
-      if (const auto carrier = CarrierOf(sent->request.address); !carrier.empty()) {
-        SendByCarrier(sent, carrier);
+    if (chosen == way::kRelay) {
+      if (const auto relay = RelayOf(sent->request.address); !relay.empty()) {
+        SendByRelay(sent, relay);
         TryNextAfter(sent, Patience(*sent));
         return;
       }
@@ -274,19 +274,19 @@
   });
 }
 
-std::string relayed_client::CarrierOf(const std::string& address) const {
-  // The carrier that ranks highest for an address: where one goes, only its addresses move.
+std::string relayed_client::RelayOf(const std::string& address) const {
+  // The relay that ranks highest for an address: where one goes, only its addresses move.
   const auto now = SteadyNow();
   const std::string* best = nullptr;
   std::size_t best_rank = 0;
-  for (const auto& carrier : carriers_) {
-    const auto rests = resting_.find(carrier);
+  for (const auto& relay : relays_) {
+    const auto rests = resting_.find(relay);
     if (rests != resting_.end() && now < rests->second) {
       continue;
     }
-    const auto rank = std::hash<std::string>{}(carrier + address);
+    const auto rank = std::hash<std::string>{}(relay + address);
     if (best == nullptr || rank > best_rank) {
-      best = &carrier;
+      best = &relay;
       best_rank = rank;
     }
   }
@@ -295,32 +295,31 @@
 
 // The load that this answers: a peer that carries exchanges with a hundred workers loses power.
 // Each of them would wait for its own time-out, and what ended there meanwhile be seen late.
-void relayed_client::RestCarrier(const std::string& carrier) {
+void relayed_client::RestRelay(const std::string& relay) {
   const auto now = SteadyNow();
-  auto& until = resting_[carrier];
+  auto& until = resting_[relay];
   if (now < until) {
     return;
   }
-  until = now + kCarrierRests;
+  until = now + kRelayRests;
   if (log_ != nullptr) {
-    log_->Write(event_line{"carrier_silent", event_weight::kBelief}
-                    .Add("carrier", carrier)
-                    .Add("left_alone_ms", kCarrierRests));
+    log_->Write(event_line{"relay_silent", event_weight::kBelief}
+                    .Add("relay", relay)
+                    .Add("left_alone_ms", kRelayRests));
   }
-  peers_.Abandon(carrier);
+  peers_.Abandon(relay);
 }
 
-void relayed_client::SendByCarrier(const std::shared_ptr<exchange>& sent,
-                                   const std::string& carrier) {
-  sent->peers_tried.push_back(carrier);
+void relayed_client::SendByRelay(const std::shared_ptr<exchange>& sent, const std::string& relay) {
+  sent->peers_tried.push_back(relay);
   ++sent->under_way;
   ++relayed_;
-  peers_.AskOnce(carrier, ToWire(sent->request), sent->request.answer_by + kCarrierMargin,
-                 [this, sent, carrier](const wire::peer_frame* frame) {
+  peers_.AskOnce(relay, ToWire(sent->request), sent->request.answer_by + kBusyRelayMargin,
+                 [this, sent, relay](const wire::peer_frame* frame) {
                    --sent->under_way;
                    if (frame == nullptr) {
-                     RestCarrier(carrier);
-                     OnFailure(sent, error{error_kind::kTimeout, "no answer of the carrier"});
+                     RestRelay(relay);
+                     OnFailure(sent, error{error_kind::kTimeout, "no answer of the relay"});
                      return;
                    }
                    auto answer = FromWire(frame->relayed());
@@ -328,8 +327,8 @@
                      sent->Finish(std::move(answer));
                      return;
                    }
-                   // The carrier may be cut off from this target alone.
-                   uncarried_[sent->request.address] = SteadyNow() + kCarrierRests;
+                   // The relay may be cut off from this target alone.
+                   unrelayed_[sent->request.address] = SteadyNow() + kRelayRests;
                    OnFailure(sent, std::move(answer));
                  });
 }
--- a/src/rosearch/cell/relayed_client.h
+++ b/src/rosearch/cell/relayed_client.h
@@ -35,8 +35,8 @@
   /// went silent is then noticed in 0.06 s where the target answers in 5 ms, and a target that
   /// answers in 0.5 s isn't asked twice for everything.
   bool learns{false};
-  /// Whether a carrier makes the exchange where there are any.
-  bool carried{false};
+  /// Whether a relay makes the exchange where there are any.
+  bool by_relay{false};
 
   friend bool operator==(const reach&, const reach&) = default;
 };
@@ -54,9 +54,9 @@
   /// Names the peers that may be asked.
   void SetPeers(std::vector<std::string> peers) { helpers_ = std::move(peers); }
 
-  /// Names the peers that make all exchanges that may be carried; empty: none. Two thousand
-  /// exchanges a second with workers take most of a leader's processor, and its peers are idle.
-  void SetCarriers(std::vector<std::string> carriers) { carriers_ = std::move(carriers); }
+  /// Names the relays: peers that make all exchanges which may go by a relay; empty: none. In a
+  /// large cell those with workers take most of a leader's processor, while its peers are idle.
+  void SetRelays(std::vector<std::string> relays) { relays_ = std::move(relays); }
 
   /// Sends a request; the callback runs once, on the thread of the io_context. The answer of a peer
   /// carries no headers.
@@ -72,7 +72,7 @@
   [[nodiscard]] std::uint64_t Relayed() const { return relayed_; }
 
  private:
-  enum class way : std::uint8_t { kCarrier, kDirect, kPeer };
+  enum class way : std::uint8_t { kRelay, kDirect, kPeer };
   struct exchange;
 
   [[nodiscard]] std::deque<way> WaysTo(const std::string& address, const reach& how);
@@ -81,12 +81,12 @@
   void TryNextUnlessSlow(const std::shared_ptr<exchange>& sent);
   void SendDirect(const std::shared_ptr<exchange>& sent);
   void SendByPeer(const std::shared_ptr<exchange>& sent, const std::string& peer);
-  void SendByCarrier(const std::shared_ptr<exchange>& sent, const std::string& carrier);
-  /// @return the peer that carries exchanges with an address, always the same while the carriers
+  void SendByRelay(const std::shared_ptr<exchange>& sent, const std::string& relay);
+  /// @return the peer that carries exchanges with an address, always the same while the relays
   ///         are; empty where none can.
-  [[nodiscard]] std::string CarrierOf(const std::string& address) const;
-  /// Leaves a carrier alone that didn't answer.
-  void RestCarrier(const std::string& carrier);
+  [[nodiscard]] std::string RelayOf(const std::string& address) const;
+  /// Leaves a relay alone that didn't answer.
+  void RestRelay(const std::string& relay);
   void OnFailure(const std::shared_ptr<exchange>& sent, result<http_reply> answer);
   [[nodiscard]] duration Patience(const exchange& sent) const;
   void Learn(const exchange& sent, time_point sent_at);
@@ -98,10 +98,10 @@
   peer_link& peers_;
   event_sink* log_;
   std::vector<std::string> helpers_;
-  std::vector<std::string> carriers_;
-  std::unordered_map<std::string, time_point> resting_;  ///< carriers, until when
-  /// By address that a carrier failed to reach: until when it is reached otherwise.
-  std::unordered_map<std::string, time_point> uncarried_;
+  std::vector<std::string> relays_;
+  std::unordered_map<std::string, time_point> resting_;  ///< relays, until when
+  /// By address that a relay failed to reach: until when it is reached otherwise.
+  std::unordered_map<std::string, time_point> unrelayed_;
   /// By address: the peer that reached it last. Staying with it keeps what is sent in order.
   std::unordered_map<std::string, std::string> good_helper_;
   std::size_t next_helper_{0};
--- a/src/rosearch/sched/mechanism.cc
+++ b/src/rosearch/sched/mechanism.cc
@@ -9,7 +9,7 @@
   constexpr std::array<std::string_view, kMechanisms> kNames{
       "admission",     "reserve",        "preemption", "packing",        "health",
       "advice_ahead",  "reservation",    "rescue",     "speeds",         "hopeless_last",
-      "advice_by_all", "batches_beside", "second_way", "early_election", "carriers"};
+      "advice_by_all", "batches_beside", "second_way", "early_election", "relays"};
   const auto* const found = std::ranges::find(kNames, name);
   if (found == kNames.end()) {
     return std::nullopt;
--- a/src/rosearch/sched/mechanism.h
+++ b/src/rosearch/sched/mechanism.h
@@ -25,7 +25,7 @@
   kBatchesBeside,  ///< batches go to the store beside one another
   kSecondWay,      ///< what can't be reached directly is reached by way of a peer
   kEarlyElection,  ///< a leader is suspected once its connection breaks
-  kCarriers,       ///< peers make a large cell's exchanges with workers
+  kRelays,         ///< peers make a large cell's exchanges with workers
 };
 
 inline constexpr std::size_t kMechanisms = 15;
--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -124,11 +124,11 @@
   loop_delay_ = std::min(std::exchange(newest_delay_, delay), delay);
   // What is taken in makes the process late only a little later, so a late one begins anew with
   // few jobs at a time.
-  const auto taken = std::exchange(admitted_, 0);
+  const auto taken = std::exchange(admitted_since_tick_, 0);
   if (Late()) {
-    admit_most_ = std::max(1U, std::min(taken, admit_most_) / 2);
+    admission_limit_ = std::max(1U, std::min(taken, admission_limit_) / 2);
   } else {
-    admit_most_ = std::min(admit_most_ + 1, kAnyNumber);
+    admission_limit_ = std::min(admission_limit_ + 1, kAnyNumber);
   }
 }
 
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -98,10 +98,10 @@
   std::size_t runs{0};
   std::size_t workers_live{0};
   std::size_t workers{0};
-  std::size_t leases_ending{0};  ///< live workers whose lease ends within `kLeaseEnding`
-  std::size_t unsettled{0};      ///< workers that may run old work and haven't answered
-  duration oldest_report{};      ///< age of the oldest newest report of a live worker
-  std::uint64_t looks{0};        ///< tries to place a waiting step, since the beginning
+  std::size_t leases_ending{0};         ///< live workers whose lease ends within `kLeaseEnding`
+  std::size_t unsettled{0};             ///< workers that may run old work and haven't answered
+  duration oldest_report{};             ///< age of the oldest newest report of a live worker
+  std::uint64_t placement_attempts{0};  ///< tries to place a waiting step, since the beginning
 
   friend bool operator==(const cell_counts&, const cell_counts&) = default;
 };
@@ -270,7 +270,7 @@
   [[nodiscard]] bool Deposed() const { return deposed_; }
   [[nodiscard]] cell_counts Counts(const instant& now) const;
   /// @return tries to place a waiting step, since the beginning.
-  [[nodiscard]] std::uint64_t Looks() const { return looks_; }
+  [[nodiscard]] std::uint64_t PlacementAttempts() const { return placement_attempts_; }
   /// @return what jobs took since the last call.
   [[nodiscard]] std::vector<job_timing> TakeTimings() { return std::exchange(timings_, {}); }
   /// @return a text for people: steps with what each waits for, workers with room, lease and
@@ -488,11 +488,11 @@
   std::uint64_t room_version_{1};      ///< rises whenever room is freed or a worker comes
   std::uint64_t all_room_version_{1};  ///< at the last change that may concern any step
   std::uint64_t next_batch_{1};
-  std::uint64_t looks_{0};
+  std::uint64_t placement_attempts_{0};
   duration newest_delay_{};  ///< as `NoteDelay` was last told
   duration loop_delay_{};    ///< what everything waits for the process; one late tick isn't enough
-  std::uint32_t admitted_{0};             ///< jobs taken in since the last tick
-  std::uint32_t admit_most_{kAnyNumber};  ///< jobs that may be taken in until the next one
+  std::uint32_t admitted_since_tick_{0};       ///< jobs taken in since the last tick
+  std::uint32_t admission_limit_{kAnyNumber};  ///< jobs that may be taken in until the next one
   std::map<std::uint64_t, stored_effects> storing_;
   time_point next_forget_{};
   time_point restored_at_{};
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -214,7 +214,7 @@
 submit_answer scheduler::Admit(const job_spec& job, const instant& now) {
   // One job's estimates are off by half or more; the mean over its queue is not.
   const double slack = MeanSlackMs(job) * settings_.admission_slack;
-  if (WaitsForLeaderMs(job) > slack || admitted_ >= admit_most_) {
+  if (WaitsForLeaderMs(job) > slack || admitted_since_tick_ >= admission_limit_) {
     return {submit_verdict::kRefused, kLeastRetryAfter, "leader_busy"};
   }
   const auto& load = LoadOf(job.pool, now);
@@ -260,7 +260,7 @@
                    .Add("jobs", jobs_.size()));
     return admitted;
   }
-  ++admitted_;
+  ++admitted_since_tick_;
   auto made = std::make_unique<job_state>();
   made->finish_by = now.steady + job.objective;
   log_.Write(event_line{"job_received"}
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -176,9 +176,9 @@
   return best;
 }
 
-// The load that this answers: hundreds of steps wait for room, and some of 1,400 runs a second end
-// in each pass. Looking at every step in every pass cost a leader all its time just when most
-// waited; each end concerns only the few steps that may run where it was.
+// The load that this answers: hundreds of steps wait for room, and some runs end in each pass.
+// Looking at every step in every pass takes all of a leader's time just when most waits; each end
+// concerns only the few steps that may run where it was.
 bool scheduler::StillBlocked(const step_state& step, const instant& now) const {
   if (step.blocked_at < all_room_version_ || now.steady >= step.look_again_at) {
     return false;
@@ -233,7 +233,7 @@
   std::erase_if(open_steps_,
                 [](const auto* step) { return step->Finished() || IsTerminal(step->job->phase); });
   for (auto* const step : InOrder(now)) {
-    ++looks_;
+    ++placement_attempts_;
     TellWaiting(*step, now);
     if (!Startable(*step)) {
       AskAboutUnseen(*step, now);
--- a/src/rosearch/sched/scheduler_views.cc
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -39,7 +39,7 @@
   counts.jobs = jobs_.size();
   counts.workers = workers_.size();
   counts.unsettled = unsettled_.size();
-  counts.looks = looks_;
+  counts.placement_attempts = placement_attempts_;
   for (const auto& [id, worker] : workers_) {
     counts.runs += worker->runs.size();
     if (worker->session != session_phase::kLive) {
--- a/test/rosearch/cell/election_test.cc
+++ b/test/rosearch/cell/election_test.cc
@@ -57,6 +57,21 @@
   CHECK(made.ShouldClaim(kStart + milliseconds{750}));
 }
 
+// The leader's machine turns slow and another process takes over. The slow one hears its answers
+// too late, took it for dead and led again, and so on by turns: callers were served by neither.
+TEST_CASE("a process that is slow itself doesn't take a sound leader for dead") {
+  auto made = Made();
+  made.OnClaimsRead(kStart);
+  made.OnLeadership(kFirst, kStart);
+  made.OnHeard(1, kStart);
+  made.OnOwnDelay(milliseconds{300}, kStart + milliseconds{500});
+  CHECK_FALSE(made.ShouldClaim(kStart + milliseconds{1'500}));
+  made.OnHeard(1, kStart + milliseconds{1'600});
+  CHECK_FALSE(made.ShouldClaim(kStart + milliseconds{2'100}));
+  // Where the leader is dead and nobody else claims, it does all the same.
+  CHECK(made.ShouldClaim(kStart + seconds{4}));
+}
+
 // Only this process is cut off from the leader. If it claimed, the cell would change its leader for
 // nothing, and back again.
 TEST_CASE("a peer that hears the leader keeps others from claiming") {
--- a/test/rosearch/cell/node_test.cc
+++ b/test/rosearch/cell/node_test.cc
@@ -129,7 +129,7 @@
   /// Stops all work; connections stay open, as those of a machine without power. No thread of it
   /// answers any more.
   void Freeze() {
-    peers_.SetSign(nullptr, {});
+    peers_.SetPingReply(nullptr, {});
     io_.stop();
     if (thread_.joinable()) {
       thread_.join();
--- a/test/rosearch/cell/relayed_client_test.cc
+++ b/test/rosearch/cell/relayed_client_test.cc
@@ -61,7 +61,7 @@
     while (!connected) {
       io.run_one();
     }
-    client.SetCarriers({peers.address()});
+    client.SetRelays({peers.address()});
   }
 
   boost::asio::io_context io;
@@ -98,11 +98,11 @@
   CHECK(got->has_error());
 }
 
-TEST_CASE("what may be carried goes by way of a carrier") {
+TEST_CASE("what may be carried goes by way of a relay") {
   outside made{200};
   made.Connect();
   const auto before = made.client.Relayed();
-  const auto got = made.Send({.patience = {}, .carried = true}, milliseconds{600});
+  const auto got = made.Send({.patience = {}, .by_relay = true}, milliseconds{600});
   REQUIRE(got);
   CHECK(got->value().body == "here");
   CHECK(made.client.Relayed() == before + 1);
@@ -114,10 +114,10 @@
 
 // The peer that carries a leader's exchanges with workers loses power. Orders would get no answer
 // one after the other, and callers wait for tasks that nobody starts.
-TEST_CASE("a carrier that is gone is not asked again") {
+TEST_CASE("a relay that is gone is not asked again") {
   outside made{200};
-  made.client.SetCarriers({"127.0.0.1:9"});
-  const reach order{.patience = {}, .carried = true};
+  made.client.SetRelays({"127.0.0.1:9"});
+  const reach order{.patience = {}, .by_relay = true};
   const auto lost = made.Send(order, seconds{2});
   REQUIRE(lost);
   CHECK(lost->error().kind == error_kind::kTimeout);
@@ -129,27 +129,27 @@
 
 // The same, while another exchange that may wait long is on its way there: it must not wait for its
 // own time-out, since what ends at the worker meanwhile is seen late.
-TEST_CASE("what a lost carrier had on its way goes otherwise at once") {
+TEST_CASE("what a lost relay had on its way goes otherwise at once") {
   outside made{200};
-  made.client.SetCarriers({"127.0.0.1:9"});
+  made.client.SetRelays({"127.0.0.1:9"});
   http_request watch;
   watch.address = "127.0.0.1:" + std::to_string(made.server.port());
   watch.answer_by = SteadyNow() + seconds{20};
   std::optional<result<http_reply>> watched;
-  made.client.Send(watch, {.wait = seconds{19}, .carried = true},
+  made.client.Send(watch, {.wait = seconds{19}, .by_relay = true},
                    [&watched](result<http_reply> answer) { watched = std::move(answer); });
-  (void)made.Send({.patience = {}, .carried = true}, seconds{2});
+  (void)made.Send({.patience = {}, .by_relay = true}, seconds{2});
   made.io.run_for(milliseconds{100});
   REQUIRE(watched);
   CHECK(watched->value().body == "here");
 }
 
-// A carrier is cut off from one worker, which this process reaches.
-TEST_CASE("a target that its carrier can't reach is reached directly") {
+// A relay is cut off from one worker, which this process reaches.
+TEST_CASE("a target that its relay can't reach is reached directly") {
   outside made{0};
   made.Connect();
   const auto before = made.client.Relayed();
-  const reach order{.patience = {}, .carried = true};
+  const reach order{.patience = {}, .by_relay = true};
   const auto lost = made.Send(order, seconds{2});
   REQUIRE(lost);
   CHECK(lost->has_error());
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -156,13 +156,13 @@
 void cell_world::Work() {
   const auto what = std::move(inbox_.front());
   inbox_.pop_front();
-  const auto looks_before = leader_->Looks();
+  const auto looks_before = leader_->PlacementAttempts();
   const auto orders_before = orders_;
   what();
-  const auto looks = static_cast<int>(leader_->Looks() - looks_before);
+  const auto looks = static_cast<int>(leader_->PlacementAttempts() - looks_before);
   const auto orders = static_cast<int>(orders_ - orders_before);
   const auto& cost = shape_.cost;
-  const auto took = cost.message + cost.look * looks + cost.order * orders;
+  const auto took = cost.message + cost.attempt * looks + cost.order * orders;
   busy_until_ = now_ + std::chrono::duration_cast<duration>(took / processor_);
   working_ = false;
   WorkSoon();
--- a/test/rosearch/sched/load_test.cc
+++ b/test/rosearch/sched/load_test.cc
@@ -285,11 +285,11 @@
   }
   const auto counts = [&] { return world.Leader().Counts(world.Now()); };
   const auto waiting_steps = counts().waiting_tasks / 10;
-  const auto looks_before = counts().looks;
+  const auto looks_before = counts().placement_attempts;
   const auto starts_before = world.Starts();
   constexpr seconds kWatched{2};
   world.Run(kWatched);
-  const auto looks = static_cast<double>(counts().looks - looks_before);
+  const auto looks = static_cast<double>(counts().placement_attempts - looks_before);
   const auto freed = static_cast<double>(world.Starts() - starts_before);
   // Each step now and then, and each run that ends concerns those that may run where it was.
   constexpr double kLooksPerSecond = 20;
