--- a/test/rosearch/sched/cell_world.h
+++ b/test/rosearch/sched/cell_world.h
@@ -44,7 +44,7 @@
 /// What deciding costs a leader with a whole processor; zero: nothing.
 struct leader_cost {
   duration message{};  ///< to take in one answer, report or request
-  duration attempt{};     ///< to try to place a waiting step
+  duration attempt{};  ///< to try to place a waiting step
   duration order{};    ///< to give one order
 
   friend bool operator==(const leader_cost&, const leader_cost&) = default;
