--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -239,9 +239,9 @@
   return frame;
 }
 
-// A leader with more to do than it has time for answered its peers late, was taken for dead and
-// replaced; its successor read all workers anew, which overloaded it, too. So the word that it
-// leads doesn't wait behind its work.
+// A leader with more to do than it has time for would answer its peers late and be taken for dead;
+// its successor has to read all workers first, which is more work yet. So the word that it leads
+// doesn't wait behind its work.
 template <typename Ports>
 void node<Ports>::PublishPingReply() {
   if (leader_->epoch() == election_.Known().epoch) {
