--- a/src/rosearch/net/peer_transport.cc
+++ b/src/rosearch/net/peer_transport.cc
@@ -121,9 +121,13 @@
     }
     events_.close();
     watched_ = wanted;
-    auto& socket = SocketTo(wanted);
+    auto* const socket = SocketTo(wanted);
+    if (socket == nullptr) {
+      watched_.clear();  // tried anew when it is asked for again
+      return;
+    }
     const auto where = kEventsAddress + std::to_string(++watches_);
-    if (zmq_socket_monitor(socket.handle(), where.c_str(), ZMQ_EVENT_DISCONNECTED) != 0) {
+    if (zmq_socket_monitor(socket->handle(), where.c_str(), ZMQ_EVENT_DISCONNECTED) != 0) {
       LOG(ERROR) << "event=connection_unwatched to=" << wanted << " detail=" << zmq_strerror(errno);
       return;
     }
@@ -167,8 +171,9 @@
       batch.swap(outgoing_);
     }
     for (auto& [to, bytes] : batch) {
-      const auto sent =
-          SocketTo(to).send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
+      auto* const socket = SocketTo(to);
+      const bool sent = socket != nullptr &&
+                        socket->send(zmq::buffer(bytes), zmq::send_flags::dontwait).has_value();
       const std::scoped_lock lock{counters_mutex_};
       counters_.messages_sent += sent ? 1 : 0;
       counters_.bytes_sent += sent ? bytes.size() : 0;
@@ -176,15 +181,24 @@
     }
   }
 
-  zmq::socket_t& SocketTo(const std::string& to) {
+  /// @return the socket to a peer; null where none can be made, as where file descriptors have run
+  ///         out. Messages to it are dropped like those to a peer that is not connected.
+  zmq::socket_t* SocketTo(const std::string& to) {
     const auto found = senders_.find(to);
     if (found != senders_.end()) {
-      return found->second;
+      return &found->second;
+    }
+    try {
+      zmq::socket_t socket{context_, zmq::socket_type::dealer};
+      SetOptions(socket, options_);
+      socket.connect("tcp://" + to);
+      return &senders_.emplace(to, std::move(socket)).first->second;
+    } catch (const zmq::error_t& failed) {
+      constexpr int kOneLineFor = 1'000;
+      LOG_EVERY_N(ERROR, kOneLineFor)
+          << "event=peer_socket_failed to=" << to << " detail=" << failed.what();
+      return nullptr;
     }
-    zmq::socket_t socket{context_, zmq::socket_type::dealer};
-    SetOptions(socket, options_);
-    socket.connect("tcp://" + to);
-    return senders_.emplace(to, std::move(socket)).first->second;
   }
 
   peer_transport_options options_;
--- a/test/rosearch/cell/peer_link_test.cc
+++ b/test/rosearch/cell/peer_link_test.cc
@@ -1,8 +1,13 @@
 #include "rosearch/cell/peer_link.h"
 
+#include <sys/resource.h>
+#include <unistd.h>
+
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <string>
+#include <thread>
 
 #include "rosearch/platform/clock.h"
 
@@ -25,4 +30,39 @@
   CHECK(ended == 2);
 }
 
+// A process of a large cell has used up its file descriptors. It ended by an exception that nobody
+// caught, and with it the connections of all its callers.
+TEST_CASE("a process without file descriptors left goes on") {
+  boost::asio::io_context io;
+  peer_link* self = nullptr;
+  peer_link link{io, "127.0.0.1:0", 1, [&self](const wire::peer_frame& asked) {
+                   wire::peer_frame answer;
+                   answer.mutable_view();
+                   self->Answer(asked, std::move(answer));
+                 }};
+  self = &link;
+  rlimit before{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+  const int next = dup(STDOUT_FILENO);
+  close(next);
+  rlimit few = before;
+  few.rlim_cur = static_cast<rlim_t>(next);
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &few) == 0);
+  constexpr int kPeers = 20;
+  for (int at = 1; at <= kPeers; ++at) {
+    link.Tell("127.0.0.1:" + std::to_string(at), {});
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds{200});
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &before) == 0);
+  bool answered = false;
+  link.Ask(link.address(), {}, SteadyNow() + std::chrono::seconds{3},
+           [&answered](const wire::peer_frame* answer) { answered = answer != nullptr; });
+  io.restart();
+  const auto until = SteadyNow() + std::chrono::seconds{3};
+  while (!answered && SteadyNow() < until) {
+    io.run_one_for(std::chrono::milliseconds{20});
+  }
+  CHECK(answered);
+}
+
 }  // namespace rosearch::cell
