Look a target up once where a relay failed to reach it; drop a flag that nothing reads

Each exchange by a relay, thousands a second, looked its target up a second time to erase what is mostly not there; scheduler::ends_dirty_ is declared and never used. Change: erased only where found and over; the flag is gone. No other behaviour.

--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -131,9 +131,12 @@
     return {way::kDirect};
   }
   if (how.by_relay && !relays_.empty()) {
-    const auto failed = unrelayed_.find(address);
-    if (failed == unrelayed_.end() || SteadyNow() >= failed->second) {
-      unrelayed_.erase(address);
+    auto failed = unrelayed_.find(address);
+    if (failed != unrelayed_.end() && SteadyNow() >= failed->second) {
+      unrelayed_.erase(failed);
+      failed = unrelayed_.end();
+    }
+    if (failed == unrelayed_.end()) {
       return {way::kRelay, way::kDirect, way::kPeer};
     }
   }
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -482,7 +482,6 @@
   std::vector<std::string> retiring_;   ///< jobs that may have become ended ones
   std::vector<stored_record> restoring_;
   bool workers_dirty_{false};
-  bool ends_dirty_{false};  ///< ends were taken in that nothing stored depends on
   bool urgent_{false};
   bool deposed_{false};
   std::uint64_t room_version_{1};      ///< rises whenever room is freed or a worker comes
