Many peers: few are asked about the leader, idle connections close, relays stand before workers are read

Each process in doubt asked all others every 150 ms, 88,000 questions a round. A new leader counted its workers by the watches that it had open, so the first 3,000 went over connections of its own. Pongs with all members were remembered for 4 s in case a ping came again. Sockets to peers were never closed. Change: 16 witnesses by rendezvous hashing, the same in each round; relays by workers (one for 250, at least 4) and named before the first watch; what is only read isn't remembered; sockets idle for 30 s close.

--- a/src/rosearch/cell/election.h
+++ b/src/rosearch/cell/election.h
@@ -88,7 +88,7 @@
   void OnClaimSent(time_point now) { claim_again_at_ = now + settings_.claim_again; }
   /// A peer heard the leader, and that connection hasn't broken since.
   /// @param at  when it heard it last. Were the moment of its word taken instead, a dead leader
-  ///            would be suspected 0.35 s later: all peers have heard it a moment ago.
+  ///            would be suspected later: all peers have heard it a moment ago.
   void OnPeerHeard(time_point at);
 
   /// @return whether nothing was heard of the leader for long enough to ask the peers.
--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -150,7 +150,9 @@
 
 template <typename Ports>
 void leader<Ports>::WatchAll() {
-  for (const auto& worker : scheduler_.WatchedWorkers()) {
+  const auto workers = scheduler_.WatchedWorkers();
+  workers_ = workers.size();
+  for (const auto& worker : workers) {
     if (!watches_.contains(worker)) {
       watches_[worker] = std::make_unique<boost::asio::steady_timer>(io_);
       Watch(worker);
--- a/src/rosearch/cell/internal/leader_takeover.h
+++ b/src/rosearch/cell/internal/leader_takeover.h
@@ -123,6 +123,8 @@
                  .Add("epoch", epoch_)
                  .Add("took_ms", took)
                  .Add("version", scheduler_.configuration().version));
+  workers_ = scheduler_.WatchedWorkers().size();
+  hooks_.on_workers_read();
   WatchAll();
   FollowConfiguration();
   FollowRegistry();
@@ -152,7 +154,7 @@
       caller.answer({kMayBeStored, {}, 0, true});
     }
   }
-  boost::asio::post(io_, [self = this->shared_from_this()] { self->on_end_(); });
+  boost::asio::post(io_, [self = this->shared_from_this()] { self->hooks_.on_end(); });
 }
 
 /// An append without records changes nothing and is refused to a leader that was replaced.
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -114,24 +114,17 @@
 
 template <typename Ports>
 std::vector<std::string> node<Ports>::Relays() const {
-  const bool many = Leading() && leader_->Workers() > kRelayAbove;
-  if (!many || !settings_.leading.scheduler.Uses(sched::mechanism::kRelays)) {
+  const auto wanted = Leading() ? RelaysFor(leader_->Workers()) : 0;
+  if (wanted == 0 || !settings_.leading.scheduler.Uses(sched::mechanism::kRelays)) {
     return {};
   }
-  // In an order that mixes failure domains and stays the same while the members do.
-  std::vector<std::pair<std::size_t, std::string>> large;
+  std::vector<std::string> large;
   for (const auto& [address, each] : members_) {
     if (each.facts.processor_milli() >= kLargeProcess) {
-      large.emplace_back(std::hash<std::string>{}(address), address);
+      large.push_back(address);
     }
   }
-  std::ranges::sort(large);
-  large.resize(std::min(large.size(), kRelays));
-  std::vector<std::string> relays;
-  for (const auto& [rank, address] : large) {
-    relays.push_back(address);
-  }
-  return relays;
+  return HighestRanked(std::move(large), {}, wanted);
 }
 
 template <typename Ports>
@@ -432,6 +425,20 @@
   }
 }
 
+// The load that this answers: hundreds of processes doubt one leader at the same moment. Where each
+// asked all others, the small ones had no time left for anything else, answered late, and leader
+// after leader was taken for dead.
+template <typename Ports>
+std::vector<std::string> node<Ports>::Witnesses() const {
+  std::vector<std::string> others;
+  for (const auto& [address, each] : members_) {
+    if (address != election_.Known().address) {
+      others.push_back(address);
+    }
+  }
+  return HighestRanked(std::move(others), peers_.address(), kWitnesses);
+}
+
 template <typename Ports>
 void node<Ports>::AskPeersForLeader() {
   const auto now = SteadyNow();
@@ -439,16 +446,19 @@
     return;
   }
   asked_peers_at_ = now;
-  std::vector<std::string> asked;
-  for (const auto& [address, each] : members_) {
-    if (address != election_.Known().address) {
-      asked.push_back(address);
-    }
-  }
+  const auto asked = Witnesses();
   if (asked.empty()) {
     asked_all_at_ = now;
     return;
   }
+  if (doubted_epoch_ != election_.Known().epoch) {
+    doubted_epoch_ = election_.Known().epoch;
+    log_.Write(event_line{"leader_doubted", event_weight::kBelief}
+                   .Add("epoch", doubted_epoch_)
+                   .Add("heard_ms_ago", now - election_.HeardAt())
+                   .Add("asked", asked.size())
+                   .Add("peers", members_.size()));
+  }
   asking_peers_ = true;
   auto open = std::make_shared<std::size_t>(asked.size());
   for (const auto& address : asked) {
@@ -501,16 +511,19 @@
   if (leader_) {
     return;
   }
+  leader_hooks hooks;
+  hooks.on_workers_read = [this] { UpdatePeers(); };
+  hooks.on_end = [this, epoch] {
+    if (!leader_ || leader_->epoch() != epoch) {
+      return;
+    }
+    leader_.reset();
+    WithdrawPingReply();
+    SayGoodbye(epoch);
+    election_.OnLeaderLeaving(epoch);
+  };
   leader_ = std::make_shared<leader<Ports>>(io_, ports_, settings_.leading, epoch, log_, metrics_,
-                                            [this, epoch] {
-                                              if (!leader_ || leader_->epoch() != epoch) {
-                                                return;
-                                              }
-                                              leader_.reset();
-                                              WithdrawPingReply();
-                                              SayGoodbye(epoch);
-                                              election_.OnLeaderLeaving(epoch);
-                                            });
+                                            std::move(hooks));
   for (auto& [address, each] : members_) {
     each.seen_at = SteadyNow();
   }
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -33,8 +33,8 @@
 /// Bounds of a `leader`.
 struct leader_settings {
   sched::scheduler_settings scheduler{};
-  /// Between two passes over all that waits. At 800 starts a second each pass carries several ends;
-  /// one pass for each of them took a whole half of a processor.
+  /// Between two passes over all that waits. With hundreds of starts a second each carries several
+  /// ends; one pass for each of them would take most of the process's time.
   duration pass{std::chrono::milliseconds{4}};
   /// Between two looks at what time alone changes.
   duration tick{std::chrono::milliseconds{50}};
@@ -52,7 +52,7 @@
   /// An append that wasn't answered, or was refused, is sent again after this.
   duration store_retry{std::chrono::milliseconds{100}};
   /// While the store is away, it is asked so often whether it is back. Calls that hang on it end
-  /// only after seconds: left to them, with 1.2 s each, its return was noticed 1.06 s late.
+  /// only after seconds: left to them, its return would be noticed late.
   duration probe_every{std::chrono::milliseconds{150}};
   /// Between two reads of the workers' registry. A worker that leaves must get no new work within
   /// 2 s of saying so; this leaves three tries.
@@ -81,6 +81,12 @@
   friend bool operator==(const leader_settings&, const leader_settings&) = default;
 };
 
+/// What a `leader` tells its process. All of them are called on the thread of the io_context.
+struct leader_hooks {
+  std::function<void()> on_workers_read;  ///< all workers are known, and none was asked yet
+  std::function<void()> on_end;           ///< once, when this process no longer leads
+};
+
 /// One leadership of the cell, from the claim that won to its end: reads what earlier ones left,
 /// then carries decisions of a `sched::scheduler` out and brings it the answers.
 /// @tparam Ports  what is outside; see `cell_ports`.
@@ -90,16 +96,16 @@
   using respond = std::function<void(caller_answer)>;
 
   /// @param epoch   of the claim that won.
-  /// @param on_end  called once, when this process no longer leads.
+  /// @param hooks   none of them empty.
   leader(boost::asio::io_context& io, Ports& ports, leader_settings settings, std::uint64_t epoch,
-         event_sink& log, metric_set& metrics, std::function<void()> on_end)
+         event_sink& log, metric_set& metrics, leader_hooks hooks)
       : io_{io},
         ports_{ports},
         settings_{std::move(settings)},
         epoch_{epoch},
         log_{log},
         metrics_{metrics},
-        on_end_{std::move(on_end)},
+        hooks_{std::move(hooks)},
         scheduler_{settings_.scheduler, epoch, log},
         tick_timer_{io},
         pass_timer_{io},
@@ -113,8 +119,7 @@
     log_.Write(event_line{"leader_begins", event_weight::kBelief}.Add("epoch", epoch_));
     last_tick_ = Boottime();
     OnNoNewerClaim(SteadyNow());
-    // Beside one another: where an answer of the store takes a quarter of a second, one after the
-    // other kept callers waiting for 1.4 s.
+    // Beside one another: with a slow store, callers would wait for several of its answers.
     Fence();
     ReadConfiguration({});
   }
@@ -123,7 +128,7 @@
   [[nodiscard]] bool Serving() const { return serving_ && !over_; }
   [[nodiscard]] std::uint64_t epoch() const { return epoch_; }
   /// @return workers that are known.
-  [[nodiscard]] std::size_t Workers() const { return watches_.size(); }
+  [[nodiscard]] std::size_t Workers() const { return workers_; }
   [[nodiscard]] const sched::cell_configuration& configuration() const {
     return scheduler_.configuration();
   }
@@ -307,7 +312,7 @@
   std::uint64_t epoch_;
   event_sink& log_;
   metric_set& metrics_;
-  std::function<void()> on_end_;
+  leader_hooks hooks_;
   sched::scheduler scheduler_;
   advice_desk advice_;
   boost::asio::steady_timer tick_timer_;
@@ -319,6 +324,7 @@
   std::unordered_map<std::string, std::vector<waiting_caller>> callers_;       ///< by job
   std::map<std::string, time_point> unlisting_;  ///< workers that may yet come back, until when
   std::deque<batch_under_way> batches_;          ///< oldest first
+  std::size_t workers_{0};                       ///< that are watched
   std::uint64_t sequence_{0};
   std::uint64_t configuration_next_{0};
   std::uint64_t registry_next_{0};
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -17,6 +17,7 @@
 #include "rosearch/cell/cell_settings.h"
 #include "rosearch/cell/election.h"
 #include "rosearch/cell/leader.h"
+#include "rosearch/cell/peer_choice.h"
 #include "rosearch/cell/peer_link.h"
 #include "rosearch/cell/ports.h"
 #include "rosearch/cell/relayed_client.h"
@@ -141,11 +142,9 @@
   /// Small processes claim later anyway, and most processes are small: pinged by each of them as
   /// often, the leader of a large cell would be busy with little else.
   static constexpr duration kSmallPingEvery = std::chrono::milliseconds{500};
-  /// A leader of more workers than this has peers carry its exchanges with them; of fewer it makes
-  /// them itself, at less cost in all.
-  static constexpr std::size_t kRelayAbove = 150;
-  /// Each takes a good part of a large process's idle time; more would leave bundles half empty.
-  static constexpr std::size_t kRelays = 4;
+  /// Peers that a process in doubt asks whether they hear the leader. With a fifth of them cut off
+  /// from the leader in the same way, all of so many are once in 10^11 times.
+  static constexpr std::size_t kWitnesses = 16;
   /// A leader whose loop hasn't turned for so long stands still, whatever its other thread says.
   static constexpr duration kPingReplyLife = std::chrono::milliseconds{2'500};
   static constexpr duration kPingPatience = std::chrono::milliseconds{600};
@@ -201,6 +200,9 @@
   void OnClaim(const std::string& bytes, std::uint64_t offset);
   void AdoptLeadership(const leadership& claimed);
   void ClaimIfNobodyLeads();
+  /// @return the peers that are asked whether they hear the leader, the same in each round: a
+  ///         message to a peer without a connection yet is lost.
+  [[nodiscard]] std::vector<std::string> Witnesses() const;
   void AskPeersForLeader();
   void Claim();
   void Lead(std::uint64_t epoch);
@@ -248,6 +250,7 @@
   time_point tick_due_{};
   time_point asked_peers_at_{};
   time_point claims_read_at_{};
+  std::uint64_t doubted_epoch_{0};  ///< the newest leadership in doubt of which a line was written
   time_point asked_all_at_{};  ///< when the peers were asked who have all answered since, or not
   std::size_t under_way_{0};
 };
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -20,6 +20,13 @@
                                             std::chrono::milliseconds{250},
                                             std::chrono::milliseconds{100}};
 
+/// @return whether acting upon a question twice would do harm. What is only read is answered anew:
+///         kept for seconds, the answers to the pings of hundreds of peers took all memory.
+bool HarmsTwice(const wire::peer_frame& question) {
+  const bool only_read = question.has_ping() || question.has_query();
+  return question.exchange() != 0 && !question.once() && !only_read;
+}
+
 std::string KeyOf(const wire::peer_frame& question) {
   return question.from() + '#' + std::to_string(question.exchange());
 }
@@ -223,7 +230,7 @@
   const bool is_answer =
       frame.has_pong() || frame.has_view() || frame.has_answer() || frame.has_relayed();
   if (!is_answer) {
-    const bool repeat = frame.exchange() != 0 && !frame.once() && IsRepeat(frame);
+    const bool repeat = HarmsTwice(frame) && IsRepeat(frame);
     if (!repeat) {
       on_message_(frame);
     }
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -73,6 +73,9 @@
   /// @return whether the transport's thread answers a ping.
   [[nodiscard]] bool RepliesTo(const wire::peer_frame& ping) const;
 
+  /// @return questions of peers that are remembered, so that none is acted upon twice.
+  [[nodiscard]] std::size_t Remembered() const { return received_.size(); }
+
   /// @return host:port that is bound.
   [[nodiscard]] const std::string& address() const;
 
--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <utility>
 
+#include "rosearch/cell/peer_choice.h"
 #include "rosearch/platform/clock.h"
 
 namespace rosearch::cell {
@@ -287,7 +288,7 @@
     if (rests != resting_.end() && now < rests->second) {
       continue;
     }
-    const auto rank = std::hash<std::string>{}(relay + address);
+    const auto rank = RankOf(relay, address);
     if (best == nullptr || rank > best_rank) {
       best = &relay;
       best_rank = rank;
@@ -368,7 +369,7 @@
       const bool direct_silent = sent->direct_tried && !sent->direct_answered;
       if (direct_silent && !sent->over) {
         // Connections that went silent without a sign bring nothing more. Tried first for each
-        // exchange, they held up every batch of records by 0.46 s.
+        // exchange, they would hold up every batch of records.
         broken_.try_emplace(address, SteadyNow() + kTryDirectAgain);
       }
       sent->Finish(std::move(answer));
--- a/src/rosearch/net/peer_transport.cc
+++ b/src/rosearch/net/peer_transport.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -103,6 +104,7 @@
       Watch();
       ReceiveEvents();
       SendAll();
+      CloseIdle();
     }
   }
 
@@ -117,7 +119,7 @@
       return;
     }
     if (const auto former = senders_.find(watched_); former != senders_.end()) {
-      (void)zmq_socket_monitor(former->second.handle(), nullptr, 0);
+      (void)zmq_socket_monitor(former->second.socket.handle(), nullptr, 0);
     }
     events_.close();
     watched_ = wanted;
@@ -131,8 +133,12 @@
       LOG(ERROR) << "event=connection_unwatched to=" << wanted << " detail=" << zmq_strerror(errno);
       return;
     }
-    events_ = zmq::socket_t{context_, zmq::socket_type::pair};
-    events_.connect(where);
+    auto events = Open(zmq::socket_type::pair, where);
+    if (!events) {
+      watched_.clear();
+      return;
+    }
+    events_ = std::move(*events);
   }
 
   void ReceiveEvents() {
@@ -184,23 +190,55 @@
   /// @return the socket to a peer; null where none can be made, as where file descriptors have run
   ///         out. Messages to it are dropped like those to a peer that is not connected.
   zmq::socket_t* SocketTo(const std::string& to) {
+    const auto now = std::chrono::steady_clock::now();
     const auto found = senders_.find(to);
     if (found != senders_.end()) {
-      return &found->second;
+      found->second.used_at = now;
+      return &found->second.socket;
+    }
+    auto socket = Open(zmq::socket_type::dealer, "tcp://" + to);
+    if (!socket) {
+      return nullptr;
+    }
+    return &senders_.emplace(to, sender{std::move(*socket), now}).first->second.socket;
+  }
+
+  /// Closes connections that nothing was sent on for a while.
+  void CloseIdle() {
+    const auto now = std::chrono::steady_clock::now();
+    if (now >= close_idle_at_) {
+      close_idle_at_ = now + options_.idle_limit / 2;
+      std::erase_if(senders_, [&](const auto& each) {
+        return each.first != watched_ && now - each.second.used_at >= options_.idle_limit;
+      });
     }
+    const std::scoped_lock lock{counters_mutex_};
+    counters_.peers = senders_.size();
+  }
+
+  /// @return a connected socket; nothing where none can be made.
+  std::optional<zmq::socket_t> Open(zmq::socket_type type, const std::string& to) {
     try {
-      zmq::socket_t socket{context_, zmq::socket_type::dealer};
+      zmq::socket_t socket{context_, type};
       SetOptions(socket, options_);
-      socket.connect("tcp://" + to);
-      return &senders_.emplace(to, std::move(socket)).first->second;
-    } catch (const zmq::error_t& failed) {
+      socket.connect(to);
+      return socket;
+    } catch (const zmq::error_t&) {
+      // Not read from the exception: a sanitizer checks the type of an object through a pipe, and
+      // there may be no descriptor left for one.
+      const int reason = zmq_errno();
       constexpr int kOneLineFor = 1'000;
       LOG_EVERY_N(ERROR, kOneLineFor)
-          << "event=peer_socket_failed to=" << to << " detail=" << failed.what();
-      return nullptr;
+          << "event=peer_socket_failed to=" << to << " detail=" << zmq_strerror(reason);
+      return std::nullopt;
     }
   }
 
+  struct sender {
+    zmq::socket_t socket;
+    std::chrono::steady_clock::time_point used_at;
+  };
+
   peer_transport_options options_;
   zmq::context_t context_;
   receive on_message_;
@@ -209,7 +247,8 @@
   zmq::socket_t wake_in_;
   zmq::socket_t wake_out_;  ///< guarded by `mutex_`
   std::string address_;
-  std::map<std::string, zmq::socket_t> senders_;
+  std::map<std::string, sender> senders_;
+  std::chrono::steady_clock::time_point close_idle_at_{};
   zmq::socket_t events_;  ///< of the connection that is watched
   std::string watched_;
   std::uint64_t watches_{0};
--- a/src/rosearch/net/peer_transport.h
+++ b/src/rosearch/net/peer_transport.h
@@ -9,13 +9,14 @@
 
 namespace rosearch {
 
-/// Bytes sent and received since the start.
+/// What a `peer_transport` did since its start.
 struct transport_counters {
   std::uint64_t messages_sent{0};
   std::uint64_t bytes_sent{0};
   std::uint64_t messages_received{0};
   std::uint64_t bytes_received{0};
   std::uint64_t dropped{0};  ///< no connection, or its queue was full
+  std::size_t peers{0};      ///< to which there is a connection now, or one is tried
 };
 
 /// Bounds of a `peer_transport`.
@@ -28,6 +29,9 @@
   std::chrono::milliseconds connect_timeout{0};
   /// Longest pause between two tries to connect.
   std::chrono::milliseconds longest_reconnect{1'000};
+  /// A connection on which nothing was sent for so long is closed: a peer that is gone for good
+  /// would be tried for ever, and each one that was ever there hold a descriptor.
+  std::chrono::milliseconds idle_limit{30'000};
 
   friend bool operator==(const peer_transport_options&, const peer_transport_options&) = default;
 };
--- a/src/rosearch/sched/scheduler_advice.cc
+++ b/src/rosearch/sched/scheduler_advice.cc
@@ -22,8 +22,7 @@
 constexpr std::size_t kMostUnseen = 8;
 
 /// Workers without room are named for this share of what a question costs anyway: whom advice
-/// allows doesn't change, and what is known of them saves questions once they have room. Worth 0.02
-/// of a replayed day, error 0.01 (24 days, with and without).
+/// allows doesn't change, and what is known of them saves questions once they have room.
 constexpr double kAheadShare = 0.25;
 
 }  // namespace
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -12,7 +12,7 @@
 namespace rosearch::sched {
 namespace {
 
-// Weights of `Score`, in units of a worker's whole load. Measured by replaying the load above.
+// Weights of `Score`, in units of a worker's whole load.
 constexpr double kOffDataRack = 0.6;     ///< half as long again is worth that much emptiness
 constexpr double kSuspect = 0.5;         ///< failed lately
 constexpr double kBesideLeftover = 2.0;  ///< what fills disturbs what serves
@@ -21,7 +21,6 @@
 
 // For each time that a run takes longer at a worker than elsewhere. Workers of one pool differ by
 // half: quick work ends with its slowest task and takes the fast ones, what has time the others.
-// Worth 0.8% of a replayed day's work, error 0.1% (36 days, with and without).
 constexpr double kSlow = 2.0;
 constexpr double kSlowForLong = -1.0;
 constexpr double kFailedHere = 1.5;
--- a/src/rosearch/sched/scheduler_settings.h
+++ b/src/rosearch/sched/scheduler_settings.h
@@ -14,7 +14,7 @@
 inline constexpr duration kLongestLease = std::chrono::seconds{6};
 
 /// Bounds and weights of the scheduler. The platform's own bounds come from the process's settings;
-/// the others are defaults measured on replayed load.
+/// the others are defaults.
 struct scheduler_settings {
   /// What is switched off, to measure what it is worth.
   mechanism_set off{};
@@ -76,7 +76,7 @@
   /// Unanswered advice is asked for again after this.
   duration advice_retry{std::chrono::milliseconds{250}};
   /// A step that found no place among the workers that it may run on for so long reserves some.
-  /// After 0.4 s already, a replayed day was worth no more: -0.005, error 0.004.
+  /// Most find one sooner.
   duration reserve_after{std::chrono::milliseconds{1'000}};
   /// Only where no more than this share of a pool's workers may run it.
   double few_workers{0.5};
--- a/test/rosearch/cell/fake_ports.h
+++ b/test/rosearch/cell/fake_ports.h
@@ -85,6 +85,7 @@
   }
   void Pace(const sched::pace_order&, std::uint64_t) {}
   void Watch(const sched::watch_request& watch, std::uint64_t, const watch_callback& done) {
+    ++watches;
     std::erase_if(ended, [&](const auto& row) { return row.number <= watch.acked_end; });
     Later(milliseconds{5}, [this, done] {
       watch_answer answer;
@@ -133,6 +134,7 @@
   std::uint64_t next_sequence{0};
   int appends{0};
   int carried{0};
+  int watches{0};
   int lose{0};
   bool refuse{false};
   bool silent{false};
@@ -154,8 +156,11 @@
 class leading {
  public:
   leading() {
+    leader_hooks hooks;
+    hooks.on_workers_read = [this] { watched_when_told = ports.watches; };
+    hooks.on_end = [this] { ended = true; };
     made = std::make_shared<leader<fake_ports>>(io, ports, leader_settings{}, 1, log, metrics,
-                                                [this] { ended = true; });
+                                                std::move(hooks));
     made->Begin();
     Run(milliseconds{60});
   }
@@ -186,6 +191,7 @@
   kept_lines log;
   metric_set metrics;
   std::shared_ptr<leader<fake_ports>> made;
+  std::optional<int> watched_when_told;  ///< workers asked before the hook was called
   bool ended{false};
 };
 
--- a/test/rosearch/cell/leader_test.cc
+++ b/test/rosearch/cell/leader_test.cc
@@ -20,6 +20,15 @@
   CHECK(cell.Ask("POST", "c", "")->status == 400);
 }
 
+// A new leader of thousands of workers opened a connection of its own to each of them before it
+// knew its relays, and ran out of file descriptors.
+TEST_CASE("workers are counted before the first of them is asked") {
+  const leading cell;
+  CHECK(cell.made->Workers() == 1);
+  CHECK(cell.watched_when_told == 0);
+  CHECK(cell.ports.watches > 0);
+}
+
 TEST_CASE("a store that refuses an append refuses the job at once, and it never runs") {
   leading cell;
   cell.ports.refuse = true;
--- a/test/rosearch/cell/peer_link_test.cc
+++ b/test/rosearch/cell/peer_link_test.cc
@@ -30,6 +30,28 @@
   CHECK(ended == 2);
 }
 
+// Hundreds of peers ping a leader, which sends each the list of all. Kept in case a ping comes
+// again, the lists of a few seconds took all memory.
+TEST_CASE("answers to what is only read are not kept") {
+  boost::asio::io_context io;
+  int asked = 0;
+  peer_link link{io, "127.0.0.1:0", 1, [&asked](const wire::peer_frame&) { ++asked; }};
+  const auto patience = SteadyNow() + std::chrono::seconds{1};
+  wire::peer_frame ping;
+  ping.mutable_ping();
+  wire::peer_frame query;
+  query.mutable_query();
+  wire::peer_frame call;
+  call.mutable_call();
+  link.Ask(link.address(), ping, patience, [](const wire::peer_frame*) {});
+  link.Ask(link.address(), query, patience, [](const wire::peer_frame*) {});
+  link.Ask(link.address(), call, patience, [](const wire::peer_frame*) {});
+  while (asked < 3 && SteadyNow() < patience) {
+    io.run_one_for(std::chrono::milliseconds{20});
+  }
+  CHECK(link.Remembered() == 1);
+}
+
 // A process of a large cell has used up its file descriptors. It ended by an exception that nobody
 // caught, and with it the connections of all its callers.
 TEST_CASE("a process without file descriptors left goes on") {
--- /dev/null
+++ b/test/rosearch/net/peer_transport_test.cc
@@ -0,0 +1,53 @@
+#include "rosearch/net/peer_transport.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace rosearch {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Waits until a transport holds connections to so many peers.
+bool HoldsSoon(const peer_transport& from, std::size_t peers) {
+  const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{3};
+  while (from.Counters().peers != peers && std::chrono::steady_clock::now() < until) {
+    std::this_thread::sleep_for(milliseconds{5});
+  }
+  return from.Counters().peers == peers;
+}
+
+}  // namespace
+
+// VMs are replaced for months. A process kept a connection to each that it had ever spoken to,
+// until no descriptor was left for another.
+TEST_CASE("connections to peers that are gone are closed") {
+  peer_transport_options options;
+  options.idle_limit = milliseconds{200};
+  peer_transport from{"127.0.0.1:0", [](const std::string&) {}, options};
+  constexpr std::size_t kGone = 5;
+  for (std::size_t at = 1; at <= kGone; ++at) {
+    from.Send("127.0.0.1:" + std::to_string(at), "hello");
+  }
+  REQUIRE(HoldsSoon(from, kGone));
+  std::this_thread::sleep_for(options.idle_limit);
+  from.Send("127.0.0.1:9", "hello");
+  CHECK(HoldsSoon(from, 1));
+}
+
+// The connection to the leader is watched, and nothing may be sent on it for a while. Its break
+// must be told all the same.
+TEST_CASE("a watched connection stays") {
+  peer_transport_options options;
+  options.idle_limit = milliseconds{200};
+  peer_transport from{"127.0.0.1:0", [](const std::string&) {}, options};
+  from.WatchConnection("127.0.0.1:1");
+  REQUIRE(HoldsSoon(from, 1));
+  std::this_thread::sleep_for(options.idle_limit);
+  from.Send("127.0.0.1:2", "hello");
+  CHECK(HoldsSoon(from, 2));
+}
+
+}  // namespace rosearch
