A new leader is heard at once, reads workers some at a time, and takes for relays only those it heard

The successor of 9.11 s named 12 relays of which all were silent by 9.70 (dead, or flooded with 3,000 watches in one turn of its loop), then made direct connections; its pings waited for that, since the transport's thread answered only peers that hold its list of members, and after a takeover none does. Nine more leaderships followed within 9 s. Ruled out: load alone (seconds 0 to 9), the claims (each is refused or fenced), the store. Ping and pong have a file of their own. Tests first seen to fail: a new leader that is busy is not replaced; many workers are read some at a time; pings of peers with an older list.

--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -155,9 +155,29 @@
   for (const auto& worker : workers) {
     if (!watches_.contains(worker)) {
       watches_[worker] = std::make_unique<boost::asio::steady_timer>(io_);
-      Watch(worker);
+      unwatched_.push_back(worker);
     }
   }
+  WatchSome();
+}
+
+// The load that this answers: a new leader of thousands of workers reads all of them. Done in one
+// go, callers and peers waited for a second.
+template <typename Ports>
+void leader<Ports>::WatchSome() {
+  constexpr std::size_t kAtOnce = 100;
+  if (unwatched_.empty()) {
+    return;
+  }
+  const auto pause = hooks_.watch_pause();
+  for (std::size_t count = 0; count < kAtOnce && !unwatched_.empty(); ++count) {
+    const auto worker = std::move(unwatched_.front());
+    unwatched_.pop_front();
+    Watch(worker);
+  }
+  if (!unwatched_.empty()) {
+    After(watch_timer_, pause, [](leader& self) { self.WatchSome(); });
+  }
 }
 
 template <typename Ports>
--- a/src/rosearch/cell/internal/leader_takeover.h
+++ b/src/rosearch/cell/internal/leader_takeover.h
@@ -123,8 +123,6 @@
                  .Add("epoch", epoch_)
                  .Add("took_ms", took)
                  .Add("version", scheduler_.configuration().version));
-  workers_ = scheduler_.WatchedWorkers().size();
-  hooks_.on_workers_read();
   WatchAll();
   FollowConfiguration();
   FollowRegistry();
@@ -146,6 +144,7 @@
   writer_timer_.cancel();
   registry_timer_.cancel();
   configuration_timer_.cancel();
+  watch_timer_.cancel();
   for (auto& [id, timer] : watches_) {
     timer->cancel();
   }
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -120,13 +120,24 @@
   }
   std::vector<std::string> large;
   for (const auto& [address, each] : members_) {
-    if (each.facts.processor_milli() >= kLargeProcess) {
+    if (each.heard && each.facts.processor_milli() >= kLargeProcess) {
       large.push_back(address);
     }
   }
   return HighestRanked(std::move(large), {}, wanted);
 }
 
+// The load that this answers: most processes die at once, the leader among them. Its successor took
+// their places for relays, and gave each of thousands of workers a connection of its own when none
+// of them answered.
+template <typename Ports>
+duration node<Ports>::WatchPause() const {
+  const auto& scheduler = settings_.leading.scheduler;
+  const bool relays_wanted =
+      scheduler.Uses(sched::mechanism::kRelays) && RelaysFor(leader_->Workers()) > 0;
+  return relays_wanted && Relays().empty() ? kUnrelayedPause : duration{};
+}
+
 template <typename Ports>
 void node<Ports>::UpdatePeers() {
   const auto now = SteadyNow();
@@ -142,7 +153,9 @@
   std::vector<std::string> helpers{std::string{}};
   for (const auto& [address, each] : members_) {
     addresses.push_back(address);
-    helpers.push_back(address);
+    if (each.heard) {
+      helpers.push_back(address);
+    }
   }
   const auto& scheduler = settings_.leading.scheduler;
   if (!scheduler.Uses(sched::mechanism::kSecondWay)) {
@@ -158,118 +171,6 @@
   }
 }
 
-template <typename Ports>
-void node<Ports>::Ping() {
-  std::vector<std::string> targets;
-  if (election_.Known().epoch > 0) {
-    targets.push_back(election_.Known().address);
-  } else {
-    targets = seeds_;
-  }
-  for (const auto& target : targets) {
-    wire::peer_frame frame;
-    frame.set_epoch(election_.Known().epoch);
-    *frame.mutable_ping()->mutable_member() = Self();
-    frame.mutable_ping()->set_members_version(members_version_);
-    const auto asked_at = SteadyNow();
-    peers_.Ask(target, std::move(frame), asked_at + kPingPatience,
-               [this, asked_at](const wire::peer_frame* answer) {
-                 if (answer != nullptr) {
-                   metrics_.Observe("rosearch_peer_round_trip_seconds", SteadyNow() - asked_at);
-                   OnPong(*answer);
-                 }
-               });
-  }
-}
-
-template <typename Ports>
-void node<Ports>::OnPong(const wire::peer_frame& frame) {
-  const auto& pong = frame.pong();
-  const auto now = SteadyNow();
-  if (Leading() || frame.epoch() != election_.Known().epoch) {
-    return;
-  }
-  if (!pong.leading() || pong.resigning()) {
-    if (frame.from() == election_.Known().address) {
-      election_.OnLeaderLeaving(frame.epoch());
-    }
-    return;
-  }
-  election_.OnHeard(frame.epoch(), now);
-  heard_at_ = now;
-  if (pong.members_size() > 0) {
-    members_.clear();
-    for (const auto& each : pong.members()) {
-      if (each.address() != peers_.address()) {
-        members_[each.address()] = {each, now};
-      }
-    }
-    members_version_ = pong.members_version();
-  }
-  if (pong.config_version() > 0) {
-    limits_known_ = true;
-    limits_.max_header_bytes = pong.max_header_bytes();
-    limits_.max_body_bytes = pong.max_body_bytes();
-    limits_.header_timeout = std::chrono::milliseconds{pong.header_timeout_ms()};
-    limits_.idle_timeout = std::chrono::milliseconds{pong.idle_timeout_ms()};
-  }
-}
-
-template <typename Ports>
-wire::peer_frame node<Ports>::Pong() const {
-  wire::peer_frame frame;
-  frame.set_epoch(election_.Known().epoch);
-  auto& pong = *frame.mutable_pong();
-  pong.set_leading(leader_->Serving() || !stopping_);
-  pong.set_resigning(stopping_);
-  pong.set_members_version(members_version_);
-  const auto& configuration = leader_->configuration();
-  pong.set_config_version(configuration.version);
-  pong.set_max_header_bytes(configuration.limits.max_header_bytes);
-  pong.set_max_body_bytes(configuration.limits.max_body_bytes);
-  pong.set_header_timeout_ms(Millis(configuration.limits.header_timeout));
-  pong.set_idle_timeout_ms(Millis(configuration.limits.idle_timeout));
-  return frame;
-}
-
-// A leader with more to do than it has time for would answer its peers late and be taken for dead;
-// its successor has to read all workers first, which is more work yet. So the word that it leads
-// doesn't wait behind its work.
-template <typename Ports>
-void node<Ports>::PublishPingReply() {
-  if (leader_->epoch() == election_.Known().epoch) {
-    peers_.SetPingReply(std::make_unique<wire::peer_frame>(Pong()), SteadyNow() + kPingReplyLife);
-  }
-}
-
-template <typename Ports>
-void node<Ports>::AnswerPing(const wire::peer_frame& frame) {
-  const auto& ping = frame.ping();
-  wire::peer_frame answer;
-  answer.set_epoch(election_.Known().epoch);
-  answer.mutable_pong()->set_leading(Leading());
-  if (Leading()) {
-    const auto [known, fresh] = members_.try_emplace(ping.member().address());
-    known->second = {ping.member(), SteadyNow()};
-    members_version_ += fresh ? 1 : 0;
-    if (frame.epoch() == leader_->epoch()) {
-      leader_->OnPeerSign();
-    }
-    if (peers_.RepliesTo(frame)) {
-      return;
-    }
-    answer = Pong();
-    if (ping.members_version() != members_version_) {
-      auto& pong = *answer.mutable_pong();
-      *pong.add_members() = Self();
-      for (const auto& [address, each] : members_) {
-        *pong.add_members() = each.facts;
-      }
-    }
-  }
-  peers_.Answer(frame, std::move(answer));
-}
-
 template <typename Ports>
 void node<Ports>::SayGoodbye(std::uint64_t epoch) {
   for (const auto& [address, each] : members_) {
@@ -512,7 +413,10 @@
     return;
   }
   leader_hooks hooks;
-  hooks.on_workers_read = [this] { UpdatePeers(); };
+  hooks.watch_pause = [this] {
+    UpdatePeers();
+    return WatchPause();
+  };
   hooks.on_end = [this, epoch] {
     if (!leader_ || leader_->epoch() != epoch) {
       return;
@@ -526,7 +430,10 @@
                                             std::move(hooks));
   for (auto& [address, each] : members_) {
     each.seen_at = SteadyNow();
+    each.heard = false;
   }
+  ++members_version_;
+  PublishPingReply();
   leader_->Begin();
 }
 
--- /dev/null
+++ b/src/rosearch/cell/internal/node_pings.h
@@ -0,0 +1,133 @@
+#ifndef ROSEARCH_CELL_INTERNAL_NODE_PINGS_H_
+#define ROSEARCH_CELL_INTERNAL_NODE_PINGS_H_
+
+// How the processes of a cell hear their leader and learn of one another. Included by node.h.
+
+#include "rosearch/cell/node.h"
+
+namespace rosearch::cell {
+
+template <typename Ports>
+void node<Ports>::Ping() {
+  std::vector<std::string> targets;
+  if (election_.Known().epoch > 0) {
+    targets.push_back(election_.Known().address);
+  } else {
+    targets = seeds_;
+  }
+  for (const auto& target : targets) {
+    wire::peer_frame frame;
+    frame.set_epoch(election_.Known().epoch);
+    *frame.mutable_ping()->mutable_member() = Self();
+    frame.mutable_ping()->set_members_version(members_version_);
+    const auto asked_at = SteadyNow();
+    peers_.Ask(target, std::move(frame), asked_at + kPingPatience,
+               [this, asked_at](const wire::peer_frame* answer) {
+                 if (answer != nullptr) {
+                   metrics_.Observe("rosearch_peer_round_trip_seconds", SteadyNow() - asked_at);
+                   OnPong(*answer);
+                 }
+               });
+  }
+}
+
+template <typename Ports>
+void node<Ports>::OnPong(const wire::peer_frame& frame) {
+  const auto& pong = frame.pong();
+  const auto now = SteadyNow();
+  if (Leading() || frame.epoch() != election_.Known().epoch) {
+    return;
+  }
+  if (!pong.leading() || pong.resigning()) {
+    if (frame.from() == election_.Known().address) {
+      election_.OnLeaderLeaving(frame.epoch());
+    }
+    return;
+  }
+  election_.OnHeard(frame.epoch(), now);
+  heard_at_ = now;
+  if (pong.members_size() > 0) {
+    members_.clear();
+    for (const auto& each : pong.members()) {
+      if (each.address() != peers_.address()) {
+        members_[each.address()] = {each, now};
+      }
+    }
+    members_version_ = pong.members_version();
+  }
+  if (pong.config_version() > 0) {
+    limits_known_ = true;
+    limits_.max_header_bytes = pong.max_header_bytes();
+    limits_.max_body_bytes = pong.max_body_bytes();
+    limits_.header_timeout = std::chrono::milliseconds{pong.header_timeout_ms()};
+    limits_.idle_timeout = std::chrono::milliseconds{pong.idle_timeout_ms()};
+  }
+}
+
+template <typename Ports>
+wire::peer_frame node<Ports>::Pong() const {
+  wire::peer_frame frame;
+  frame.set_epoch(election_.Known().epoch);
+  auto& pong = *frame.mutable_pong();
+  pong.set_leading(leader_->Serving() || !stopping_);
+  pong.set_resigning(stopping_);
+  const auto& configuration = leader_->configuration();
+  pong.set_config_version(configuration.version);
+  pong.set_max_header_bytes(configuration.limits.max_header_bytes);
+  pong.set_max_body_bytes(configuration.limits.max_body_bytes);
+  pong.set_header_timeout_ms(Millis(configuration.limits.header_timeout));
+  pong.set_idle_timeout_ms(Millis(configuration.limits.idle_timeout));
+  return frame;
+}
+
+template <typename Ports>
+wire::peer_frame node<Ports>::PongWithMembers() const {
+  auto frame = Pong();
+  auto& pong = *frame.mutable_pong();
+  pong.set_members_version(members_version_);
+  *pong.add_members() = Self();
+  for (const auto& [address, each] : members_) {
+    *pong.add_members() = each.facts;
+  }
+  return frame;
+}
+
+// A leader with more to do than it has time for would answer its peers late and be taken for dead;
+// its successor has to read all workers first, which is more work yet. So the word that it leads
+// doesn't wait behind its work.
+template <typename Ports>
+void node<Ports>::PublishPingReply() {
+  if (leader_->epoch() != election_.Known().epoch) {
+    return;
+  }
+  if (published_members_ != members_version_) {
+    published_members_ = members_version_;
+    peers_.SetPingMembers(std::make_unique<wire::peer_frame>(PongWithMembers()));
+  }
+  peers_.SetPingReply(std::make_unique<wire::peer_frame>(Pong()), SteadyNow() + kPingReplyLife);
+}
+
+template <typename Ports>
+void node<Ports>::AnswerPing(const wire::peer_frame& frame) {
+  const auto& ping = frame.ping();
+  if (!Leading()) {
+    wire::peer_frame answer;
+    answer.set_epoch(election_.Known().epoch);
+    answer.mutable_pong()->set_leading(false);
+    peers_.Answer(frame, std::move(answer));
+    return;
+  }
+  const auto [known, fresh] = members_.try_emplace(ping.member().address());
+  known->second = {ping.member(), SteadyNow(), true};
+  members_version_ += fresh ? 1 : 0;
+  if (frame.epoch() == leader_->epoch()) {
+    leader_->OnPeerSign();
+  }
+  if (!peers_.RepliesTo(frame)) {
+    peers_.Answer(frame, PongWithMembers());
+  }
+}
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_INTERNAL_NODE_PINGS_H_
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -83,8 +83,10 @@
 
 /// What a `leader` tells its process. All of them are called on the thread of the io_context.
 struct leader_hooks {
-  std::function<void()> on_workers_read;  ///< all workers are known, and none was asked yet
-  std::function<void()> on_end;           ///< once, when this process no longer leads
+  /// Asked before some workers are watched for the first time, when all are known.
+  /// @return how long to wait before the next are.
+  std::function<duration()> watch_pause;
+  std::function<void()> on_end;  ///< once, when this process no longer leads
 };
 
 /// One leadership of the cell, from the claim that won to its end: reads what earlier ones left,
@@ -111,7 +113,8 @@
         pass_timer_{io},
         writer_timer_{io},
         registry_timer_{io},
-        configuration_timer_{io} {}
+        configuration_timer_{io},
+        watch_timer_{io} {}
 
   /// Fences the former leader and takes its state over.
   void Begin() {
@@ -266,6 +269,7 @@
   void AskForAdvice();
   void Watch(const std::string& worker);
   void WatchAll();
+  void WatchSome();
   void WatchAfter(const std::string& worker, duration pause);
 
   void Store();
@@ -320,11 +324,13 @@
   boost::asio::steady_timer writer_timer_;
   boost::asio::steady_timer registry_timer_;
   boost::asio::steady_timer configuration_timer_;
+  boost::asio::steady_timer watch_timer_;
   std::map<std::string, std::unique_ptr<boost::asio::steady_timer>> watches_;  ///< by worker
   std::unordered_map<std::string, std::vector<waiting_caller>> callers_;       ///< by job
   std::map<std::string, time_point> unlisting_;  ///< workers that may yet come back, until when
   std::deque<batch_under_way> batches_;          ///< oldest first
-  std::size_t workers_{0};                       ///< that are watched
+  std::deque<std::string> unwatched_;            ///< workers that are about to be watched
+  std::size_t workers_{0};                       ///< that are known
   std::uint64_t sequence_{0};
   std::uint64_t configuration_next_{0};
   std::uint64_t registry_next_{0};
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -118,7 +118,8 @@
  private:
   struct member {
     wire::cell_member facts;
-    time_point seen_at{};
+    time_point seen_at{};  ///< by this process or, as a list that was told says, by its leader
+    bool heard{false};     ///< by this process since it leads
   };
   /// A caller's request on its way to the leader.
   struct forwarded {
@@ -145,6 +146,9 @@
   /// Peers that a process in doubt asks whether they hear the leader. With a fifth of them cut off
   /// from the leader in the same way, all of so many are once in 10^11 times.
   static constexpr std::size_t kWitnesses = 16;
+  /// Peers that live are heard of within 0.2 s of a change of leader; until then workers are read
+  /// at a pace that leaves time and descriptors for everything else.
+  static constexpr duration kUnrelayedPause = std::chrono::milliseconds{20};
   /// A leader whose loop hasn't turned for so long stands still, whatever its other thread says.
   static constexpr duration kPingReplyLife = std::chrono::milliseconds{2'500};
   static constexpr duration kPingPatience = std::chrono::milliseconds{600};
@@ -209,12 +213,20 @@
   void UpdatePeers();
   /// @return the peers that carry this leader's exchanges with workers.
   [[nodiscard]] std::vector<std::string> Relays() const;
+  /// @return how long this leader waits before it watches some more workers.
+  [[nodiscard]] duration WatchPause() const;
   void AnswerPing(const wire::peer_frame& frame);
-  /// @return what this process, which leads, says to a ping; without the list of members.
+  /// @return what this process, which leads, says to a ping; without the members.
   [[nodiscard]] wire::peer_frame Pong() const;
+  /// @return the same with them.
+  [[nodiscard]] wire::peer_frame PongWithMembers() const;
   /// Renews the reply to pings by which peers see that this process leads, also while it is busy.
   void PublishPingReply();
-  void WithdrawPingReply() { peers_.SetPingReply(nullptr, {}); }
+  void WithdrawPingReply() {
+    peers_.SetPingReply(nullptr, {});
+    peers_.SetPingMembers(nullptr);
+    published_members_ = 0;
+  }
   void AnswerCall(const wire::peer_frame& frame);
   void Forward(const std::shared_ptr<forwarded>& call);
   void ForwardLater(const std::shared_ptr<forwarded>& call);
@@ -239,6 +251,7 @@
   std::vector<std::string> seeds_;
   std::map<std::string, member> members_;  ///< by address, without this process
   std::uint64_t members_version_{0};
+  std::uint64_t published_members_{0};  ///< version that replies to pings list; 0: none
   sched::client_limits limits_;
   bool limits_known_{false};
   bool stopping_{false};
@@ -259,6 +272,7 @@
 
 #include "rosearch/cell/internal/node_callers.h"
 #include "rosearch/cell/internal/node_leadership.h"
+#include "rosearch/cell/internal/node_pings.h"
 #include "rosearch/cell/internal/node_views.h"
 
 #endif  // ROSEARCH_CELL_NODE_H_
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -193,16 +193,27 @@
 }
 
 bool peer_link::RepliesToLocked(const wire::peer_frame& ping) const {
-  return ping_reply_ && SteadyNow() < ping_reply_until_ && ping.epoch() == ping_reply_->epoch() &&
-         ping.ping().members_version() == ping_reply_->pong().members_version();
+  return ping_reply_ && ping_members_ && SteadyNow() < ping_reply_until_ &&
+         ping.epoch() == ping_reply_->epoch();
+}
+
+void peer_link::SetPingMembers(std::unique_ptr<wire::peer_frame> members) {
+  const std::scoped_lock lock{reply_mutex_};
+  ping_members_ = std::move(members);
 }
 
 void peer_link::ReplyToPing(const wire::peer_frame& ping) {
   const std::scoped_lock lock{reply_mutex_};
-  if (RepliesToLocked(ping)) {
-    ping_reply_->set_exchange(ping.exchange());
-    transport_->Send(ping.from(), ping_reply_->SerializeAsString());
+  if (!RepliesToLocked(ping)) {
+    return;
+  }
+  auto reply = *ping_reply_;
+  reply.set_exchange(ping.exchange());
+  reply.mutable_pong()->set_members_version(ping_members_->pong().members_version());
+  if (ping.ping().members_version() != ping_members_->pong().members_version()) {
+    *reply.mutable_pong()->mutable_members() = ping_members_->pong().members();
   }
+  transport_->Send(ping.from(), reply.SerializeAsString());
 }
 
 void peer_link::HandOver(const std::string& bytes) {
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -64,12 +64,14 @@
   /// Answers a question.
   void Answer(const wire::peer_frame& question, wire::peer_frame answer);
 
-  /// Lets the transport's own thread answer pings of peers that follow the same leadership and hold
-  /// the same list of members: a process that has more to do than it has time for is late, not
-  /// dead, and must not look so.
+  /// Lets the transport's own thread answer pings of peers that follow the same leadership: a
+  /// process that has more to do than it has time for is late, not dead, and must not look so.
   /// @param reply  a pong; null: this process no longer leads.
   /// @param until  then the thread that should have renewed it stands still.
   void SetPingReply(std::unique_ptr<wire::peer_frame> reply, time_point until);
+  /// Names the members that replies to pings list for peers that hold another list.
+  /// @param members  a pong with members and their version.
+  void SetPingMembers(std::unique_ptr<wire::peer_frame> members);
   /// @return whether the transport's thread answers a ping.
   [[nodiscard]] bool RepliesTo(const wire::peer_frame& ping) const;
 
@@ -125,7 +127,8 @@
   boost::asio::steady_timer collect_timer_;
   std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
   mutable std::mutex reply_mutex_;
-  std::unique_ptr<wire::peer_frame> ping_reply_;  ///< guarded by `reply_mutex_`, as the next
+  std::unique_ptr<wire::peer_frame> ping_reply_;    ///< guarded by `reply_mutex_`, as the next two
+  std::unique_ptr<wire::peer_frame> ping_members_;  ///< unset: none are known
   time_point ping_reply_until_{};
   std::unique_ptr<peer_transport> transport_;
 };
--- a/test/rosearch/cell/fake_ports.h
+++ b/test/rosearch/cell/fake_ports.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -67,7 +68,9 @@
     if (which == stream::kConfiguration) {
       page.records = {{"config", "1"}};
     } else if (which == stream::kWorkers) {
-      page.records = {{"w1", "here"}};
+      for (int at = 1; at <= workers; ++at) {
+        page.records.push_back({"w" + std::to_string(at), "here"});
+      }
     } else if (which == stream::kState) {
       for (const auto& [key, value] : kept) {
         page.records.push_back({key, value});
@@ -86,6 +89,7 @@
   void Pace(const sched::pace_order&, std::uint64_t) {}
   void Watch(const sched::watch_request& watch, std::uint64_t, const watch_callback& done) {
     ++watches;
+    watched.insert(watch.worker);
     std::erase_if(ended, [&](const auto& row) { return row.number <= watch.acked_end; });
     Later(milliseconds{5}, [this, done] {
       watch_answer answer;
@@ -128,12 +132,14 @@
   }
 
   std::map<std::string, std::string> kept;
+  std::set<std::string> watched;
   std::vector<sched::start_order> starts;
   std::vector<sched::ended_row> ended;
   std::uint64_t ends{0};
   std::uint64_t next_sequence{0};
   int appends{0};
   int carried{0};
+  int workers{1};
   int watches{0};
   int lose{0};
   bool refuse{false};
@@ -155,9 +161,13 @@
 /// A leader over fake ports, run for real but short spans of time.
 class leading {
  public:
-  leading() {
+  explicit leading(int workers = 1, duration between = {}) : pause{between} {
+    ports.workers = workers;
     leader_hooks hooks;
-    hooks.on_workers_read = [this] { watched_when_told = ports.watches; };
+    hooks.watch_pause = [this] {
+      known_when_asked.push_back(made->Workers());
+      return pause;
+    };
     hooks.on_end = [this] { ended = true; };
     made = std::make_shared<leader<fake_ports>>(io, ports, leader_settings{}, 1, log, metrics,
                                                 std::move(hooks));
@@ -191,7 +201,8 @@
   kept_lines log;
   metric_set metrics;
   std::shared_ptr<leader<fake_ports>> made;
-  std::optional<int> watched_when_told;  ///< workers asked before the hook was called
+  std::vector<std::size_t> known_when_asked;  ///< workers, each time that a pause was asked for
+  duration pause{};                           ///< between two times that workers are watched
   bool ended{false};
 };
 
--- a/test/rosearch/cell/leader_test.cc
+++ b/test/rosearch/cell/leader_test.cc
@@ -24,11 +24,22 @@
 // knew its relays, and ran out of file descriptors.
 TEST_CASE("workers are counted before the first of them is asked") {
   const leading cell;
-  CHECK(cell.made->Workers() == 1);
-  CHECK(cell.watched_when_told == 0);
+  REQUIRE_FALSE(cell.known_when_asked.empty());
+  CHECK(cell.known_when_asked.front() == 1);
   CHECK(cell.ports.watches > 0);
 }
 
+// A new leader asked thousands of workers in one go. Meanwhile it answered no caller and no peer,
+// and was taken for dead.
+TEST_CASE("many workers are read some at a time") {
+  constexpr int kWorkers = 500;
+  leading cell{kWorkers, milliseconds{100}};
+  REQUIRE(cell.made->Serving());
+  CHECK(cell.ports.watched.size() < kWorkers / 2);
+  cell.Run(milliseconds{600});
+  CHECK(cell.ports.watched.size() == kWorkers);
+}
+
 TEST_CASE("a store that refuses an append refuses the job at once, and it never runs") {
   leading cell;
   cell.ports.refuse = true;
--- a/test/rosearch/cell/node_test.cc
+++ b/test/rosearch/cell/node_test.cc
@@ -257,6 +257,19 @@
   CHECK(cell.processes[0]->Leads());
 }
 
+// A process has just taken over and reads all workers. Its peers hold no list of members of its
+// yet; their pings waited for its work, and it was replaced by another that had the same to do.
+TEST_CASE("a new leader that is busy is not replaced") {
+  cell_of_three cell;
+  cell.processes[0].reset();
+  REQUIRE(cell.UntilOtherLeads() < seconds{3});
+  auto& leads = cell.processes[1]->Leads() ? cell.processes[1] : cell.processes[2];
+  leads->KeepBusy(milliseconds{1'800});
+  std::this_thread::sleep_for(milliseconds{1'700});
+  CHECK(cell.claims.From(0).size() == 2);
+  CHECK(leads->Leads());
+}
+
 // The thread that decides never comes back, while the one that answers peers still runs: the cell
 // would have a leader that does nothing.
 TEST_CASE("a leader that stands still is replaced") {
--- a/test/rosearch/cell/peer_link_test.cc
+++ b/test/rosearch/cell/peer_link_test.cc
@@ -52,6 +52,39 @@
   CHECK(link.Remembered() == 1);
 }
 
+// A new leader is busy, and its peers hold the list of members of the one before. They must hear it
+// all the same, and get the new list.
+TEST_CASE("pings of peers with an older list are answered beside the work") {
+  boost::asio::io_context busy;
+  peer_link leader{busy, "127.0.0.1:0", 1, [](const wire::peer_frame&) {}};
+  auto members = std::make_unique<wire::peer_frame>();
+  members->mutable_pong()->set_members_version(7);
+  members->mutable_pong()->add_members()->set_address("10.0.0.1:7660");
+  auto reply = std::make_unique<wire::peer_frame>();
+  reply->mutable_pong()->set_leading(true);
+  leader.SetPingMembers(std::move(members));
+  leader.SetPingReply(std::move(reply), SteadyNow() + std::chrono::seconds{60});
+
+  boost::asio::io_context io;
+  peer_link follower{io, "127.0.0.1:0", 1, [](const wire::peer_frame&) {}};
+  wire::peer_frame ping;
+  ping.mutable_ping()->set_members_version(6);
+  wire::peer_frame heard;
+  follower.Ask(leader.address(), ping, SteadyNow() + std::chrono::seconds{2},
+               [&heard](const wire::peer_frame* answer) {
+                 if (answer != nullptr) {
+                   heard = *answer;
+                 }
+               });
+  const auto until = SteadyNow() + std::chrono::seconds{2};
+  while (!heard.has_pong() && SteadyNow() < until) {
+    io.run_one_for(std::chrono::milliseconds{20});
+  }
+  CHECK(heard.pong().leading());
+  CHECK(heard.pong().members_version() == 7);
+  CHECK(heard.pong().members_size() == 1);
+}
+
 // A process of a large cell has used up its file descriptors. It ended by an exception that nobody
 // caught, and with it the connections of all its callers.
 TEST_CASE("a process without file descriptors left goes on") {
