A leader's first batch can't be overtaken: accepted jobs were lost

Cause: the store lets a new epoch begin with any sequence number. Batches 0 and 1 went out 12 ms apart, the second came first (a busy process, an exchange by another way), was taken as the beginning, and batch 0 got 409 with a sequence beyond its own, which means 'stored already' everywhere but here. Every record of the first batch was lost, though acknowledged. It may happen at any site. Ruled out: paging of the state (fenced before it is read), clocks, forgetting. Change: nothing goes out beside the first batch of a leadership. Test fails without it: the list of workers of the first batch is lost.

--- a/src/rosearch/cell/internal/leader_store.h
+++ b/src/rosearch/cell/internal/leader_store.h
@@ -40,8 +40,10 @@
   }
   if (!batches_.empty()) {
     const auto& newest = batches_.back();
-    const bool beside = scheduler_.HasUrgentRecords() && batches_.size() < settings_.batches &&
-                        batches_.front().failures == 0;
+    // The store lets an epoch begin with any sequence: a batch that overtook the first one would
+    // shut it out for good.
+    const bool beside = first_stored_ && scheduler_.HasUrgentRecords() &&
+                        batches_.size() < settings_.batches && batches_.front().failures == 0;
     if (!beside) {
       return;  // looked at again when an answer comes
     }
@@ -123,6 +125,7 @@
     }
     const auto number = batches_.front().number;
     batches_.pop_front();
+    first_stored_ = true;
     scheduler_.OnStored(number, Now());
   }
   if (!batches_.empty() && std::exchange(batches_.front().came_early, false)) {
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -348,6 +348,7 @@
   duration last_tick_{};
   bool late_{false};  ///< the process was late by more than `leader_settings::late_after`
   bool store_reached_{true};
+  bool first_stored_{false};  ///< a batch of this leadership is stored
   bool state_read_{false};
   bool workers_read_{false};
   bool serving_{false};
--- a/test/rosearch/cell/fake_ports.h
+++ b/test/rosearch/cell/fake_ports.h
@@ -37,6 +37,12 @@
     if (silent) {
       return;
     }
+    if (!records.empty() && first_takes > duration{}) {
+      Later(std::exchange(first_takes, {}), [this, records, sequence = proof->sequence, done] {
+        done(Store(records, sequence));
+      });
+      return;
+    }
     append_answer answer;
     answer.outcome = append_outcome::kStored;
     if (refuse || (!records.empty() && lose > 0)) {
@@ -44,15 +50,8 @@
       lose -= refuse ? 0 : 1;
     } else if (fenced) {
       answer.outcome = append_outcome::kFenced;
-    } else if (!records.empty() && proof->sequence > next_sequence) {
-      answer.outcome = append_outcome::kOutOfSequence;
-      answer.next_sequence = next_sequence;
-    } else if (!records.empty() && proof->sequence == next_sequence) {
-      ++next_sequence;
-      for (const auto& bytes : records) {
-        const auto record = SplitKeyed(bytes);
-        kept[record->key] = record->value;
-      }
+    } else if (!records.empty()) {
+      answer = Store(records, proof->sequence);
     }
     // Every second append that carries records takes longer, as one by another way does.
     const bool slow = !records.empty() && reorder && ++carried % 2 == 1;
@@ -136,7 +135,8 @@
   std::vector<sched::start_order> starts;
   std::vector<sched::ended_row> ended;
   std::uint64_t ends{0};
-  std::uint64_t next_sequence{0};
+  std::optional<std::uint64_t> next_sequence;  ///< unset: an epoch may begin with any
+  duration first_takes{};                      ///< on its way to the store; 0: as long as others
   int appends{0};
   int carried{0};
   int workers{1};
@@ -148,6 +148,23 @@
   bool reorder{false};
 
  private:
+  /// What the store does with records when they arrive.
+  append_answer Store(const std::vector<std::string>& records, std::uint64_t sequence) {
+    append_answer answer;
+    answer.outcome = append_outcome::kStored;
+    if (next_sequence && sequence != *next_sequence) {
+      const bool repeated = sequence + 1 == *next_sequence;
+      answer.outcome = repeated ? append_outcome::kStored : append_outcome::kOutOfSequence;
+      answer.next_sequence = *next_sequence;
+      return answer;
+    }
+    next_sequence = sequence + 1;
+    for (const auto& bytes : records) {
+      const auto record = SplitKeyed(bytes);
+      kept[record->key] = record->value;
+    }
+    return answer;
+  }
   void Later(duration pause, std::function<void()> what) {
     auto timer = std::make_shared<boost::asio::steady_timer>(io_, pause);
     timer->async_wait(
@@ -161,8 +178,10 @@
 /// A leader over fake ports, run for real but short spans of time.
 class leading {
  public:
-  explicit leading(int workers = 1, duration between = {}) : pause{between} {
+  explicit leading(int workers = 1, duration between = {}, duration first_append = {})
+      : pause{between} {
     ports.workers = workers;
+    ports.first_takes = first_append;
     leader_hooks hooks;
     hooks.watch_pause = [this] {
       known_when_asked.push_back(made->Workers());
--- a/test/rosearch/cell/leader_test.cc
+++ b/test/rosearch/cell/leader_test.cc
@@ -110,6 +110,18 @@
 
 // Another process has taken over. What this one still decides must have no effect, and its callers
 // must look for the new leader.
+// The second batch of a new leader arrives first. The store lets an epoch begin with any sequence
+// number and refuses the first batch then, which was taken for stored: jobs that were accepted, and
+// whom to wait for, were not known any more after the next change of leader.
+TEST_CASE("a leader's first batch is not overtaken") {
+  leading cell{1, {}, milliseconds{200}};
+  const auto accepted = cell.Ask("POST", "a", "job");
+  cell.Run(milliseconds{500});
+  CHECK(accepted->status == 200);
+  CHECK(cell.ports.kept.contains("ja"));
+  CHECK(cell.ports.kept.contains("w"));
+}
+
 TEST_CASE("a fenced leader ends and sends its callers on") {
   leading cell;
   cell.ports.fenced = true;
