--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	@scripts/demo.sh $(BUILD)
 
 test: build
-	@ctest --test-dir $(BUILD) --output-on-failure -j 4
+	@ctest --test-dir $(BUILD) --output-on-failure -j "$$(nproc)"
 
 lint: build
 	@scripts/lint.sh $(BUILD)
--- a/scripts/install_deps.sh
+++ b/scripts/install_deps.sh
@@ -6,7 +6,7 @@
   build-essential cmake ninja-build ccache
   libboost1.81-dev libboost-json1.81-dev libcxxopts-dev libgoogle-glog-dev catch2
   libzmq3-dev cppzmq-dev libprotobuf-dev protobuf-compiler libbenchmark-dev
-  clang-format clang-tidy python3
+  clang-format clang-tidy lld python3
 )
 
 missing=()
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -8,5 +8,5 @@
 clang-format --dry-run --Werror "${files[@]}"
 mapfile -t sources < <(printf '%s\n' "${files[@]}" | grep '\.cc$')
 # A file whose preprocessed text passed before is not read again: clang-tidy costs up to 20 s a file.
-printf '%s\n' "${sources[@]}" | xargs -P 6 -n 1 scripts/tidy_one.sh "$build"
+printf '%s\n' "${sources[@]}" | xargs -P "$(nproc)" -n 1 scripts/tidy_one.sh "$build"
 echo "lint: ${#files[@]} files clean"
