--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -165,7 +165,7 @@
 // go, callers and peers waited for a second.
 template <typename Ports>
 void leader<Ports>::WatchSome() {
-  constexpr std::size_t kAtOnce = 100;
+  constexpr std::size_t kAtOnce = 50;
   if (unwatched_.empty()) {
     return;
   }
--- a/src/rosearch/cell/internal/leader_store.h
+++ b/src/rosearch/cell/internal/leader_store.h
@@ -143,6 +143,13 @@
   }
   const bool ahead =
       answer.outcome == append_outcome::kOutOfSequence && answer.next_sequence > batch->sequence;
+  if (ahead) {
+    log_.Write(event_line{"append_found_stored", event_weight::kBelief}
+                   .Add("epoch", epoch_)
+                   .Add("batch", number)
+                   .Add("sequence", batch->sequence)
+                   .Add("expected", answer.next_sequence));
+  }
   if (answer.outcome == append_outcome::kStored || ahead) {
     // Whatever is stored has all before it stored too.
     for (auto each = batches_.begin(); each != std::next(batch); ++each) {
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -27,6 +27,7 @@
     if (!stopping_) {
       Announce();
       PublishPingReply();
+      OfferToLarger();
     }
   } else if (!stopping_ && election_.Doubts(now)) {
     ClaimIfNobodyLeads();
@@ -118,13 +119,18 @@
   if (wanted == 0 || !settings_.leading.scheduler.Uses(sched::mechanism::kRelays)) {
     return {};
   }
+  return HighestRanked(LargeMembers(), {}, wanted);
+}
+
+template <typename Ports>
+std::vector<std::string> node<Ports>::LargeMembers() const {
   std::vector<std::string> large;
   for (const auto& [address, each] : members_) {
     if (each.heard && each.facts.processor_milli() >= kLargeProcess) {
       large.push_back(address);
     }
   }
-  return HighestRanked(std::move(large), {}, wanted);
+  return large;
 }
 
 // The load that this answers: most processes die at once, the leader among them. Its successor took
@@ -135,7 +141,10 @@
   const auto& scheduler = settings_.leading.scheduler;
   const bool relays_wanted =
       scheduler.Uses(sched::mechanism::kRelays) && RelaysFor(leader_->Workers()) > 0;
-  return relays_wanted && Relays().empty() ? kUnrelayedPause : duration{};
+  if (!relays_wanted) {
+    return {};
+  }
+  return Relays().empty() ? kUnrelayedPause : kRelayedPause;
 }
 
 template <typename Ports>
@@ -174,10 +183,42 @@
 template <typename Ports>
 void node<Ports>::SayGoodbye(std::uint64_t epoch) {
   for (const auto& [address, each] : members_) {
-    wire::peer_frame frame;
-    frame.set_epoch(epoch);
-    frame.mutable_notice()->set_resigning(true);
-    peers_.Tell(address, std::move(frame));
+    TellGoodbye(address, epoch);
+  }
+}
+
+template <typename Ports>
+void node<Ports>::TellGoodbye(const std::string& address, std::uint64_t epoch) {
+  wire::peer_frame frame;
+  frame.set_epoch(epoch);
+  frame.mutable_notice()->set_resigning(true);
+  peers_.Tell(address, std::move(frame));
+}
+
+// The load that this answers: all processes are killed at once, and small ones are back first. One
+// of them then led thousands of workers with a tenth of a processor, and callers waited for
+// seconds.
+template <typename Ports>
+void node<Ports>::OfferToLarger() {
+  const auto now = SteadyNow();
+  const bool small = settings_.processor_milli < kLargeProcess;
+  if (!small || !leader_->Serving() || RelaysFor(leader_->Workers()) == 0 ||
+      now - offered_at_ < kOfferAgain) {
+    return;
+  }
+  const auto larger = LargeMembers();
+  if (larger.empty()) {
+    return;
+  }
+  offered_at_ = now;
+  log_.Write(event_line{"leadership_offered", event_weight::kBelief}
+                 .Add("epoch", leader_->epoch())
+                 .Add("to", larger.size())
+                 .Add("processor_milli", settings_.processor_milli)
+                 .Add("workers", leader_->Workers()));
+  // Only they are told: this process leads on until one of them has claimed.
+  for (const auto& address : larger) {
+    TellGoodbye(address, leader_->epoch());
   }
 }
 
--- a/src/rosearch/cell/internal/node_pings.h
+++ b/src/rosearch/cell/internal/node_pings.h
@@ -100,11 +100,14 @@
   if (leader_->epoch() != election_.Known().epoch) {
     return;
   }
-  if (published_members_ != members_version_) {
+  const auto now = SteadyNow();
+  const bool due = published_members_ == 0 || now - published_at_ >= kPublishEvery;
+  if (published_members_ != members_version_ && due) {
     published_members_ = members_version_;
+    published_at_ = now;
     peers_.SetPingMembers(std::make_unique<wire::peer_frame>(PongWithMembers()));
   }
-  peers_.SetPingReply(std::make_unique<wire::peer_frame>(Pong()), SteadyNow() + kPingReplyLife);
+  peers_.SetPingReply(std::make_unique<wire::peer_frame>(Pong()), now + kPingReplyLife);
 }
 
 template <typename Ports>
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -146,9 +146,17 @@
   /// Peers that a process in doubt asks whether they hear the leader. With a fifth of them cut off
   /// from the leader in the same way, all of so many are once in 10^11 times.
   static constexpr std::size_t kWitnesses = 16;
+  /// An offer of leadership that nobody took up is made again after this.
+  static constexpr duration kOfferAgain = std::chrono::milliseconds{2'000};
   /// Peers that live are heard of within 0.2 s of a change of leader; until then workers are read
   /// at a pace that leaves time and descriptors for everything else.
   static constexpr duration kUnrelayedPause = std::chrono::milliseconds{20};
+  /// About twice what asking some workers takes, so that the thread that answers peers gets its
+  /// share of a small processor, too.
+  static constexpr duration kRelayedPause = std::chrono::milliseconds{10};
+  /// Between two lists of members that peers are told. Where hundreds of processes join at once,
+  /// each of them would otherwise get all others anew with every ping.
+  static constexpr duration kPublishEvery = std::chrono::milliseconds{1'000};
   /// A leader whose loop hasn't turned for so long stands still, whatever its other thread says.
   static constexpr duration kPingReplyLife = std::chrono::milliseconds{2'500};
   static constexpr duration kPingPatience = std::chrono::milliseconds{600};
@@ -199,6 +207,11 @@
   void OnPong(const wire::peer_frame& frame);
   void Announce();
   void SayGoodbye(std::uint64_t epoch);
+  void TellGoodbye(const std::string& address, std::uint64_t epoch);
+  /// Hands the leadership of many workers over to a larger process, once there is one.
+  void OfferToLarger();
+  /// @return large processes that this leader has heard.
+  [[nodiscard]] std::vector<std::string> LargeMembers() const;
   void FindNewestClaim();
   void FollowClaims();
   void OnClaim(const std::string& bytes, std::uint64_t offset);
@@ -252,6 +265,7 @@
   std::map<std::string, member> members_;  ///< by address, without this process
   std::uint64_t members_version_{0};
   std::uint64_t published_members_{0};  ///< version that replies to pings list; 0: none
+  time_point published_at_{};
   sched::client_limits limits_;
   bool limits_known_{false};
   bool stopping_{false};
@@ -263,6 +277,7 @@
   time_point tick_due_{};
   time_point asked_peers_at_{};
   time_point claims_read_at_{};
+  time_point offered_at_{};         ///< when a larger process was last asked to lead
   std::uint64_t doubted_epoch_{0};  ///< the newest leadership in doubt of which a line was written
   time_point asked_all_at_{};  ///< when the peers were asked who have all answered since, or not
   std::size_t under_way_{0};
--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -35,6 +35,10 @@
 /// A relay that didn't answer is left alone for so long; by then it is gone, or sound again.
 constexpr duration kRelayRests = std::chrono::milliseconds{2'000};
 
+/// A relay that answered something within this lives. Were one that is only late left alone, all
+/// its exchanges would go directly at once, and make the leader late, too.
+constexpr duration kRelaySilent = std::chrono::milliseconds{300};
+
 /// What a message between processes may take beyond the exchange itself.
 constexpr duration kRelayMargin = std::chrono::milliseconds{40};
 
@@ -322,10 +326,13 @@
                  [this, sent, relay](const wire::peer_frame* frame) {
                    --sent->under_way;
                    if (frame == nullptr) {
-                     RestRelay(relay);
+                     if (SteadyNow() - relay_heard_[relay] >= kRelaySilent) {
+                       RestRelay(relay);
+                     }
                      OnFailure(sent, error{error_kind::kTimeout, "no answer of the relay"});
                      return;
                    }
+                   relay_heard_[relay] = SteadyNow();
                    auto answer = FromWire(frame->relayed());
                    if (answer.has_value()) {
                      sent->Finish(std::move(answer));
--- a/src/rosearch/cell/relayed_client.h
+++ b/src/rosearch/cell/relayed_client.h
@@ -99,7 +99,8 @@
   event_sink* log_;
   std::vector<std::string> helpers_;
   std::vector<std::string> relays_;
-  std::unordered_map<std::string, time_point> resting_;  ///< relays, until when
+  std::unordered_map<std::string, time_point> resting_;      ///< relays, until when
+  std::unordered_map<std::string, time_point> relay_heard_;  ///< relays, when one last answered
   /// By address that a relay failed to reach: until when it is reached otherwise.
   std::unordered_map<std::string, time_point> unrelayed_;
   /// By address: the peer that reached it last. Staying with it keeps what is sent in order.
