The case without descriptors runs where it can be judged; a bound on sockets stands for it under ASan

The code was right; the check can't be made in that state. The case stays as it is in release and under TSan. Under ASan, and everywhere, 'a transport that can make no more sockets goes on' takes the same way (EMFILE of zmq_socket) by a bound on sockets, which is a setting now: ZeroMQ's own of 1,023 is below a cell of a thousand processes.

--- a/src/rosearch/net/peer_transport.cc
+++ b/src/rosearch/net/peer_transport.cc
@@ -14,6 +14,7 @@
 namespace rosearch {
 namespace {
 
+constexpr int kThreads = 1;
 constexpr int kQueuedMessages = 10'000;
 constexpr int kLargestMessage = 32 << 20;
 
@@ -41,6 +42,7 @@
   impl(const std::string& address, receive on_message, const peer_transport_options& options,
        broken on_broken)
       : options_{options},
+        context_{kThreads, options_.most_sockets},
         on_message_{std::move(on_message)},
         on_broken_{std::move(on_broken)},
         receiver_{context_, zmq::socket_type::router},
@@ -223,13 +225,10 @@
       SetOptions(socket, options_);
       socket.connect(to);
       return socket;
-    } catch (const zmq::error_t&) {
-      // Not read from the exception: a sanitizer checks the type of an object through a pipe, and
-      // there may be no descriptor left for one.
-      const int reason = zmq_errno();
+    } catch (const zmq::error_t& failed) {
       constexpr int kOneLineFor = 1'000;
       LOG_EVERY_N(ERROR, kOneLineFor)
-          << "event=peer_socket_failed to=" << to << " detail=" << zmq_strerror(reason);
+          << "event=peer_socket_failed to=" << to << " detail=" << failed.what();
       return std::nullopt;
     }
   }
--- a/src/rosearch/net/peer_transport.h
+++ b/src/rosearch/net/peer_transport.h
@@ -32,6 +32,8 @@
   /// A connection on which nothing was sent for so long is closed: a peer that is gone for good
   /// would be tried for ever, and each one that was ever there hold a descriptor.
   std::chrono::milliseconds idle_limit{30'000};
+  /// Sockets at once, one for each peer and a few more; ZeroMQ's own bound is below a large cell.
+  int most_sockets{4'096};
 
   friend bool operator==(const peer_transport_options&, const peer_transport_options&) = default;
 };
--- a/test/rosearch/cell/peer_link_test.cc
+++ b/test/rosearch/cell/peer_link_test.cc
@@ -86,7 +86,10 @@
 }
 
 // A process of a large cell has used up its file descriptors. It ended by an exception that nobody
-// caught, and with it the connections of all its callers.
+// caught, and with it the connections of all its callers. Not with the sanitizer that looks at an
+// object's type through a pipe, which needs descriptors itself; there the case of `peer_transport`
+// that can make no more sockets stands for it.
+#ifndef __SANITIZE_ADDRESS__
 TEST_CASE("a process without file descriptors left goes on") {
   boost::asio::io_context io;
   peer_link* self = nullptr;
@@ -119,5 +122,6 @@
   }
   CHECK(answered);
 }
+#endif
 
 }  // namespace rosearch::cell
--- a/test/rosearch/net/peer_transport_test.cc
+++ b/test/rosearch/net/peer_transport_test.cc
@@ -1,5 +1,6 @@
 #include "rosearch/net/peer_transport.h"
 
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
@@ -37,6 +38,32 @@
   CHECK(HoldsSoon(from, 1));
 }
 
+// A process of a large cell can make no more sockets. It ended by an exception that nobody caught;
+// what it can still reach must go on.
+TEST_CASE("a transport that can make no more sockets goes on") {
+  peer_transport_options options;
+  options.most_sockets = 6;
+  std::atomic<int> received{0};
+  peer_transport from{"127.0.0.1:0", [&received](const std::string&) { ++received; }, options};
+  const auto reaches_itself = [&] {
+    const int before = received;
+    const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{3};
+    while (received == before && std::chrono::steady_clock::now() < until) {
+      from.Send(from.address(), "hello");
+      std::this_thread::sleep_for(milliseconds{10});
+    }
+    return received > before;
+  };
+  REQUIRE(reaches_itself());
+  constexpr int kPeers = 20;
+  for (int at = 1; at <= kPeers; ++at) {
+    from.Send("127.0.0.1:" + std::to_string(at), "hello");
+  }
+  from.WatchConnection("127.0.0.1:9");
+  CHECK(reaches_itself());
+  CHECK(from.Counters().peers < kPeers);
+}
+
 // The connection to the leader is watched, and nothing may be sent on it for a while. Its break
 // must be told all the same.
 TEST_CASE("a watched connection stays") {
