--- a/test/rosearch/cell/relayed_client_test.cc
+++ b/test/rosearch/cell/relayed_client_test.cc
@@ -68,12 +68,16 @@
   int calls{0};
   int silent_call{0};  ///< this one is never answered
   bool lose_peers{false};
+  bool deaf{false};  ///< what a peer is asked to carry is lost
   duration answers_after{};
   duration took{};
   http_server server;
   http_client direct{io};
-  peer_link peers{io, "127.0.0.1:0", 7,
-                  [this](const wire::peer_frame& frame) { client.Serve(frame); }};
+  peer_link peers{io, "127.0.0.1:0", 7, [this](const wire::peer_frame& frame) {
+                    if (!deaf) {
+                      client.Serve(frame);
+                    }
+                  }};
   relayed_client client{io, direct, peers};
 };
 
@@ -127,6 +131,28 @@
   CHECK(next->value().body == "here");
 }
 
+// A relay that has hundreds of connections to make is late once. Left alone for that, all its
+// exchanges would go directly, and make the leader late, too.
+TEST_CASE("a relay that lost one answer is still asked") {
+  outside made{200};
+  made.Connect();
+  const reach order{.patience = {}, .by_relay = true};
+  made.deaf = true;
+  http_request lost;
+  lost.address = "127.0.0.1:" + std::to_string(made.server.port());
+  lost.answer_by = SteadyNow() + milliseconds{300};
+  made.client.Send(lost, order, [](const result<http_reply>&) {});
+  made.io.restart();
+  made.io.run_for(milliseconds{250});
+  made.deaf = false;
+  REQUIRE(made.Send(order, milliseconds{200}));
+  made.io.restart();
+  made.io.run_for(milliseconds{250});
+  const auto before = made.client.Relayed();
+  REQUIRE(made.Send(order, milliseconds{200}));
+  CHECK(made.client.Relayed() == before + 1);
+}
+
 // The same, while another exchange that may wait long is on its way there: it must not wait for its
 // own time-out, since what ends at the worker meanwhile is seen late.
 TEST_CASE("what a lost relay had on its way goes otherwise at once") {
