One patience, relays looked up once, a name that the shard's witness doesn't share

Found at the last reading, behaviour as it was. OwnDelay wrote Patience() again; WatchPause chose the relays a second time right after UpdatePeers had; Witnesses/kWitnesses in cell::node read like the witness of a shard in rosearch serve, and are PeersToAsk/kPeersAsked now. Checked: test_cell in release (70 cases), format, linter on three files that include what changed, events.

--- a/src/rosearch/cell/election.cc
+++ b/src/rosearch/cell/election.cc
@@ -51,7 +51,7 @@
   const auto old = std::chrono::duration_cast<duration>(settings_.old_waits * age);
   const auto spread = std::chrono::duration_cast<duration>(settings_.spread * jitter_);
   const auto late = now < late_until_ ? settings_.late_waits : duration{};
-  return old + spread + late + (small_ ? settings_.small_waits : duration{});
+  return old + spread + late + Patience();
 }
 
 bool election::Hears(time_point now) const { return !leaving_ && Reaches(now); }
--- a/src/rosearch/cell/election.h
+++ b/src/rosearch/cell/election.h
@@ -107,7 +107,8 @@
 
  private:
   [[nodiscard]] duration OwnDelay(time_point now) const;
-  /// @return how much longer this process hears nothing before it minds: small ones ask less often.
+  /// @return how much longer than a large process this one waits before it doubts or claims: small
+  ///         ones ask less often, and let large ones claim first.
   [[nodiscard]] duration Patience() const { return small_ ? settings_.small_waits : duration{}; }
 
   election_settings settings_;
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -144,7 +144,7 @@
   if (!relays_wanted) {
     return {};
   }
-  return Relays().empty() ? kUnrelayedPause : kRelayedPause;
+  return outside_.HasRelays() ? kRelayedPause : kUnrelayedPause;
 }
 
 template <typename Ports>
@@ -371,14 +371,14 @@
 // asked all others, the small ones had no time left for anything else, answered late, and leader
 // after leader was taken for dead.
 template <typename Ports>
-std::vector<std::string> node<Ports>::Witnesses() const {
+std::vector<std::string> node<Ports>::PeersToAsk() const {
   std::vector<std::string> others;
   for (const auto& [address, each] : members_) {
     if (address != election_.Known().address) {
       others.push_back(address);
     }
   }
-  return HighestRanked(std::move(others), peers_.address(), kWitnesses);
+  return HighestRanked(std::move(others), peers_.address(), kPeersAsked);
 }
 
 template <typename Ports>
@@ -388,7 +388,7 @@
     return;
   }
   asked_peers_at_ = now;
-  const auto asked = Witnesses();
+  const auto asked = PeersToAsk();
   if (asked.empty()) {
     asked_all_at_ = now;
     return;
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -145,7 +145,7 @@
   static constexpr duration kSmallPingEvery = std::chrono::milliseconds{500};
   /// Peers that a process in doubt asks whether they hear the leader. With a fifth of them cut off
   /// from the leader in the same way, all of so many are once in 10^11 times.
-  static constexpr std::size_t kWitnesses = 16;
+  static constexpr std::size_t kPeersAsked = 16;
   /// An offer of leadership that nobody took up is made again after this.
   static constexpr duration kOfferAgain = std::chrono::milliseconds{2'000};
   /// Peers that live are heard of within 0.2 s of a change of leader; until then workers are read
@@ -219,7 +219,7 @@
   void ClaimIfNobodyLeads();
   /// @return the peers that are asked whether they hear the leader, the same in each round: a
   ///         message to a peer without a connection yet is lost.
-  [[nodiscard]] std::vector<std::string> Witnesses() const;
+  [[nodiscard]] std::vector<std::string> PeersToAsk() const;
   void AskPeersForLeader();
   void Claim();
   void Lead(std::uint64_t epoch);
--- a/src/rosearch/cell/relayed_client.h
+++ b/src/rosearch/cell/relayed_client.h
@@ -58,6 +58,9 @@
   /// large cell those with workers take most of a leader's processor, while its peers are idle.
   void SetRelays(std::vector<std::string> relays) { relays_ = std::move(relays); }
 
+  /// @return whether there are relays.
+  [[nodiscard]] bool HasRelays() const { return !relays_.empty(); }
+
   /// Sends a request; the callback runs once, on the thread of the io_context. The answer of a peer
   /// carries no headers.
   void Send(http_request request, const reach& how, http_callback done);
