Each worker that answers a successor concerns only the room at that worker

Cause: while a successor reads its workers, each that answered raised the version of all room, twice, so every waiting step was looked at again in every pass, and old steps, which can't start before the last worker has answered, were never marked as looked at. 3,000 workers and 750 waiting steps (rosearch_bench ReadWorkers, one core, beside nothing): 168 ms; the passes grow with workers times steps. Ruled out: the workers' stored record (those restored as open stay recorded, so it isn't written anew for each). Change: a worker that comes back notes room at itself; unsettled workers unblock all only when few are left; a step that waits for old workers is looked at each 50 ms and when they have settled. Test (failed first): 20,000 looks where 2,400 are allowed.

--- a/benchmark/leader_bench.cc
+++ b/benchmark/leader_bench.cc
@@ -19,6 +19,8 @@
 constexpr std::uint32_t kTasks = 10;
 /// Share of a pool's room that services take, which run all the time.
 constexpr double kServices = 0.5;
+/// Workers that answer a successor between two of its passes.
+constexpr std::size_t kReportsPerPass = 8;
 
 class no_log final : public event_sink {
  public:
@@ -37,12 +39,7 @@
     made.pools = {{"pool", false, false}};
     leader_.Configure(made, now_);
     for (std::size_t at = 0; at < workers; ++at) {
-      worker_facts facts;
-      facts.id = "worker-" + std::to_string(at);
-      facts.address = "10.0.0.1:80";
-      facts.pool = "pool";
-      facts.capacity = {16'000, 32'768, 0};
-      leader_.ObserveWorker(facts, now_);
+      leader_.ObserveWorker(Facts(at), now_);
     }
     leader_.FinishRestore(now_);
     Store();
@@ -57,6 +54,44 @@
     }
   }
 
+  /// Hands in jobs that nothing is done about.
+  void LeaveWaiting(std::size_t jobs) {
+    for (std::size_t at = 0; at < jobs; ++at) {
+      HandIn(false);
+    }
+  }
+
+  /// Has a successor read what this leader left, and hear each worker once.
+  void TakeOver() const {
+    no_log log;
+    auto now = now_;
+    scheduler next{scheduler_settings{}, 2, log};
+    next.Configure(leader_.configuration(), now);
+    for (const auto& [key, value] : kept_) {
+      (void)next.Restore({key, value}, now);
+    }
+    next.FinishRestore(now);
+    const auto ids = leader_.WatchedWorkers();
+    for (std::size_t at = 0; at < ids.size(); ++at) {
+      next.ObserveWorker(Facts(at), now);
+    }
+    for (std::size_t at = 0; at < ids.size(); ++at) {
+      const auto id = Facts(at).id;
+      const auto runs = running_.find(id);
+      worker_report report;
+      if (runs != running_.end()) {
+        report.running = runs->second;
+      }
+      (void)next.NextWatch(id, now);
+      next.OnReport(id, now.steady, report, now);
+      now.steady += std::chrono::microseconds{500};
+      if (at % kReportsPerPass == 0) {
+        next.Schedule(now);
+        benchmark::DoNotOptimize(next.TakeOrders());
+      }
+    }
+  }
+
   /// Hands in a job and takes it to its end.
   void ServeOne() {
     HandIn(false);
@@ -81,8 +116,19 @@
     (void)leader_.Submit(std::move(job), now_);
     Store();
   }
+  [[nodiscard]] static worker_facts Facts(std::size_t number) {
+    worker_facts facts;
+    facts.id = "worker-" + std::to_string(number);
+    facts.address = "10.0.0.1:80";
+    facts.pool = "pool";
+    facts.capacity = {16'000, 32'768, 0};
+    return facts;
+  }
   void Store() {
     const auto batch = leader_.TakeBatch();
+    for (const auto& record : batch.records) {
+      kept_[record.key] = record.value;
+    }
     leader_.OnStored(batch.number, now_);
   }
   /// Carries orders out until there are none.
@@ -136,6 +182,7 @@
   std::uint64_t next_job_{1};
   std::unordered_map<std::string, std::vector<running_row>> running_;  ///< by worker
   std::unordered_map<std::string, std::uint64_t> ended_;               ///< by worker
+  std::unordered_map<std::string, std::string> kept_;                  ///< records, by key
 };
 
 /// One job of ten tasks from its handing in to its end; items are starts.
@@ -146,7 +193,19 @@
   }
   state.SetItemsProcessed(state.iterations() * kTasks);
 }
-BENCHMARK(ServeQuickJobs)->Arg(50)->Arg(540)->Arg(1'000);
+BENCHMARK(ServeQuickJobs)->Arg(50)->Arg(540)->Arg(1'000)->Arg(3'000);
+
+/// A successor reads a cell where a step waits for each fourth worker; items are workers.
+void ReadWorkers(benchmark::State& state) {
+  const auto workers = static_cast<std::size_t>(state.range(0));
+  full_cell cell{workers};
+  cell.LeaveWaiting(workers / 4);
+  for (auto _ : state) {
+    cell.TakeOver();
+  }
+  state.SetItemsProcessed(state.iterations() * state.range(0));
+}
+BENCHMARK(ReadWorkers)->Arg(50)->Arg(540)->Arg(3'000)->Unit(benchmark::kMillisecond);
 
 }  // namespace
 }  // namespace rosearch::sched
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -458,6 +458,9 @@
   /// time, doesn't judge workers by times that are its own, and takes in fewer jobs.
   static constexpr duration kLate = std::chrono::milliseconds{50};
   static constexpr std::uint32_t kAnyNumber = 1U << 20U;
+  /// Workers that are out of reach after a change of leader and are asked about; where more are,
+  /// most are about to answer.
+  static constexpr std::size_t kMostUnseen = 8;
 
   scheduler_settings settings_;
   std::uint64_t epoch_;
--- a/src/rosearch/sched/scheduler_advice.cc
+++ b/src/rosearch/sched/scheduler_advice.cc
@@ -17,10 +17,6 @@
 constexpr double kSpareNames = 1.5;
 constexpr std::size_t kFewestNames = 6;
 
-/// Workers that are out of reach after a change of leader and are asked about; where more are, most
-/// are about to answer.
-constexpr std::size_t kMostUnseen = 8;
-
 /// Workers without room are named for this share of what a question costs anyway: whom advice
 /// allows doesn't change, and what is known of them saves questions once they have room.
 constexpr double kAheadShare = 0.25;
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -182,6 +182,9 @@
   if (step.blocked_at < all_room_version_ || now.steady >= step.look_again_at) {
     return false;
   }
+  if (step.job->restored && !Startable(step)) {
+    return true;  // not for want of room
+  }
   if (!step.job->advice) {
     return step.blocked_at == room_version_;
   }
@@ -236,6 +239,7 @@
     TellWaiting(*step, now);
     if (!Startable(*step)) {
       AskAboutUnseen(*step, now);
+      Block(*step, now);
     } else if (step->spec->gang) {
       PlaceGang(*step, now);
     } else {
--- a/src/rosearch/sched/scheduler_reports.cc
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -124,7 +124,7 @@
                    .Add("running", report.running.size())
                    .Add("ended", report.ended.size())
                    .Add("silent_watches", worker.silent_watches));
-    NoteRoomEverywhere();
+    NoteRoom(worker);
     workers_dirty_ = workers_dirty_ || !worker.recorded;
   }
   for (const auto& row : report.ended) {
@@ -217,7 +217,10 @@
   if (unsettled_.erase(id) == 0) {
     return;
   }
-  NoteRoomEverywhere();
+  // While many are unsettled, old work waits for all of them: one more answer unblocks nothing.
+  if (unsettled_.size() <= kMostUnseen) {
+    NoteRoomEverywhere();
+  }
   if (how != "answered") {
     log_.Write(event_line{"old_worker_settled", event_weight::kBelief}
                    .Add("worker", id)
--- a/test/rosearch/sched/scheduler_test.cc
+++ b/test/rosearch/sched/scheduler_test.cc
@@ -490,6 +490,35 @@
   CHECK(next.leader.OldRunsSettled());
 }
 
+// A successor reads a large cell: hundreds of workers answer one after another while old work waits
+// for the last of them. Where each answer had all that waits looked at anew, the successor had no
+// time left for its peers and was taken for dead.
+TEST_CASE("workers that answer a successor don't have all that waits looked at anew") {
+  constexpr std::size_t kWorkers = 400;
+  constexpr int kJobs = 200;
+  constexpr milliseconds kApart{1};
+  constexpr int kAnswersPerPass = 4;
+  bench_top top{kWorkers};
+  for (int at = 0; at < kJobs; ++at) {
+    (void)top.Submit("j" + std::to_string(at), 1);
+  }
+  top.Keep();
+  successor next{top};
+  std::size_t started = 0;
+  for (std::size_t at = 0; at < kWorkers; ++at) {
+    next.now.steady += kApart;
+    next.Answers("w" + std::to_string(at));
+    if (at % kAnswersPerPass == 0) {
+      started += next.Started().size();
+    }
+  }
+  // Each step now and then, and as the last workers settle.
+  constexpr auto kLooks = static_cast<std::uint64_t>(kWorkers * kApart / milliseconds{50});
+  CHECK(next.leader.Counts(next.now).placement_attempts <= kJobs * (kLooks + 4));
+  started += next.Started().size();
+  CHECK(started == kJobs);
+}
+
 // The process that asked for advice dies before it has the answer. The caller sees a job that is
 // accepted and never starts, with most of the room free.
 TEST_CASE("a question for advice that is never answered is asked again") {
