A late successor gives others half of its time while it reads workers

Change: the next slice goes out when most of the last have answered, or 100 ms later since some are dead; where the call comes late, others get as long as it was late first, once for each slice. Ruled out: a bound on unanswered workers (with a zone without power its dead ones would fill it for a second).

--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -158,26 +158,47 @@
       unwatched_.push_back(worker);
     }
   }
-  WatchSome();
+  WatchSome({});
 }
 
 // The load that this answers: a new leader of thousands of workers reads all of them. Done in one
-// go, callers and peers waited for a second.
+// go, callers and peers waited for a second. So some are read at a time; the next follow when most
+// of those have answered, and after a rest as long as this call is late: at least half of a late
+// process's time is left for others.
 template <typename Ports>
-void leader<Ports>::WatchSome() {
+void leader<Ports>::WatchSome(duration late) {
   constexpr std::size_t kAtOnce = 50;
+  constexpr duration kSlicePatience = std::chrono::milliseconds{100};  // some workers are dead
+  constexpr duration kLookAgain = std::chrono::milliseconds{2};
+  constexpr duration kPrompt = std::chrono::milliseconds{5};
+  constexpr duration kLongestRest = std::chrono::milliseconds{250};
   if (unwatched_.empty()) {
     return;
   }
+  const auto now = SteadyNow();
+  const auto again = [this, now](duration pause) {
+    After(watch_timer_, pause,
+          [due = now + pause](leader& self) { self.WatchSome(SteadyNow() - due); });
+  };
+  if (late > kPrompt && !std::exchange(rested_, true)) {
+    again(std::min(late, kLongestRest));
+    return;
+  }
   const auto pause = hooks_.watch_pause();
+  if (slice_.size() > kAtOnce / 2 && now - slice_at_ < kSlicePatience) {
+    again(std::max(pause, kLookAgain));
+    return;
+  }
+  rested_ = false;
+  slice_.clear();
+  slice_at_ = now;
   for (std::size_t count = 0; count < kAtOnce && !unwatched_.empty(); ++count) {
     const auto worker = std::move(unwatched_.front());
     unwatched_.pop_front();
+    slice_.insert(worker);
     Watch(worker);
   }
-  if (!unwatched_.empty()) {
-    After(watch_timer_, pause, [](leader& self) { self.WatchSome(); });
-  }
+  again(pause);
 }
 
 template <typename Ports>
@@ -206,6 +227,7 @@
   }
   const auto sent_at = SteadyNow();
   ports_.Watch(*watch, epoch_, Bind([worker, sent_at](leader& self, const watch_answer& answer) {
+    self.slice_.erase(worker);
     if (answer.report) {
       self.scheduler_.OnReport(worker, sent_at, *answer.report, Now());
     } else {
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -269,7 +269,8 @@
   void AskForAdvice();
   void Watch(const std::string& worker);
   void WatchAll();
-  void WatchSome();
+  /// @param late  how late this call comes: so long does everything wait for the process.
+  void WatchSome(duration late);
   void WatchAfter(const std::string& worker, duration pause);
 
   void Store();
@@ -330,7 +331,10 @@
   std::map<std::string, time_point> unlisting_;  ///< workers that may yet come back, until when
   std::deque<batch_under_way> batches_;          ///< oldest first
   std::deque<std::string> unwatched_;            ///< workers that are about to be watched
-  std::size_t workers_{0};                       ///< that are known
+  std::set<std::string> slice_;  ///< of the workers watched last for the first time: unanswered
+  time_point slice_at_{};        ///< when they were watched
+  bool rested_{false};           ///< others were given time since then
+  std::size_t workers_{0};       ///< that are known
   std::uint64_t sequence_{0};
   std::uint64_t configuration_next_{0};
   std::uint64_t registry_next_{0};
--- a/test/rosearch/cell/fake_ports.h
+++ b/test/rosearch/cell/fake_ports.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "rosearch/cell/leader.h"
@@ -87,9 +88,12 @@
   void Pace(const sched::pace_order&, std::uint64_t) {}
   void Watch(const sched::watch_request& watch, std::uint64_t, const watch_callback& done) {
     ++watches;
-    watched.insert(watch.worker);
+    const bool first = watched.insert(watch.worker).second;
     std::erase_if(ended, [&](const auto& row) { return row.number <= watch.acked_end; });
-    Later(milliseconds{5}, [this, done] {
+    // A worker with nothing to tell keeps its answer back for a while.
+    const bool keeps_back = ended.empty() && watch.wait > duration{};
+    Later(milliseconds{keeps_back ? 50 : 5}, [this, first, done] {
+      std::this_thread::sleep_for(first ? watch_costs : duration{});
       watch_answer answer;
       answer.report = sched::worker_report{{}, ended};
       done(answer);
@@ -136,6 +140,7 @@
   std::uint64_t ends{0};
   std::optional<std::uint64_t> next_sequence;  ///< unset: an epoch may begin with any
   duration first_takes{};                      ///< on its way to the store; 0: as long as others
+  duration watch_costs{};  ///< of the leader's time, for a worker's first answer
   int appends{0};
   int carried{0};
   int workers{1};
@@ -177,9 +182,11 @@
 /// A leader over fake ports, run for real but short spans of time.
 class leading {
  public:
-  explicit leading(int workers = 1, duration between = {}, duration first_append = {})
+  explicit leading(int workers = 1, duration between = {}, duration first_append = {},
+                   duration watch_costs = {})
       : pause{between} {
     ports.workers = workers;
+    ports.watch_costs = watch_costs;
     ports.first_takes = first_append;
     leader_hooks hooks;
     hooks.watch_pause = [this] {
--- a/test/rosearch/cell/leader_test.cc
+++ b/test/rosearch/cell/leader_test.cc
@@ -40,6 +40,20 @@
   CHECK(cell.ports.watched.size() == kWorkers);
 }
 
+// A new leader with a small share of a processor took one worker's report after the other. Callers
+// and peers waited until all were read, and the peers chose another leader.
+TEST_CASE("reading workers leaves a late leader half of its time") {
+  constexpr int kWorkers = 600;
+  leading cell{kWorkers, milliseconds{1}, {}, milliseconds{1}};
+  REQUIRE(cell.made->Serving());
+  // The first slice is out; of each further millisecond half may go into one more.
+  constexpr int kSlice = 50;
+  cell.Run(milliseconds{300});
+  CHECK(cell.ports.watched.size() <= 360 / 2 + 2 * kSlice);
+  cell.Run(milliseconds{2'000});
+  CHECK(cell.ports.watched.size() == kWorkers);
+}
+
 TEST_CASE("a store that refuses an append refuses the job at once, and it never runs") {
   leading cell;
   cell.ports.refuse = true;
