Process cases pick an owner that has lasted, not one that moves

Owner() reads the dumps one after another: entry 2 before the move and entry 3 after it both say no, and 0 comes out although the shard was served all the time. An owner read just before such a move is no better: the case would kill an entry that doesn't own the shard any more. Change: SettledOwner wants the same entry for 500 ms.

--- a/test/process/cell.cc
+++ b/test/process/cell.cc
@@ -31,6 +31,7 @@
 
 constexpr milliseconds kLook{20};
 constexpr seconds kAnswerLimit{30};
+constexpr milliseconds kSettled{500};  ///< moves of a shard take less
 constexpr const char* kCustomer = "calandria";
 constexpr const char* kHolds = R"(,"holds":{"processors_milli":16000,"memory_mb":65536})";
 
@@ -387,9 +388,13 @@
 
 int cell::SettledOwner(shard_number shard) {
   int owner = 0;
-  Until("owner of shard " + std::to_string(shard), [&] {
-    owner = Owner(shard);
-    return owner != 0;
+  auto since = SteadyNow();
+  Until("lasting owner of shard " + std::to_string(shard), [&] {
+    const int now = Owner(shard);
+    if (std::exchange(owner, now) != now) {
+      since = SteadyNow();
+    }
+    return owner != 0 && SteadyNow() - since >= kSettled;
   });
   return owner;
 }
--- a/test/process/cell.h
+++ b/test/process/cell.h
@@ -100,8 +100,8 @@
   void CheckWorkers();
   /// @return the entry that serves the shard; 0 where none says so.
   [[nodiscard]] int Owner(shard_number shard);
-  /// Waits until an entry serves the shard: on a busy machine a right may lapse between two
-  /// renewals.
+  /// Waits until one entry has served the shard for a while: entries share the shards out anew as
+  /// they come, and one that moves between two looks seems to be served by nobody.
   /// @return that entry.
   [[nodiscard]] int SettledOwner(shard_number shard);
   [[nodiscard]] std::set<shard_number> OwnedBy(int entry);
