--- a/src/rosearch/cell/cell_metrics.cc
+++ b/src/rosearch/cell/cell_metrics.cc
@@ -46,6 +46,8 @@
                 "Workers that may run old work and haven't answered."},
     metric_help{"rosearch_wait_seconds", "From handing a job in to its first start, by priority."},
     metric_help{"rosearch_waiting_tasks", "Tasks of open steps that don't run."},
+    metric_help{"rosearch_worker_looks_total",
+                "Workers looked at for steps that wait; how much one try costs."},
     metric_help{"rosearch_workers_live", "Workers that answer."},
 };
 
