--- a/test/rosearch/sched/load_test.cc
+++ b/test/rosearch/sched/load_test.cc
@@ -354,8 +354,7 @@
 }
 
 // The same, taking in whatever comes: everything is late, also what comes after.
-TEST_CASE("a leader with less processor that turns nothing away serves nobody",
-          "[slowed-leader]") {
+TEST_CASE("a leader with less processor that turns nothing away serves nobody", "[slowed-leader]") {
   const auto ours = SlowedLeader(0.25);
   const auto baseline = SlowedLeader(0.25, Without(mechanism::kAdmission));
   std::cout << "leader with a quarter of a processor: in time " << ours.slowed << ", taking in all "
