--- a/test/rosearch/cell/node_test.cc
+++ b/test/rosearch/cell/node_test.cc
@@ -151,6 +151,10 @@
     return OnThread(
         [this] { return node_->Ready() && node_->Dump().find("leading=1") != std::string::npos; });
   }
+  /// @return whether peers carry its exchanges with workers.
+  [[nodiscard]] bool HasRelays() {
+    return OnThread([this] { return outside_.HasRelays(); });
+  }
   /// @return whether it would answer callers.
   [[nodiscard]] bool Ready() {
     return OnThread([this] { return node_->Ready(); });
@@ -202,10 +206,11 @@
 /// Three processes of one cell, of which one leads.
 class cell_of_three {
  public:
-  cell_of_three() {
+  explicit cell_of_three(int workers = 1) {
+    constexpr std::uint32_t kLarge = 1'000;
     for (std::size_t at = 0; at < processes.size(); ++at) {
-      processes[at] = std::make_unique<process>(claims, kAddresses[at],
-                                                std::vector{std::string{kAddresses[0]}}, at + 1);
+      processes[at] = std::make_unique<process>(
+          claims, kAddresses[at], std::vector{std::string{kAddresses[0]}}, at + 1, kLarge, workers);
       if (at == 0) {
         Until([this] { return processes[0]->Leads(); });
       }
@@ -359,6 +364,21 @@
   CHECK(small.Logged("leadership_offered") == (workers == kMany));
 }
 
+// Most processes lose power at once, the leader among them. Its successor still has them on its
+// list; taken for relays, they would carry its exchanges with workers to nowhere.
+TEST_CASE("a successor takes for relays only processes that it has heard") {
+  constexpr int kMany = 200;
+  cell_of_three cell{kMany};
+  REQUIRE(cell_of_three::Until([&] { return cell.processes[0]->HasRelays(); }) < seconds{5});
+  cell.processes[0]->Freeze();
+  cell.processes[2]->Freeze();
+  REQUIRE(cell_of_three::Until([&] { return cell.processes[1]->Leads(); }) < seconds{5});
+  std::this_thread::sleep_for(milliseconds{300});
+  CHECK_FALSE(cell.processes[1]->HasRelays());
+  cell.processes[2]->Thaw();
+  CHECK(cell_of_three::Until([&] { return cell.processes[1]->HasRelays(); }) < seconds{5});
+}
+
 // Another process stands still for a while and wakes: it must follow the leader that there is.
 TEST_CASE("a process that stood still doesn't take over") {
   cell_of_three cell;
