A pass looks at the steps that wait, not at all that are open

Change: steps are listed as they open and when a run of them goes; a pass drops those that have all they want. Each tick lists anew from all open steps, so that nothing waits for longer than a tick whatever is forgotten.

--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -67,6 +67,7 @@
   advice_book advice;
   std::uint32_t done{0};
   bool open{false};               ///< its turn has come
+  bool listed{false};             ///< among the steps that a pass looks at
   std::uint32_t gang_runs{0};     ///< gang: runs begun under the present leadership
   bool reserves_room{false};      ///< some worker is reserved for it
   time_point open_since{};        ///< when its turn came
--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -158,6 +158,7 @@
       OpenDue(*job, now);
     }
   }
+  ListSteps();
   for (auto* const step : open_steps_) {
     // A gang of which only a part was found after a change of leader can't work.
     if (step->spec->gang && !step->runs.empty() && OldRunsSettled() &&
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -394,6 +394,17 @@
   void NoteRoom(worker_state& worker) { worker.room_version = ++room_version_; }
   /// Takes in that any step may find room now.
   void NoteRoomEverywhere() { all_room_version_ = ++room_version_; }
+  /// Takes in that a step may have tasks to start: it opened, or a run of it is gone.
+  void NoteWaiting(step_state& step) {
+    const bool counts = step.open && !IsTerminal(step.job->phase);
+    if (counts && !std::exchange(step.listed, true)) {
+      waiting_steps_.push_back(&step);
+    }
+  }
+  /// Lists anew what is open and what of it waits.
+  void ListSteps();
+  /// Takes the steps of a job off all lists.
+  void DropSteps(const job_state& job);
   /// @return the open steps that may find a place now, in the order in which they are served.
   [[nodiscard]] std::vector<step_state*> InOrder(const instant& now);
   [[nodiscard]] bool MayRunUnseen(const step_state& step) const;
@@ -486,6 +497,7 @@
   fill_index fill_;                                               ///< of `workers_`
   std::map<std::string, time_point> unsettled_;  ///< see `OldRunsSettled`; when each lapses
   std::vector<step_state*> open_steps_;
+  std::vector<step_state*> waiting_steps_;       ///< those of them that may have tasks to start
   std::map<std::string, pool_load> loads_;       ///< by pool
   std::map<std::string, double> mean_slack_ms_;  ///< by queue: time that its jobs can wait
   std::map<std::string, double> advised_share_;  ///< by queue: share of named workers allowed
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -348,6 +348,7 @@
       step->open_since = now.steady;
       step->tell_waiting_at = now.steady + kTellWaitingAfter;
       open_steps_.push_back(step.get());
+      NoteWaiting(*step);
       log_.Write(event_line{"step_open", event_weight::kDetail}
                      .Add("job", job.spec->id)
                      .Add("step", step->Name())
@@ -445,10 +446,16 @@
       }
     }
   }
-  std::erase_if(open_steps_, [&](const auto* step) { return step->job == &job; });
+  DropSteps(job);
   retiring_.push_back(job.spec->id);
 }
 
+void scheduler::DropSteps(const job_state& job) {
+  const auto of_job = [&](const auto* step) { return step->job == &job; };
+  std::erase_if(open_steps_, of_job);
+  std::erase_if(waiting_steps_, of_job);
+}
+
 void scheduler::RetireEnded(const instant&) {
   const auto candidates = std::exchange(retiring_, {});
   for (const auto& id : candidates) {
@@ -459,7 +466,7 @@
     if (job->live > 0 || job->dirty || !IsTerminal(job->stored_phase)) {
       continue;  // named again when its last run ends or its record is stored
     }
-    std::erase_if(open_steps_, [&](const auto* step) { return step->job == job; });
+    DropSteps(*job);
     ended_[id] = ended_job{job->spec->queue, job->phase, job->ended_ms};
     jobs_.erase(id);
   }
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -33,6 +33,12 @@
 /// Pools up to this size are looked at whole for each step.
 constexpr std::size_t kSmallPool = 256;
 
+/// Takes a step off the list of those that wait.
+bool Unlist(step_state& step) {
+  step.listed = false;
+  return true;
+}
+
 double Load(const worker_state& worker, const resources& extra) {
   const auto& capacity = worker.facts.capacity;
   const auto after = worker.used + extra;
@@ -224,6 +230,18 @@
   }
 }
 
+// The load that this answers: thousands of services, each a step that is open and has all it wants.
+// A pass that walks over them takes longest where most runs, not where most waits.
+void scheduler::ListSteps() {
+  std::erase_if(open_steps_,
+                [](const auto* step) { return step->Finished() || IsTerminal(step->job->phase); });
+  for (auto* const step : open_steps_) {
+    if (step->Idle() > 0) {
+      NoteWaiting(*step);
+    }
+  }
+}
+
 std::vector<step_state*> scheduler::InOrder(const instant& now) {
   // Services that lost a task come first: their users are without it. Then by the operator's
   // priority, and the job that has to be ready first. A job that is hopelessly late goes last.
@@ -235,9 +253,9 @@
     return std::tuple{service ? 0 : 1, hopeless ? 1 : 0, job.priority, job.finish_by};
   };
   std::vector<std::pair<decltype(key(nullptr)), step_state*>> sorted;
-  for (auto* const step : open_steps_) {
-    const bool waits = !StillBlocked(*step, now) && step->Idle() > 0;
-    if (waits) {
+  std::erase_if(waiting_steps_, [](auto* step) { return step->Idle() == 0 && Unlist(*step); });
+  for (auto* const step : waiting_steps_) {
+    if (!StillBlocked(*step, now)) {
       sorted.emplace_back(key(step), step);
     }
   }
@@ -255,8 +273,6 @@
     return;
   }
   RetireEnded(now);
-  std::erase_if(open_steps_,
-                [](const auto* step) { return step->Finished() || IsTerminal(step->job->phase); });
   for (auto* const step : InOrder(now)) {
     ++placement_attempts_;
     TellWaiting(*step, now);
--- a/src/rosearch/sched/scheduler_progress.cc
+++ b/src/rosearch/sched/scheduler_progress.cc
@@ -194,6 +194,7 @@
     run.copied = true;
     step.tasks[run.index].wants_copy = true;
     step.blocked_at = 0;
+    NoteWaiting(step);
   } else {
     StopRun(run, stop_reason::kSlow, now);
   }
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -150,6 +150,7 @@
     --step.tasks[run.index].live;
     --step.job->live;
     std::erase(step.runs, &run);
+    NoteWaiting(step);
     worker.service_runs -= step.spec->service ? 1 : 0;
     worker.leftover_runs -= step.spec->uses_leftover ? 1 : 0;
     if (step.runs.empty()) {
--- a/test/rosearch/sched/scheduler_test.cc
+++ b/test/rosearch/sched/scheduler_test.cc
@@ -546,6 +546,41 @@
   }
 }
 
+// The newest record of a job is lost with its leader: it says that the first step goes on, while a
+// worker already runs the second. When that run is lost, too, the second step has to wait for the
+// first one again.
+TEST_CASE("a run that is lost doesn't open its step before its turn") {
+  bench_top top;
+  job_spec job;
+  job.id = "a";
+  job.queue = kQueue;
+  job.pool = "pool";
+  job.max_attempts = 2;
+  job.steps.resize(2);
+  for (auto& step : job.steps) {
+    step.count = 1;
+    step.need = {1'000, 100, 0};
+    step.estimate = milliseconds{500};
+  }
+  job.steps[1].after = {0};
+  job.objective = seconds{10};
+  (void)top.leader.Submit(job, top.now);
+  top.Keep();
+  successor next{top};
+  worker_report runs_second;
+  runs_second.running = {{"a.0.1.0", 1, {}, 10, 0}};
+  next.Answers("w0", runs_second);
+  next.Answers("w1");
+  next.leader.OnWatchFailed("w0", watch_failure::kOtherLife, next.now);
+  for (int pass = 0; pass < 3; ++pass) {
+    next.now.steady += milliseconds{60};
+    for (const auto& task : next.Started()) {
+      CHECK(task == "a.0.0.0");
+    }
+    next.leader.Tick(next.now);
+  }
+}
+
 // A successor reads a large cell: hundreds of workers answer one after another while old work waits
 // for the last of them. Where each answer had all that waits looked at anew, the successor had no
 // time left for its peers and was taken for dead.
