--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,8 @@
 build: deps $(BUILD)/build.ninja
 	@cmake --build $(BUILD)
 
-run: build
+run: deps $(BUILD)/build.ninja
+	@cmake --build $(BUILD) --target rosearch rosearch_testbed
 	@scripts/demo.sh $(BUILD)
 
 test: build
