--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -11,10 +11,6 @@
 /// its lease lapses.
 constexpr duration kSilentPause = std::chrono::milliseconds{300};
 
-/// After a change of leader all old work waits for the last worker that hasn't answered: it is
-/// asked again after this, and after twice as long each further time.
-constexpr duration kUnsettledPause = std::chrono::milliseconds{20};
-
 /// A worker with ends that wait for the store is watched again by then at the latest: it answers at
 /// once, and further ends must not wait for a store that is slow. Together all workers are asked no
 /// more than some 1,400 times a second, which takes a tenth of a processor.
@@ -30,12 +26,6 @@
 constexpr duration kLongestCollect = std::chrono::milliseconds{500};
 constexpr duration kLongestPassPause = std::chrono::milliseconds{100};
 
-duration UnsettledPause(std::uint32_t silent_watches) {
-  constexpr std::uint32_t kMostDoublings = 4;
-  return std::min(kSilentPause,
-                  kUnsettledPause * (1 << std::min(silent_watches - 1, kMostDoublings)));
-}
-
 }  // namespace
 
 void scheduler::ObserveWorker(const worker_facts& facts, const instant& now) {
@@ -123,11 +113,8 @@
     return {};
   }
   const auto& worker = *found->second;
-  if (worker.session != session_phase::kLive && worker.silent_watches > 0) {
-    return unsettled_.contains(id) ? UnsettledPause(worker.silent_watches) : kSilentPause;
-  }
   if (worker.session != session_phase::kLive) {
-    return {};
+    return worker.silent_watches > 0 ? kSilentPause : duration{};
   }
   const auto together = kUnackedPausePerWorker * static_cast<int>(workers_.size());
   const auto collect = Late() ? std::min(loop_delay_, kLongestCollect) : duration{};
