Say what the bound of a search in the index by fill compares as

The comment said that an entry without a worker comes before all of the same fill; the code makes it equal to them, which is what lower_bound needs.

--- a/src/rosearch/sched/fill_index.h
+++ b/src/rosearch/sched/fill_index.h
@@ -70,7 +70,7 @@
     std::int64_t fill{0};  ///< processors used, in millionths of the capacity
     worker_state* worker{nullptr};
 
-    /// One without a worker comes before all of the same fill.
+    /// One without a worker is a bound for searches: equal to all of the same fill.
     friend bool operator<(const entry& left, const entry& right) {
       if (left.fill != right.fill || left.worker == nullptr || right.worker == nullptr) {
         return left.fill < right.fill;
