--- /dev/null
+++ b/src/rosearch/cell/internal/node_claims.h
@@ -0,0 +1,219 @@
+#ifndef ROSEARCH_CELL_INTERNAL_NODE_CLAIMS_H_
+#define ROSEARCH_CELL_INTERNAL_NODE_CLAIMS_H_
+
+// The claim log: following it, asking peers before a claim, claims and their renewals. Included by
+// node.h.
+
+#include "rosearch/cell/node.h"
+
+namespace rosearch::cell {
+
+template <typename Ports>
+void node<Ports>::AdoptLeadership(const leadership& claimed) {
+  const auto former = election_.KnownLeader().address;
+  if (!election_.OnLeadership(claimed, SteadyNow())) {
+    return;
+  }
+  log_.Write(event_line{"leader_known", event_weight::kStateChange}
+                 .Add("epoch", claimed.epoch)
+                 .Add("leader", claimed.address)
+                 .Add("name", claimed.name));
+  if (leader_ && leader_->epoch() < claimed.epoch) {
+    leader_->End("newer_claim");
+    leader_.reset();
+    WithdrawPingReply();
+  }
+  pinged_at_ = time_point{};
+  members_version_ = 0;
+  if (claimed.address != peers_.address()) {
+    peers_.WatchConnection(claimed.address);
+  }
+  if (!former.empty() && former != claimed.address) {
+    peers_.EndRequests(former);
+  }
+}
+
+template <typename Ports>
+void node<Ports>::FindNewestClaim() {
+  ports_.ReadNewest(stream::kClaims, {}, [this](result<newest_page> page) {
+    if (page.has_error()) {
+      claims_timer_.expires_after(kClaimsRetryInterval);
+      claims_timer_.async_wait([this](const boost::system::error_code& failed) {
+        if (!failed) {
+          FindNewestClaim();
+        }
+      });
+      return;
+    }
+    next_claim_offset_ = page.value().end;
+    for (const auto& record : page.value().records) {
+      OnClaim(record.value, next_claim_offset_ - 1);
+    }
+    claims_read_at_ = SteadyNow();
+    election_.OnClaimsRead(claims_read_at_);
+    if (election_.KnownLeader().epoch > 0 && !IsLeading()) {
+      ProbeLeader();
+    }
+    FollowClaims();
+  });
+}
+
+template <typename Ports>
+void node<Ports>::FollowClaims() {
+  const auto asked_at = SteadyNow();
+  ports_.Read(
+      stream::kClaims, next_claim_offset_, kClaimsPollTimeout,
+      [this, asked_at](result<log_page> page) {
+        if (page.has_error() || page.value().trimmed) {
+          claims_timer_.expires_after(kClaimsRetryInterval);
+          const bool trimmed = page.has_value();
+          claims_timer_.async_wait([this, trimmed](const boost::system::error_code& failed) {
+            if (!failed) {
+              trimmed ? FindNewestClaim() : FollowClaims();
+            }
+          });
+          return;
+        }
+        auto offset = page.value().next - page.value().records.size();
+        for (const auto& bytes : page.value().records) {
+          if (const auto record = SplitKeyed(bytes)) {
+            OnClaim(record->value, offset);
+          }
+          ++offset;
+        }
+        next_claim_offset_ = page.value().next;
+        claims_read_at_ = SteadyNow();
+        if (leader_ && leader_->epoch() == election_.KnownLeader().epoch) {
+          leader_->OnNoNewerClaim(asked_at);
+        }
+        FollowClaims();
+      });
+}
+
+template <typename Ports>
+void node<Ports>::OnClaim(const std::string& bytes, std::uint64_t offset) {
+  wire::leader_claim claim;
+  if (!claim.ParseFromString(bytes) || claim.member().address().empty()) {
+    log_.Write(event_line{"claim_unreadable", event_weight::kFailure}.Add("offset", offset));
+    return;
+  }
+  const leadership claimed{offset + 1, claim.member().address(), claim.member().name(),
+                           claim.incarnation()};
+  const bool own = claim.incarnation() == incarnation_ && claimed.address == peers_.address();
+  const bool is_newer = claimed.epoch > election_.KnownLeader().epoch;
+  AdoptLeadership(claimed);
+  if (own && is_newer && !stopping_) {
+    StartLeading(claimed.epoch);
+  } else if (claimed.address == peers_.address() && claim.incarnation() != incarnation_) {
+    // An earlier incarnation of this process led, so there is no leader now.
+    election_.OnLeaderLeaving(claimed.epoch);
+  }
+}
+
+template <typename Ports>
+void node<Ports>::ClaimIfNoLeader() {
+  const auto now = SteadyNow();
+  if (!election_.Leaving()) {
+    QueryPeers();
+  }
+  // Claims that are pending while the store is unavailable are applied in any order once it is
+  // back. Small processes therefore don't claim then: one could win a cell that needs more than its
+  // processor.
+  const bool small = settings_.processor_milli < kLargeProcess;
+  if (small && now - claims_read_at_ >= kMaxClaimsReadAge) {
+    return;
+  }
+  // A peer that reaches the leader was reported to the election when its answer arrived, so here it
+  // only matters that the query has completed.
+  const bool peers_agree =
+      election_.Leaving() || now - completed_peer_query_at_ < kMaxPeerAnswerAge;
+  if (election_.ShouldClaim(now) && peers_agree) {
+    ClaimLeadership();
+  }
+}
+
+// Handles hundreds of processes that suspect the same leader at once. If each of them asked all
+// others, the small processes would be overloaded and answer late, and each new leader would in
+// turn be declared dead.
+template <typename Ports>
+std::vector<std::string> node<Ports>::PeersToQuery() const {
+  std::vector<std::string> others;
+  for (const auto& [address, each] : members_) {
+    if (address != election_.KnownLeader().address) {
+      others.push_back(address);
+    }
+  }
+  return HighestRanked(std::move(others), peers_.address(), kMaxQueriedPeers);
+}
+
+template <typename Ports>
+void node<Ports>::QueryPeers() {
+  const auto now = SteadyNow();
+  if (peer_query_in_flight_ || now - peers_queried_at_ < kQueryTimeout) {
+    return;
+  }
+  peers_queried_at_ = now;
+  const auto asked = PeersToQuery();
+  if (asked.empty()) {
+    completed_peer_query_at_ = now;
+    return;
+  }
+  if (suspected_epoch_ != election_.KnownLeader().epoch) {
+    suspected_epoch_ = election_.KnownLeader().epoch;
+    log_.Write(event_line{"leader_doubted", event_weight::kStateChange}
+                   .Add("epoch", suspected_epoch_)
+                   .Add("heard_ms_ago", now - election_.LastAnswerAt())
+                   .Add("asked", asked.size())
+                   .Add("peers", members_.size()));
+  }
+  peer_query_in_flight_ = true;
+  auto pending = std::make_shared<std::size_t>(asked.size());
+  for (const auto& address : asked) {
+    wire::peer_frame frame;
+    frame.set_epoch(election_.KnownLeader().epoch);
+    frame.mutable_query();
+    peers_.SendRequest(address, std::move(frame), now + kQueryTimeout,
+                       [this, pending, now](const wire::peer_frame* answer) {
+                         const bool reaches_leader =
+                             answer != nullptr && answer->view().heard() &&
+                             answer->epoch() >= election_.KnownLeader().epoch;
+                         if (reaches_leader) {
+                           const std::chrono::milliseconds ago{answer->view().heard_ms_ago()};
+                           election_.OnPeerReport(SteadyNow() - ago);
+                         }
+                         if (--*pending == 0) {
+                           peer_query_in_flight_ = false;
+                           completed_peer_query_at_ = now;
+                         }
+                       });
+  }
+}
+
+template <typename Ports>
+void node<Ports>::ClaimLeadership() {
+  if (claim_in_flight_) {
+    return;
+  }
+  claim_in_flight_ = true;
+  election_.OnClaimSent(SteadyNow());
+  wire::leader_claim claim;
+  *claim.mutable_member() = Self();
+  claim.set_incarnation(incarnation_);
+  const auto bytes = claim.SerializeAsString();
+  log_.Write(event_line{"leadership_claimed", event_weight::kStateChange}
+                 .Add("at", next_claim_offset_)
+                 .Add("known_epoch", election_.KnownLeader().epoch)
+                 .Add("peers", members_.size()));
+  ports_.Append(stream::kClaims, {JoinKeyed({"leader", bytes})}, std::nullopt, next_claim_offset_,
+                [this, bytes](const append_answer& answer) {
+                  claim_in_flight_ = false;
+                  // After a lost answer, `FollowClaims` finds out whose claim won.
+                  if (answer.outcome == append_outcome::kStored) {
+                    OnClaim(bytes, answer.offset);
+                  }
+                });
+}
+
+}  // namespace rosearch::cell
+
+#endif  // ROSEARCH_CELL_INTERNAL_NODE_CLAIMS_H_
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -292,6 +292,7 @@
 }  // namespace rosearch::cell
 
 #include "rosearch/cell/internal/node_callers.h"
+#include "rosearch/cell/internal/node_claims.h"
 #include "rosearch/cell/internal/node_leadership.h"
 #include "rosearch/cell/internal/node_pings.h"
 #include "rosearch/cell/internal/node_views.h"
