Log why a process claims leadership

A claim's line told only the peers known, so a storm of claims could not be told apart by cause: a leader that was never heard, a lost connection, nobody to ask. leadership_claimed now has cause, heard_ms_ago (-1: never), silent_ms, and how many peers were asked and answered; leader_doubted gave the uptime for a leader that was never heard, now -1. Test: a claim names its cause.

--- a/src/rosearch/cell/election.cc
+++ b/src/rosearch/cell/election.cc
@@ -84,9 +84,23 @@
   if (leaving_ || known_.epoch == 0) {
     return now - silent_since_ >= claim_delay;
   }
-  const bool broken = connection_lost_at_ != time_point{} &&
-                      now - connection_lost_at_ >= settings_.connection_loss_timeout + claim_delay;
-  return broken || now - silent_since_ >= settings_.suspect_timeout + claim_delay;
+  return IsConnectionTimeoutOver(now) ||
+         now - silent_since_ >= settings_.suspect_timeout + claim_delay;
+}
+
+bool election::IsConnectionTimeoutOver(time_point now) const {
+  return connection_lost_at_ != time_point{} &&
+         now - connection_lost_at_ >= settings_.connection_loss_timeout + ClaimDelay(now);
+}
+
+std::string_view election::ClaimCause(time_point now) const {
+  if (known_.epoch == 0) {
+    return "no_leader_known";
+  }
+  if (leaving_) {
+    return "leader_leaving";
+  }
+  return IsConnectionTimeoutOver(now) ? "connection_lost" : "leader_silent";
 }
 
 }  // namespace rosearch::cell
--- a/src/rosearch/cell/election.h
+++ b/src/rosearch/cell/election.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "rosearch/core/time.h"
 
@@ -97,6 +98,11 @@
   [[nodiscard]] bool ShouldAskPeers(time_point now) const;
   /// @return whether this process should claim leadership now.
   [[nodiscard]] bool ShouldClaim(time_point now) const;
+  /// @return why this process may claim at `now`, as a word for the log line of its claim.
+  [[nodiscard]] std::string_view ClaimCause(time_point now) const;
+  /// @return the time since the last sign of the known leader: its claim, its own answer or a
+  ///         peer's report.
+  [[nodiscard]] duration SilentFor(time_point now) const { return now - silent_since_; }
   /// @return whether the leader's last answer is recent and the leader is not stopping.
   [[nodiscard]] bool HasActiveLeader(time_point now) const;
   /// @return whether the leader's last answer is recent and its connection intact. A stopping
@@ -109,6 +115,8 @@
 
  private:
   [[nodiscard]] duration ClaimDelay(time_point now) const;
+  /// @return whether the connection to the leader has been lost for long enough to claim.
+  [[nodiscard]] bool IsConnectionTimeoutOver(time_point now) const;
   /// @return the additional delay of a small process before it asks peers or claims, so that large
   ///         processes do so first.
   [[nodiscard]] duration SmallProcessDelay() const {
--- a/src/rosearch/cell/internal/node_claims.h
+++ b/src/rosearch/cell/internal/node_claims.h
@@ -154,6 +154,8 @@
   }
   peers_queried_at_ = now;
   const auto asked = PeersToQuery();
+  peers_asked_ = asked.size();
+  peers_answered_ = 0;
   if (asked.empty()) {
     completed_peer_query_at_ = now;
     return;
@@ -162,7 +164,7 @@
     suspected_epoch_ = election_.KnownLeader().epoch;
     log_.Write(event_line{"leader_doubted", event_weight::kStateChange}
                    .Add("epoch", suspected_epoch_)
-                   .Add("heard_ms_ago", now - election_.LastAnswerAt())
+                   .Add("heard_ms_ago", HeardAgo(now))
                    .Add("asked", asked.size())
                    .Add("peers", members_.size()));
   }
@@ -174,6 +176,7 @@
     frame.mutable_query();
     peers_.SendRequest(address, std::move(frame), now + kQueryTimeout,
                        [this, pending, now](const wire::peer_frame* answer) {
+                         peers_answered_ += answer != nullptr ? 1 : 0;
                          const bool reaches_leader =
                              answer != nullptr && answer->view().heard() &&
                              answer->epoch() >= election_.KnownLeader().epoch;
@@ -195,7 +198,8 @@
     return;
   }
   claim_in_flight_ = true;
-  election_.OnClaimSent(SteadyNow());
+  const auto now = SteadyNow();
+  election_.OnClaimSent(now);
   wire::leader_claim claim;
   *claim.mutable_member() = Self();
   claim.set_incarnation(incarnation_);
@@ -203,7 +207,12 @@
   log_.Write(event_line{"leadership_claimed", event_weight::kStateChange}
                  .Add("at", next_claim_offset_)
                  .Add("known_epoch", election_.KnownLeader().epoch)
-                 .Add("peers", members_.size()));
+                 .Add("cause", election_.ClaimCause(now))
+                 .Add("heard_ms_ago", HeardAgo(now))
+                 .Add("silent_ms", election_.SilentFor(now))
+                 .Add("peers", members_.size())
+                 .Add("asked", peers_asked_)
+                 .Add("answered", peers_answered_));
   ports_.Append(stream::kClaims, {JoinKeyed({"leader", bytes})}, std::nullopt, next_claim_offset_,
                 [this, bytes](const append_answer& answer) {
                   claim_in_flight_ = false;
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -56,7 +56,7 @@
   log_.Write(event_line{"leader_connection_broken", event_weight::kStateChange}
                  .Add("epoch", election_.KnownLeader().epoch)
                  .Add("leader", peer)
-                 .Add("heard_ms_ago", SteadyNow() - election_.LastAnswerAt()));
+                 .Add("heard_ms_ago", HeardAgo(SteadyNow())));
   election_.OnConnectionBroken(SteadyNow());
   pinged_at_ = time_point{};
   ProbeLeader();
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -205,6 +205,12 @@
     return processor_milli < kLargeProcess ? kSmallProcessPingInterval : kPingInterval;
   }
 
+  /// @return the time since the leader last answered this process; negative: it never did.
+  [[nodiscard]] duration HeardAgo(time_point now) const {
+    const auto heard_at = election_.LastAnswerAt();
+    return heard_at == time_point{} ? std::chrono::milliseconds{-1} : now - heard_at;
+  }
+
   void Tick();
   void ScheduleTick(duration delay);
   void ProbeLeader();
@@ -286,6 +292,8 @@
   std::uint64_t suspected_epoch_{0};  ///< the newest epoch for which `leader_doubted` was logged
   /// Start of the last completed query of peers, in which each has answered or timed out.
   time_point completed_peer_query_at_{};
+  std::size_t peers_asked_{0};     ///< by the last query
+  std::size_t peers_answered_{0};  ///< so far, of those asked by the last query
   std::size_t calls_in_flight_{0};
 };
 
--- a/test/rosearch/cell/election_test.cc
+++ b/test/rosearch/cell/election_test.cc
@@ -165,4 +165,18 @@
   CHECK_FALSE(old.ShouldClaim(now + milliseconds{30}));
 }
 
+// Guards against claims whose log line doesn't tell why the former leader was given up.
+TEST_CASE("a claim names its cause") {
+  auto candidate = MakeElection();
+  candidate.OnClaimsRead(kStart);
+  CHECK(candidate.ClaimCause(kStart) == "no_leader_known");
+  candidate.OnLeadership(kFirst, kStart);
+  CHECK(candidate.ClaimCause(kStart + seconds{1}) == "leader_silent");
+  CHECK(candidate.SilentFor(kStart + seconds{1}) == seconds{1});
+  candidate.OnConnectionBroken(kStart + seconds{1});
+  CHECK(candidate.ClaimCause(kStart + seconds{2}) == "connection_lost");
+  candidate.OnLeaderLeaving(kFirst.epoch);
+  CHECK(candidate.ClaimCause(kStart + seconds{2}) == "leader_leaving");
+}
+
 }  // namespace rosearch::cell
