A new leader shows life in the claim log while many peers join it

Cause: a follower knows a new leader by the claim log, but counts only the leader's own answers as signs of life. After a restart of all, 300 followers ask one process on a quarter of a core for connections, and it must open one to each before its first answer arrives. Most heard nothing within suspect_timeout. They also know no peer yet, so nobody's agreement is asked.

Change: while 16 peers or more joined within the last second, at most for its first 10 s, a leader appends a renewal to the claim log each 250 ms. Every process follows that log anyway; a renewal counts like a peer's report. It is appended only where the log holds no newer claim. Small cells append nothing. A leader that dies is replaced suspect_timeout after its last renewal.

--- a/src/rosearch/cell/election.h
+++ b/src/rosearch/cell/election.h
@@ -94,14 +94,22 @@
   ///            delay the detection of a failed leader.
   void OnPeerReport(time_point at);
 
+  /// Records that a leader renewed its claim in the claim log. It is alive, although this process
+  /// may not have received an answer from it yet.
+  void OnClaimRenewed(std::uint64_t epoch, time_point now) {
+    if (epoch == known_.epoch) {
+      OnPeerReport(now);
+    }
+  }
+
   /// @return whether the leader has been silent for long enough to ask the peers.
   [[nodiscard]] bool ShouldAskPeers(time_point now) const;
   /// @return whether this process should claim leadership now.
   [[nodiscard]] bool ShouldClaim(time_point now) const;
   /// @return why this process may claim at `now`, as a word for the log line of its claim.
   [[nodiscard]] std::string_view ClaimCause(time_point now) const;
-  /// @return the time since the last sign of the known leader: its claim, its own answer or a
-  ///         peer's report.
+  /// @return the time since the last sign of the known leader: its claim or a renewal of it, its
+  ///         own answer or a peer's report.
   [[nodiscard]] duration SilentFor(time_point now) const { return now - silent_since_; }
   /// @return whether the leader's last answer is recent and the leader is not stopping.
   [[nodiscard]] bool HasActiveLeader(time_point now) const;
--- a/src/rosearch/cell/fwd.h
+++ b/src/rosearch/cell/fwd.h
@@ -7,6 +7,7 @@
 class election;
 class peer_link;
 class relayed_client;
+class settling_period;
 struct cell_settings;
 
 }  // namespace rosearch::cell
--- a/src/rosearch/cell/internal/node_claims.h
+++ b/src/rosearch/cell/internal/node_claims.h
@@ -47,7 +47,7 @@
     }
     next_claim_offset_ = page.value().end;
     for (const auto& record : page.value().records) {
-      OnClaim(record.value, next_claim_offset_ - 1);
+      OnClaimRecord(record.value, next_claim_offset_ - 1);
     }
     claims_read_at_ = SteadyNow();
     election_.OnClaimsRead(claims_read_at_);
@@ -77,7 +77,7 @@
         auto offset = page.value().next - page.value().records.size();
         for (const auto& bytes : page.value().records) {
           if (const auto record = SplitKeyed(bytes)) {
-            OnClaim(record->value, offset);
+            OnClaimRecord(record->value, offset);
           }
           ++offset;
         }
@@ -91,12 +91,37 @@
 }
 
 template <typename Ports>
-void node<Ports>::OnClaim(const std::string& bytes, std::uint64_t offset) {
-  wire::leader_claim claim;
-  if (!claim.ParseFromString(bytes) || claim.member().address().empty()) {
+void node<Ports>::OnClaimRecord(const std::string& bytes, std::uint64_t offset) {
+  wire::leader_claim record;
+  const bool parsed = record.ParseFromString(bytes);
+  if (parsed && !record.renewal().leader().address().empty()) {
+    OnClaimRenewal(record);
+  } else if (parsed && !record.member().address().empty()) {
+    OnClaim(record, offset);
+  } else {
     log_.Write(event_line{"claim_unreadable", event_weight::kFailure}.Add("offset", offset));
-    return;
   }
+}
+
+template <typename Ports>
+void node<Ports>::OnClaimRenewal(const wire::leader_claim& record) {
+  const auto& renewal = record.renewal();
+  const leadership renewed{renewal.epoch(), renewal.leader().address(), renewal.leader().name(),
+                           record.incarnation()};
+  AdoptLeadership(renewed);
+  election_.OnClaimRenewed(renewed.epoch, SteadyNow());
+  CheckFormerRun(renewed);
+}
+
+template <typename Ports>
+void node<Ports>::CheckFormerRun(const leadership& claimed) {
+  if (claimed.address == peers_.address() && claimed.incarnation != incarnation_) {
+    election_.OnLeaderLeaving(claimed.epoch);
+  }
+}
+
+template <typename Ports>
+void node<Ports>::OnClaim(const wire::leader_claim& claim, std::uint64_t offset) {
   const leadership claimed{offset + 1, claim.member().address(), claim.member().name(),
                            claim.incarnation()};
   const bool own = claim.incarnation() == incarnation_ && claimed.address == peers_.address();
@@ -104,10 +129,8 @@
   AdoptLeadership(claimed);
   if (own && is_newer && !stopping_) {
     StartLeading(claimed.epoch);
-  } else if (claimed.address == peers_.address() && claim.incarnation() != incarnation_) {
-    // An earlier incarnation of this process led, so there is no leader now.
-    election_.OnLeaderLeaving(claimed.epoch);
   }
+  CheckFormerRun(claimed);
 }
 
 template <typename Ports>
@@ -197,13 +220,11 @@
   if (claim_in_flight_) {
     return;
   }
-  claim_in_flight_ = true;
   const auto now = SteadyNow();
   election_.OnClaimSent(now);
   wire::leader_claim claim;
   *claim.mutable_member() = Self();
   claim.set_incarnation(incarnation_);
-  const auto bytes = claim.SerializeAsString();
   log_.Write(event_line{"leadership_claimed", event_weight::kStateChange}
                  .Add("at", next_claim_offset_)
                  .Add("known_epoch", election_.KnownLeader().epoch)
@@ -213,12 +234,39 @@
                  .Add("peers", members_.size())
                  .Add("asked", peers_asked_)
                  .Add("answered", peers_answered_));
-  ports_.Append(stream::kClaims, {JoinKeyed({"leader", bytes})}, std::nullopt, next_claim_offset_,
-                [this, bytes](const append_answer& answer) {
+  // After a lost answer, `FollowClaims` finds out whose claim won.
+  AppendToClaims(claim.SerializeAsString(),
+                 [this, claim](std::uint64_t offset) { OnClaim(claim, offset); });
+}
+
+template <typename Ports>
+void node<Ports>::RenewClaim() {
+  const auto now = SteadyNow();
+  if (claim_in_flight_ || !settling_.IsSettling(now) ||
+      now - claim_renewed_at_ < kClaimRenewalInterval) {
+    return;
+  }
+  claim_renewed_at_ = now;
+  wire::leader_claim record;
+  record.set_incarnation(incarnation_);
+  record.mutable_renewal()->set_epoch(leader_->epoch());
+  *record.mutable_renewal()->mutable_leader() = Self();
+  log_.Write(event_line{"claim_renewed", event_weight::kStateChange}
+                 .Add("epoch", leader_->epoch())
+                 .Add("at", next_claim_offset_)
+                 .Add("peers", members_.size()));
+  AppendToClaims(record.SerializeAsString(), [](std::uint64_t) {});
+}
+
+template <typename Ports>
+void node<Ports>::AppendToClaims(const std::string& record,
+                                 std::function<void(std::uint64_t)> on_stored) {
+  claim_in_flight_ = true;
+  ports_.Append(stream::kClaims, {JoinKeyed({"leader", record})}, std::nullopt, next_claim_offset_,
+                [this, on_stored = std::move(on_stored)](const append_answer& answer) {
                   claim_in_flight_ = false;
-                  // After a lost answer, `FollowClaims` finds out whose claim won.
                   if (answer.outcome == append_outcome::kStored) {
-                    OnClaim(bytes, answer.offset);
+                    on_stored(answer.offset);
                   }
                 });
 }
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -27,6 +27,7 @@
     if (!stopping_) {
       AnnounceLeadership();
       PublishPingReply();
+      RenewClaim();
       OfferLeadership();
     }
   } else if (!stopping_ && election_.ShouldAskPeers(now)) {
@@ -277,6 +278,7 @@
     each.has_pinged = false;
   }
   ++members_version_;
+  settling_.Begin(SteadyNow());
   PublishPingReply();
   leader_->Begin();
 }
--- a/src/rosearch/cell/internal/node_pings.h
+++ b/src/rosearch/cell/internal/node_pings.h
@@ -122,6 +122,9 @@
     return;
   }
   const auto [known, inserted] = members_.try_emplace(ping.member().address());
+  if (!known->second.has_pinged) {
+    settling_.OnJoin(SteadyNow());
+  }
   known->second = {ping.member(), SteadyNow(), true};
   members_version_ += inserted ? 1 : 0;
   if (frame.epoch() == leader_->epoch()) {
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -21,6 +22,7 @@
 #include "rosearch/cell/peer_link.h"
 #include "rosearch/cell/ports.h"
 #include "rosearch/cell/relayed_client.h"
+#include "rosearch/cell/settling_period.h"
 #include "rosearch/log/event_line.h"
 #include "rosearch/metrics/metric_set.h"
 #include "rosearch/net/http_server.h"
@@ -177,6 +179,9 @@
   /// latency; an older read means that the store doesn't respond.
   static constexpr duration kMaxClaimsReadAge = std::chrono::milliseconds{2'000};
   static constexpr duration kClaimsRetryInterval = std::chrono::milliseconds{200};
+  /// Interval at which a settling leader renews its claim. Two renewals fit into the suspect
+  /// timeout, and the store's budget of reads bears one read by each process per renewal.
+  static constexpr duration kClaimRenewalInterval = std::chrono::milliseconds{250};
   static constexpr duration kQueryTimeout = std::chrono::milliseconds{150};
   /// For how long the peers' answers that none of them reaches the leader stay valid.
   static constexpr duration kMaxPeerAnswerAge = std::chrono::milliseconds{450};
@@ -225,7 +230,12 @@
   [[nodiscard]] std::vector<std::string> LargeMembers() const;
   void FindNewestClaim();
   void FollowClaims();
-  void OnClaim(const std::string& bytes, std::uint64_t offset);
+  /// Handles a record of the claim log.
+  void OnClaimRecord(const std::string& bytes, std::uint64_t offset);
+  void OnClaim(const wire::leader_claim& claim, std::uint64_t offset);
+  void OnClaimRenewal(const wire::leader_claim& record);
+  /// Ends the known leadership if a former run of this process held it.
+  void CheckFormerRun(const leadership& claimed);
   void AdoptLeadership(const leadership& claimed);
   void ClaimIfNoLeader();
   /// @return the peers that are asked whether they reach the leader. They are the same in each
@@ -233,6 +243,13 @@
   [[nodiscard]] std::vector<std::string> PeersToQuery() const;
   void QueryPeers();
   void ClaimLeadership();
+  /// Renews this leader's claim while it settles. After a restart of all processes, hundreds of
+  /// peers ask a new leader for connections, and most of them hear nothing from it within the
+  /// suspect timeout; without a sign of it they would replace it, and its successors in turn.
+  void RenewClaim();
+  /// Appends to the claim log, if it holds no record that this process hasn't read.
+  /// @param on_stored  called with the record's offset.
+  void AppendToClaims(const std::string& record, std::function<void(std::uint64_t)> on_stored);
   void StartLeading(std::uint64_t epoch);
   void UpdatePeers();
   /// @return the peers that relay this leader's requests to workers.
@@ -281,7 +298,9 @@
   bool limits_known_{false};
   bool stopping_{false};
   bool peer_query_in_flight_{false};
-  bool claim_in_flight_{false};
+  bool claim_in_flight_{false};  ///< an append to the claim log is unanswered
+  settling_period settling_;
+  time_point claim_renewed_at_{};
   std::uint64_t next_claim_offset_{0};
   time_point last_leader_answer_at_{time_point::min() + std::chrono::hours{1}};
   time_point pinged_at_{};
--- a/test/rosearch/cell/election_test.cc
+++ b/test/rosearch/cell/election_test.cc
@@ -179,4 +179,29 @@
   CHECK(candidate.ClaimCause(kStart + seconds{2}) == "leader_leaving");
 }
 
+// Guards against hundreds of processes that replace leader after leader, none of which they heard.
+TEST_CASE("a leader that renews its claim is not replaced unheard") {
+  auto candidate = MakeElection();
+  candidate.OnClaimsRead(kStart);
+  candidate.OnLeadership(kFirst, kStart);
+  auto renewed_at = kStart;
+  for (int number = 0; number < 12; ++number) {
+    renewed_at += milliseconds{250};
+    CHECK_FALSE(candidate.ShouldClaim(renewed_at));
+    candidate.OnClaimRenewed(kFirst.epoch, renewed_at);
+  }
+  // It died after its last renewal.
+  CHECK_FALSE(candidate.ShouldClaim(renewed_at + milliseconds{550}));
+  CHECK(candidate.ShouldClaim(renewed_at + milliseconds{750}));
+}
+
+// Guards against a renewal of a former leader, read late, that hides the loss of the current one.
+TEST_CASE("a renewal of another epoch is no sign of the leader") {
+  auto candidate = MakeElection();
+  candidate.OnClaimsRead(kStart);
+  candidate.OnLeadership({2, "10.0.0.2:1", "b", 8}, kStart);
+  candidate.OnClaimRenewed(1, kStart + milliseconds{600});
+  CHECK(candidate.ShouldClaim(kStart + milliseconds{750}));
+}
+
 }  // namespace rosearch::cell
