One first ping at a time, and the member list of a ping reply is serialized once

Cause: a process that had not heard the leader sent a new ping each 200 ms and repeated each of them each 150 ms for 600 ms: up to 20 messages a second from each of 300. Each copy was answered, and where the list of members had changed with the whole list (300 entries, copied and serialized for each answer). A late leader got more copies to answer, and so became later.

Change: a process that doesn't reach the leader has one ping in flight, repeated until answered; one that reaches it pings without repeats, as the next ping comes anyway. The list is serialized once for each version and appended to the reply.

Tests: 'a leader that has not answered yet gets one ping at a time' (before: 3 different pings in 550 ms), 'a polling request is sent once'.

--- a/src/rosearch/cell/internal/node_pings.h
+++ b/src/rosearch/cell/internal/node_pings.h
@@ -7,31 +7,54 @@
 
 namespace rosearch::cell {
 
+template <typename Ports>
+wire::peer_frame node<Ports>::MakePing() const {
+  wire::peer_frame frame;
+  frame.set_epoch(election_.KnownLeader().epoch);
+  *frame.mutable_ping()->mutable_member() = Self();
+  frame.mutable_ping()->set_members_version(members_version_);
+  return frame;
+}
+
 template <typename Ports>
 void node<Ports>::Ping() {
-  std::vector<std::string> targets;
-  if (election_.KnownLeader().epoch > 0) {
-    targets.push_back(election_.KnownLeader().address);
-  } else {
-    targets = seeds_;
+  const auto now = SteadyNow();
+  if (election_.LeaderReachable(now)) {
+    peers_.SendPollingRequest(
+        election_.KnownLeader().address, MakePing(), now + kPingTimeout,
+        [this, now](const wire::peer_frame* answer) { OnPingAnswered(now, answer); });
+    return;
   }
+  const auto epoch = election_.KnownLeader().epoch;
+  if (std::exchange(first_ping_epoch_, epoch) != epoch) {
+    first_pings_in_flight_ = 0;
+  }
+  if (first_pings_in_flight_ > 0) {
+    return;
+  }
+  const auto targets =
+      epoch > 0 ? std::vector<std::string>{election_.KnownLeader().address} : seeds_;
+  first_pings_in_flight_ = targets.size();
   for (const auto& target : targets) {
-    wire::peer_frame frame;
-    frame.set_epoch(election_.KnownLeader().epoch);
-    *frame.mutable_ping()->mutable_member() = Self();
-    frame.mutable_ping()->set_members_version(members_version_);
-    const auto asked_at = SteadyNow();
-    peers_.SendRequest(target, std::move(frame), asked_at + kPingTimeout,
-                       [this, asked_at](const wire::peer_frame* answer) {
-                         if (answer != nullptr) {
-                           metrics_.Observe("rosearch_peer_round_trip_seconds",
-                                            SteadyNow() - asked_at);
-                           OnPong(*answer);
+    peers_.SendRequest(target, MakePing(), now + kPingTimeout,
+                       [this, now, epoch](const wire::peer_frame* answer) {
+                         if (epoch == first_ping_epoch_ && first_pings_in_flight_ > 0) {
+                           --first_pings_in_flight_;
                          }
+                         OnPingAnswered(now, answer);
                        });
   }
 }
 
+template <typename Ports>
+void node<Ports>::OnPingAnswered(time_point asked_at, const wire::peer_frame* answer) {
+  if (answer == nullptr) {
+    return;
+  }
+  metrics_.Observe("rosearch_peer_round_trip_seconds", SteadyNow() - asked_at);
+  OnPong(*answer);
+}
+
 template <typename Ports>
 void node<Ports>::OnPong(const wire::peer_frame& frame) {
   const auto& pong = frame.pong();
@@ -106,7 +129,8 @@
   if (published_members_ != members_version_ && due) {
     published_members_ = members_version_;
     published_at_ = now;
-    peers_.SetPingMembers(std::make_unique<wire::peer_frame>(MakePongWithMembers()));
+    const auto members = MakePongWithMembers();
+    peers_.SetPingMembers(&members);
   }
   peers_.SetPingReply(std::make_unique<wire::peer_frame>(MakePong()), now + kPingReplyValidity);
 }
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -219,7 +219,12 @@
   void Tick();
   void ScheduleTick(duration delay);
   void ProbeLeader();
+  [[nodiscard]] wire::peer_frame MakePing() const;
+  /// Pings the leader, or the seeds if none is known. While the leader isn't reachable, one ping at
+  /// a time is repeated until it is answered. When hundreds of processes each had several pings in
+  /// flight and repeated all of them, a new leader spent its processor time on answering copies.
   void Ping();
+  void OnPingAnswered(time_point asked_at, const wire::peer_frame* answer);
   void OnPong(const wire::peer_frame& frame);
   void AnnounceLeadership();
   void NotifyPeersOfResignation(std::uint64_t epoch);
@@ -304,6 +309,8 @@
   std::uint64_t next_claim_offset_{0};
   time_point last_leader_answer_at_{time_point::min() + std::chrono::hours{1}};
   time_point pinged_at_{};
+  std::uint64_t first_ping_epoch_{0};     ///< known epoch when the pings below were sent
+  std::size_t first_pings_in_flight_{0};  ///< unanswered, to a leader that isn't reachable yet
   time_point next_tick_at_{};
   time_point peers_queried_at_{};
   time_point claims_read_at_{};
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -92,9 +92,16 @@
   frame.set_from(address());
   frame.set_once(true);
   AddToBundle(to, std::move(frame));
-  pending_requests_[exchange] = std::make_unique<pending_request>(
-      pending_request{to, {}, deadline, std::move(done), boost::asio::steady_timer{io_}});
-  ScheduleRetry(exchange);
+  AddPendingRequest(exchange, to, {}, deadline, std::move(done));
+}
+
+void peer_link::SendPollingRequest(const std::string& to, wire::peer_frame frame,
+                                   time_point deadline, answer_callback done) {
+  const auto exchange = NextExchange();
+  frame.set_exchange(exchange);
+  frame.set_from(address());
+  transport_->Send(to, frame.SerializeAsString());
+  AddPendingRequest(exchange, to, {}, deadline, std::move(done));
 }
 
 void peer_link::SendRequest(const std::string& to, wire::peer_frame frame, time_point deadline,
@@ -103,8 +110,14 @@
   frame.set_exchange(exchange);
   frame.set_from(address());
   transport_->Send(to, frame.SerializeAsString());
+  AddPendingRequest(exchange, to, std::move(frame), deadline, std::move(done));
+}
+
+void peer_link::AddPendingRequest(std::uint64_t exchange, const std::string& to,
+                                  wire::peer_frame repeated, time_point deadline,
+                                  answer_callback done) {
   pending_requests_[exchange] = std::make_unique<pending_request>(pending_request{
-      to, std::move(frame), deadline, std::move(done), boost::asio::steady_timer{io_}});
+      to, std::move(repeated), deadline, std::move(done), boost::asio::steady_timer{io_}});
   ScheduleRetry(exchange);
 }
 
@@ -199,9 +212,15 @@
          ping.epoch() == ping_reply_->epoch();
 }
 
-void peer_link::SetPingMembers(std::unique_ptr<wire::peer_frame> members) {
+void peer_link::SetPingMembers(const wire::peer_frame* members) {
+  std::optional<serialized_members> serialized;
+  if (members != nullptr) {
+    wire::peer_frame list;
+    *list.mutable_pong()->mutable_members() = members->pong().members();
+    serialized = {members->pong().members_version(), list.SerializeAsString()};
+  }
   const std::scoped_lock lock{reply_mutex_};
-  ping_members_ = std::move(members);
+  ping_members_ = std::move(serialized);
 }
 
 void peer_link::ReplyToPing(const wire::peer_frame& ping) {
@@ -211,11 +230,12 @@
   }
   auto reply = *ping_reply_;
   reply.set_exchange(ping.exchange());
-  reply.mutable_pong()->set_members_version(ping_members_->pong().members_version());
-  if (ping.ping().members_version() != ping_members_->pong().members_version()) {
-    *reply.mutable_pong()->mutable_members() = ping_members_->pong().members();
+  reply.mutable_pong()->set_members_version(ping_members_->version);
+  auto bytes = reply.SerializeAsString();
+  if (ping.ping().members_version() != ping_members_->version) {
+    bytes += ping_members_->bytes;  // a parser merges serialized messages that follow each other
   }
-  transport_->Send(ping.from(), reply.SerializeAsString());
+  transport_->Send(ping.from(), std::move(bytes));
 }
 
 void peer_link::OnTransportMessage(const std::string& bytes) {
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -52,6 +52,12 @@
   void SendRequest(const std::string& to, wire::peer_frame frame, time_point deadline,
                    answer_callback done);
 
+  /// Sends a request once over a connection that is known to be open. For requests with which the
+  /// caller itself polls the peer: repeats would add to the load of a peer that answers late.
+  /// @param deadline  time after which `done` is called with null.
+  void SendPollingRequest(const std::string& to, wire::peer_frame frame, time_point deadline,
+                          answer_callback done);
+
   /// Sends a request once, bundled with other messages to the same peer. For requests that are
   /// cheaper to lose than to repeat. The answer is bundled as well.
   /// @param deadline  time after which `done` is called with null.
@@ -77,8 +83,8 @@
   ///               of the io_context makes no progress.
   void SetPingReply(std::unique_ptr<wire::peer_frame> reply, time_point until);
   /// Sets the member list that is added to the ping reply for peers with another version of it.
-  /// @param members  a pong with the members and their version.
-  void SetPingMembers(std::unique_ptr<wire::peer_frame> members);
+  /// @param members  a pong with the members and their version; null if they are not known.
+  void SetPingMembers(const wire::peer_frame* members);
   /// @return whether the transport's thread answers this ping.
   [[nodiscard]] bool CanReplyTo(const wire::peer_frame& ping) const;
 
@@ -110,6 +116,10 @@
   };
   void ScheduleRetry(std::uint64_t exchange);
   [[nodiscard]] std::uint64_t NextExchange();
+  /// Registers a sent request.
+  /// @param repeated  the request, to be sent again until it is answered; empty: never.
+  void AddPendingRequest(std::uint64_t exchange, const std::string& to, wire::peer_frame repeated,
+                         time_point deadline, answer_callback done);
   /// Adds a message to the bundle for a peer, which is sent after `kBundleDelay`.
   void AddToBundle(const std::string& to, wire::peer_frame frame);
   void SendBundles();
@@ -137,8 +147,13 @@
   boost::asio::steady_timer bundle_timer_;
   std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
   mutable std::mutex reply_mutex_;
-  std::unique_ptr<wire::peer_frame> ping_reply_;    ///< guarded by `reply_mutex_`, as the next two
-  std::unique_ptr<wire::peer_frame> ping_members_;  ///< null until the members are known
+  /// The member list as it is appended to a serialized ping reply.
+  struct serialized_members {
+    std::uint64_t version{0};
+    std::string bytes;
+  };
+  std::unique_ptr<wire::peer_frame> ping_reply_;  ///< guarded by `reply_mutex_`, as the next two
+  std::optional<serialized_members> ping_members_;
   time_point ping_reply_until_{};
   std::unique_ptr<peer_transport> transport_;
 };
--- a/test/rosearch/cell/node_test.cc
+++ b/test/rosearch/cell/node_test.cc
@@ -9,6 +9,7 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -431,6 +432,29 @@
   boost::asio::ip::tcp::acceptor acceptor_{io_, {boost::asio::ip::make_address("127.0.0.1"), 0}};
 };
 
+/// A leader that receives pings and answers none.
+class mute_leader {
+ public:
+  explicit mute_leader(claims_log& claims) {
+    wire::leader_claim claim;
+    claim.mutable_member()->set_address(link_.address());
+    claim.set_incarnation(99);
+    claims.Append(JoinKeyed({"leader", claim.SerializeAsString()}), 0);
+  }
+  /// Handles the messages that arrive within this time.
+  void ReceiveFor(milliseconds span) {
+    std::this_thread::sleep_for(span);
+    io_.poll();
+  }
+  [[nodiscard]] std::size_t DifferentPings() const { return exchanges_.size(); }
+
+ private:
+  boost::asio::io_context io_;
+  std::set<std::uint64_t> exchanges_;
+  peer_link link_{io_, "127.0.0.1:0", 99,
+                  [this](const wire::peer_frame& frame) { exchanges_.insert(frame.exchange()); }};
+};
+
 /// Peers of a leader in name only: each sends it one ping.
 class pinging_peers {
  public:
@@ -467,6 +491,15 @@
   CHECK(cell_of_three::WaitUntil([&] { return follower.Leads(); }) < seconds{3});
 }
 
+// Guards against a new leader that hundreds of peers keep busy with copies of pings.
+TEST_CASE("a leader that has not answered yet gets one ping at a time") {
+  claims_log claims;
+  mute_leader leader{claims};
+  const process follower{claims, "127.0.0.1:47312", {}, 2};
+  leader.ReceiveFor(milliseconds{550});
+  CHECK(leader.DifferentPings() == 1);
+}
+
 // Guards against a claimed leadership whose process died right after the claim.
 TEST_CASE("a leader that died right after its claim is replaced") {
   claims_log claims;
--- a/test/rosearch/cell/peer_link_test.cc
+++ b/test/rosearch/cell/peer_link_test.cc
@@ -52,17 +52,39 @@
   CHECK(link.CountStoredRequests() == 1);
 }
 
+// Guards against copies of pings in the queue of a peer that answers late.
+TEST_CASE("a polling request is sent once") {
+  boost::asio::io_context io;
+  int polls = 0;
+  peer_link link{io, "127.0.0.1:0", 1,
+                 [&polls](const wire::peer_frame& frame) { polls += frame.has_query() ? 1 : 0; }};
+  wire::peer_frame opening;
+  opening.mutable_ping();
+  link.SendRequest(link.address(), opening, SteadyNow() + std::chrono::milliseconds{400},
+                   [](const wire::peer_frame*) {});
+  io.run_for(std::chrono::milliseconds{500});
+  wire::peer_frame poll;
+  poll.mutable_query();
+  bool ended = false;
+  link.SendPollingRequest(link.address(), poll, SteadyNow() + std::chrono::milliseconds{500},
+                          [&ended](const wire::peer_frame*) { ended = true; });
+  io.restart();
+  io.run_for(std::chrono::milliseconds{700});
+  CHECK(ended);
+  CHECK(polls == 1);
+}
+
 // The peers of a busy new leader hold the former leader's member list. Their pings must still be
 // answered, with the new list.
 TEST_CASE("a busy leader answers pings of peers with an older member list") {
   boost::asio::io_context busy;
   peer_link leader{busy, "127.0.0.1:0", 1, [](const wire::peer_frame&) {}};
-  auto members = std::make_unique<wire::peer_frame>();
-  members->mutable_pong()->set_members_version(7);
-  members->mutable_pong()->add_members()->set_address("10.0.0.1:7660");
+  wire::peer_frame members;
+  members.mutable_pong()->set_members_version(7);
+  members.mutable_pong()->add_members()->set_address("10.0.0.1:7660");
   auto reply = std::make_unique<wire::peer_frame>();
   reply->mutable_pong()->set_leading(true);
-  leader.SetPingMembers(std::move(members));
+  leader.SetPingMembers(&members);
   leader.SetPingReply(std::move(reply), SteadyNow() + std::chrono::seconds{60});
 
   boost::asio::io_context io;
