An arbiter decides between owner and witness: no single loss stops a shard

Callers saw: with the log down, an entry dies, and tasks on shards that it only witnessed end late; with the log up, submits to these shards are refused for 22 s (CAPACITY.md, 'witness killed').

Cause: an owner acts by its one witness's renewals. The witness lost, its right lapses, and nothing proves soon that the witness won't take over. Not by chance of assignment: of four entries with four shards each witnesses one, so every victim is the witness of a shard that holds workers of the job.

Change: an assignment names a third entry, the arbiter, which rules once for an epoch: the witness may take over, or is excluded and counts as one that resigned. No second copy of records. A witness's consent to a claim closes an epoch only with the arbiter's word (rule 11). A lost arbiter is replaced without a gap.

A released witness now takes it; a resignation after that is ignored.

--- a/src/rosearch/ownership/assignment.h
+++ b/src/rosearch/ownership/assignment.h
@@ -10,21 +10,23 @@
 
 namespace rosearch {
 
-/// Who owns a shard, and who is its witness, at one epoch.
+/// Who owns a shard, who is its witness, and who decides between them, at one epoch.
 struct assignment {
   shard_number shard{};
   epoch_number epoch{};
   epoch_number previous_epoch{};
   party owner;
   std::optional<party> witness;
+  std::optional<party> arbiter{};
 
   friend auto operator<=>(const assignment&, const assignment&) = default;
 };
 
-/// @return the assignment that a record holds; an empty witness entry means none.
+/// @return the assignment that a record holds; an empty entry means none.
 [[nodiscard]] inline assignment FromWire(const wire::shard_assignment& from) {
   assignment to{from.shard(), from.epoch(), from.previous_epoch(), FromWire(from.owner()), {}};
   if (!from.witness().entry().empty()) to.witness = FromWire(from.witness());
+  if (!from.arbiter().entry().empty()) to.arbiter = FromWire(from.arbiter());
   return to;
 }
 
@@ -36,6 +38,7 @@
   to.set_previous_epoch(from.previous_epoch);
   *to.mutable_owner() = ToWire(from.owner);
   if (from.witness) *to.mutable_witness() = ToWire(*from.witness);
+  if (from.arbiter) *to.mutable_arbiter() = ToWire(*from.arbiter);
   return to;
 }
 
--- a/src/rosearch/ownership/internal/rights_part.h
+++ b/src/rosearch/ownership/internal/rights_part.h
@@ -7,6 +7,7 @@
 
 #include "rosearch/core/time.h"
 #include "rosearch/ownership/assignment.h"
+#include "rosearch/wire/pair.pb.h"
 
 namespace rosearch::internal {
 
@@ -31,8 +32,9 @@
   assignment what;
   bool is_owner{};
   rights_stage stage{};
-  bool resigned{};     // the witness resigned, seen from either side
-  bool handed_over{};  // owner: the right went to the witness; witness: received it
+  bool resigned{};       // the witness resigned, seen from either side
+  bool handed_over{};    // owner: the right went to the witness; witness: received it
+  bool may_take_over{};  // witness: the arbiter ruled so
   time_point granted_until{time_point::min()};
   time_point promise_until{time_point::min()};
   std::map<std::uint64_t, time_point> sent;  // renewals without an answer
@@ -43,6 +45,7 @@
   epoch_number settled{};
   epoch_number activated{};
   epoch_number resigned{};
+  epoch_number excluded{};
 };
 
 // Since when the VM list has not shown a party, and when the newest such list was asked for.
--- a/src/rosearch/ownership/rights_output.h
+++ b/src/rosearch/ownership/rights_output.h
@@ -36,6 +36,15 @@
   friend bool operator==(const right_event&, const right_event&) = default;
 };
 
+/// A ruling that this process gave as arbiter, or received as owner or witness.
+struct right_ruling {
+  wire::ruling ruling{};
+  epoch_number epoch{};
+  bool as_arbiter{};
+
+  friend bool operator==(const right_ruling&, const right_ruling&) = default;
+};
+
 /// A message for the process that runs `to`.
 struct pair_envelope {
   party to;
@@ -47,6 +56,7 @@
   std::vector<pair_envelope> messages;
   std::vector<assignment> appends;  ///< to the control stream
   std::vector<right_event> events;
+  std::vector<right_ruling> rulings;  ///< new to this process
 };
 
 }  // namespace rosearch
--- a/src/rosearch/ownership/rights_rules.h
+++ b/src/rosearch/ownership/rights_rules.h
@@ -38,6 +38,15 @@
   static constexpr bool kReportResumed = true;
   /// 10: a witness that resigned neither renews nor takes over.
   static constexpr bool kResignIsFinal = true;
+  /// 11: a witness with an arbiter takes over only by its ruling.
+  static constexpr bool kTakeoverRuling = true;
+  /// 11: an arbiter rules once for an epoch.
+  static constexpr bool kOneRuling = true;
+  /// 11: with the witness's consent, a claim also needs the arbiter's word that it did not exclude
+  /// that witness, or else the owner's part.
+  static constexpr bool kArbiterConsent = true;
+  /// 11: an arbiter that consented to a claim rules no more below it.
+  static constexpr bool kNoRulingBelowClaim = true;
 };
 
 }  // namespace rosearch
--- a/src/rosearch/ownership/shard_rights.h
+++ b/src/rosearch/ownership/shard_rights.h
@@ -25,7 +25,7 @@
 
 namespace rosearch {
 
-/// What a process is to a shard.
+/// What a process is to a shard. An arbiter has no part in acting for it and counts as none.
 enum class rights_role { kNone, kOwner, kWitness, kActingWitness };
 
 /// Decides whether this process may act for one shard at a given moment. It reads no clock and no
@@ -80,6 +80,9 @@
            at->second.stage == internal::rights_stage::kGranted;
   }
 
+  /// @return whether this process is the arbiter of the newest epoch.
+  [[nodiscard]] bool IsArbiter() const noexcept { return rulings_.count(epoch()) != 0; }
+
   /// @return the newest epoch known, zero for none.
   [[nodiscard]] epoch_number epoch() const noexcept {
     return history_.empty() ? 0 : history_.rbegin()->first;
@@ -164,13 +167,16 @@
   /// whenever this process becomes owner at another epoch.
   void SetWitnessReady(bool ready) noexcept { witness_ready_ = ready; }
 
-  /// Sets who may become a witness, the best first: another failure domain before the same one.
+  /// Sets who may become a witness or an arbiter, the best first: another failure domain before the
+  /// same one.
   void SetCandidates(std::vector<party> candidates) { candidates_ = std::move(candidates); }
 
   /// Lets time pass; to be called several times within each renew interval.
   void Tick(time_point now, rights_output& out) {
     Begin(now, out);
     Renew(now, out);
+    AskRulings(now, out);
+    ReplaceArbiter(now, out);
     AskConsents(now, out);
     RepeatFarewells(now, out);
     End(now, out);
@@ -216,7 +222,7 @@
                   time_point now, rights_output& out) {
     if (leaving_) return;
     Begin(now, out);
-    Append({shard_, previous.epoch + 1, previous.epoch, self_, new_witness}, now, out);
+    Append(WithArbiter({shard_, previous.epoch + 1, previous.epoch, self_, new_witness}), now, out);
     End(now, out);
   }
 
@@ -235,7 +241,7 @@
                        time_point now, rights_output& out) {
     if (!MayAct(now) || new_owner == self_) return false;
     Begin(now, out);
-    out.appends.push_back({shard_, epoch() + 1, epoch(), new_owner, new_witness});
+    out.appends.push_back(WithArbiter({shard_, epoch() + 1, epoch(), new_owner, new_witness}));
     next_claim_ = now + settings_.claim_interval;
     End(now, out);
     return true;
@@ -251,9 +257,13 @@
          << " list asked " << Micros(list_asked_);
     for (const auto& [epoch, mine] : parts_) {
       text << " [" << epoch << (mine.is_owner ? " owner " : " witness ") << StageName(mine.stage)
-           << (mine.resigned ? " resigned" : "") << " granted until " << Micros(mine.granted_until)
-           << " promise until " << Micros(mine.promise_until) << " acts until "
-           << Micros(DeadlineOf(mine)) << "]";
+           << (mine.resigned ? " resigned" : "") << (mine.may_take_over ? " may take over" : "")
+           << (mine.what.arbiter ? " arbiter " + ToText(*mine.what.arbiter) : "")
+           << " granted until " << Micros(mine.granted_until) << " promise until "
+           << Micros(mine.promise_until) << " acts until " << Micros(DeadlineOf(mine)) << "]";
+    }
+    for (const auto& [epoch, decided] : rulings_) {
+      text << " [" << epoch << " arbiter " << wire::ruling_Name(decided) << "]";
     }
     return text.str();
   }
@@ -365,6 +375,8 @@
     } else if (next.witness && IsSelf(*next.witness)) {
       parts_[next.epoch] = {next, false, stage::kIdle, leaving_};
       if (leaving_) resigned_epoch_ = next.epoch;
+    } else if (next.arbiter && IsSelf(*next.arbiter)) {
+      rulings_.emplace(next.epoch, wire::RULING_NONE);
     }
   }
 
@@ -440,9 +452,8 @@
     if (Rules::kWitnessConsent && !witness_out) {
       const auto& witness = *old.witness;
       if (const auto said = ConsentOf(witness, now)) {
-        if (said->activated >= old.epoch && said->resigned < old.epoch) {
-          return closure::kWithAllBelow;
-        }
+        const bool acted_by_grants = said->activated >= old.epoch && said->resigned < old.epoch;
+        if (acted_by_grants && !MayBeExcluded(old, now, missing)) return closure::kWithAllBelow;
         if (!Rules::kEarlierConsents) return closure::kWithAllBelow;
       } else if (IsGone(witness, now)) {
         if constexpr (!Rules::kGoneOwner) return closure::kWithAllBelow;
@@ -461,6 +472,21 @@
     return said && said->settled >= old.epoch ? closure::kWithAllBelow : closure::kThisOnly;
   }
 
+  // Rule 11. An owner whose witness was excluded acts by its own right, so that the witness's
+  // consent doesn't close its epoch. None but the arbiter knows; without its word the owner's part
+  // counts.
+  [[nodiscard]] bool MayBeExcluded(const assignment& old, time_point now,
+                                   std::set<party>& missing) const {
+    if (!Rules::kArbiterConsent || !old.arbiter) return false;
+    const auto mine = parts_.find(old.epoch);
+    const bool witness_acts =
+        mine != parts_.end() && (mine->second.may_take_over || mine->second.handed_over);
+    if (witness_acts) return false;
+    const auto said = ConsentOf(*old.arbiter, now);
+    if (!said) missing.insert(*old.arbiter);
+    return !said || said->excluded >= old.epoch;
+  }
+
   [[nodiscard]] std::optional<internal::rights_consent> ConsentOf(const party& who,
                                                                   time_point now) const {
     if (IsSelf(who)) return OwnConsent(now);
@@ -472,7 +498,7 @@
 
   [[nodiscard]] std::optional<internal::rights_consent> OwnConsent(time_point now) const {
     if (HasPromiseBelow(claim_epoch_, now)) return std::nullopt;
-    return internal::rights_consent{settled_, activated_epoch_, resigned_epoch_};
+    return internal::rights_consent{settled_, activated_epoch_, resigned_epoch_, excluded_epoch_};
   }
 
   // Rule 7. The VM list may hide a party that runs: frozen, cut off or being replaced. Its last
@@ -504,16 +530,19 @@
   // the log at hand: claims that pile up while it is down would supersede each other later.
   void ClaimAgain(time_point now, rights_output& out) {
     if (leaving_ || claim_epoch_ != 0 || now < next_claim_ || history_.empty()) return;
-    if (log_asked_ == time_point::min() || now - log_asked_ > settings_.proof_length) return;
+    if (!IsLogFresh(now)) return;
     const auto& newest = history_.rbegin()->second;
     const auto candidate = std::find_if(candidates_.begin(), candidates_.end(), [this](auto& who) {
       return !IsSelf(who) && absent_.count(who) == 0;
     });
     const bool has_candidate = candidate != candidates_.end();
     if (!NeedsClaim(newest, now, has_candidate)) return;
-    Append({shard_, newest.epoch + 1, newest.epoch, self_,
-            has_candidate ? std::optional{*candidate} : std::nullopt},
-           now, out);
+    const auto witness = has_candidate ? std::optional{*candidate} : std::nullopt;
+    Append(WithArbiter({shard_, newest.epoch + 1, newest.epoch, self_, witness}), now, out);
+  }
+
+  [[nodiscard]] bool IsLogFresh(time_point now) const noexcept {
+    return log_asked_ != time_point::min() && now - log_asked_ <= settings_.proof_length;
   }
 
   [[nodiscard]] bool NeedsClaim(const assignment& newest, time_point now,
@@ -578,11 +607,14 @@
     answer.set_settled_epoch(std::min(settled_, claim - 1));
     answer.set_activated_epoch(activated_epoch_);
     answer.set_resigned_epoch(resigned_epoch_);
+    answer.set_excluded_epoch(excluded_epoch_);
   }
 
   void CloseBelow(epoch_number claim) {
     closed_below_ = std::max(closed_below_, claim);
     parts_.erase(parts_.begin(), parts_.lower_bound(closed_below_));
+    if constexpr (!Rules::kNoRulingBelowClaim) return;
+    rulings_.erase(rulings_.begin(), rulings_.lower_bound(closed_below_));
   }
 
   void Settle(epoch_number epoch) {
@@ -662,10 +694,15 @@
   }
 
   // The owner has stopped for good, so its promise is void; it acted, so this counts as activation.
+  // A witness that was released or excluded at the same time takes the right all the same: the
+  // owner has handed it over without knowing, and nobody else would act.
   void OnTransfer(const party& from, epoch_number epoch, time_point now) {
     auto* const mine = Find(epoch, false, from);
-    if (mine == nullptr || mine->resigned || (Rules::kNewIncarnation && !log_read_)) return;
+    if (mine == nullptr || (Rules::kNewIncarnation && !log_read_)) return;
+    if (mine->resigned && leaving_) return;
     if (mine->stage != stage::kIdle && mine->stage != stage::kRenewing) return;
+    mine->resigned = false;
+    if (resigned_epoch_ == epoch) resigned_epoch_ = epoch - 1;
     Activate(*mine);
     mine->promise_until = now;
     mine->handed_over = true;
@@ -674,7 +711,7 @@
   // Rule 10.
   void OnResign(const party& from, epoch_number epoch) {
     auto* const mine = Find(epoch, true, from);
-    if (mine == nullptr) return;
+    if (mine == nullptr || mine->handed_over) return;  // the witness acts, or will
     mine->resigned = true;
     if (mine->stage == stage::kGranted) mine->stage = stage::kOwn;
   }
@@ -687,12 +724,116 @@
       if (!activated || (mine.resigned && Rules::kResignIsFinal) || IsBlocked(epoch)) continue;
       const bool hinted = !Rules::kNoEarlyTakeover && absent_.count(mine.what.owner) != 0;
       if (now < mine.promise_until && !hinted) continue;
+      const bool ruled = !mine.what.arbiter || mine.handed_over || mine.may_take_over;
+      if (Rules::kTakeoverRuling && !ruled) continue;
       if (Rules::kProof && now >= ProvedUntil(epoch, settings_.proof_length)) continue;
       mine.stage = stage::kActing;
       next_change_ = mine.handed_over ? right_change::kTransferred : right_change::kTakenOver;
     }
   }
 
+  // ---- rule 11: the arbiter
+
+  // A third party decides between the two of a pair, so that the loss of either stops nothing.
+  [[nodiscard]] assignment WithArbiter(assignment next) const {
+    if (!next.witness) return next;
+    const auto fits = [&](const party& who) {
+      return who != next.owner && who != *next.witness && absent_.count(who) == 0;
+    };
+    const auto found = std::find_if(candidates_.begin(), candidates_.end(), fits);
+    if (found != candidates_.end()) {
+      next.arbiter = *found;
+    } else if (fits(self_)) {
+      next.arbiter = self_;
+    }
+    return next;
+  }
+
+  // The owner asks before its right lapses, the witness once its promise has.
+  void AskRulings(time_point now, rights_output& out) {
+    if (now < ask_ruling_at_) return;
+    for (auto& [epoch, mine] : parts_) {
+      if (!mine.what.arbiter || mine.resigned || IsBlocked(epoch)) continue;
+      const bool witness_silent = mine.is_owner && mine.stage == stage::kGranted &&
+                                  now >= mine.granted_until - 2 * settings_.renew_interval;
+      const bool owner_silent =
+          mine.stage == stage::kRenewing && !mine.may_take_over && now >= mine.promise_until;
+      if (!witness_silent && !owner_silent) continue;
+      ask_ruling_at_ = now + settings_.renew_interval / 2;
+      Send(*mine.what.arbiter, epoch, out)
+          .mutable_ask_ruling()
+          ->set_wanted(witness_silent ? wire::RULING_EXCLUDED : wire::RULING_TAKEOVER);
+    }
+  }
+
+  void OnAskRuling(const party& from, epoch_number epoch, wire::ruling wanted, rights_output& out) {
+    const auto decided = rulings_.find(epoch);
+    const auto named = history_.find(epoch);
+    if (decided == rulings_.end() || named == history_.end()) return;
+    if (Rules::kNoRulingBelowClaim && IsBlocked(epoch)) return;
+    const auto& what = named->second;
+    const bool fits = wanted == wire::RULING_EXCLUDED ? Same(what.owner, from)
+                                                      : what.witness && Same(*what.witness, from);
+    if (!fits || (Rules::kNewIncarnation && !log_read_)) return;
+    if (decided->second == wire::RULING_NONE || !Rules::kOneRuling) {
+      decided->second = wanted;
+      out.rulings.push_back({wanted, epoch, true});
+      if (wanted == wire::RULING_EXCLUDED) excluded_epoch_ = std::max(excluded_epoch_, epoch);
+    }
+    Send(from, epoch, out).mutable_ruling()->set_decided(decided->second);
+  }
+
+  void OnRuling(const party& from, epoch_number epoch, wire::ruling decided, rights_output& out) {
+    const auto at = parts_.find(epoch);
+    if (at == parts_.end()) return;
+    auto& mine = at->second;
+    if (!mine.what.arbiter || !Same(*mine.what.arbiter, from) || mine.resigned) return;
+    const bool is_news = !mine.may_take_over || decided == wire::RULING_EXCLUDED;
+    if (is_news) out.rulings.push_back({decided, epoch, false});
+    if (mine.is_owner) {
+      if (decided == wire::RULING_EXCLUDED) OnResign(*mine.what.witness, epoch);
+    } else if (decided == wire::RULING_TAKEOVER) {
+      mine.may_take_over = true;
+    } else {
+      // Rule 10: as if it had resigned; the owner acts by its own right.
+      mine.resigned = true;
+      resigned_epoch_ = std::max(resigned_epoch_, epoch);
+    }
+  }
+
+  // An arbiter that is missing or lost would leave the pair to the rules for two: the loss of its
+  // witness would stop the shard. The witness resigns, the owner acts by its own right, and claims
+  // the next epoch with both. Only with the log at hand, like any claim.
+  void ReplaceArbiter(time_point now, rights_output& out) {
+    if (leaving_ || now < release_at_ || now < next_claim_ || !IsLogFresh(now)) return;
+    for (auto& [epoch, mine] : parts_) {
+      if (!mine.is_owner || mine.stage != stage::kGranted || mine.resigned) continue;
+      if (IsBlocked(epoch) || epoch != this->epoch() || !MayAct(now)) continue;
+      if (!LacksArbiter(mine.what)) continue;
+      release_at_ = now + settings_.claim_interval;
+      Send(*mine.what.witness, epoch, out).mutable_release();
+    }
+  }
+
+  [[nodiscard]] bool LacksArbiter(const assignment& pair) const {
+    const auto is_candidate = [this](const party& who) {
+      return std::find(candidates_.begin(), candidates_.end(), who) != candidates_.end();
+    };
+    if (pair.arbiter && is_candidate(*pair.arbiter)) return false;
+    if (!is_candidate(*pair.witness)) return false;
+    const auto next = WithArbiter({shard_, pair.epoch, pair.previous_epoch, self_, pair.witness});
+    return next.arbiter && next.arbiter != pair.arbiter;
+  }
+
+  void OnRelease(const party& from, epoch_number epoch, rights_output& out) {
+    auto* const mine = Find(epoch, false, from);
+    if (mine == nullptr || IsBlocked(epoch)) return;
+    if (mine->stage == stage::kActing || mine->stage == stage::kStopped) return;
+    mine->resigned = true;
+    resigned_epoch_ = std::max(resigned_epoch_, epoch);
+    Send(from, epoch, out).mutable_resign();
+  }
+
   // ---- planned stops
 
   void ResignParts() {
@@ -732,7 +873,8 @@
 
   void OnConsent(const party& from, const wire::consent_answer& answer) {
     if (!answer.given() || claim_epoch_ == 0 || answer.claimed_epoch() != claim_epoch_) return;
-    consents_[from] = {answer.settled_epoch(), answer.activated_epoch(), answer.resigned_epoch()};
+    consents_[from] = {answer.settled_epoch(), answer.activated_epoch(), answer.resigned_epoch(),
+                       answer.excluded_epoch()};
   }
 
   void Dispatch(const party& from, const wire::pair_message& message, time_point now,
@@ -751,6 +893,12 @@
         return OnAskConsent(from, message.ask_consent().claimed_epoch(), out);
       case wire::pair_message::kConsent:
         return OnConsent(from, message.consent());
+      case wire::pair_message::kRelease:
+        return OnRelease(from, epoch, out);
+      case wire::pair_message::kAskRuling:
+        return OnAskRuling(from, epoch, message.ask_ruling().wanted(), out);
+      case wire::pair_message::kRuling:
+        return OnRuling(from, epoch, message.ruling().decided(), out);
       case wire::pair_message::BODY_NOT_SET:
         return;
     }
@@ -771,6 +919,9 @@
   epoch_number settled_{};
   epoch_number activated_epoch_{};
   epoch_number resigned_epoch_{};
+  epoch_number excluded_epoch_{};
+  // What this process decided as arbiter, by epoch; none yet where it was not asked.
+  std::map<epoch_number, wire::ruling> rulings_;
   // It never acts, renews or takes over below this epoch.
   epoch_number closed_below_{};
 
@@ -797,6 +948,8 @@
   time_point ask_at_{time_point::min()};
   time_point next_claim_{time_point::min()};
   time_point farewell_at_{time_point::min()};
+  time_point ask_ruling_at_{time_point::min()};
+  time_point release_at_{time_point::min()};
 };
 
 /// The rights of production.
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -116,6 +116,11 @@
   for (const auto& claim : rights.appends) {
     out.claims.push_back(claim);
   }
+  for (const auto& ruling : rights.rulings) {
+    LOG(INFO) << "event=right_ruled shard=" << number_ << " epoch=" << ruling.epoch
+              << " ruling=" << wire::ruling_Name(ruling.ruling)
+              << " as_arbiter=" << ruling.as_arbiter;
+  }
   for (const auto& event : rights.events) {
     LOG(INFO) << "event=right_changed shard=" << number_ << " epoch=" << event.epoch
               << " change=" << RightChangeName(event.change);
--- a/test/rosearch/ownership/pair_mutation_test.cc
+++ b/test/rosearch/ownership/pair_mutation_test.cc
@@ -56,6 +56,18 @@
 struct no_resign_is_final : full_rules {
   static constexpr bool kResignIsFinal = false;
 };
+struct no_takeover_ruling : full_rules {
+  static constexpr bool kTakeoverRuling = false;
+};
+struct no_one_ruling : full_rules {
+  static constexpr bool kOneRuling = false;
+};
+struct no_arbiter_consent : full_rules {
+  static constexpr bool kArbiterConsent = false;
+};
+struct no_ruling_below_claim_rule : full_rules {
+  static constexpr bool kNoRulingBelowClaim = false;
+};
 
 template <typename Rules>
 std::string BreachOf(std::uint64_t seed) {
@@ -70,22 +82,26 @@
 };
 
 const mutant kMutants[]{
-    {"1 count from sending", 8, "two holders", BreachOf<no_count_from_sending>},
-    {"2 witness's consent", 4, "two holders", BreachOf<no_witness_consent>},
-    {"2 earlier consents", 1, "two holders", BreachOf<no_earlier_consents>},
-    {"2 first claim only", 6, "two holders", BreachOf<no_first_claim_only>},
-    {"3 wait out the promise", 4, "two holders", BreachOf<no_wait_out_promise>},
-    {"4 no early takeover", 1, "two holders", BreachOf<no_early_takeover_rule>},
+    {"1 count from sending", 78, "two holders", BreachOf<no_count_from_sending>},
+    {"2 witness's consent", 2, "two holders", BreachOf<no_witness_consent>},
+    {"2 earlier consents", 4, "two holders", BreachOf<no_earlier_consents>},
+    {"2 first claim only", 4, "two holders", BreachOf<no_first_claim_only>},
+    {"3 wait out the promise", 18, "two holders", BreachOf<no_wait_out_promise>},
+    {"4 no early takeover", 3, "two holders", BreachOf<no_early_takeover_rule>},
     {"5 activation", 1, "two holders", BreachOf<no_activation>},
     {"5 give up own right", 3, "two holders", BreachOf<no_give_up_own_right>},
-    {"6 proof", 3, "two holders", BreachOf<no_proof>},
-    {"7 wait for the list", 179, "two holders", BreachOf<no_gone_wait>},
-    {"7 wait after the claim", 191, "two holders", BreachOf<no_gone_after_claim>},
+    {"6 proof", 46, "two holders", BreachOf<no_proof>},
+    {"7 wait for the list", 90, "two holders", BreachOf<no_gone_wait>},
+    {"7 wait after the claim", 64, "two holders", BreachOf<no_gone_after_claim>},
     {"7 owner's part", 24, "two holders", BreachOf<no_gone_owner>},
     {"7 proof for renewals", 2, "two holders", BreachOf<no_renewal_proof>},
     {"8 new incarnation", 2, "two holders", BreachOf<no_new_incarnation>},
-    {"9 report resumed", 2, "right without an event", BreachOf<no_report_resumed>},
-    {"10 resignation is final", 4, "two holders", BreachOf<no_resign_is_final>},
+    {"9 report resumed", 4, "right without an event", BreachOf<no_report_resumed>},
+    {"10 resignation is final", 3, "two holders", BreachOf<no_resign_is_final>},
+    {"11 takeover by ruling", 8, "two holders", BreachOf<no_takeover_ruling>},
+    {"11 one ruling", 19, "two holders", BreachOf<no_one_ruling>},
+    {"11 arbiter's consent", 23, "two holders", BreachOf<no_arbiter_consent>},
+    {"11 no ruling below a claim", 168, "two holders", BreachOf<no_ruling_below_claim_rule>},
 };
 
 }  // namespace
--- a/test/rosearch/ownership/pair_random_test.cc
+++ b/test/rosearch/ownership/pair_random_test.cc
@@ -12,13 +12,14 @@
 // start in two places, or a VM be promised twice.
 TEST_CASE("no faults give two parties the right", "[single-run][no-overcommit]") {
   pair_report all;
-  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+  for (std::uint64_t seed = 1; seed <= 800; ++seed) {
     CAPTURE(seed);
     const auto report = pair_world<full_rules>{seed}.Run(4000);
     INFO(report.breach);
     REQUIRE(report.breach.empty());
     REQUIRE(report.alive_at_end);
     for (const auto& [how, count] : report.events) all.events[how] += count;
+    for (const auto& [which, count] : report.rulings) all.rulings[which] += count;
     all.acting_steps += report.acting_steps;
     all.steps += report.steps;
   }
@@ -29,6 +30,9 @@
         right_change::kActivated, right_change::kResumed, right_change::kLost}) {
     CHECK(all.events[how] > 100);
   }
+  for (const auto which : {wire::RULING_TAKEOVER, wire::RULING_EXCLUDED}) {
+    CHECK(all.rulings[which] > 50);
+  }
 }
 
 TEST_CASE("thousands of seeds", "[.soak]") {
@@ -43,6 +47,7 @@
     all.steps += report.steps;
     all.acting_steps += report.acting_steps;
     for (const auto& [how, times] : report.events) all.events[how] += times;
+    for (const auto& [which, times] : report.rulings) all.rulings[which] += times;
     if (report.breach.empty() && report.alive_at_end) continue;
     ++failed;
     std::cout << "seed " << seed << (report.alive_at_end ? "" : " nobody acts at the end ")
@@ -52,6 +57,9 @@
   for (const auto& [how, times] : all.events) {
     std::cout << ", change " << static_cast<int>(how) << ": " << times;
   }
+  for (const auto& [which, times] : all.rulings) {
+    std::cout << ", " << wire::ruling_Name(which) << ": " << times;
+  }
   std::cout << "\n";
   CHECK(failed == 0);
 }
--- a/test/rosearch/ownership/pair_world.h
+++ b/test/rosearch/ownership/pair_world.h
@@ -24,6 +24,7 @@
   std::string breach;  ///< empty: none
   bool alive_at_end{};
   std::map<right_change, int> events;
+  std::map<wire::ruling, int> rulings;  ///< given by arbiters
   int acting_steps{};
   int steps{};
 };
@@ -198,6 +199,9 @@
       ++report_.events[event.change];
       run.fenced = event.change != right_change::kLost;
     }
+    for (const auto& given : out.rulings) {
+      if (given.as_arbiter) ++report_.rulings[given.ruling];
+    }
     for (const auto& claim : out.appends) {
       if (run.log_cut_until > now_) continue;
       if (log_down_until_ > now_ && !random_.Chance(0.1)) continue;
@@ -282,8 +286,9 @@
   }
 
   [[nodiscard]] bool IsNamed(const party& who) const {
-    return std::any_of(log_.begin(), log_.end(),
-                       [&who](const auto& one) { return one.owner == who || one.witness == who; });
+    return std::any_of(log_.begin(), log_.end(), [&who](const auto& one) {
+      return one.owner == who || one.witness == who || one.arbiter == who;
+    });
   }
 
   [[nodiscard]] std::vector<party> Candidates(const process& run) {
--- a/test/rosearch/ownership/shard_rights_test.cc
+++ b/test/rosearch/ownership/shard_rights_test.cc
@@ -236,4 +236,157 @@
   }
 }
 
+namespace {
+
+// The pair of `trio` with an arbiter: epoch 2 belongs to `a` with witness `b` and arbiter `c`.
+struct ruled_trio : trio {
+  ruled_trio() {
+    Assign({0, 2, 1, kA, kB, kC}, 0s);
+    a.Tick(At(0s), out);
+    Take();
+    a.SetWitnessReady(true);
+    Exchange(kA, 1s);
+    Changes();
+  }
+
+  /// Lets time pass at the two that still run; messages to the lost one are dropped.
+  void RunWithout(const party& lost, duration from, duration until) {
+    for (auto at = from; at < until; at += 100ms) {
+      for (const auto& who : {kA, kB, kC}) {
+        if (who == lost) continue;
+        Of(who).OnListProof(At(at), At(at), out);
+        Of(who).Tick(At(at), out);
+        Deliver(who, lost, at);
+      }
+    }
+  }
+
+ private:
+  void Deliver(const party& from, const party& lost, duration at) {
+    for (const auto& one : Take()) {
+      if (one.to == lost) continue;
+      Of(one.to).OnMessage(from, one.message, At(at), out);
+      Deliver(one.to, lost, at);
+    }
+  }
+};
+
+}  // namespace
+
+// Guards against a shard that stops for the list's lag when the VM of its witness is lost.
+TEST_CASE("rule 11: an owner that loses its witness goes on without a pause, log or not",
+          "[single-run]") {
+  ruled_trio all;
+  REQUIRE(all.a.WitnessActive());
+  all.RunWithout(kB, 1s, 20s);
+  CHECK(all.a.MayAct(At(20s)));
+  CHECK_FALSE(all.a.WitnessActive());
+  CHECK(all.Changes().empty());
+  // The witness was cut off only: it comes back, and neither renews nor takes over.
+  all.b.OnListProof(At(20s), At(20s), all.out);
+  all.b.Tick(At(20s), all.out);
+  all.Pass(kB, 20s);
+  all.Pass(kC, 20s);
+  all.b.OnListProof(At(21s), At(21s), all.out);
+  all.b.Tick(At(21s), all.out);
+  CHECK_FALSE(all.b.MayAct(At(21s)));
+}
+
+// Guards against a dead owner whose shard nobody takes over while the log is down.
+TEST_CASE("rule 11: a witness takes over by the arbiter's ruling", "[single-run]") {
+  ruled_trio all;
+  all.RunWithout(kA, 1s, 6s);
+  CHECK(all.b.MayAct(At(6s)));
+  CHECK(all.Changes() == std::vector{right_change::kTakenOver});
+  // The owner was frozen only and wakes up.
+  all.a.OnListProof(At(6s), At(6s), all.out);
+  all.a.Tick(At(6s), all.out);
+  all.Pass(kA, 6s);
+  all.Pass(kC, 6s);
+  CHECK_FALSE(all.a.MayAct(At(6s)));
+}
+
+// Guards against a pair that stops because the third party is lost.
+TEST_CASE("rule 11: a pair goes on without its arbiter", "[single-run]") {
+  ruled_trio all;
+  all.RunWithout(kC, 1s, 20s);
+  CHECK(all.a.MayAct(At(20s)));
+  CHECK(all.a.WitnessActive());
+  CHECK(all.Changes().empty());
+}
+
+// Guards against a second fault that stops a shard because its arbiter was lost before.
+TEST_CASE("rule 11: a lost arbiter is replaced without a pause", "[single-run]") {
+  ruled_trio all;
+  const party next{entry_id{"d"}, 4};
+  all.a.SetCandidates({kB, next});
+  all.Prove(2s);
+  all.out.appends.clear();
+  all.a.Tick(At(2s), all.out);
+  all.Pass(kA, 2s);  // asks the witness to resign
+  all.Pass(kB, 2s);
+  CHECK(all.a.MayAct(At(2s)));
+  all.Prove(3500ms);
+  all.a.Tick(At(3500ms), all.out);
+  CHECK(all.a.MayAct(At(3500ms)));
+  REQUIRE(all.out.appends.size() == 1);
+  CHECK(all.out.appends.front() == assignment{0, 3, 2, kA, kB, next});
+  CHECK(all.Changes().empty());
+}
+
+// Guards against a shard that nobody serves because its witness was released while its owner handed
+// it over.
+TEST_CASE("rule 11: a released witness takes what the owner hands over", "[single-run]") {
+  ruled_trio all;
+  const party next{entry_id{"d"}, 4};
+  all.a.SetCandidates({kB, next});
+  all.Prove(2s);
+  all.a.Tick(At(2s), all.out);
+  all.Pass(kA, 2s);  // asks the witness to resign
+  const auto resignation = all.Take();
+  all.a.GiveUp(At(2s), all.out);
+  all.Pass(kA, 2s);
+  CHECK(all.b.MayAct(At(2s)));
+  // The resignation arrives late: the owner must not count on it.
+  for (const auto& one : resignation) all.a.OnMessage(kB, one.message, At(2s), all.out);
+  all.Take();
+  all.Assign({0, 3, 2, kA, kC}, 2s);
+  all.b.OnListProof(At(2s), At(2s), all.out);
+  all.a.Tick(At(2s), all.out);
+  CHECK_FALSE(all.a.MayAct(At(2s)));
+  CHECK(all.b.MayAct(At(2s)));
+}
+
+// Guards against a third entry that claims by the witness's word alone while the owner, whose
+// witness was excluded, acts on by its own right.
+TEST_CASE("rule 11: a claim needs the arbiter's word", "[single-run][no-overcommit]") {
+  ruled_trio all;
+  all.RunWithout(kB, 1s, 8s);
+  REQUIRE(all.a.MayAct(At(8s)));
+  const party claimant{entry_id{"d"}, 4};
+  shard_rights d{0, claimant, all.settings};
+  for (const auto& known : {assignment{0, 1, 0, kA, kB}, assignment{0, 2, 1, kA, kB, kC},
+                            assignment{0, 3, 2, claimant, {}}}) {
+    d.OnAssignment(known, At(8s), all.out);
+  }
+  d.OnLogEnd(At(8s), At(8s), all.out);
+  all.Take();
+  wire::pair_message consent;
+  consent.mutable_consent()->set_claimed_epoch(3);
+  consent.mutable_consent()->set_given(true);
+  consent.mutable_consent()->set_settled_epoch(2);
+  consent.mutable_consent()->set_activated_epoch(2);
+  d.OnMessage(kB, consent, At(8s), all.out);
+  CHECK_FALSE(d.MayAct(At(8s)));
+  SECTION("which says that the witness was excluded") {
+    consent.mutable_consent()->set_excluded_epoch(2);
+    d.OnMessage(kC, consent, At(8s), all.out);
+    CHECK_FALSE(d.MayAct(At(8s)));
+  }
+  SECTION("which says that it was not") {
+    d.OnMessage(kC, consent, At(8s), all.out);
+    CHECK(d.MayAct(At(8s)));
+  }
+}
+
 }  // namespace rosearch
