A leader settles while it asks its workers, and at most 100 processes ping at the fast rate

Callers saw: the leader of 300 entries and 3,000 workers, alive and asking its workers, was replaced 2.4 s after it had taken over from a killed one (trial on one core: epoch 8 at 3.04 s, epoch 15 at 5.50 s; cause=leader_silent asked=16 answered=16: none of 16 peers had heard it for 0.6 s).

Cause: renewals ended with the peers' joining; then 3,000 workers answered while 299 peers pinged five times a second each. 1,500 pings a second leave little of a quarter of a core.

Change: renewals go on while the former leader's work is not settled, at most for 10 s of a leadership and only with 16 peers or more. Beyond 100 large processes the others are reserve candidates, as small ones have been: they ping each 0.5 s and claim and ask 0.5 s later. Cells of up to 100 entries are as before. The transport thread no longer wakes itself for its own replies.

Failed tries, reverted: a longer wait for a relay that answers others; relays only among peers that have received an answer.

--- a/src/rosearch/cell/election.cc
+++ b/src/rosearch/cell/election.cc
@@ -51,14 +51,14 @@
   const auto age_delay = std::chrono::duration_cast<duration>(settings_.max_age_delay * age_factor);
   const auto jitter_delay = std::chrono::duration_cast<duration>(settings_.max_jitter * jitter_);
   const auto late_delay = now < late_until_ ? settings_.late_process_delay : duration{};
-  return age_delay + jitter_delay + late_delay + SmallProcessDelay();
+  return age_delay + jitter_delay + late_delay + ReserveDelay();
 }
 
 bool election::HasActiveLeader(time_point now) const { return !leaving_ && LeaderReachable(now); }
 
 bool election::LeaderReachable(time_point now) const {
   return last_answer_at_ != time_point{} && connection_lost_at_ == time_point{} &&
-         now - last_answer_at_ < settings_.suspect_timeout + SmallProcessDelay();
+         now - last_answer_at_ < settings_.suspect_timeout + ReserveDelay();
 }
 
 bool election::ShouldAskPeers(time_point now) const {
@@ -68,12 +68,12 @@
   if (leaving_ || known_.epoch == 0) {
     return true;
   }
-  // Small processes ask later than large ones: 30 processes that each ask 30 peers would use a
+  // Reserve candidates ask later than the others: 30 processes that each ask 30 peers would use a
   // third of each small process's processor share.
-  const auto small_process_delay = SmallProcessDelay();
+  const auto reserve_delay = ReserveDelay();
   const bool broken =
-      connection_lost_at_ != time_point{} && now - connection_lost_at_ >= small_process_delay;
-  return broken || now - silent_since_ >= settings_.ask_peers_timeout + small_process_delay;
+      connection_lost_at_ != time_point{} && now - connection_lost_at_ >= reserve_delay;
+  return broken || now - silent_since_ >= settings_.ask_peers_timeout + reserve_delay;
 }
 
 bool election::ShouldClaim(time_point now) const {
--- a/src/rosearch/cell/election.h
+++ b/src/rosearch/cell/election.h
@@ -32,8 +32,9 @@
   /// Timeout after which a leader is suspected when its connection was lost. A live leader answers
   /// a repeated ping within this time, and some peer reports it far sooner.
   duration connection_loss_timeout{std::chrono::milliseconds{150}};
-  /// Delay of a process with little processor time, so that larger ones claim first.
-  duration small_process_delay{std::chrono::milliseconds{500}};
+  /// Delay of a reserve candidate, such as a process with little processor time, so that the others
+  /// claim first.
+  duration reserve_delay{std::chrono::milliseconds{500}};
   /// A process whose timers fire later than this also receives other processes' messages late.
   duration lateness_threshold{std::chrono::milliseconds{100}};
   /// Period after such a late timer in which this process delays its claim by `late_process_delay`.
@@ -56,11 +57,15 @@
 /// refused.
 class election {
  public:
-  /// @param small   whether larger processes should be preferred as leader.
+  /// @param reserve  whether other processes should be preferred as leader.
   /// @param jitter  from 0 to 1, drawn when the process starts.
   /// @param began   when the process started.
-  election(const election_settings& settings, bool small, double jitter, time_point began)
-      : settings_{settings}, small_{small}, jitter_{jitter}, began_{began} {}
+  election(const election_settings& settings, bool reserve, double jitter, time_point began)
+      : settings_{settings}, reserve_{reserve}, jitter_{jitter}, began_{began} {}
+
+  /// Sets whether other processes should be preferred as leader.
+  void SetReserve(bool reserve) { reserve_ = reserve; }
+  [[nodiscard]] bool IsReserve() const { return reserve_; }
 
   /// Records that the claim log was read to its end.
   void OnClaimsRead(time_point now) {
@@ -125,14 +130,15 @@
   [[nodiscard]] duration ClaimDelay(time_point now) const;
   /// @return whether the connection to the leader has been lost for long enough to claim.
   [[nodiscard]] bool IsConnectionTimeoutOver(time_point now) const;
-  /// @return the additional delay of a small process before it asks peers or claims, so that large
-  ///         processes do so first.
-  [[nodiscard]] duration SmallProcessDelay() const {
-    return small_ ? settings_.small_process_delay : duration{};
+  /// @return the additional delay of a reserve candidate before it asks peers or claims, so that
+  /// the
+  ///         others do so first.
+  [[nodiscard]] duration ReserveDelay() const {
+    return reserve_ ? settings_.reserve_delay : duration{};
   }
 
   election_settings settings_;
-  bool small_;
+  bool reserve_;
   double jitter_;
   time_point began_;
   leadership known_;
--- a/src/rosearch/cell/internal/node_claims.h
+++ b/src/rosearch/cell/internal/node_claims.h
@@ -142,8 +142,7 @@
   // Claims that are pending while the store is unavailable are applied in any order once it is
   // back. Small processes therefore don't claim then: one could win a cell that needs more than its
   // processor.
-  const bool small = settings_.processor_milli < kLargeProcess;
-  if (small && now - claims_read_at_ >= kMaxClaimsReadAge) {
+  if (IsSmall() && now - claims_read_at_ >= kMaxClaimsReadAge) {
     return;
   }
   // A peer that reaches the leader was reported to the election when its answer arrived, so here it
@@ -242,7 +241,7 @@
 template <typename Ports>
 void node<Ports>::RenewClaim() {
   const auto now = SteadyNow();
-  if (claim_in_flight_ || !settling_.IsSettling(now) ||
+  if (claim_in_flight_ || !settling_.IsSettling(leader_->Restoring(), now) ||
       now - claim_renewed_at_ < kClaimRenewalInterval) {
     return;
   }
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -13,7 +13,7 @@
   if (next_tick_at_ != time_point{}) {
     election_.OnTimerDelay(now - next_tick_at_, now);
   }
-  if (!IsLeading() && now - pinged_at_ >= PingInterval(settings_.processor_milli)) {
+  if (!IsLeading() && now - pinged_at_ >= OwnPingInterval()) {
     pinged_at_ = now;
     Ping();
   }
@@ -185,8 +185,7 @@
 template <typename Ports>
 void node<Ports>::OfferLeadership() {
   const auto now = SteadyNow();
-  const bool small = settings_.processor_milli < kLargeProcess;
-  if (!small || !leader_->Serving() || RelayCount(leader_->Workers()) == 0 ||
+  if (!IsSmall() || !leader_->Serving() || RelayCount(leader_->Workers()) == 0 ||
       now - offered_at_ < kOfferInterval) {
     return;
   }
@@ -212,7 +211,7 @@
   // store.
   const auto now = SteadyNow();
   for (const auto& [address, each] : members_) {
-    if (now - each.seen_at > PingInterval(each.facts.processor_milli()) * 2) {
+    if (now - each.seen_at > PingInterval(each) * 2) {
       wire::peer_frame frame;
       frame.set_epoch(leader_->epoch());
       frame.mutable_notice()->set_address(peers_.address());
--- a/src/rosearch/cell/internal/node_pings.h
+++ b/src/rosearch/cell/internal/node_pings.h
@@ -13,6 +13,7 @@
   frame.set_epoch(election_.KnownLeader().epoch);
   *frame.mutable_ping()->mutable_member() = Self();
   frame.mutable_ping()->set_members_version(members_version_);
+  frame.mutable_ping()->set_interval_ms(Millis(OwnPingInterval()));
   return frame;
 }
 
@@ -78,6 +79,7 @@
       }
     }
     members_version_ = pong.members_version();
+    UpdateCandidacy();
   }
   if (pong.config_version() > 0) {
     limits_known_ = true;
@@ -88,6 +90,19 @@
   }
 }
 
+template <typename Ports>
+void node<Ports>::UpdateCandidacy() {
+  std::vector<std::string> larger;
+  for (const auto& [address, each] : members_) {
+    if (each.facts.processor_milli() >= kLargeProcess) {
+      larger.push_back(address);
+    }
+  }
+  const bool preferred =
+      !IsSmall() && IsHighestRanked(peers_.address(), larger, "candidate", kMaxCandidates);
+  election_.SetReserve(!preferred);
+}
+
 template <typename Ports>
 wire::peer_frame node<Ports>::MakePong() const {
   wire::peer_frame frame;
@@ -149,7 +164,7 @@
   if (!known->second.has_pinged) {
     settling_.OnJoin(SteadyNow());
   }
-  known->second = {ping.member(), SteadyNow(), true};
+  known->second = {ping.member(), SteadyNow(), true, std::chrono::milliseconds{ping.interval_ms()}};
   members_version_ += inserted ? 1 : 0;
   if (frame.epoch() == leader_->epoch()) {
     leader_->OnPeerHeartbeat();
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -132,6 +132,9 @@
 
   /// @return whether callers are served.
   [[nodiscard]] bool Serving() const { return serving_ && !ended_; }
+  /// @return whether work of the former leader may still run unnoticed, as not every worker has
+  ///         answered yet.
+  [[nodiscard]] bool Restoring() const { return !serving_ || !scheduler_.OldRunsSettled(); }
   [[nodiscard]] std::uint64_t epoch() const { return epoch_; }
   /// @return the number of known workers.
   [[nodiscard]] std::size_t Workers() const { return workers_; }
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -49,8 +49,7 @@
         incarnation_{incarnation},
         log_{log},
         metrics_{metrics},
-        election_{settings_.electing, settings_.processor_milli < kLargeProcess, jitter,
-                  SteadyNow()},
+        election_{settings_.electing, IsSmall(), jitter, SteadyNow()},
         tick_timer_{io},
         claims_timer_{io},
         handover_timer_{io} {
@@ -121,8 +120,9 @@
  private:
   struct member {
     wire::cell_member facts;
-    time_point seen_at{};    ///< last ping received here, or arrival of the leader's member list
-    bool has_pinged{false};  ///< this process has received a ping from it since it began to lead
+    time_point seen_at{};      ///< last ping received here, or arrival of the leader's member list
+    bool has_pinged{false};    ///< this process has received a ping from it since it began to lead
+    duration ping_interval{};  ///< as its last ping told; zero: not told
   };
   /// A caller's request that is being forwarded to the leader.
   struct forwarded_call {
@@ -144,10 +144,12 @@
   /// Shorter interval while the leader is suspected to have failed, to speed up the takeover.
   static constexpr duration kSuspectTickInterval = std::chrono::milliseconds{30};
   static constexpr duration kPingInterval = std::chrono::milliseconds{200};
-  /// Small processes claim later anyway, so they need not detect a failed leader as fast. Most
-  /// processes are small: at `kPingInterval` the leader of a large cell would spend most of its
-  /// time on their pings.
-  static constexpr duration kSmallProcessPingInterval = std::chrono::milliseconds{500};
+  /// Reserve candidates claim later anyway, so they need not detect a failed leader as fast. At
+  /// `kPingInterval` the leader of a large cell would spend most of its time on their pings.
+  static constexpr duration kReservePingInterval = std::chrono::milliseconds{500};
+  /// Number of large processes that claim and ping without the delay of reserve candidates. Even if
+  /// a fifth of all processes are lost at once, some of these remain.
+  static constexpr std::size_t kMaxCandidates = 100;
   /// Number of peers asked whether they reach the leader before it is replaced. With a fifth of all
   /// peers cut off from the leader, all 16 that are asked are cut off once in 10^11 cases.
   static constexpr std::size_t kMaxQueriedPeers = 16;
@@ -206,9 +208,19 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
   }
   [[nodiscard]] bool IsLeading() const { return leader_ != nullptr; }
-  [[nodiscard]] static duration PingInterval(std::uint32_t processor_milli) {
-    return processor_milli < kLargeProcess ? kSmallProcessPingInterval : kPingInterval;
+  [[nodiscard]] bool IsSmall() const { return settings_.processor_milli < kLargeProcess; }
+  [[nodiscard]] static duration PingInterval(const member& peer) {
+    if (peer.ping_interval > duration{}) {
+      return peer.ping_interval;
+    }
+    const bool small = peer.facts.processor_milli() < kLargeProcess;
+    return small ? kReservePingInterval : kPingInterval;
+  }
+  [[nodiscard]] duration OwnPingInterval() const {
+    return election_.IsReserve() ? kReservePingInterval : kPingInterval;
   }
+  /// Decides by the member list whether this process is a reserve candidate.
+  void UpdateCandidacy();
 
   /// @return the time since the leader last answered this process; negative: it never did.
   [[nodiscard]] duration HeardAgo(time_point now) const {
--- a/src/rosearch/cell/peer_choice.cc
+++ b/src/rosearch/cell/peer_choice.cc
@@ -43,6 +43,15 @@
   return chosen;
 }
 
+bool IsHighestRanked(std::string_view self, const std::vector<std::string>& others,
+                     std::string_view key, std::size_t max_count) {
+  const std::pair own{RankOf(self, key), self};
+  const auto higher = std::ranges::count_if(others, [&](const std::string& other) {
+    return std::pair{RankOf(other, key), std::string_view{other}} > own;
+  });
+  return static_cast<std::size_t>(higher) < max_count;
+}
+
 std::size_t RelayCount(std::size_t workers) {
   if (workers <= kMaxUnrelayedWorkers) {
     return 0;
--- a/src/rosearch/cell/peer_choice.h
+++ b/src/rosearch/cell/peer_choice.h
@@ -18,6 +18,10 @@
 [[nodiscard]] std::vector<std::string> HighestRanked(std::vector<std::string> peers,
                                                      std::string_view key, std::size_t max_count);
 
+/// @return whether this process is one of at most `max_count` that rank highest for a key.
+[[nodiscard]] bool IsHighestRanked(std::string_view self, const std::vector<std::string>& others,
+                                   std::string_view key, std::size_t max_count);
+
 /// @return the number of relays for a leader of this many workers; 0: the leader contacts its
 ///         workers itself, which costs less in total.
 [[nodiscard]] std::size_t RelayCount(std::size_t workers);
--- a/src/rosearch/cell/settling_period.h
+++ b/src/rosearch/cell/settling_period.h
@@ -9,26 +9,33 @@
 
 namespace rosearch::cell {
 
-/// Tells whether a new leader is being joined by so many peers at once that it can't be expected to
-/// answer each of them within the suspect timeout.
+/// Tells whether the leader of a large cell is so new that it can't be expected to answer each of
+/// its peers within the suspect timeout: many of them join it at once, or it still asks all
+/// workers.
 class settling_period {
  public:
   /// Starts a leadership, which no peer has joined yet.
   void Begin(time_point now) {
     max_end_ = now + kMaxLength;
+    joins_ = 0;
     recent_joins_end_.clear();
   }
 
   /// Records the first ping of a peer.
-  void OnJoin(time_point now) { recent_joins_end_.push_back(now + kJoinWindow); }
+  void OnJoin(time_point now) {
+    ++joins_;
+    recent_joins_end_.push_back(now + kJoinWindow);
+  }
 
-  /// @return whether many peers have joined recently. False in the end however many join, so that a
-  ///         leader which can't answer its peers for another reason is replaced.
-  [[nodiscard]] bool IsSettling(time_point now) {
+  /// @param restoring  whether the leader still restores the state of its predecessor.
+  /// @return whether the leader settles. False in the end in any case, so that a leader which can't
+  ///         answer its peers for another reason is replaced.
+  [[nodiscard]] bool IsSettling(bool restoring, time_point now) {
     while (!recent_joins_end_.empty() && recent_joins_end_.front() <= now) {
       recent_joins_end_.pop_front();
     }
-    return now < max_end_ && recent_joins_end_.size() >= kManyJoins;
+    const bool joined_by_many = recent_joins_end_.size() >= kManyJoins;
+    return now < max_end_ && (joined_by_many || (restoring && joins_ >= kManyJoins));
   }
 
  private:
@@ -38,6 +45,7 @@
   static constexpr duration kMaxLength = std::chrono::seconds{10};
 
   time_point max_end_{};
+  std::size_t joins_{0};
   std::deque<time_point> recent_joins_end_;  ///< when each join stops counting as recent, in order
 };
 
--- a/src/rosearch/net/peer_transport.cc
+++ b/src/rosearch/net/peer_transport.cc
@@ -70,7 +70,8 @@
   void Send(const std::string& to, std::string bytes) {
     const std::scoped_lock lock{mutex_};
     outgoing_.emplace_back(to, std::move(bytes));
-    if (outgoing_.size() == 1) {
+    // The own thread sends after it has received, without being woken.
+    if (outgoing_.size() == 1 && std::this_thread::get_id() != loop_thread_) {
       WakeLocked();
     }
   }
@@ -95,6 +96,10 @@
   void WakeLocked() { (void)wake_out_.send(zmq::message_t{}, zmq::send_flags::dontwait); }
 
   void Run() {
+    {
+      const std::scoped_lock lock{mutex_};
+      loop_thread_ = std::this_thread::get_id();
+    }
     while (!stopping_) {
       std::vector<zmq::pollitem_t> items{{receiver_.handle(), 0, ZMQ_POLLIN, 0},
                                          {wake_in_.handle(), 0, ZMQ_POLLIN, 0}};
@@ -254,7 +259,8 @@
   std::atomic<bool> stopping_{false};
   std::mutex mutex_;
   std::vector<std::pair<std::string, std::string>> outgoing_;
-  std::string to_watch_;  ///< guarded by `mutex_`; empty: no change
+  std::string to_watch_;         ///< guarded by `mutex_`; empty: no change
+  std::thread::id loop_thread_;  ///< guarded by `mutex_`; the one that sends and receives
   mutable std::mutex counters_mutex_;
   transport_counters counters_;
   std::thread thread_;
--- a/test/rosearch/cell/election_test.cc
+++ b/test/rosearch/cell/election_test.cc
@@ -204,4 +204,17 @@
   CHECK(candidate.ShouldClaim(kStart + milliseconds{750}));
 }
 
+// Guards against a cell of hundreds of processes that all claim, and ask peers, at the same moment.
+TEST_CASE("a process that becomes a reserve candidate claims later") {
+  auto candidate = MakeElection();
+  candidate.OnClaimsRead(kStart);
+  candidate.OnLeadership(kFirst, kStart);
+  candidate.SetReserve(true);
+  CHECK_FALSE(candidate.ShouldAskPeers(kStart + milliseconds{750}));
+  CHECK_FALSE(candidate.ShouldClaim(kStart + milliseconds{750}));
+  CHECK(candidate.ShouldClaim(kStart + milliseconds{1'250}));
+  candidate.SetReserve(false);
+  CHECK(candidate.ShouldClaim(kStart + milliseconds{750}));
+}
+
 }  // namespace rosearch::cell
--- a/test/rosearch/cell/peer_choice_test.cc
+++ b/test/rosearch/cell/peer_choice_test.cc
@@ -59,4 +59,20 @@
   CHECK(RelayCount(3'000) == 12);
 }
 
+// Guards against a cell that has no process, or hundreds, that claim without a delay.
+TEST_CASE("as many processes as asked for are highest ranked") {
+  std::vector<std::string> all;
+  for (int number = 0; number < 300; ++number) {
+    all.push_back("10.0.0." + std::to_string(number) + ":7660");
+  }
+  std::size_t highest = 0;
+  for (const auto& self : all) {
+    auto others = all;
+    std::erase(others, self);
+    highest += IsHighestRanked(self, others, "candidate", 100) ? 1 : 0;
+  }
+  CHECK(highest == 100);
+  CHECK(IsHighestRanked(all.front(), {}, "candidate", 100));
+}
+
 }  // namespace rosearch::cell
