--- a/src/rosearch/cell/election.h
+++ b/src/rosearch/cell/election.h
@@ -130,9 +130,7 @@
   [[nodiscard]] duration ClaimDelay(time_point now) const;
   /// @return whether the connection to the leader has been lost for long enough to claim.
   [[nodiscard]] bool IsConnectionTimeoutOver(time_point now) const;
-  /// @return the additional delay of a reserve candidate before it asks peers or claims, so that
-  /// the
-  ///         others do so first.
+  /// @return the additional delay of a reserve candidate before it asks peers or claims.
   [[nodiscard]] duration ReserveDelay() const {
     return reserve_ ? settings_.reserve_delay : duration{};
   }
