--- a/test/rosearch/cell/peer_choice_test.cc
+++ b/test/rosearch/cell/peer_choice_test.cc
@@ -61,10 +61,7 @@
 
 // Guards against a cell that has no process, or hundreds, that claim without a delay.
 TEST_CASE("as many processes as asked for are highest ranked") {
-  std::vector<std::string> all;
-  for (int number = 0; number < 300; ++number) {
-    all.push_back("10.0.0." + std::to_string(number) + ":7660");
-  }
+  const auto all = Peers(300);
   std::size_t highest = 0;
   for (const auto& self : all) {
     auto others = all;
