No arithmetic on a deadline that was never set, in the question to the arbiter

UBSan: test_ownership and test_node ended with a signed overflow in AskRulings, granted_until (time_point::min()) less two intervals, while an owner waits for its witness's first renewal. The wrapped value never asked, and so it stays: an owner asks for an exclusion only once it was granted a right.

--- a/src/rosearch/ownership/shard_rights.h
+++ b/src/rosearch/ownership/shard_rights.h
@@ -754,8 +754,10 @@
     if (now < ask_ruling_at_) return;
     for (auto& [epoch, mine] : parts_) {
       if (!mine.what.arbiter || mine.resigned || IsBlocked(epoch)) continue;
-      const bool witness_silent = mine.is_owner && mine.stage == stage::kGranted &&
-                                  now >= mine.granted_until - 2 * settings_.renew_interval;
+      const bool granted =
+          mine.is_owner && mine.stage == stage::kGranted && mine.granted_until != time_point::min();
+      const bool witness_silent =
+          granted && now >= mine.granted_until - 2 * settings_.renew_interval;
       const bool owner_silent =
           mine.stage == stage::kRenewing && !mine.may_take_over && now >= mine.promise_until;
       if (!witness_silent && !owner_silent) continue;
