--- a/src/rosearch/ownership/shard_rights.h
+++ b/src/rosearch/ownership/shard_rights.h
@@ -80,9 +80,6 @@
            at->second.stage == internal::rights_stage::kGranted;
   }
 
-  /// @return whether this process is the arbiter of the newest epoch.
-  [[nodiscard]] bool IsArbiter() const noexcept { return rulings_.count(epoch()) != 0; }
-
   /// @return the newest epoch known, zero for none.
   [[nodiscard]] epoch_number epoch() const noexcept {
     return history_.empty() ? 0 : history_.rbegin()->first;
