A shard moves by a record on the log, so that it always has a second holder

Cause: a move handed the shard to its witness without the log. The new owner acted for the old epoch alone until its next claim was on the log and copied.

Change: the owner appends the next epoch (new owner: its active witness; new witness: itself, or the entry that the shard goes to next) and serves until the new owner, having read the record, asks for its consent. The consent voids the promise, so the new owner acts at once, from the copy it kept as a witness (right_event::copied_epoch); its own witness is active one renewal later. With the log down nothing moves.

Why it works: the pair of the old epoch stands until the pair of the new one has taken it over; the state never has one holder for longer than one renewal.

--- a/src/rosearch/node/internal/node_balance.h
+++ b/src/rosearch/node/internal/node_balance.h
@@ -91,6 +91,8 @@
     // stops.
     const bool by_witness = best->first == move_step::kGiveToWitness;
     item.moving_to = by_witness ? value.rights().witness() : to;
+    item.next_witness = by_witness ? to : settings_.self;
+    item.transfer_sent = false;
     item.move_until = at.now + settings_.move_limit;
     LOG(INFO) << "event=shard_move shard=" << best->second << " to=" << *item.moving_to;
     if (best->first == move_step::kPair) {
@@ -136,15 +138,16 @@
   });
 }
 
-/// A shard moves to its witness, which has its state. Calls are refused only while the last
-/// requests in flight end.
+/// A shard moves to its witness, which has its state, by a record on the log. Calls are sent
+/// elsewhere only while the last requests in flight end and until the new owner has seen the
+/// record.
 template <node_ports Ports>
 void basic_node<Ports>::ContinueMove(slot& item, const step_time& at, shard_output& out) {
   if (!item.moving_to) {
     return;
   }
   auto& value = item.value;
-  if (at.now >= item.move_until || !value.Serving(at.now)) {
+  if (at.now >= item.move_until || !value.Serving(at.now) || !value.LogUp()) {
     value.EndDrain();
     item.moving_to.reset();
     return;
@@ -153,11 +156,11 @@
     return;
   }
   value.BeginDrain();
-  if (value.OpenRequests() == 0 && value.WitnessHasAll()) {
-    item.moving_to.reset();
-    value.GiveUp(at, out);
-    value.EndDrain();
+  if (item.transfer_sent || value.OpenRequests() != 0 || !value.WitnessHasAll()) {
+    return;
   }
+  item.transfer_sent = value.BeginTransfer(item.next_witness, at, out);
+  item.move_until = std::min(item.move_until, at.now + internal::kTransferWait);
 }
 
 template <node_ports Ports>
--- a/src/rosearch/node/internal/node_constants.h
+++ b/src/rosearch/node/internal/node_constants.h
@@ -30,6 +30,10 @@
 /// than a takeover takes, because a claim makes the witness give its copy of the state up.
 inline constexpr duration kUnservedFor = std::chrono::seconds{8};
 
+/// A record that moves a shard is waited for so long, with calls sent elsewhere. After that the
+/// owner takes calls again: the log is slow or down.
+inline constexpr duration kTransferWait = std::chrono::seconds{2};
+
 /// A cell that starts waits so long for its members to be heard before any of them claims.
 inline constexpr duration kSettleFirst = std::chrono::milliseconds{1500};
 
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -149,6 +149,8 @@
     time_point snapshot_at{};
     time_point served_at{};  ///< when somebody last said that it serves the shard
     std::optional<party> moving_to;
+    party next_witness;         ///< of the entry that it moves to
+    bool transfer_sent{false};  ///< the record that gives it away was handed to the log
     time_point move_until{kNever};
   };
 
--- a/src/rosearch/ownership/rights_output.h
+++ b/src/rosearch/ownership/rights_output.h
@@ -32,6 +32,9 @@
 struct right_event {
   right_change change{};
   epoch_number epoch{};
+  /// The epoch whose witness this process was, where nobody acted after that owner: its copy of
+  /// that epoch is whole. Zero where there is none.
+  epoch_number copied_epoch{};
 
   friend bool operator==(const right_event&, const right_event&) = default;
 };
--- a/src/rosearch/ownership/shard_rights.h
+++ b/src/rosearch/ownership/shard_rights.h
@@ -335,8 +335,11 @@
     }
     if (!held || (holding_ && *held == held_epoch_)) return;
     // Without this the caller would act on a state that misses what happened in the gap.
-    const auto how = std::exchange(next_change_, std::nullopt).value_or(right_change::kResumed);
-    if (Rules::kReportResumed || how != right_change::kResumed) out.events.push_back({how, *held});
+    auto event = std::exchange(next_event_, std::nullopt);
+    if (!event) event = right_event{right_change::kResumed};
+    event->epoch = *held;
+    const bool told = Rules::kReportResumed || event->change != right_change::kResumed;
+    if (told) out.events.push_back(*event);
     holding_ = true;
     held_epoch_ = *held;
   }
@@ -411,12 +414,21 @@
     std::set<party> missing;
     if (claim_epoch_ == 0 || !IsClosedBelow(claim_epoch_, now, missing)) return;
     const auto epoch = std::exchange(claim_epoch_, 0);
+    const auto copied = ReceivedUnused(epoch - 1) ? epoch - 1 : 0;
     CloseBelow(epoch);
     parts_.at(epoch).stage = stage::kOwn;
-    next_change_ = appended_ == epoch ? right_change::kClaimed : right_change::kTransferred;
+    const auto how = appended_ == epoch ? right_change::kClaimed : right_change::kTransferred;
+    next_event_ = right_event{how, epoch, copied};
     Settle(epoch);
   }
 
+  // Whether the owner of that epoch gave the right to this process, which never acted on it.
+  [[nodiscard]] bool ReceivedUnused(epoch_number epoch) const {
+    const auto at = parts_.find(epoch);
+    if (at == parts_.end() || at->second.is_owner) return false;
+    return at->second.handed_over && at->second.stage == stage::kRenewing;
+  }
+
   // Rules 2 and 7: whether nobody can act below `claim` any more. Goes down epoch by epoch until
   // one at which somebody certainly held the right; that one needed all consents below it.
   [[nodiscard]] bool IsClosedBelow(epoch_number claim, time_point now,
@@ -630,7 +642,7 @@
       if (activates) {
         // Rule 5. From here on the witness may take over, so own right must be gone before it can.
         mine.stage = stage::kGranted;
-        next_change_ = right_change::kActivated;
+        next_event_ = right_event{right_change::kActivated, epoch};
       }
       renew_at_ = now + settings_.renew_interval;
       std::erase_if(mine.sent,
@@ -725,7 +737,8 @@
       if (Rules::kTakeoverRuling && !ruled) continue;
       if (Rules::kProof && now >= ProvedUntil(epoch, settings_.proof_length)) continue;
       mine.stage = stage::kActing;
-      next_change_ = mine.handed_over ? right_change::kTransferred : right_change::kTakenOver;
+      const auto how = mine.handed_over ? right_change::kTransferred : right_change::kTakenOver;
+      next_event_ = right_event{how, epoch, epoch};
     }
   }
 
@@ -940,7 +953,7 @@
 
   bool holding_{};
   epoch_number held_epoch_{};
-  std::optional<right_change> next_change_;
+  std::optional<right_event> next_event_;
 
   std::uint64_t sequence_{};
   time_point renew_at_{time_point::min()};
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -95,10 +95,15 @@
   TakeRights(rights, at, out);
 }
 
-void shard::GiveUp(const step_time& at, shard_output& out) {
+bool shard::BeginTransfer(const party& next_witness, const step_time& at, shard_output& out) {
+  const auto to = rights_.witness();
+  if (!log_up_ || !to) {
+    return false;
+  }
   rights_output rights;
-  rights_.GiveUp(at.now, rights);
+  const bool begun = rights_.BeginTransferTo(*to, next_witness, at.now, rights);
   TakeRights(rights, at, out);
+  return begun;
 }
 
 void shard::Resign(const step_time& at, shard_output& out) {
@@ -123,7 +128,8 @@
   }
   for (const auto& event : rights.events) {
     LOG(INFO) << "event=right_changed shard=" << number_ << " epoch=" << event.epoch
-              << " change=" << RightChangeName(event.change);
+              << " change=" << RightChangeName(event.change)
+              << " copied_epoch=" << event.copied_epoch;
     if (event.change == right_change::kLost) {
       Pause(at);
     } else {
@@ -151,7 +157,8 @@
     Serve(true, at, out);
     return;
   }
-  if (copy_.WholeAt(event.epoch)) {
+  if (copy_.WholeAt(event.epoch) ||
+      (event.copied_epoch != 0 && copy_.WholeAt(event.copied_epoch))) {
     journal_.Start(event.epoch, copy_.state(), copy_.sequence());
     Serve(true, at, out);
     return;
--- a/src/rosearch/shard/shard.h
+++ b/src/rosearch/shard/shard.h
@@ -99,6 +99,7 @@
   [[nodiscard]] std::optional<wire::shard_batch> TakeForLog();
   void OnLogDurable(std::uint64_t sequence, const step_time& at, shard_output& out);
   void SetLogUp(bool up) noexcept { log_up_ = up; }
+  [[nodiscard]] bool LogUp() const noexcept { return log_up_; }
   /// The next batch for the log begins with a snapshot.
   void RequestLogSnapshot() noexcept { journal_.RequestLogSnapshot(); }
   /// @return whether the stream has to be read from its oldest record before this shard can serve.
@@ -113,8 +114,11 @@
   /// Gives the right to the witness; what is in flight must have ended before.
   void HandOver(const step_time& at, shard_output& out);
   void Resign(const step_time& at, shard_output& out);
-  /// Gives the right to the witness and stays a member.
-  void GiveUp(const step_time& at, shard_output& out);
+  /// Asks for the next epoch for the witness. This owner serves until that record is on the log and
+  /// the new owner asks for its consent, so that the shard always has two holders of its state.
+  /// @param next_witness  of the new owner.
+  /// @return false, and nothing happens, where the log is down or this entry may not act.
+  bool BeginTransfer(const party& next_witness, const step_time& at, shard_output& out);
   /// Takes no new calls from now on.
   void BeginDrain() noexcept { draining_ = true; }
   void EndDrain() noexcept { draining_ = false; }
--- a/test/rosearch/ownership/shard_rights_test.cc
+++ b/test/rosearch/ownership/shard_rights_test.cc
@@ -216,6 +216,21 @@
     REQUIRE(all.out.appends.size() == 1);
     CHECK(all.out.appends.front() == assignment{0, 2, 1, kB, kC});
   }
+  SECTION("the owner gives the shard to its witness by a record") {
+    all.out.appends.clear();
+    REQUIRE(all.a.BeginTransferTo(kB, kA, At(1500ms), all.out));
+    all.Assign(all.out.appends.at(0), 1600ms);
+    CHECK(all.a.MayAct(At(1600ms)));
+    all.b.Tick(At(1600ms), all.out);
+    all.Pass(kB, 1600ms);  // asks for consent
+    all.Prove(1600ms);
+    all.out.events.clear();
+    all.Pass(kA, 1600ms);
+    CHECK_FALSE(all.a.MayAct(At(1600ms)));
+    CHECK(all.b.MayAct(At(1600ms)));
+    // Nobody acted after epoch 1, whose state this process holds as its witness.
+    CHECK(all.out.events == std::vector{right_event{right_change::kTransferred, 2, 1}});
+  }
   SECTION("the owner gives the shard to an entry that joins") {
     all.out.appends.clear();
     REQUIRE(all.a.BeginTransferTo(kC, kA, At(1500ms), all.out));
