An exchange that its relay answers late goes through another relay

Cause: a relay that answers 200 ms late was passed over by the direct route.

Change: the second route of a relayed exchange is another relay; the direct one comes after two. A relay that says it can't reach the worker is followed by the direct route, as before.

Tests: "a request that a relay answers late goes through another relay" and "a request that two relays lose goes the direct route" fail on the code before.

--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -104,6 +104,10 @@
     done(std::move(answer));
   }
 
+  [[nodiscard]] bool HasTried(const std::string& peer) const {
+    return std::ranges::find(peers_tried, peer) != peers_tried.end();
+  }
+
   [[nodiscard]] bool IsFirstAttempt() const { return !direct_tried && peers_tried.empty(); }
 
   /// @return whether a copy may be sent while another one is in flight.
@@ -149,7 +153,9 @@
       failed = relay_bypassed_until_.end();
     }
     if (failed == relay_bypassed_until_.end()) {
-      return {route::kRelay, route::kDirect, route::kPeer};
+      // A second relay before the direct route: relays answer late when this process is overloaded,
+      // and opening a connection of its own to each worker would overload it further.
+      return {route::kRelay, route::kRelay, route::kDirect, route::kPeer};
     }
   }
   const auto direct_retry = direct_retry_at_.find(address);
@@ -206,7 +212,7 @@
       return;
     }
     if (chosen == route::kRelay) {
-      if (const auto relay = SelectRelay(sent->request.address); !relay.empty()) {
+      if (const auto relay = SelectRelay(*sent); !relay.empty()) {
         TryRelay(sent, relay);
         TryNextAfter(sent, AnswerTimeout(*sent));
         return;
@@ -293,7 +299,7 @@
   });
 }
 
-std::string relayed_client::SelectRelay(const std::string& address) const {
+std::string relayed_client::SelectRelay(const exchange& sent) const {
   // The relay that ranks highest for an address (rendezvous hashing): when a relay leaves, only its
   // addresses move.
   const auto now = SteadyNow();
@@ -304,7 +310,10 @@
     if (excluded != excluded_relays_.end() && now < excluded->second) {
       continue;
     }
-    const auto rank = RankOf(relay, address);
+    if (sent.HasTried(relay)) {
+      continue;
+    }
+    const auto rank = RankOf(relay, sent.request.address);
     if (best == nullptr || rank > best_rank) {
       best = &relay;
       best_rank = rank;
@@ -351,16 +360,16 @@
           sent->Finish(std::move(answer));
           return;
         }
-        // The relay may be cut off from this target only.
+        // The relay may be cut off from this target only. A second one would not do better where
+        // the target is down.
         relay_bypassed_until_[sent->request.address] = SteadyNow() + kRelayExclusion;
+        std::erase(sent->routes, route::kRelay);
         OnFailure(sent, std::move(answer));
       });
 }
 
 std::string relayed_client::ChoosePeer(const exchange& sent) {
-  const auto untried = [&](const std::string& peer) {
-    return std::ranges::find(sent.peers_tried, peer) == sent.peers_tried.end();
-  };
+  const auto untried = [&](const std::string& peer) { return !sent.HasTried(peer); };
   const auto known = preferred_peer_.find(sent.request.address);
   if (known != preferred_peer_.end() && untried(known->second) &&
       std::ranges::find(forwarding_peers_, known->second) != forwarding_peers_.end()) {
--- a/src/rosearch/cell/relayed_client.h
+++ b/src/rosearch/cell/relayed_client.h
@@ -86,9 +86,9 @@
   void TryDirect(const std::shared_ptr<exchange>& sent);
   void TryPeer(const std::shared_ptr<exchange>& sent, const std::string& peer);
   void TryRelay(const std::shared_ptr<exchange>& sent, const std::string& relay);
-  /// @return the relay for exchanges with an address, stable while the set of relays is; empty if
-  ///         none is available.
-  [[nodiscard]] std::string SelectRelay(const std::string& address) const;
+  /// @return the relay for exchanges with an address, stable while the set of relays is, or the
+  ///         next best if that one was tried; empty if none is available.
+  [[nodiscard]] std::string SelectRelay(const exchange& sent) const;
   /// Temporarily excludes a relay that did not answer, and ends all requests pending there.
   void ExcludeRelay(const std::string& relay);
   void OnFailure(const std::shared_ptr<exchange>& sent, result<http_reply> answer);
--- a/test/rosearch/cell/relayed_client_test.cc
+++ b/test/rosearch/cell/relayed_client_test.cc
@@ -82,6 +82,40 @@
   relayed_client client{io, direct, peers};
 };
 
+/// A client with two relays, itself and another process, each of which may lose what it receives.
+class two_relays : public client_fixture {
+ public:
+  two_relays() : client_fixture{200} {
+    Connect();
+    bool connected = false;
+    http_request nowhere;
+    nowhere.answer_by = SteadyNow() + seconds{2};
+    client.SendThroughPeer(other_peers.address(), nowhere,
+                           [&connected](const result<http_reply>&) { connected = true; });
+    while (!connected) {
+      io.run_one();
+    }
+    relayed_before = client.CountRelayedExchanges();
+    client.SetRelays({peers.address(), other_peers.address()});
+  }
+
+  std::optional<result<http_reply>> Watch(bool other_loses, bool own_loses) {
+    drop_other = other_loses;
+    drop_relayed = own_loses;
+    return Send({.answer_timeout = milliseconds{80}, .allow_relay = true}, milliseconds{600});
+  }
+
+  std::uint64_t relayed_before{0};
+  bool drop_other{false};
+  peer_link other_peers{io, "127.0.0.1:0", 9, [this](const wire::peer_frame& frame) {
+                          if (!drop_other) {
+                            other.ServeRelayCall(frame);
+                          }
+                        }};
+  http_client other_direct{io};
+  relayed_client other{io, other_direct, other_peers};
+};
+
 }  // namespace
 
 TEST_CASE("a direct answer needs no peer") {
@@ -154,6 +188,32 @@
   CHECK(fixture.client.CountRelayedExchanges() == before + 1);
 }
 
+// Guards against a leader that opens a connection of its own to each of thousands of workers
+// because its relays answer late.
+TEST_CASE("a request that a relay answers late goes through another relay") {
+  for (const bool other_loses : {false, true}) {
+    two_relays fixture;
+    const auto got = fixture.Watch(other_loses, !other_loses);
+    REQUIRE(got);
+    CHECK(got->value().body == "here");
+    const auto relayed = fixture.client.CountRelayedExchanges() - fixture.relayed_before;
+    // One or two, by whether the relay that loses it ranks first; never the direct route.
+    CHECK(fixture.calls == 1);
+    CHECK(fixture.elapsed < milliseconds{160});
+    CHECK(relayed == (fixture.elapsed < milliseconds{80} ? 1U : 2U));
+  }
+}
+
+// Guards against a watch that is lost because no relay of its target answers.
+TEST_CASE("a request that two relays lose goes the direct route") {
+  two_relays fixture;
+  const auto got = fixture.Watch(true, true);
+  REQUIRE(got);
+  CHECK(got->value().body == "here");
+  CHECK(fixture.calls == 1);
+  CHECK(fixture.client.CountRelayedExchanges() == fixture.relayed_before + 2);
+}
+
 // A relay is lost while a long poll through it is in flight. If the poll waited for its own
 // timeout, runs that end on the worker meanwhile would be reported late.
 TEST_CASE("requests in flight through a lost relay take another route at once") {
