The watches of busy workers are bounded by the number of workers

Callers saw (300 entries of a quarter core, 3,000 workers): a leader that had served for 4 to 12 s fell silent for 0.6 s and was replaced, and the next one after it; calls refused or late, a service not running for 13 s (LOST).

Cause: a worker with runs answers a watch after 0.6 s at most, one without after 2 s. With half of 3,000 workers busy these are 3,250 watches a second, 70 us each: the whole quarter core. The bound of 1,400 a second that stood beside it held only for workers with ends that aren't stored yet.

An end is still reported at once; only a worker that has nothing to report is heard less often.

Test: "watches of busy workers are bounded by the number of workers" fails on the code before (5,000 <= 1,500).

--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -12,13 +12,15 @@
 constexpr duration kSilentRetryInterval = std::chrono::milliseconds{300};
 
 /// Watch interval for a worker with ends that aren't stored yet. Such a worker answers at once, so
-/// the interval limits the request rate, but new ends must not be delayed by a slow store. The
-/// interval per worker limits all workers together to about 1,400 requests per second, which takes
-/// a tenth of a processor.
+/// the interval limits the request rate, but new ends must not be delayed by a slow store.
 constexpr duration kUnackedWatchInterval = std::chrono::milliseconds{100};
-constexpr duration kUnackedWatchIntervalPerWorker = std::chrono::microseconds{700};
 
-/// How long a worker may delay its answer to a watch (long poll) with and without runs on it.
+/// Limits all workers together to about 1,400 watches per second, which takes a tenth of a
+/// processor: with thousands of busy workers the watches alone would overload a small leader.
+constexpr duration kWatchIntervalPerWorker = std::chrono::microseconds{700};
+
+/// How long a worker may delay its answer to a watch (long poll) with and without runs on it. The
+/// first grows with the number of workers, up to the second.
 constexpr duration kBusyWatchTimeout = std::chrono::milliseconds{600};
 constexpr duration kIdleWatchTimeout = std::chrono::milliseconds{2'000};
 
@@ -101,7 +103,10 @@
   const bool answers = live && worker.silent_watches == 0;
   watch_request watch{id, worker.facts.address, worker.acked_end, answers, duration{}};
   if (answers && worker.seen_end == worker.acked_end) {
-    watch.wait = worker.runs.empty() || IsOverloaded() ? kIdleWatchTimeout : kBusyWatchTimeout;
+    const auto interval_for_all = kWatchIntervalPerWorker * static_cast<int>(workers_.size());
+    watch.wait = worker.runs.empty() || IsOverloaded()
+                     ? kIdleWatchTimeout
+                     : std::clamp<duration>(interval_for_all, kBusyWatchTimeout, kIdleWatchTimeout);
   }
   if (answers) {
     worker.lease_until = std::max(worker.lease_until, now.steady + MaxLeaseDuration());
@@ -118,7 +123,7 @@
   if (worker.session != session_phase::kLive) {
     return worker.silent_watches > 0 ? kSilentRetryInterval : duration{};
   }
-  const auto interval_for_all = kUnackedWatchIntervalPerWorker * static_cast<int>(workers_.size());
+  const auto interval_for_all = kWatchIntervalPerWorker * static_cast<int>(workers_.size());
   const auto collect_delay = IsOverloaded() ? std::min(loop_delay_, kMaxCollectDelay) : duration{};
   return worker.seen_end > worker.acked_end
              ? std::max({kUnackedWatchInterval, interval_for_all, collect_delay})
--- a/test/rosearch/sched/scheduler_test.cc
+++ b/test/rosearch/sched/scheduler_test.cc
@@ -330,6 +330,24 @@
   CHECK(fixture.leader.NextWatch(starts[0].worker, fixture.now)->acked_end == 1);
 }
 
+// Guards against a leader whose processor is used up by watches of thousands of busy workers, so
+// that its relays and followers take its late answers for its loss.
+TEST_CASE("watches of busy workers are bounded by the number of workers") {
+  for (const std::size_t workers : {100U, 760U, 3'000U}) {
+    scheduler_fixture fixture{workers};
+    (void)fixture.Submit("a", 1);
+    (void)fixture.Store();
+    const auto started = fixture.Starts().at(0);
+    fixture.leader.OnStartAnswer(started, start_outcome::kStarted, fixture.now);
+    const auto watch = fixture.leader.NextWatch(started.worker, fixture.now);
+    REQUIRE(watch);
+    CHECK(watch->wait >= milliseconds{600});
+    CHECK(watch->wait <= seconds{2});
+    // 1,500 watches a second take a tenth of a processor.
+    CHECK(workers / std::chrono::duration<double>(watch->wait).count() <= 1'500);
+  }
+}
+
 TEST_CASE("a job is shown as completed only once that is stored") {
   scheduler_fixture fixture;
   (void)fixture.Submit("a", 1);
