A target that one relay reached late is asked through another relay

Cause: a relay whose own request timed out answers "can't reach"; the leader then made every exchange with that worker itself for 2 s. A relay that is late for a moment thereby handed its 250 workers to the leader, as a silent one had.

Change: what is left out for 2 s is that relay for that target, not all relays. The direct route comes first only where no other relay is left; a target that refused the relay is still tried directly at once.

Test: "a target that its relay reached late is asked through another relay" fails on the code before; "a target that its relay can't reach is reached directly" passes unchanged.

--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -147,16 +147,9 @@
     return {route::kDirect};
   }
   if (options.allow_relay && !relays_.empty()) {
-    auto failed = relay_bypassed_until_.find(address);
-    if (failed != relay_bypassed_until_.end() && SteadyNow() >= failed->second) {
-      relay_bypassed_until_.erase(failed);
-      failed = relay_bypassed_until_.end();
-    }
-    if (failed == relay_bypassed_until_.end()) {
-      // A second relay before the direct route: relays answer late when this process is overloaded,
-      // and opening a connection of its own to each worker would overload it further.
-      return {route::kRelay, route::kRelay, route::kDirect, route::kPeer};
-    }
+    // A second relay before the direct route: relays answer late when this process is overloaded,
+    // and opening a connection of its own to each worker would overload it further.
+    return {route::kRelay, route::kRelay, route::kDirect, route::kPeer};
   }
   const auto direct_retry = direct_retry_at_.find(address);
   if (direct_retry == direct_retry_at_.end()) {
@@ -303,6 +296,8 @@
   // The relay that ranks highest for an address (rendezvous hashing): when a relay leaves, only its
   // addresses move.
   const auto now = SteadyNow();
+  const auto failed = failed_relays_.find(sent.request.address);
+  const bool has_failed = failed != failed_relays_.end() && now < failed->second.until;
   const std::string* best = nullptr;
   std::size_t best_rank = 0;
   for (const auto& relay : relays_) {
@@ -310,7 +305,7 @@
     if (excluded != excluded_relays_.end() && now < excluded->second) {
       continue;
     }
-    if (sent.HasTried(relay)) {
+    if (sent.HasTried(relay) || (has_failed && relay == failed->second.relay)) {
       continue;
     }
     const auto rank = RankOf(relay, sent.request.address);
@@ -360,10 +355,12 @@
           sent->Finish(std::move(answer));
           return;
         }
-        // The relay may be cut off from this target only. A second one would not do better where
-        // the target is down.
-        relay_bypassed_until_[sent->request.address] = SteadyNow() + kRelayExclusion;
-        std::erase(sent->routes, route::kRelay);
+        // The relay may be cut off from this target only, or late. Where the target refused it, a
+        // second relay would not do better.
+        failed_relays_[sent->request.address] = {relay, SteadyNow() + kRelayExclusion};
+        if (answer.error().kind != error_kind::kTimeout) {
+          std::erase(sent->routes, route::kRelay);
+        }
         OnFailure(sent, std::move(answer));
       });
 }
--- a/src/rosearch/cell/relayed_client.h
+++ b/src/rosearch/cell/relayed_client.h
@@ -107,8 +107,12 @@
   std::unordered_map<std::string, time_point> excluded_relays_;
   /// By relay: time of its last answer.
   std::unordered_map<std::string, time_point> relay_answered_at_;
-  /// By address that its relay could not reach: until when other routes are used.
-  std::unordered_map<std::string, time_point> relay_bypassed_until_;
+  /// A relay that could not reach a target, which is not asked for that target until then.
+  struct failed_relay {
+    std::string relay;
+    time_point until;
+  };
+  std::unordered_map<std::string, failed_relay> failed_relays_;  ///< by target address
   /// By address: the peer that reached it last. Using the same peer again keeps requests in order.
   std::unordered_map<std::string, std::string> preferred_peer_;
   std::size_t next_peer_{0};
--- a/test/rosearch/cell/relayed_client_test.cc
+++ b/test/rosearch/cell/relayed_client_test.cc
@@ -245,6 +245,21 @@
   CHECK(fixture.client.CountRelayedExchanges() == before + 1);
 }
 
+// Guards against a leader that takes over all exchanges of a relay that is late, and opens a
+// connection of its own for each.
+TEST_CASE("a target that its relay reached late is asked through another relay") {
+  two_relays fixture;
+  fixture.unanswered_call = 1;
+  const route_options order{.answer_timeout = {}, .allow_relay = true};
+  const auto lost = fixture.Send(order, seconds{2});
+  REQUIRE(lost);
+  CHECK(lost->has_error());
+  const auto next = fixture.Send(order, milliseconds{600});
+  REQUIRE(next);
+  CHECK(next->value().body == "here");
+  CHECK(fixture.client.CountRelayedExchanges() == fixture.relayed_before + 2);
+}
+
 // The target may refuse only this process, so the request is also sent through a peer.
 TEST_CASE("a request that the target may refuse to this process only is sent through a peer") {
   client_fixture fixture{503};
