A process that is stopping is not used as a relay

Callers saw: with each planned restart of a process that was one of the leader's relays, orders to workers in flight there stayed unanswered and were repeated 0.3 s later; after the silence its 250 workers moved to other relays at once.

Cause: a stopping process goes on to ping its leader until its callers are served, and its pings said nothing of the stop, so it stayed a relay until it was silent.

Change: the pings of a stopping process say that it offers no processor time, so that it counts neither as a large process (relay, candidate for leadership) nor as one to which leadership is offered.

Test: "a process that stops is not used as a relay" fails on the code before (still a relay after 1 s).

--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -200,7 +200,8 @@
     wire::cell_member self;
     self.set_address(peers_.address());
     self.set_name(settings_.name);
-    self.set_processor_milli(settings_.processor_milli);
+    // A stopping process is no candidate and no relay: requests through it would be lost with it.
+    self.set_processor_milli(stopping_ ? 0 : settings_.processor_milli);
     return self;
   }
   [[nodiscard]] static std::uint32_t Millis(duration span) {
--- a/test/rosearch/cell/node_test.cc
+++ b/test/rosearch/cell/node_test.cc
@@ -158,6 +158,10 @@
   [[nodiscard]] bool HasRelays() {
     return OnThread([this] { return client_.HasRelays(); });
   }
+  /// Begins a planned stop; the process goes on until its callers are served.
+  void BeginStop() {
+    boost::asio::post(io_, [this] { node_->Stop(); });
+  }
   /// @return whether the process would answer callers.
   [[nodiscard]] bool IsReady() {
     return OnThread([this] { return node_->IsReady(); });
@@ -385,6 +389,21 @@
   CHECK(cell_of_three::WaitUntil([&] { return cell.processes[1]->HasRelays(); }) < seconds{5});
 }
 
+// Guards against orders to workers that are lost with the process that relays them, although its
+// stop was planned.
+TEST_CASE("a process that stops is not used as a relay") {
+  constexpr int kManyWorkers = 200;
+  cell_of_three cell{kManyWorkers};
+  REQUIRE(cell_of_three::WaitUntil([&] { return cell.processes[0]->HasRelays(); }) < seconds{5});
+  cell.processes[1]->BeginStop();
+  cell.processes[2]->BeginStop();
+  // Sooner than a silent process would leave the cell.
+  constexpr milliseconds kMaxWait{1'000};
+  CHECK(cell_of_three::WaitUntil([&] { return !cell.processes[0]->HasRelays(); }, kMaxWait) <
+        kMaxWait);
+  CHECK(cell.processes[0]->Leads());
+}
+
 // A process that doesn't lead is paused for a while. It must then follow the current leader.
 TEST_CASE("a process that was paused doesn't take over") {
   cell_of_three cell;
