Read-through: one piece of code where this change wrote a thing twice (cell, sched)

Found on reading the whole change once more; behaviour stays.

- peer_link: three sends numbered a request and set its sender each by itself (NumberRequest).
- node: the loop over members that fit stood in LargeMembers, UpdateCandidacy and PeersToQuery (MembersWhere), the comparison with kLargeProcess in three places (IsSmall of a member).
- scheduler: the interval that keeps all watches within their limit was computed in NextWatch and in WatchDelay (MinWatchInterval).

--- a/src/rosearch/cell/internal/node_claims.h
+++ b/src/rosearch/cell/internal/node_claims.h
@@ -159,12 +159,9 @@
 // turn be declared dead.
 template <typename Ports>
 std::vector<std::string> node<Ports>::PeersToQuery() const {
-  std::vector<std::string> others;
-  for (const auto& [address, each] : members_) {
-    if (address != election_.KnownLeader().address) {
-      others.push_back(address);
-    }
-  }
+  auto others = MembersWhere([this](const std::string& address, const member&) {
+    return address != election_.KnownLeader().address;
+  });
   return HighestRanked(std::move(others), peers_.address(), kMaxQueriedPeers);
 }
 
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -107,14 +107,22 @@
 }
 
 template <typename Ports>
-std::vector<std::string> node<Ports>::LargeMembers() const {
-  std::vector<std::string> large;
+template <typename Predicate>
+std::vector<std::string> node<Ports>::MembersWhere(Predicate predicate) const {
+  std::vector<std::string> found;
   for (const auto& [address, each] : members_) {
-    if (each.has_pinged && each.facts.processor_milli() >= kLargeProcess) {
-      large.push_back(address);
+    if (predicate(address, each)) {
+      found.push_back(address);
     }
   }
-  return large;
+  return found;
+}
+
+template <typename Ports>
+std::vector<std::string> node<Ports>::LargeMembers() const {
+  return MembersWhere([](const std::string&, const member& each) {
+    return each.has_pinged && !IsSmall(each.facts);
+  });
 }
 
 // Handles the loss of most processes at once, including the leader. The new leader would otherwise
--- a/src/rosearch/cell/internal/node_pings.h
+++ b/src/rosearch/cell/internal/node_pings.h
@@ -92,14 +92,10 @@
 
 template <typename Ports>
 void node<Ports>::UpdateCandidacy() {
-  std::vector<std::string> larger;
-  for (const auto& [address, each] : members_) {
-    if (each.facts.processor_milli() >= kLargeProcess) {
-      larger.push_back(address);
-    }
-  }
+  const auto large =
+      MembersWhere([](const std::string&, const member& each) { return !IsSmall(each.facts); });
   const bool preferred =
-      !IsSmall() && IsHighestRanked(peers_.address(), larger, "candidate", kMaxCandidates);
+      !IsSmall() && IsHighestRanked(peers_.address(), large, "candidate", kMaxCandidates);
   election_.SetReserve(!preferred);
 }
 
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -210,12 +210,14 @@
   }
   [[nodiscard]] bool IsLeading() const { return leader_ != nullptr; }
   [[nodiscard]] bool IsSmall() const { return settings_.processor_milli < kLargeProcess; }
+  [[nodiscard]] static bool IsSmall(const wire::cell_member& facts) {
+    return facts.processor_milli() < kLargeProcess;
+  }
   [[nodiscard]] static duration PingInterval(const member& peer) {
     if (peer.ping_interval > duration{}) {
       return peer.ping_interval;
     }
-    const bool small = peer.facts.processor_milli() < kLargeProcess;
-    return small ? kReservePingInterval : kPingInterval;
+    return IsSmall(peer.facts) ? kReservePingInterval : kPingInterval;
   }
   [[nodiscard]] duration OwnPingInterval() const {
     return election_.IsReserve() ? kReservePingInterval : kPingInterval;
@@ -246,6 +248,9 @@
   void OfferLeadership();
   /// @return the large processes that have pinged this leader since it began to lead.
   [[nodiscard]] std::vector<std::string> LargeMembers() const;
+  /// @return the addresses of the members for which the predicate of address and member holds.
+  template <typename Predicate>
+  [[nodiscard]] std::vector<std::string> MembersWhere(Predicate predicate) const;
   void FindNewestClaim();
   void FollowClaims();
   /// Handles a record of the claim log.
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -85,11 +85,16 @@
   }
 }
 
+std::uint64_t peer_link::NumberRequest(wire::peer_frame& request) {
+  const auto exchange = NextExchange();
+  request.set_exchange(exchange);
+  request.set_from(address());
+  return exchange;
+}
+
 void peer_link::SendRequestOnce(const std::string& to, wire::peer_frame frame, time_point deadline,
                                 answer_callback done) {
-  const auto exchange = NextExchange();
-  frame.set_exchange(exchange);
-  frame.set_from(address());
+  const auto exchange = NumberRequest(frame);
   frame.set_once(true);
   AddToBundle(to, std::move(frame));
   AddPendingRequest(exchange, to, {}, deadline, std::move(done));
@@ -97,18 +102,14 @@
 
 void peer_link::SendPollingRequest(const std::string& to, wire::peer_frame frame,
                                    time_point deadline, answer_callback done) {
-  const auto exchange = NextExchange();
-  frame.set_exchange(exchange);
-  frame.set_from(address());
+  const auto exchange = NumberRequest(frame);
   transport_->Send(to, frame.SerializeAsString());
   AddPendingRequest(exchange, to, {}, deadline, std::move(done));
 }
 
 void peer_link::SendRequest(const std::string& to, wire::peer_frame frame, time_point deadline,
                             answer_callback done) {
-  const auto exchange = NextExchange();
-  frame.set_exchange(exchange);
-  frame.set_from(address());
+  const auto exchange = NumberRequest(frame);
   transport_->Send(to, frame.SerializeAsString());
   AddPendingRequest(exchange, to, std::move(frame), deadline, std::move(done));
 }
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -116,6 +116,9 @@
   };
   void ScheduleRetry(std::uint64_t exchange);
   [[nodiscard]] std::uint64_t NextExchange();
+  /// Sets the sender and a new number in a request.
+  /// @return the number.
+  [[nodiscard]] std::uint64_t NumberRequest(wire::peer_frame& request);
   /// Registers a sent request.
   /// @param repeated  the request, to be sent again until it is answered; empty: never.
   void AddPendingRequest(std::uint64_t exchange, const std::string& to, wire::peer_frame repeated,
--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -30,6 +30,12 @@
 constexpr duration kMaxCollectDelay = std::chrono::milliseconds{500};
 constexpr duration kMaxPassDelay = std::chrono::milliseconds{100};
 
+/// @return the shortest interval between two watches of one worker at which the watches of all
+///         workers stay within their limit.
+duration MinWatchInterval(std::size_t workers) {
+  return kWatchIntervalPerWorker * static_cast<int>(workers);
+}
+
 }  // namespace
 
 void scheduler::ObserveWorker(const worker_facts& facts, const instant& now) {
@@ -103,10 +109,10 @@
   const bool answers = live && worker.silent_watches == 0;
   watch_request watch{id, worker.facts.address, worker.acked_end, answers, duration{}};
   if (answers && worker.seen_end == worker.acked_end) {
-    const auto interval_for_all = kWatchIntervalPerWorker * static_cast<int>(workers_.size());
-    watch.wait = worker.runs.empty() || IsOverloaded()
-                     ? kIdleWatchTimeout
-                     : std::clamp<duration>(interval_for_all, kBusyWatchTimeout, kIdleWatchTimeout);
+    watch.wait =
+        worker.runs.empty() || IsOverloaded()
+            ? kIdleWatchTimeout
+            : std::clamp(MinWatchInterval(workers_.size()), kBusyWatchTimeout, kIdleWatchTimeout);
   }
   if (answers) {
     worker.lease_until = std::max(worker.lease_until, now.steady + MaxLeaseDuration());
@@ -123,10 +129,9 @@
   if (worker.session != session_phase::kLive) {
     return worker.silent_watches > 0 ? kSilentRetryInterval : duration{};
   }
-  const auto interval_for_all = kWatchIntervalPerWorker * static_cast<int>(workers_.size());
   const auto collect_delay = IsOverloaded() ? std::min(loop_delay_, kMaxCollectDelay) : duration{};
   return worker.seen_end > worker.acked_end
-             ? std::max({kUnackedWatchInterval, interval_for_all, collect_delay})
+             ? std::max({kUnackedWatchInterval, MinWatchInterval(workers_.size()), collect_delay})
              : collect_delay;
 }
 
--- a/test/rosearch/cell/relayed_client_test.cc
+++ b/test/rosearch/cell/relayed_client_test.cc
@@ -51,18 +51,21 @@
     return got;
   }
 
-  /// Connects the client to itself as a peer and relay. Frames sent before a connection exists are
-  /// dropped.
+  /// Connects the client to itself as a peer and relay.
   void Connect() {
+    ConnectTo(peers.address());
+    client.SetRelays({peers.address()});
+  }
+  /// Connects the client to a peer. Frames sent before a connection exists are dropped.
+  void ConnectTo(const std::string& peer) {
     http_request nowhere;
     nowhere.answer_by = SteadyNow() + seconds{2};
     bool connected = false;
-    client.SendThroughPeer(peers.address(), nowhere,
+    client.SendThroughPeer(peer, nowhere,
                            [&connected](const result<http_reply>&) { connected = true; });
     while (!connected) {
       io.run_one();
     }
-    client.SetRelays({peers.address()});
   }
 
   boost::asio::io_context io;
@@ -86,15 +89,8 @@
 class two_relays : public client_fixture {
  public:
   two_relays() : client_fixture{200} {
-    Connect();
-    bool connected = false;
-    http_request nowhere;
-    nowhere.answer_by = SteadyNow() + seconds{2};
-    client.SendThroughPeer(other_peers.address(), nowhere,
-                           [&connected](const result<http_reply>&) { connected = true; });
-    while (!connected) {
-      io.run_one();
-    }
+    ConnectTo(peers.address());
+    ConnectTo(other_peers.address());
     relayed_before = client.CountRelayedExchanges();
     client.SetRelays({peers.address(), other_peers.address()});
   }
