--- a/src/rosearch/cell/cell_metrics.cc
+++ b/src/rosearch/cell/cell_metrics.cc
@@ -24,6 +24,8 @@
                 "Time from submission of a job to its end, by phase and priority."},
     metric_help{"rosearch_jobs", "Jobs that have not ended."},
     metric_help{"rosearch_jobs_refused_total", "Jobs that were not accepted, by reason."},
+    metric_help{"rosearch_keys_refused_total",
+                "Callers refused because their key is missing or unknown, by reason."},
     metric_help{"rosearch_leading", "1 where this process leads."},
     metric_help{"rosearch_leases_ending", "Live workers whose lease ends within 3 s."},
     metric_help{"rosearch_log_lines_dropped_total", "Log lines dropped without being written."},
--- a/src/rosearch/cell/internal/leader_callers.h
+++ b/src/rosearch/cell/internal/leader_callers.h
@@ -61,7 +61,35 @@
 }
 
 template <typename Ports>
-void leader<Ports>::AnswerSubmit(const std::string& id, const std::string& queue,
+std::optional<std::string> leader<Ports>::Authenticate(const caller_request& request,
+                                                       const sched::queue_rules& rules,
+                                                       const respond& answer) {
+  const auto& configuration = scheduler_.configuration();
+  const auto* const customer = request.key ? configuration.keys.Find(*request.key) : nullptr;
+  if (customer != nullptr) {
+    return *customer;
+  }
+  if (!rules.requires_key) {
+    return std::string{};
+  }
+  const std::string_view reason =
+      request.key_unknown ? "key_not_forwarded" : (request.key ? "unknown_key" : "no_key");
+  log_.Write(event_line{"key_refused", event_weight::kFailure}
+                 .Add("job", std::string_view{request.path}.substr(rules.path_prefix.size()))
+                 .Add("queue", rules.name)
+                 .Add("reason", reason)
+                 .Add("version", configuration.version));
+  metrics_.Count(Labelled("rosearch_keys_refused_total", "reason", reason));
+  if (request.key_unknown) {
+    answer(Unavailable(1));  // the retry comes through another process
+  } else {
+    answer({401, R"({"error":")" + std::string{reason} + "\"}", 0, false});
+  }
+  return std::nullopt;
+}
+
+template <typename Ports>
+void leader<Ports>::AnswerSubmit(const std::string& id, const sched::job_scope& scope,
                                  const std::string& body, const sched::queue_rules& rules,
                                  time_point answer_by, respond answer) {
   auto read = Ports::DecodeJob(body);
@@ -76,7 +104,8 @@
   const auto now = Now();
   auto job = std::move(read).value();
   job.id = id;
-  job.queue = queue;
+  job.queue = scope.queue;
+  job.customer = scope.customer;
   job.pool = rules.pool;
   job.priority = rules.priority;
   job.max_attempts = rules.max_attempts;
@@ -87,7 +116,7 @@
       std::chrono::duration_cast<duration>(chain * rules.stretch) + rules.latency_target;
   // A job whose record may be stored must not be answered as refused, not even on a retry: the
   // caller waits until the outcome of the append is known.
-  const bool known = scheduler_.IsPending(id) || scheduler_.Phase(id, queue).has_value();
+  const bool known = scheduler_.IsPending(id) || scheduler_.Phase(id, scope).has_value();
   if (!known && StoreUnavailable()) {
     log_.Write(event_line{"job_refused", event_weight::kFailure}
                    .Add("job", id)
@@ -124,8 +153,14 @@
     answer({404, {}, 0, false});
     return;
   }
+  const auto customer = Authenticate(request, *rules, answer);
+  if (!customer) {
+    return;
+  }
   const auto answer_by = SteadyNow() + std::min(time_left, settings_.caller_timeout);
   const auto queue = rules->Key();
+  // A queue without keys shows all its jobs to anybody, also to callers who show a key.
+  const sched::job_scope scope{queue, rules->requires_key ? *customer : std::string_view{}};
   const auto id = request.path.substr(rules->path_prefix.size());
   if (id.empty() && request.method == "GET") {
     answer({200, Ports::EncodeWaiting(scheduler_.CountWaitingJobs(queue)), 0, false});
@@ -136,20 +171,20 @@
     return;
   }
   if (request.method == "POST") {
-    AnswerSubmit(id, queue, request.body, *rules, answer_by, std::move(answer));
+    AnswerSubmit(id, {queue, *customer}, request.body, *rules, answer_by, std::move(answer));
     return;
   }
   if (request.method != "GET" && request.method != "DELETE") {
     answer({405, {}, 0, false});
     return;
   }
-  const bool unknown = !scheduler_.Phase(id, queue).has_value();
+  const bool unknown = !scheduler_.Phase(id, scope).has_value();
   if (unknown && !AllJobsKnown()) {
     answer(Unavailable(1));  // a newer leader may know the job
     return;
   }
   if (request.method == "GET") {
-    const auto phase = scheduler_.Phase(id, queue);
+    const auto phase = scheduler_.Phase(id, scope);
     if (phase) {
       answer({200, Ports::EncodePhase(*phase), 0, false});
     } else {
@@ -157,7 +192,7 @@
     }
     return;
   }
-  switch (scheduler_.Cancel(id, queue, Now())) {
+  switch (scheduler_.Cancel(id, scope, Now())) {
     case sched::cancel_verdict::kCancelled:
       answer({200, "{}", 0, false});
       return;
--- a/src/rosearch/cell/internal/leader_inputs.h
+++ b/src/rosearch/cell/internal/leader_inputs.h
@@ -13,12 +13,13 @@
     return;
   }
   auto read = Ports::DecodeConfiguration(record.value);
-  if (!read) {
-    log_.Write(event_line{"configuration_unreadable", event_weight::kFailure}.Add(
-        "bytes", record.value.size()));
+  if (read.has_error()) {
+    log_.Write(event_line{"configuration_unreadable", event_weight::kFailure}
+                   .Add("bytes", record.value.size())
+                   .Add("detail", read.error().detail));
     return;
   }
-  scheduler_.Configure(std::move(*read), Now());
+  scheduler_.Configure(std::move(read).value(), Now());
   metrics_.Set("rosearch_configuration_version",
                static_cast<double>(scheduler_.configuration().version));
   PostPump();
--- a/src/rosearch/cell/internal/node_callers.h
+++ b/src/rosearch/cell/internal/node_callers.h
@@ -19,6 +19,9 @@
   }
   pending->request = {std::move(call.method), std::move(host), std::move(call.path),
                       std::move(call.body)};
+  if (const auto key = Ports::CallerKey(call.headers)) {
+    pending->request.key = sched::key_digest::Of(*key);
+  }
   pending->received_at = now;
   pending->answer_deadline = now + std::min(timeout - kAnswerMargin, kForwardTimeout);
   pending->refuse_at = now + kLeaderTimeout;
@@ -116,6 +119,10 @@
   sent.set_path(call->request.path);
   sent.set_body(call->request.body);
   sent.set_time_left_ms(Millis(time_left));
+  sent.set_key_forwarded(true);
+  if (call->request.key) {
+    sent.set_key_digest(call->request.key->bytes());
+  }
   log_.Write(LineAbout(*call, "call_forwarded", event_weight::kDetail)
                  .Add("leader", election_.KnownLeader().address)
                  .Add("epoch", election_.KnownLeader().epoch)
@@ -156,7 +163,8 @@
     return;
   }
   const auto& call = frame.call();
-  leader_->Handle({call.method(), call.host(), call.path(), call.body()},
+  leader_->Handle({call.method(), call.host(), call.path(), call.body(),
+                   sched::key_digest::FromBytes(call.key_digest()), !call.key_forwarded()},
                   std::chrono::milliseconds{call.time_left_ms()}, reply);
 }
 
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -292,8 +292,14 @@
   void RefuseJob(std::string_view reason, const caller_answer& how, const respond& answer);
   void RecordTimings();
 
-  void AnswerSubmit(const std::string& id, const std::string& queue, const std::string& body,
+  void AnswerSubmit(const std::string& id, const sched::job_scope& scope, const std::string& body,
                     const sched::queue_rules& rules, time_point answer_by, respond answer);
+  /// Finds out for which customer a caller acts.
+  /// @return its name, empty where the queue is open to anybody; nothing if the request was refused
+  ///         because its key is missing or unknown.
+  [[nodiscard]] std::optional<std::string> Authenticate(const caller_request& request,
+                                                        const sched::queue_rules& rules,
+                                                        const respond& answer);
   [[nodiscard]] static caller_answer Unavailable(std::uint32_t retry_after_s) {
     return {503, {}, retry_after_s, false};
   }
--- a/src/rosearch/cell/ports.h
+++ b/src/rosearch/cell/ports.h
@@ -38,6 +38,9 @@
   std::string host;  ///< in lower case, without a port
   std::string path;
   std::string body;
+  std::optional<sched::key_digest> key{};  ///< of the key that the caller showed
+  /// Forwarded by a peer that is too old to forward keys: the caller may have shown one.
+  bool key_unknown{false};
 };
 
 struct caller_answer {
@@ -79,7 +82,7 @@
   ports.Pace(pace, fence);
   ports.Watch(watch, fence, watch_callback{});
   ports.Advise(text, query, advice_callback{});
-  { Ports::DecodeConfiguration(text) } -> std::same_as<std::optional<sched::cell_configuration>>;
+  { Ports::DecodeConfiguration(text) } -> std::same_as<result<sched::cell_configuration>>;
   { Ports::ConfigurationKey() } -> std::convertible_to<std::string_view>;
   { Ports::DecodeWorker(text, text) } -> std::same_as<std::optional<sched::worker_facts>>;
   { Ports::DecodeJob(text) } -> std::same_as<result<sched::job_spec>>;
@@ -89,6 +92,9 @@
   {
     Ports::CallerTimeout(std::map<std::string, std::string>{})
     } -> std::same_as<std::optional<duration>>;
+  {
+    Ports::CallerKey(std::map<std::string, std::string>{})
+    } -> std::same_as<std::optional<std::string>>;
 };
 
 }  // namespace rosearch::cell
--- a/src/rosearch/core/resources.h
+++ b/src/rosearch/core/resources.h
@@ -26,6 +26,9 @@
     return {a.processors_milli - b.processors_milli, a.memory_mb - b.memory_mb,
             a.accelerators - b.accelerators};
   }
+  friend constexpr resources operator*(const resources& each, std::int64_t count) noexcept {
+    return {each.processors_milli * count, each.memory_mb * count, each.accelerators * count};
+  }
   friend constexpr bool operator==(const resources&, const resources&) = default;
 };
 
--- a/src/rosearch/sched/cell_configuration.h
+++ b/src/rosearch/sched/cell_configuration.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "rosearch/core/time.h"
+#include "rosearch/sched/customer_rules.h"
 
 namespace rosearch::sched {
 
@@ -31,6 +32,7 @@
   double stretch{1};                    ///< objective: estimate of the critical path times this,
   duration latency_target{};            ///< plus this
   std::optional<advice_cost> advice{};  ///< set: only advised workers may run its steps
+  bool requires_key{false};             ///< callers must show a key of a customer
 
   /// @return the identity of the queue: host and path prefix.
   [[nodiscard]] std::string Key() const { return host + path_prefix; }
@@ -63,6 +65,8 @@
   std::vector<queue_rules> queues;
   std::vector<pool_rules> pools;
   client_limits limits;
+  std::vector<customer_rules> customers;
+  customer_keys keys;  ///< of `customers`
 
   /// @return the queue that matches a caller's host and path; null if there is none.
   [[nodiscard]] const queue_rules* Match(std::string_view host, std::string_view path) const;
--- a/src/rosearch/sched/job_codec.cc
+++ b/src/rosearch/sched/job_codec.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstddef>
 
+#include "rosearch/sched/worker_state.h"
 #include "rosearch/wire/cell.pb.h"
 
 namespace rosearch::sched {
@@ -107,6 +108,25 @@
   *out.add_steps() = std::move(made);
 }
 
+void EncodeResources(const resources& amount, wire::stored_resources& out) {
+  out.set_processors_milli(amount.processors_milli);
+  out.set_memory_mb(amount.memory_mb);
+  out.set_accelerators(amount.accelerators);
+}
+
+/// @return the resources of all runs of a job that may be active.
+resources ActiveResources(const job_state& job) {
+  resources sum;
+  for (const auto& occurrence : job.occurrences) {
+    for (const auto& step : occurrence->steps) {
+      for (const auto* const run : step->runs) {
+        sum = sum + run->customer_charge;
+      }
+    }
+  }
+  return sum;
+}
+
 void ApplyStep(const wire::stored_step_progress& in, step_state& step) {
   for (std::size_t at = 0; at < step.tasks.size(); ++at) {
     if (Bit(in.done(), at) && !step.tasks[at].done) {
@@ -151,6 +171,8 @@
     out.set_advice_per_worker_us(Micros(job.advice->per_worker));
     out.set_ticket_life_us(Micros(job.advice->ticket_life));
   }
+  out.set_customer(job.customer);
+  out.set_beyond_rate(!job.within_rate);
   return out.SerializeAsString();
 }
 
@@ -174,6 +196,8 @@
   job.max_attempts = in.max_attempts();
   job.accepted_ms = in.accepted_ms();
   job.objective = FromMillis(in.objective_ms());
+  job.customer = in.customer();
+  job.within_rate = !in.beyond_rate();
   if (in.advised()) {
     job.advice = advice_cost{FromMicros(in.advice_base_us()), FromMicros(in.advice_per_worker_us()),
                              FromMicros(in.ticket_life_us())};
@@ -187,6 +211,10 @@
   out.set_queue(job.spec->queue);
   if (IsTerminal(job.phase)) {
     out.set_ended_ms(job.ended_ms);
+    out.set_customer(job.spec->customer);
+    if (job.live > 0 && !job.spec->customer.empty()) {
+      EncodeResources(ActiveResources(job), *out.mutable_stopping());
+    }
     return out.SerializeAsString();
   }
   if (job.Occurrences() > 1) {
--- a/src/rosearch/sched/job_spec.h
+++ b/src/rosearch/sched/job_spec.h
@@ -52,6 +52,9 @@
   std::int64_t accepted_ms{0};    ///< Unix time in ms
   duration objective{};           ///< from acceptance to completion, as promised to the caller
   std::optional<advice_cost> advice{};  ///< set: only advised workers may run its steps
+  std::string customer{};  ///< customer it belongs to; empty: none, as its queue is open to anybody
+  /// Its customer submitted it within the rate to which the customer is entitled.
+  bool within_rate{true};
 
   friend bool operator==(const job_spec&, const job_spec&) = default;
 };
--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -15,6 +15,7 @@
 
 namespace rosearch::sched {
 
+class customer_account;
 struct live_run;
 struct step_state;
 struct worker_state;
@@ -76,6 +77,7 @@
   std::uint64_t blocked_room_version{0};  ///< room version at which no worker had room
   time_point next_placement_at{};         ///< next placement attempt, unless room is freed earlier
   time_point next_waiting_log_at{};       ///< earliest next log line about what it waits for
+  bool at_limit{false};                   ///< its customer's limit keeps tasks from starting
 
   /// @return the number of tasks that should be started.
   [[nodiscard]] std::uint32_t CountIdleTasks() const;
@@ -94,6 +96,7 @@
 /// An accepted job that hasn't ended, or whose runs are still being stopped.
 struct job_state {
   std::shared_ptr<const job_spec> spec;
+  customer_account* customer{nullptr};  ///< null: belongs to no customer
   // Current rules of its queue; the last known ones if the queue was removed.
   std::string pool;
   std::uint32_t priority{0};
--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -166,6 +166,7 @@
     StopStuckRuns(*worker, now);
     StopRunsOnDrainingWorker(*worker, now);
   }
+  EstimateUnreadUsage(now);
   for (const auto& [id, job] : jobs_) {
     if (job->accepted && !IsTerminal(job->phase) && job->spec->occurrences > 0) {
       OpenDueOccurrences(*job, now);
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -15,6 +15,7 @@
 
 #include "rosearch/log/event_line.h"
 #include "rosearch/sched/cell_configuration.h"
+#include "rosearch/sched/customer_accounts.h"
 #include "rosearch/sched/fill_index.h"
 #include "rosearch/sched/instant.h"
 #include "rosearch/sched/job_spec.h"
@@ -41,6 +42,21 @@
   friend bool operator==(const submit_answer&, const submit_answer&) = default;
 };
 
+/// The jobs that a caller may see and cancel.
+struct job_scope {
+  std::string_view queue{};
+  std::string_view customer{};  ///< empty: of any customer, as the queue is open to anybody
+
+  /// @return whether a job of this queue and customer is among them. A job without a customer was
+  ///         accepted before its queue required keys.
+  [[nodiscard]] bool Covers(std::string_view job_queue, std::string_view job_customer) const {
+    return job_queue == queue &&
+           (customer.empty() || job_customer.empty() || job_customer == customer);
+  }
+
+  friend bool operator==(const job_scope&, const job_scope&) = default;
+};
+
 /// Result of cancelling a job.
 enum class cancel_verdict : std::uint8_t {
   kCancelled,  ///< stored, now or earlier, or the job has already ended
@@ -201,10 +217,10 @@
   // Callers.
 
   [[nodiscard]] submit_answer Submit(job_spec job, const instant& now);
-  [[nodiscard]] cancel_verdict Cancel(std::string_view id, std::string_view queue,
+  [[nodiscard]] cancel_verdict Cancel(std::string_view id, const job_scope& scope,
                                       const instant& now);
   /// @return the stored phase of a job, as callers see it; nothing if there is no such job.
-  [[nodiscard]] std::optional<job_phase> Phase(std::string_view id, std::string_view queue) const;
+  [[nodiscard]] std::optional<job_phase> Phase(std::string_view id, const job_scope& scope) const;
   /// @return the number of accepted jobs of a queue that haven't started yet.
   [[nodiscard]] std::size_t CountWaitingJobs(std::string_view queue) const;
 
@@ -297,6 +313,8 @@
     std::string queue;
     job_phase phase{job_phase::kCompleted};
     std::int64_t ended_ms{0};
+    std::string customer{};
+    resources stopping{};  ///< of the runs that were still active when its end was stored
   };
 
   // scheduler_jobs.cc
@@ -431,6 +449,21 @@
   bool PreemptOnWorker(step_state& step, worker_state& worker, const instant& now);
   [[nodiscard]] std::uint32_t CountRunsOn(const step_state& step, const worker_state& worker) const;
 
+  // scheduler_customers.cc
+  /// Connects a job with the account of its customer.
+  void AssignCustomer(job_state& job);
+  /// Charges a run to the limit of a customer; `DetachRun` releases it.
+  static void ChargeCustomer(live_run& run, customer_account* customer, const resources& amount);
+  /// Estimates what the customers' runs use that a former leader may have started and that no
+  /// worker has reported yet.
+  void EstimateUnreadUsage(const instant& now);
+  /// @return max resources of runs that are not known, on workers that may have such runs; nothing
+  ///         if there are no such workers.
+  [[nodiscard]] std::optional<resources> UnreadRoom() const;
+  /// @return how many more tasks of a step its customer's limit allows to start now.
+  [[nodiscard]] static std::uint32_t CountStartsWithinLimit(const step_state& step);
+  /// @return whether its customer's limit allows a job's gangs to run at all.
+  [[nodiscard]] bool FitsCustomerLimit(const job_spec& job);
   // scheduler_advice.cc
   /// Workers that an advice query may name; each list has the best first.
   struct advice_candidates {
@@ -483,6 +516,7 @@
   // scheduler_views.cc
   [[nodiscard]] wait_view DiagnoseWait(const step_state& step, const instant& now) const;
   void LogWaitingStep(step_state& step, const instant& now);
+  void LogLimitWait(const step_state& step, const instant& now);
 
   /// A leader whose event loop is delayed by more than this sheds load: it watches workers less
   /// often, handles more inputs per pass, ignores measured run times, since they include its own
@@ -500,6 +534,7 @@
   std::uint64_t epoch_;
   event_sink& log_;
   cell_configuration configuration_;
+  customer_accounts customers_;
   std::set<std::string> urgent_pools_;  ///< pools with an urgent queue
   std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
   std::unordered_map<std::string, ended_job> ended_;
@@ -535,6 +570,7 @@
   std::map<std::uint64_t, stored_effects> storing_;
   time_point next_forget_{};
   time_point restored_at_{};
+  bool has_unread_usage_{false};  ///< `EstimateUnreadUsage` found some
 };
 
 }  // namespace rosearch::sched
--- a/src/rosearch/sched/scheduler_gangs.cc
+++ b/src/rosearch/sched/scheduler_gangs.cc
@@ -58,6 +58,14 @@
   if (backing_off) {
     return;
   }
+  const auto* const customer = step.job->customer;
+  const auto members = static_cast<std::uint32_t>(step.tasks.size());
+  step.at_limit = customer != nullptr && !customer->MayStartTogether(step.spec->need, members);
+  if (step.at_limit) {
+    ReleaseReservations(step);
+    MarkBlocked(step, now);
+    return;
+  }
   const bool advised = step.job->advice.has_value();
   std::vector<worker_state*> candidates;
   if (advised) {
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -100,8 +100,10 @@
   log_.Write(event_line{"configuration", event_weight::kStateChange}
                  .Add("version", configuration.version)
                  .Add("before", configuration_.version)
-                 .Add("queues", configuration.queues.size()));
+                 .Add("queues", configuration.queues.size())
+                 .Add("customers", configuration.customers.size()));
   configuration_ = std::move(configuration);
+  customers_.Configure(configuration_.customers);
   urgent_pools_.clear();
   for (const auto& rules : configuration_.queues) {
     if (rules.priority == 0) {
@@ -247,10 +249,16 @@
 }
 
 submit_answer scheduler::Submit(job_spec job, const instant& now) {
+  const job_scope scope{job.queue, job.customer};
   if (const auto ended = ended_.find(job.id); ended != ended_.end()) {
-    return {submit_verdict::kAccepted, {}, "known"};
+    return scope.Covers(job.queue, ended->second.customer)
+               ? submit_answer{submit_verdict::kAccepted, {}, "known"}
+               : submit_answer{submit_verdict::kRefused, {}, "id_in_use"};
   }
   if (const auto* const known = FindJob(job.id)) {
+    if (!scope.Covers(job.queue, known->spec->customer)) {
+      return {submit_verdict::kRefused, {}, "id_in_use"};
+    }
     return {known->accepted ? submit_verdict::kAccepted : submit_verdict::kPending, {}, "known"};
   }
   if (!workers_.empty() && !FitsSomewhere(job)) {
@@ -260,6 +268,13 @@
                    .Add("workers", workers_.size()));
     return {submit_verdict::kRefused, {}, "never_fits"};
   }
+  if (!FitsCustomerLimit(job)) {
+    log_.Write(event_line{"job_refused", event_weight::kFailure}
+                   .Add("job", job.id)
+                   .Add("reason", "exceeds_limit")
+                   .Add("customer", job.customer));
+    return {submit_verdict::kRefused, {}, "exceeds_limit"};
+  }
   const bool exempt = job.steps.front().service || !settings_.Uses(mechanism::kAdmission);
   const auto admitted = exempt ? submit_answer{submit_verdict::kPending, {}, {}} : Admit(job, now);
   if (admitted.verdict == submit_verdict::kRefused) {
@@ -271,27 +286,34 @@
     return admitted;
   }
   ++admitted_since_tick_;
+  if (!job.customer.empty()) {
+    job.within_rate = customers_.Open(job.customer).TakeFromRate(now.steady);
+  }
   auto new_job = std::make_unique<job_state>();
   new_job->finish_by = now.steady + job.objective;
   log_.Write(event_line{"job_received"}
                  .Add("job", job.id)
                  .Add("queue", job.queue)
+                 .Add("customer", job.customer)
+                 .Add("within_rate", static_cast<int>(job.within_rate))
                  .Add("steps", job.steps.size())
                  .Add("objective_ms", job.objective)
                  .Add("version", configuration_.version));
   new_job->spec = std::make_shared<const job_spec>(std::move(job));
   ResolveRules(*new_job);
+  AssignCustomer(*new_job);
   auto& added_job = *(jobs_[new_job->spec->id] = std::move(new_job));
   MarkDirty(added_job, true);
   return {submit_verdict::kPending, {}, "new"};
 }
 
-cancel_verdict scheduler::Cancel(std::string_view id, std::string_view queue, const instant& now) {
+cancel_verdict scheduler::Cancel(std::string_view id, const job_scope& scope, const instant& now) {
   if (const auto ended = ended_.find(std::string{id}); ended != ended_.end()) {
-    return ended->second.queue == queue ? cancel_verdict::kCancelled : cancel_verdict::kUnknown;
+    const bool visible = scope.Covers(ended->second.queue, ended->second.customer);
+    return visible ? cancel_verdict::kCancelled : cancel_verdict::kUnknown;
   }
   auto* const job = FindJob(id);
-  if (job == nullptr || job->spec->queue != queue) {
+  if (job == nullptr || !scope.Covers(job->spec->queue, job->spec->customer)) {
     return cancel_verdict::kUnknown;
   }
   if (IsTerminal(job->stored_phase)) {
@@ -303,12 +325,14 @@
   return cancel_verdict::kPending;
 }
 
-std::optional<job_phase> scheduler::Phase(std::string_view id, std::string_view queue) const {
+std::optional<job_phase> scheduler::Phase(std::string_view id, const job_scope& scope) const {
   if (const auto ended = ended_.find(std::string{id}); ended != ended_.end()) {
-    return ended->second.queue == queue ? std::optional{ended->second.phase} : std::nullopt;
+    const bool visible = scope.Covers(ended->second.queue, ended->second.customer);
+    return visible ? std::optional{ended->second.phase} : std::nullopt;
   }
   const auto found = jobs_.find(std::string{id});
-  if (found == jobs_.end() || found->second->spec->queue != queue || !found->second->accepted) {
+  if (found == jobs_.end() || !found->second->accepted ||
+      !scope.Covers(found->second->spec->queue, found->second->spec->customer)) {
     return std::nullopt;
   }
   const auto& job = *found->second;
@@ -472,7 +496,7 @@
       continue;  // listed again when its last run ends or its record is stored
     }
     DropSteps(*job);
-    ended_[id] = ended_job{job->spec->queue, job->phase, job->ended_ms};
+    ended_[id] = ended_job{job->spec->queue, job->phase, job->ended_ms, job->spec->customer, {}};
     jobs_.erase(id);
   }
 }
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -215,6 +215,9 @@
   if (step.blocked_room_version < all_room_version_ || now.steady >= step.next_placement_at) {
     return false;
   }
+  if (step.at_limit && CountStartsWithinLimit(step) > 0) {
+    return false;
+  }
   if (step.job->restored && !IsStartable(step)) {
     return true;  // freed room doesn't unblock it
   }
@@ -296,8 +299,10 @@
 
 void scheduler::PlaceTasks(step_state& step, const instant& now) {
   const bool advised = step.job->advice.has_value();
+  std::uint32_t allowed = CountStartsWithinLimit(step);
   std::uint32_t unplaced = 0;
   bool backing_off = false;
+  step.at_limit = false;
   for (std::uint32_t index = 0; index < step.tasks.size(); ++index) {
     auto& task = step.tasks[index];
     if (!WantsStart(task)) {
@@ -307,6 +312,10 @@
       backing_off = true;
       continue;
     }
+    if (unplaced >= allowed) {
+      step.at_limit = true;
+      break;
+    }
     auto* const worker = unplaced == 0 ? PickWorker(step, task, advised, now) : nullptr;
     if (worker == nullptr) {
       ++unplaced;
@@ -315,9 +324,13 @@
     const auto* const allowance = advised ? step.advice.Find(worker) : nullptr;
     BeginRun(step, index, *worker, RunNumber(++task.runs), task.checkpoint,
              allowance == nullptr ? std::string{} : allowance->ticket, now);
+    allowed = CountStartsWithinLimit(step);
   }
   if (unplaced == 0) {
     ReleaseReservations(step);
+    if (step.at_limit) {
+      MarkBlocked(step, now);
+    }
     return;
   }
   if (advised) {
--- a/src/rosearch/sched/scheduler_reports.cc
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -56,6 +56,10 @@
   new_run->started_at = now.steady;
   new_run->progressed_at = now.steady;
   ++worker.unknown_runs;
+  const auto name = task_name::Parse(row.task);
+  if (const auto* const step = name ? FindStep(*name) : nullptr) {
+    ChargeCustomer(*new_run, step->job->customer, step->spec->need);
+  }
   auto& run = *(worker.runs[row.task] = std::move(new_run));
   StopRun(run, stop_reason::kUnknownRun, now);
 }
--- a/src/rosearch/sched/scheduler_store.cc
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -70,7 +70,13 @@
   const bool readable = progress.ParseFromString(progress_text);
   const auto phase = static_cast<job_phase>(progress.phase());
   if (readable && !progress_text.empty() && IsTerminal(phase)) {
-    ended_[id] = ended_job{progress.queue(), phase, progress.ended_ms()};
+    const auto& stopping = progress.stopping();
+    ended_[id] =
+        ended_job{progress.queue(),
+                  phase,
+                  progress.ended_ms(),
+                  progress.customer(),
+                  {stopping.processors_milli(), stopping.memory_mb(), stopping.accelerators()}};
     return;
   }
   auto spec = DecodeJob(job_text);
@@ -87,6 +93,7 @@
   job->finish_by = now.steady + spec->objective - age;
   job->spec = std::make_shared<const job_spec>(std::move(*spec));
   ResolveRules(*job);
+  AssignCustomer(*job);
   ApplyProgress(progress, *job);
   auto& restored_job = *(jobs_[id] = std::move(job));
   for (auto& occurrence : restored_job.occurrences) {
@@ -110,6 +117,7 @@
   for (const auto& [id, worker] : workers_) {
     HoldTasks(*worker);
   }
+  EstimateUnreadUsage(now);
   workers_dirty_ = true;
   restored_at_ = now.steady;
   log_.Write(event_line{"state_restored", event_weight::kStateChange}
--- a/src/rosearch/sched/scheduler_views.cc
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -69,6 +69,8 @@
     view.what = "store";
   } else if (!IsStartable(step)) {
     view.what = "old_workers";
+  } else if (step.at_limit) {
+    view.what = "customer_limit";
   }
   if (!view.what.empty()) {
     return view;
@@ -102,6 +104,10 @@
   }
   step.next_waiting_log_at = now.steady + kWaitLogInterval;
   const auto wait = DiagnoseWait(step, now);
+  if (step.at_limit) {
+    LogLimitWait(step, now);
+    return;
+  }
   log_.Write(event_line{"step_waits", event_weight::kDetail}
                  .Add("job", step.job->spec->id)
                  .Add("step", step.Name())
@@ -117,6 +123,22 @@
                  .Add("open", wait.open));
 }
 
+void scheduler::LogLimitWait(const step_state& step, const instant& now) {
+  const auto& customer = *step.job->customer;
+  log_.Write(event_line{"step_at_limit", event_weight::kFailure}
+                 .Add("job", step.job->spec->id)
+                 .Add("step", step.Name())
+                 .Add("idle", step.CountIdleTasks())
+                 .Add("left_ms", step.job->finish_by - now.steady)
+                 .Add("customer", customer.name())
+                 .Add("used_cpu", customer.used().processors_milli)
+                 .Add("used_mb", customer.used().memory_mb)
+                 .Add("unread_cpu", customer.unread().processors_milli)
+                 .Add("unread_mb", customer.unread().memory_mb)
+                 .Add("limit_cpu", customer.limit().processors_milli)
+                 .Add("limit_mb", customer.limit().memory_mb));
+}
+
 std::string scheduler::Dump(const instant& now) const {
   std::ostringstream out;
   out << "epoch=" << epoch_ << " version=" << configuration_.version << " jobs=" << jobs_.size()
@@ -133,6 +155,13 @@
         << " unacked=" << worker->seen_end - worker->acked_end
         << " usable=" << worker->health.IsUsable(now.steady) << '\n';
   }
+  for (const auto& [name, customer] : customers_) {
+    out << "customer " << name << " cpu=" << customer.used().processors_milli << '/'
+        << customer.limit().processors_milli << " mb=" << customer.used().memory_mb << '/'
+        << customer.limit().memory_mb << " accelerators=" << customer.used().accelerators << '/'
+        << customer.limit().accelerators << " unread_cpu=" << customer.unread().processors_milli
+        << " weight=" << customer.weight() << '\n';
+  }
   for (const auto* const step : open_steps_) {
     out << "step " << step->Name() << " idle=" << step->CountIdleTasks() << " done=" << step->done
         << '/' << step->tasks.size() << " asking=" << step->advice.HasPendingQuery(now.steady)
@@ -158,6 +187,7 @@
   out << "job " << id << " phase=" << PhaseName(job.phase)
       << " stored_phase=" << PhaseName(job.stored_phase) << " accepted=" << job.accepted
       << " restored=" << job.restored << " queue=" << job.spec->queue
+      << " customer=" << job.spec->customer << " within_rate=" << job.spec->within_rate
       << " priority=" << job.priority << " max_attempts=" << job.max_attempts
       << " left_ms=" << Millis(job.finish_by - now.steady) << " runs=" << job.live
       << (job.accepted ? "" : " waits_for=store") << '\n';
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -57,9 +57,11 @@
   std::string task;
   std::uint32_t run{0};
   worker_state* worker{nullptr};
-  step_state* step{nullptr};  ///< null: belongs to no known job
-  std::uint32_t index{0};     ///< index of the task in its step
-  resources charged{};        ///< resources charged to the worker
+  step_state* step{nullptr};            ///< null: belongs to no known job
+  std::uint32_t index{0};               ///< index of the task in its step
+  resources charged{};                  ///< resources charged to the worker
+  customer_account* customer{nullptr};  ///< whose limit it counts against; null: none
+  resources customer_charge{};          ///< resources charged to the customer
   run_phase phase{run_phase::kStarting};
   stop_reason reason{stop_reason::kNone};
   std::string ticket;
--- a/test/adapter/codec_test.cc
+++ b/test/adapter/codec_test.cc
@@ -1,5 +1,6 @@
 #include "platform/codec.h"
 
+#include <array>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -27,22 +28,60 @@
     R"("limits":{"max-header-bytes":100,"max-body-bytes":200,"header-timeout-ms":300,)"
     R"("idle-timeout-ms":400}})";
 
+const std::string kWithCustomers =
+    R"({"version":8,"routes":[{"name":"r","host":"h","path-prefix":"/l/","service":"s"},)"
+    R"({"name":"o","host":"h","path-prefix":"/o/","service":"s","allow-anonymous":true}],)"
+    R"("tenants":[{"name":"t1","api-keys":["k1","k2"],"weight":2.5,)"
+    R"("max-count":{"cpu":64000,"mem-mb":1000,"gpu":0}},{"name":"t2","api-keys":[]}]})";
+
 }  // namespace
 
+TEST_CASE("tenants become customers, and their queues require a key") {
+  const auto read = DecodeConfiguration(kWithCustomers);
+  REQUIRE(read.has_value());
+  const auto& made = read.value();
+  REQUIRE(made.customers.size() == 2);
+  CHECK(made.customers[0].weight == 2.5);
+  CHECK(made.customers[0].limit == resources{64'000, 1'000, 0});
+  CHECK(made.customers[1].limit == resources{});
+  REQUIRE(made.keys.Find(sched::key_digest::Of("k2")) != nullptr);
+  CHECK(*made.keys.Find(sched::key_digest::Of("k2")) == "t1");
+  CHECK(made.keys.Find(sched::key_digest::Of("k3")) == nullptr);
+  CHECK(made.Match("h", "/l/x")->requires_key);
+  CHECK_FALSE(made.Match("h", "/o/x")->requires_key);
+}
+
+TEST_CASE("customers that can't be meant are refused with the place") {
+  const auto decode = [](const std::string& tenants) {
+    return DecodeConfiguration(R"({"version":8,"tenants":[)" + tenants + "]}");
+  };
+  const auto shared = decode(R"({"name":"a","api-keys":["k"]},{"name":"b","api-keys":["k"]})");
+  REQUIRE(shared.has_error());
+  CHECK(shared.error().detail.find("tenants: b ") == 0);
+  const auto negative = decode(R"({"name":"a","max-count":{"cpu":-1}})");
+  REQUIRE(negative.has_error());
+  CHECK(negative.error().detail.find("tenants: a ") == 0);
+  CHECK(decode(R"({"api-keys":["k"]})").has_error());
+  CHECK(decode("7").has_error());
+  CHECK(decode(R"({"name":"a"})").has_value());
+}
+
 TEST_CASE("the operator's configuration becomes queues, pools and limits") {
-  const auto read = DecodeConfiguration(kConfiguration);
-  REQUIRE(read);
-  CHECK(read->version == 7);
-  const auto* const queue = read->Match("nony24.example", "/l/0123456789abcdef");
+  const auto decoded = DecodeConfiguration(kConfiguration);
+  REQUIRE(decoded.has_value());
+  const auto& read = decoded.value();
+  CHECK(read.version == 7);
+  const auto* const queue = read.Match("nony24.example", "/l/0123456789abcdef");
   REQUIRE(queue != nullptr);
   CHECK(queue->advice->per_worker == std::chrono::microseconds{260});
   CHECK(queue->latency_target == milliseconds{250});
-  CHECK(read->Match("other", "/l/") == nullptr);
-  CHECK(read->limits.idle_timeout == milliseconds{400});
+  CHECK(read.Match("other", "/l/") == nullptr);
+  CHECK(read.limits.idle_timeout == milliseconds{400});
+  CHECK_FALSE(queue->requires_key);
 }
 
 TEST_CASE("the longest path prefix selects the queue") {
-  auto read = *DecodeConfiguration(kConfiguration);
+  auto read = DecodeConfiguration(kConfiguration).value();
   auto longer = read.queues[0];
   longer.path_prefix = "/l/m/";
   longer.name = "longer";
@@ -115,7 +154,8 @@
 TEST_CASE("randomly changed bytes are decoded or refused without a crash") {
   random_source random{17};
   for (int round = 0; round < 20'000; ++round) {
-    auto text = round % 3 == 0 ? kWorker : round % 3 == 1 ? kJob : kConfiguration;
+    const std::array texts{kWorker, kJob, kConfiguration, kWithCustomers};
+    auto text = texts[static_cast<std::size_t>(round) % texts.size()];
     for (auto changes = random.Between(1, 4); changes > 0; --changes) {
       const auto at =
           static_cast<std::size_t>(random.Between(0, static_cast<std::int64_t>(text.size()) - 1));
--- a/test/rosearch/cell/fake_ports.h
+++ b/test/rosearch/cell/fake_ports.h
@@ -67,7 +67,7 @@
   void ReadNewest(stream which, const std::string&, const newest_callback& done) {
     newest_page page;
     if (which == stream::kConfiguration) {
-      page.records = {{"config", "1"}};
+      page.records = {{"config", configuration}};
     } else if (which == stream::kWorkers) {
       for (int at = 1; at <= workers; ++at) {
         page.records.push_back({"w" + std::to_string(at), "here"});
@@ -103,12 +103,20 @@
   }
   void Advise(const std::string&, const sched::advice_query&, const advice_callback&) {}
 
-  static std::optional<sched::cell_configuration> DecodeConfiguration(const std::string&) {
-    sched::cell_configuration configuration;
-    configuration.version = 1;
-    configuration.queues = {{"quick", "host", "/jobs/", "pool", 0, 2, 1.5, milliseconds{250}, {}}};
-    configuration.pools = {{"pool", false, false}};
-    return configuration;
+  static result<sched::cell_configuration> DecodeConfiguration(const std::string& text) {
+    sched::cell_configuration decoded;
+    decoded.version = 1;
+    decoded.queues = {{"quick", "host", "/jobs/", "pool", 0, 2, 1.5, milliseconds{250}, {}}};
+    decoded.pools = {{"pool", false, false}};
+    if (text == kWithCustomers) {
+      decoded.queues.front().requires_key = true;
+      decoded.queues.push_back(
+          {"open", "host", "/open/", "pool", 0, 2, 1.5, milliseconds{250}, {}});
+      decoded.customers = {{"a", 100, {}, {sched::key_digest::Of("ka")}},
+                           {"b", 100, {}, {sched::key_digest::Of("kb")}}};
+      decoded.keys = sched::customer_keys{decoded.customers};
+    }
+    return decoded;
   }
   static std::string_view ConfigurationKey() { return "config"; }
   static std::optional<sched::worker_facts> DecodeWorker(const std::string& id,
@@ -134,7 +142,15 @@
   static std::optional<duration> CallerTimeout(const std::map<std::string, std::string>&) {
     return std::nullopt;
   }
+  static std::optional<std::string> CallerKey(const std::map<std::string, std::string>&) {
+    return std::nullopt;
+  }
 
+  /// Text of a configuration with a queue that requires keys, an open one, and customers "a" and
+  /// "b" with the keys "ka" and "kb".
+  static constexpr const char* kWithCustomers = "customers";
+
+  std::string configuration{"1"};
   std::map<std::string, std::string> stored;
   std::set<std::string> watched_workers;
   std::vector<sched::start_order> starts;
@@ -185,8 +201,9 @@
 class leader_fixture {
  public:
   explicit leader_fixture(int workers = 1, duration interval = {}, duration first_append = {},
-                          duration watch_cost = {})
+                          duration watch_cost = {}, const std::string& configuration = "1")
       : watch_interval{interval} {
+    ports.configuration = configuration;
     ports.workers = workers;
     ports.watch_cost = watch_cost;
     ports.first_append_delay = first_append;
@@ -222,6 +239,19 @@
                      [got](const caller_answer& answer) { *got = answer; });
     return got;
   }
+  /// Calls with a caller's key; empty: without one.
+  std::shared_ptr<caller_answer> SendWithKey(const std::string& method, const std::string& path,
+                                             const std::string& key) {
+    auto got = std::make_shared<caller_answer>();
+    got->status = 0;
+    caller_request request{method, "host", path, method == "POST" ? "job" : ""};
+    if (!key.empty()) {
+      request.key = sched::key_digest::Of(key);
+    }
+    instance->Handle(request, milliseconds{2'000},
+                     [got](const caller_answer& answer) { *got = answer; });
+    return got;
+  }
 
   boost::asio::io_context io;
   fake_ports ports{io};
--- a/test/rosearch/cell/leader_test.cc
+++ b/test/rosearch/cell/leader_test.cc
@@ -147,6 +147,63 @@
   CHECK(answer->status == kMayBeStored);
 }
 
+TEST_CASE("callers without a known key are refused by every method") {
+  leader_fixture cell{1, {}, {}, {}, fake_ports::kWithCustomers};
+  for (const auto* const method : {"POST", "GET", "DELETE"}) {
+    const auto unknown = cell.SendWithKey(method, "/jobs/a", "kx");
+    CHECK(unknown->status == 401);
+    CHECK(unknown->body.find("unknown_key") != std::string::npos);
+    const auto missing = cell.SendWithKey(method, "/jobs/a", "");
+    CHECK(missing->status == 401);
+    CHECK(missing->body.find("no_key") != std::string::npos);
+  }
+  CHECK(cell.SendWithKey("GET", "/jobs/", "kx")->status == 401);
+  CHECK(cell.SendWithKey("GET", "/elsewhere/", "kx")->status == 404);
+  for (const auto& line : cell.log.lines) {
+    CHECK(line.find("kx") == std::string::npos);
+  }
+  cell.Run(milliseconds{300});
+  CHECK(cell.ports.starts.empty());
+}
+
+TEST_CASE("an open queue takes any caller, and shows its jobs to all") {
+  leader_fixture cell{1, {}, {}, {}, fake_ports::kWithCustomers};
+  const auto accepted = cell.SendWithKey("POST", "/open/a", "kx");
+  const auto with_key = cell.SendWithKey("POST", "/open/b", "kb");
+  cell.Run(milliseconds{60});
+  CHECK(accepted->status == 200);
+  CHECK(with_key->status == 200);
+  CHECK(cell.SendWithKey("GET", "/open/b", "")->status == 200);
+  CHECK(cell.SendWithKey("GET", "/open/b", "ka")->status == 200);
+}
+
+TEST_CASE("a job of one customer is unknown to the others") {
+  leader_fixture cell{1, {}, {}, {}, fake_ports::kWithCustomers};
+  const auto accepted = cell.SendWithKey("POST", "/jobs/a", "ka");
+  cell.Run(milliseconds{60});
+  CHECK(accepted->status == 200);
+  CHECK(cell.SendWithKey("GET", "/jobs/a", "ka")->status == 200);
+  CHECK(cell.SendWithKey("GET", "/jobs/a", "kb")->status == 410);
+  CHECK(cell.SendWithKey("DELETE", "/jobs/a", "kb")->status == 410);
+}
+
+// A peer of an older build forwards requests without their keys. Its callers may have shown one, so
+// they must not be told that it is unknown.
+TEST_CASE("a request whose key a peer could not forward is refused for now") {
+  leader_fixture cell{1, {}, {}, {}, fake_ports::kWithCustomers};
+  caller_request request{"GET", "host", "/jobs/a", ""};
+  request.key_unknown = true;
+  caller_answer got;
+  cell.instance->Handle(request, milliseconds{2'000},
+                        [&](const caller_answer& answer) { got = answer; });
+  CHECK(got.status == 503);
+  CHECK(got.retry_after_s == 1);
+  request.path = "/open/a";
+  cell.instance->Handle(request, milliseconds{2'000},
+                        [&](const caller_answer& answer) { got = answer; });
+  CHECK(got.status == 410);
+}
+
 // Another process leads, but this one is too busy to have read the claim, and a peer still follows
 // it. A caller that asks for a job that the new leader accepted must not be told that the job is
 // unknown.
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -207,7 +207,7 @@
     auto& job = jobs_[settled.id];
     job.accepted = job.accepted || settled.accepted;
     job.refused = job.refused || (!settled.accepted && !settled.cancelled);
-    if (settled.cancelled && leader_->Phase(settled.id, job.spec.queue) == job_phase::kCancelled) {
+    if (settled.cancelled && leader_->Phase(settled.id, {job.spec.queue}) == job_phase::kCancelled) {
       job.cancelled = job.cancelled.value_or(now_);
     }
   }
@@ -635,7 +635,7 @@
 
 void cell_world::Cancel(const std::string& id) {
   const auto& job = jobs_[id];
-  if (leader_->Cancel(id, job.spec.queue, Now()) == cancel_verdict::kCancelled) {
+  if (leader_->Cancel(id, {job.spec.queue}, Now()) == cancel_verdict::kCancelled) {
     jobs_[id].cancelled = now_;
   }
   RequestPass();
@@ -650,7 +650,7 @@
   }
   now_ = end;
   for (const auto& [id, job] : jobs_) {
-    const auto phase = leader_->Phase(id, job.spec.queue);
+    const auto phase = leader_->Phase(id, {job.spec.queue});
     if (phase == job_phase::kCompleted && job.done.size() < CompletingEnds(job.spec)) {
       AddViolation("job reported as completed before all its tasks ended: " + id);
     }
@@ -662,7 +662,7 @@
 
 std::optional<job_phase> cell_world::Phase(const std::string& id) const {
   const auto found = jobs_.find(id);
-  return found == jobs_.end() ? std::nullopt : leader_->Phase(id, found->second.spec.queue);
+  return found == jobs_.end() ? std::nullopt : leader_->Phase(id, {found->second.spec.queue});
 }
 
 std::vector<std::string> cell_world::Unfinished() const {
--- a/test/rosearch/sched/scheduler_test.cc
+++ b/test/rosearch/sched/scheduler_test.cc
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "rosearch/sched/cell_world.h"
+#include "rosearch/sched/scheduler_fixture.h"
 
 namespace rosearch::sched {
 namespace {
@@ -13,142 +14,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr const char* kQueue = "cell.test/jobs/";
-
-/// A leading scheduler with idle workers that a test drives step by step.
-class scheduler_fixture {
- public:
-  explicit scheduler_fixture(std::size_t workers = 2, std::uint64_t epoch = 1)
-      : leader{scheduler_settings{}, epoch, log} {
-    cell_configuration made;
-    made.version = 1;
-    made.queues = {{"quick", "cell.test", "/jobs/", "pool", 0, 2, 1.5, milliseconds{250}, {}}};
-    made.pools = {{"pool", false, false}};
-    leader.Configure(made, now);
-    for (std::size_t at = 0; at < workers; ++at) {
-      worker_facts facts;
-      facts.id = "w" + std::to_string(at);
-      facts.address = "10.0.0.1:80";
-      facts.pool = "pool";
-      facts.capacity = {4'000, 8'000, 0};
-      leader.ObserveWorker(facts, now);
-    }
-    leader.FinishRestore(now);
-    (void)Store();
-    for (std::size_t at = 0; at < workers; ++at) {
-      Report("w" + std::to_string(at), {});
-    }
-    (void)Store();
-  }
-
-  void AdvanceTime(duration span) {
-    now.steady += span;
-    now.wall_ms += std::chrono::duration_cast<milliseconds>(span).count();
-  }
-  std::vector<stored_record> Store() {
-    const auto batch = leader.TakeBatch();
-    leader.OnStored(batch.number, now);
-    for (const auto& record : batch.records) {
-      workers_record = record.key == "w" ? record.value : workers_record;
-    }
-    return batch.records;
-  }
-  /// Stores the pending records and saves the newest record of each key in `saved`, including that
-  /// of the workers.
-  void SaveRecords() {
-    for (const auto& record : Store()) {
-      saved[record.key] = record.value;
-    }
-    saved["w"] = workers_record;
-  }
-  void Report(const std::string& worker, const worker_report& report) {
-    (void)leader.NextWatch(worker, now);
-    leader.OnReport(worker, now.steady, report, now);
-  }
-  submit_answer Submit(const std::string& id, std::uint32_t count,
-                       std::int64_t processors = 1'000) {
-    job_spec job;
-    job.id = id;
-    job.queue = kQueue;
-    job.pool = "pool";
-    job.max_attempts = 2;
-    job.steps.resize(1);
-    job.steps[0].count = count;
-    job.steps[0].need = {processors, 100, 0};
-    job.steps[0].estimate = milliseconds{500};
-    job.objective = seconds{10};
-    return leader.Submit(job, now);
-  }
-  std::vector<start_order> Starts() {
-    leader.Schedule(now);
-    std::vector<start_order> starts;
-    for (auto& decided : leader.TakeOrders()) {
-      if (auto* const start = std::get_if<start_order>(&decided)) {
-        starts.push_back(*start);
-      } else if (auto* const stop = std::get_if<stop_order>(&decided)) {
-        stops.push_back(*stop);
-      }
-    }
-    return starts;
-  }
-
-  std::string workers_record;                ///< newest that was stored
-  std::map<std::string, std::string> saved;  ///< newest record per key, see `SaveRecords`
-  recording_sink log;
-  instant now{time_point{seconds{1'000}}, 1'000'000};
-  sched::scheduler leader;
-  std::vector<stop_order> stops;
-};
-
-/// A new leader that restores the records that a former one saved.
-class new_leader {
- public:
-  explicit new_leader(const scheduler_fixture& former)
-      : now{former.now}, leader{scheduler_settings{}, 2, log} {
-    leader.Configure(former.leader.configuration(), now);
-    for (const auto& [key, value] : former.saved) {
-      REQUIRE(leader.Restore({key, value}, now));
-    }
-    leader.FinishRestore(now);
-  }
-  /// Lists a worker in the registry, reports for it and stores its record.
-  void AddWorker(const std::string& worker, const worker_report& report = {}) {
-    leader.ObserveWorker(
-        {worker, "10.0.0.1:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, false, {}}, now);
-    (void)leader.NextWatch(worker, now);
-    leader.OnReport(worker, now.steady, report, now);
-    const auto batch = leader.TakeBatch();
-    leader.OnStored(batch.number, now);
-  }
-  std::vector<order> Orders() {
-    leader.Schedule(now);
-    return leader.TakeOrders();
-  }
-  std::vector<std::string> Started() {
-    std::vector<std::string> tasks;
-    for (const auto& decided : Orders()) {
-      if (const auto* const start = std::get_if<start_order>(&decided)) {
-        tasks.push_back(start->task);
-      }
-    }
-    return tasks;
-  }
-
-  instant now;
-  recording_sink log;
-  scheduler leader;
-};
-
 }  // namespace
 
 TEST_CASE("nothing of a job starts before its record is stored") {
   scheduler_fixture fixture;
   CHECK(fixture.Submit("a", 1).verdict == submit_verdict::kPending);
   CHECK(fixture.Starts().empty());
-  CHECK_FALSE(fixture.leader.Phase("a", kQueue));
+  CHECK_FALSE(fixture.leader.Phase("a", {kQueue}));
   (void)fixture.Store();
   CHECK(fixture.Starts().size() == 1);
-  CHECK(fixture.leader.Phase("a", kQueue) == job_phase::kRunning);
+  CHECK(fixture.leader.Phase("a", {kQueue}) == job_phase::kRunning);
 }
 
 TEST_CASE("a job submitted twice is one job") {
@@ -217,7 +92,7 @@
   fixture.AdvanceTime(milliseconds{50});
   fixture.Report(start.worker, report);
   (void)fixture.Store();
-  CHECK(fixture.leader.Phase("a", kQueue) == job_phase::kCompleted);
+  CHECK(fixture.leader.Phase("a", {kQueue}) == job_phase::kCompleted);
   CHECK(fixture.Starts().empty());
 }
 
@@ -356,9 +231,9 @@
   worker_report report;
   report.ended = {{1, start.task, start.run, end_kind::kDone, ""}};
   fixture.Report(start.worker, report);
-  CHECK(fixture.leader.Phase("a", kQueue) == job_phase::kRunning);
+  CHECK(fixture.leader.Phase("a", {kQueue}) == job_phase::kRunning);
   (void)fixture.Store();
-  CHECK(fixture.leader.Phase("a", kQueue) == job_phase::kCompleted);
+  CHECK(fixture.leader.Phase("a", {kQueue}) == job_phase::kCompleted);
 }
 
 // A new leader receives failed ends from workers in any order, here the newest first, and some of
@@ -379,11 +254,11 @@
   report.ended = {{1, "a.0.0.0", 2, end_kind::kFailed, ""},
                   {2, "a.0.0.0", 2, end_kind::kFailed, ""}};
   next.Report("w7", report);
-  CHECK(next.leader.Phase("a", kQueue) == job_phase::kQueued);
+  CHECK(next.leader.Phase("a", {kQueue}) == job_phase::kQueued);
   report.ended = {{3, "a.0.0.0", 1, end_kind::kFailed, ""}};
   next.Report("w7", report);
   (void)next.Store();
-  CHECK(next.leader.Phase("a", kQueue) == job_phase::kFailed);
+  CHECK(next.leader.Phase("a", {kQueue}) == job_phase::kFailed);
 }
 
 // The former leader may have started any task at a worker that doesn't answer the new leader. No
@@ -700,7 +575,7 @@
   CHECK(room.find("no_room=2 open=0") != std::string::npos);
   CHECK(fixture.leader.Dump(fixture.now).find("step b.0.0 idle=5") != std::string::npos);
   CHECK(fixture.leader.Explain("c", fixture.now).find("unknown") != std::string::npos);
-  (void)fixture.leader.Cancel("b", kQueue, fixture.now);
+  (void)fixture.leader.Cancel("b", {kQueue}, fixture.now);
   CHECK(fixture.leader.Explain("b", fixture.now).find("phase=cancelled") != std::string::npos);
 }
 
@@ -735,12 +610,12 @@
   (void)fixture.Store();
   const auto start = fixture.Starts().at(0);
   fixture.leader.OnStartAnswer(start, start_outcome::kStarted, fixture.now);
-  CHECK(fixture.leader.Cancel("a", kQueue, fixture.now) == cancel_verdict::kPending);
+  CHECK(fixture.leader.Cancel("a", {kQueue}, fixture.now) == cancel_verdict::kPending);
   (void)fixture.Starts();
   CHECK(fixture.stops.size() == 1);
   (void)fixture.Store();
-  CHECK(fixture.leader.Cancel("a", kQueue, fixture.now) == cancel_verdict::kCancelled);
-  CHECK(fixture.leader.Cancel("b", kQueue, fixture.now) == cancel_verdict::kUnknown);
+  CHECK(fixture.leader.Cancel("a", {kQueue}, fixture.now) == cancel_verdict::kCancelled);
+  CHECK(fixture.leader.Cancel("b", {kQueue}, fixture.now) == cancel_verdict::kUnknown);
 }
 
 }  // namespace rosearch::sched
