Long advice queries choose their workers when a process can send them, and name as many as the step needs (sched, cell)

Change: the leader tells the scheduler how many long queries can go out at once; other steps wait and choose their workers when one can, in the order of placement.

--- a/src/rosearch/cell/advice_dispatcher.cc
+++ b/src/rosearch/cell/advice_dispatcher.cc
@@ -23,7 +23,7 @@
 }
 
 void advice_dispatcher::Add(sched::advice_query query, time_point now) {
-  auto& queue = QueryCost(query) > kLongQueryCost ? long_queries_ : urgent_queries_;
+  auto& queue = IsLongQuery(query.cost) ? long_queries_ : urgent_queries_;
   auto due = now + kDelayPerPriorityLevel * static_cast<int>(query.priority);
   for (auto* const each_queue : {&urgent_queries_, &long_queries_}) {
     const auto same = [&](const queued_query& other) { return other.query.step == query.step; };
@@ -36,10 +36,22 @@
   queue.insert(position, {std::move(query), due});
 }
 
+std::size_t advice_dispatcher::CountUrgentOnlyHelpers() const {
+  return helpers_.size() > 1
+             ? std::max<std::size_t>(1, helpers_.size() / kHelpersPerUrgentOnlyHelper)
+             : 0;
+}
+
+std::size_t advice_dispatcher::CountLongSlots(time_point now) const {
+  std::size_t free = 0;
+  for (auto at = CountUrgentOnlyHelpers(); at < helpers_.size(); ++at) {
+    free += helpers_[at].busy_until <= now ? 1 : 0;
+  }
+  return free > long_queries_.size() ? free - long_queries_.size() : 0;
+}
+
 advice_dispatcher::helper* advice_dispatcher::FindFreeHelper(bool long_query, time_point now) {
-  const auto urgent_only =
-      helpers_.size() > 1 ? std::max<std::size_t>(1, helpers_.size() / kHelpersPerUrgentOnlyHelper)
-                          : 0;
+  const auto urgent_only = CountUrgentOnlyHelpers();
   for (std::size_t at = 0; at < helpers_.size(); ++at) {
     if (helpers_[at].busy_until <= now && (!long_query || at >= urgent_only)) {
       return &helpers_[at];
--- a/src/rosearch/cell/advice_dispatcher.h
+++ b/src/rosearch/cell/advice_dispatcher.h
@@ -46,15 +46,14 @@
   /// Marks a helper as free after its query was answered or timed out.
   void ReleaseHelper(const std::string& helper);
 
+  /// @return how many more long queries could be sent at once.
+  [[nodiscard]] std::size_t CountLongSlots(time_point now) const;
+
   /// @return the number of queued queries.
   [[nodiscard]] std::size_t CountQueued() const {
     return urgent_queries_.size() + long_queries_.size();
   }
 
-  /// A query with a higher cost is long. Lies between the costs of urgent work (25 ms) and long
-  /// work (half a second).
-  static constexpr duration kLongQueryCost = std::chrono::milliseconds{120};
-
   /// Delay of the due time per level of priority. Matches the duration of a long query, because a
   /// query in flight can hold up a more urgent one for that long anyway.
   static constexpr duration kDelayPerPriorityLevel = std::chrono::milliseconds{600};
@@ -75,6 +74,8 @@
   };
   using queue = std::deque<queued_query>;
   [[nodiscard]] helper* FindFreeHelper(bool long_query, time_point now);
+  /// @return the number of helpers, first in the list, that send no long queries.
+  [[nodiscard]] std::size_t CountUrgentOnlyHelpers() const;
 
   std::vector<helper> helpers_;
   queue urgent_queries_;
--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -85,6 +85,9 @@
   const auto pause = std::max(settings_.pass_interval, scheduler_.ExtraPassDelay());
   if (now - last_pass_at_ >= pause) {
     last_pass_at_ = now;
+    if (settings_.scheduler.Uses(sched::mechanism::kAdviceSlots)) {
+      scheduler_.SetLongAdviceSlots(advice_.CountLongSlots(now));
+    }
     scheduler_.Schedule(Now());
     return;
   }
--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -77,6 +77,7 @@
   std::uint64_t blocked_room_version{0};  ///< room version at which no worker had room
   time_point next_placement_at{};         ///< next placement attempt, unless room is freed earlier
   time_point next_waiting_log_at{};       ///< earliest next log line about what it waits for
+  bool awaits_advice_slot{false};         ///< no process could send its advice query
   bool at_limit{false};                   ///< its customer's limit keeps tasks from starting
 
   /// @return the number of tasks that should be started.
--- a/src/rosearch/sched/mechanism.h
+++ b/src/rosearch/sched/mechanism.h
@@ -26,9 +26,10 @@
   kAlternateRoute,     ///< reaches unreachable destinations through a peer
   kEarlyElection,      ///< suspects the leader as soon as its connection breaks
   kRelays,             ///< peers handle the worker traffic of a large cell
+  kAdviceSlots,        ///< chooses the workers of a long advice query when a process can send it
 };
 
-inline constexpr std::size_t kMechanismCount = 15;
+inline constexpr std::size_t kMechanismCount = 16;
 
 /// A set of mechanisms.
 class mechanism_set {
--- a/src/rosearch/sched/order.h
+++ b/src/rosearch/sched/order.h
@@ -62,6 +62,16 @@
   return query.cost.base + query.cost.per_worker * static_cast<int>(query.workers.size());
 }
 
+/// Base cost above which queries are long. Lies between those of urgent work (40 ms) and of long
+/// work (150 ms and more).
+inline constexpr duration kLongQueryCost = std::chrono::milliseconds{100};
+
+/// @return whether queries of this cost hold up a process for so long that they need a share of the
+///         processes of their own.
+[[nodiscard]] inline bool IsLongQuery(const advice_cost& cost) {
+  return cost.base > kLongQueryCost;
+}
+
 using order = std::variant<start_order, stop_order, pace_order, advice_query>;
 
 /// A worker that may run a step, and the ticket that a start order must carry as proof.
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -247,6 +248,9 @@
 
   // Advice.
 
+  /// Sets how many long advice queries can be sent at once. Further steps wait for a free process
+  /// before their workers are chosen, instead of queueing with workers that are full by then.
+  void SetLongAdviceSlots(std::size_t slots) { long_advice_slots_ = slots; }
   /// @param allowed  null if the query was not answered.
   void OnAdvice(const advice_query& query, const std::vector<advised_worker>* allowed,
                 const instant& now);
@@ -475,6 +479,10 @@
   [[nodiscard]] std::vector<worker_state*> SelectBestWorkers(
       const step_state& step, const std::vector<worker_state*>& workers) const;
   [[nodiscard]] advice_candidates FindAdviceCandidates(const step_state& step, const instant& now);
+  /// @return the share of named workers that advice allowed to steps of the same queue.
+  [[nodiscard]] double& AdvisedShare(const step_state& step);
+  /// @return how many workers to name for this many tasks, by the usual share that is allowed.
+  [[nodiscard]] std::size_t CountNamesFor(const step_state& step, std::uint32_t tasks);
   /// @return the workers to name in a query that should allow `tasks` tasks of a step to start.
   [[nodiscard]] std::vector<std::string> ChooseWorkersToQuery(const step_state& step,
                                                               std::uint32_t tasks,
@@ -511,6 +519,8 @@
   [[nodiscard]] std::vector<worker_state*> AssignGangWorkers(
       const step_state& step, const std::vector<worker_state*>& candidates) const;
   void RequestGangAdvice(step_state& step, const instant& now);
+  /// @return how many workers without advice a gang names in one query.
+  [[nodiscard]] std::size_t CountWorkersForGangQuery(const step_state& step);
   void StartGang(step_state& step, const std::vector<worker_state*>& places, const instant& now);
 
   // scheduler_views.cc
@@ -522,6 +532,7 @@
   /// often, handles more inputs per pass, ignores measured run times, since they include its own
   /// delay, and admits fewer jobs.
   static constexpr duration kOverloadDelay = std::chrono::milliseconds{50};
+  static constexpr std::size_t kUnlimitedAdviceSlots = std::numeric_limits<std::size_t>::max();
   static constexpr std::uint32_t kNoAdmissionLimit = 1U << 20U;
   /// Max workers with room that are compared for a step in a large pool; comparing more gives no
   /// better placement.
@@ -561,6 +572,7 @@
   std::uint64_t room_version_{1};      ///< increases whenever room is freed or a worker is added
   std::uint64_t all_room_version_{1};  ///< room version of the last change that may affect any step
   std::uint64_t next_batch_{1};
+  std::size_t long_advice_slots_{kUnlimitedAdviceSlots};
   std::uint64_t placement_attempts_{0};
   std::uint64_t workers_considered_{0};
   duration newest_delay_{};  ///< last value passed to `RecordLoopDelay`
--- a/src/rosearch/sched/scheduler_advice.cc
+++ b/src/rosearch/sched/scheduler_advice.cc
@@ -13,6 +13,8 @@
 constexpr double kInitialAdvisedShare = 0.4;
 /// Weight of each answer in the moving average of that share.
 constexpr double kAdvisedShareWeight = 0.1;
+/// Smallest share that bounds the number of names.
+constexpr double kMinAdvisedShare = 0.05;
 
 /// More workers are named than there are tasks: some of those allowed will be full by the time that
 /// the answer arrives.
@@ -115,6 +117,15 @@
   return found;
 }
 
+double& scheduler::AdvisedShare(const step_state& step) {
+  return advised_share_.try_emplace(step.job->spec->queue, kInitialAdvisedShare).first->second;
+}
+
+std::size_t scheduler::CountNamesFor(const step_state& step, std::uint32_t tasks) {
+  const double share = std::max(kMinAdvisedShare, AdvisedShare(step));
+  return static_cast<std::size_t>(kNamesPerTask * tasks / share);
+}
+
 std::vector<std::string> scheduler::ChooseWorkersToQuery(const step_state& step,
                                                          std::uint32_t tasks, const instant& now) {
   const auto found = FindAdviceCandidates(step, now);
@@ -132,8 +143,7 @@
     }
   };
   add_names(found.allowed, 1.0);
-  const auto share = advised_share_.try_emplace(step.job->spec->queue, kInitialAdvisedShare);
-  add_names(found.unknown, share.first->second);
+  add_names(found.unknown, AdvisedShare(step));
   if (expected >= wanted || !settings_.Uses(mechanism::kAdviceAhead)) {
     return names;
   }
@@ -172,6 +182,9 @@
                  .Add("step", query.step)
                  .Add("workers", query.workers.size())
                  .Add("tasks", tasks));
+  if (IsLongQuery(query.cost) && long_advice_slots_ != kUnlimitedAdviceSlots) {
+    --long_advice_slots_;
+  }
   orders_.emplace_back(std::move(query));
 }
 
@@ -182,6 +195,10 @@
   if (step.advice.HasPendingQuery(now.steady) || now.steady < step.advice.next_query_at) {
     return false;
   }
+  step.awaits_advice_slot = IsLongQuery(*step.job->advice) && long_advice_slots_ == 0;
+  if (step.awaits_advice_slot) {
+    return false;
+  }
   if (!step.advice.IsQueryOverdue(now.steady)) {
     return true;
   }
@@ -210,7 +227,7 @@
                    .Add("step", query.step));
     return;
   }
-  auto& share = advised_share_.try_emplace(job->spec->queue, kInitialAdvisedShare).first->second;
+  auto& share = AdvisedShare(*step);
   const auto answered_share = static_cast<double>(allowed->size()) /
                               static_cast<double>(std::max<std::size_t>(1, query.workers.size()));
   share += kAdvisedShareWeight * (answered_share - share);
--- a/src/rosearch/sched/scheduler_gangs.cc
+++ b/src/rosearch/sched/scheduler_gangs.cc
@@ -107,6 +107,11 @@
   }
 }
 
+std::size_t scheduler::CountWorkersForGangQuery(const step_state& step) {
+  const auto wanted = CountNamesFor(step, static_cast<std::uint32_t>(step.tasks.size()));
+  return std::clamp(wanted, settings_.min_workers_per_gang_query, settings_.max_workers_per_query);
+}
+
 // Sends a query only if its answer lets the gang start or covers workers without a known answer.
 // When a query was sent as soon as any member had room, four queries in five were useless, and
 // queries of other steps waited for 6 s on average, one in twenty for 23 s.
@@ -135,7 +140,7 @@
     // a member come first.
     std::stable_partition(unknown.begin(), unknown.end(),
                           [&](const auto* worker) { return Fits(step, *worker); });
-    unknown.resize(std::min(unknown.size(), settings_.max_workers_per_query));
+    unknown.resize(std::min(unknown.size(), CountWorkersForGangQuery(step)));
     named = std::move(unknown);
   }
   std::vector<std::string> names;
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -218,6 +218,9 @@
   if (step.at_limit && CountStartsWithinLimit(step) > 0) {
     return false;
   }
+  if (step.awaits_advice_slot && long_advice_slots_ > 0) {
+    return false;
+  }
   if (step.job->restored && !IsStartable(step)) {
     return true;  // freed room doesn't unblock it
   }
--- a/src/rosearch/sched/scheduler_settings.h
+++ b/src/rosearch/sched/scheduler_settings.h
@@ -46,8 +46,11 @@
   /// A ticket with less remaining validity is requested anew, since the start order must arrive
   /// before the ticket expires.
   duration ticket_margin{std::chrono::milliseconds{150}};
-  /// Max workers named in one advice query; each one makes the answer slower.
-  std::size_t max_workers_per_query{30};
+  /// Max workers named in one advice query, by the platform's specification. A step names only as
+  /// many as its tasks need.
+  std::size_t max_workers_per_query{100};
+  /// Workers without advice that a gang names in one query, even if it has few members.
+  std::size_t min_workers_per_gang_query{30};
   /// Attempts to deliver a start order without an answer before the run is stopped and moved.
   std::uint32_t max_start_attempts{3};
   /// Consecutive unanswered watches before a worker counts as silent. A single one is usually a
--- a/test/rosearch/cell/advice_dispatcher_test.cc
+++ b/test/rosearch/cell/advice_dispatcher_test.cc
@@ -190,6 +190,21 @@
   CHECK(dispatcher.TakeNext(kStart)->query.step == "first");
 }
 
+TEST_CASE("long queries have as many slots as processes are free for them") {
+  advice_dispatcher dispatcher;
+  CHECK(dispatcher.CountLongSlots(kStart) == 0);
+  dispatcher.SetHelpers({"", "1", "2", "3", "4", "5"});  // two send no long queries
+  CHECK(dispatcher.CountLongSlots(kStart) == 4);
+  dispatcher.Add(Query("a", false), kStart);
+  dispatcher.Add(Query("quick", true), kStart);
+  CHECK(dispatcher.CountLongSlots(kStart) == 3);
+  while (dispatcher.TakeNext(kStart)) {
+  }
+  CHECK(dispatcher.CountLongSlots(kStart) == 3);
+  dispatcher.ReleaseHelper("2");
+  CHECK(dispatcher.CountLongSlots(kStart) == 4);
+}
+
 // The answer of a process is lost. If the process stayed marked as busy, it would send no further
 // query, and once this had happened to all processes no long job would start.
 TEST_CASE("a process whose answer is lost is used again after a grace period") {
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -197,6 +197,11 @@
 }
 
 void cell_world::RunPass() {
+  if (!advice_free_at_.empty() && settings_.Uses(mechanism::kAdviceSlots)) {
+    const auto free =
+        std::ranges::count_if(advice_free_at_, [&](auto free_at) { return free_at <= now_; });
+    leader_->SetLongAdviceSlots(static_cast<std::size_t>(free));
+  }
   leader_->Schedule(Now());
   const auto orders = leader_->TakeOrders();
   order_count_ += orders.size();
@@ -207,7 +212,8 @@
     auto& job = jobs_[settled.id];
     job.accepted = job.accepted || settled.accepted;
     job.refused = job.refused || (!settled.accepted && !settled.cancelled);
-    if (settled.cancelled && leader_->Phase(settled.id, {job.spec.queue}) == job_phase::kCancelled) {
+    if (settled.cancelled &&
+        leader_->Phase(settled.id, {job.spec.queue}) == job_phase::kCancelled) {
       job.cancelled = job.cancelled.value_or(now_);
     }
   }
--- a/test/rosearch/sched/load_test.cc
+++ b/test/rosearch/sched/load_test.cc
@@ -376,6 +376,49 @@
   CHECK(ours.slowed > baseline.slowed + 0.2);
 }
 
+/// Long steps of 14 tasks, which advice allows on a third of 100 workers, at three quarters of the
+/// cell's capacity. An advice query costs over half a second, and three processes send queries.
+/// @return share of jobs in time.
+double WideAdvisedSteps(const scheduler_settings& settings) {
+  world_options options;
+  options.worker = {64'000, 128'000, 0};
+  options.long_queue_advice = {milliseconds{507}, std::chrono::microseconds{7'280},
+                               milliseconds{2'500}};
+  options.advice_allowed_tenths = 3;
+  options.max_advice_queries = 3;
+  options.has_urgent_queue = false;
+  cell_world world{19, {}, 100, settings, options};
+  world.Run(seconds{1});
+  submitted_jobs wide;
+  for (int at = 0; at < 120; ++at) {
+    auto job = Job(14, 18'000, milliseconds{6'000}, true);
+    job.steps[0].need = {18'000, 34'000, 0};
+    wide.Add(world, job);
+    world.Run(milliseconds{400});
+  }
+  world.Run(seconds{60});
+  CHECK(world.Violations().empty());
+  return wide.InTime(world, milliseconds{6'000}, seconds{4});
+}
+
+// Queries that wait for a process name workers that are full by the time of the answer. Steps then
+// ask again and again, while a quarter of the processors stays free.
+TEST_CASE("workers of a long query are chosen when a process can send it") {
+  const double ours = WideAdvisedSteps({});
+  const double baseline = WideAdvisedSteps(Without(mechanism::kAdviceSlots));
+  auto few_names = scheduler_settings{};
+  few_names.off.Add(mechanism::kAdviceSlots);
+  few_names.max_workers_per_query = 30;
+  const double former = WideAdvisedSteps(few_names);
+  few_names.off = {};
+  const double slots_alone = WideAdvisedSteps(few_names);
+  std::cout << "wide advised steps in time: " << ours << ", with queries that queue " << baseline
+            << ", with at most 30 names " << slots_alone << ", with both " << former << '\n';
+  CHECK(slots_alone > former + 0.1);
+  CHECK(baseline > former + 0.1);
+  CHECK(ours >= slots_alone);
+}
+
 // Under twice the load that the cell can run, accepting every job makes all of them late. Refusing
 // a part at once lets its callers retry and the rest complete in time.
 TEST_CASE("jobs that can't complete in time are refused, so that the rest complete in time") {
