--- a/src/rosearch/node/internal/node_balance.h
+++ b/src/rosearch/node/internal/node_balance.h
@@ -53,7 +53,7 @@
     if (slots_[number]->value.Serving(at.now)) {
       mine.push_back(number);
     }
-    moving = moving || slots_[number]->moving_to.has_value();
+    moving = moving || slots_[number]->move.has_value();
   }
   const auto move = claims && !moving ? NextMove(settings_.self, owned) : std::nullopt;
   if (!move) {
@@ -90,11 +90,10 @@
     // way of the present witness, which then takes the one with few shards as its own, nothing
     // stops.
     const bool by_witness = best->first == move_step::kGiveToWitness;
-    item.moving_to = by_witness ? value.rights().witness() : to;
-    item.next_witness = by_witness ? to : settings_.self;
-    item.transfer_sent = false;
-    item.move_until = at.now + settings_.move_limit;
-    LOG(INFO) << "event=shard_move shard=" << best->second << " to=" << *item.moving_to;
+    const auto until = at.now + settings_.move_limit;
+    item.move = by_witness ? pending_move{*value.rights().witness(), to, until}
+                           : pending_move{to, settings_.self, until};
+    LOG(INFO) << "event=shard_move shard=" << best->second << " to=" << item.move->to;
     if (best->first == move_step::kPair) {
       value.BeginClaimWith(to, at, out);
     }
@@ -143,24 +142,25 @@
 /// record.
 template <node_ports Ports>
 void basic_node<Ports>::ContinueMove(slot& item, const step_time& at, shard_output& out) {
-  if (!item.moving_to) {
+  if (!item.move) {
     return;
   }
   auto& value = item.value;
-  if (at.now >= item.move_until || !value.Serving(at.now) || !value.LogUp()) {
+  auto& move = *item.move;
+  if (at.now >= move.until || !value.Serving(at.now) || !value.LogUp()) {
     value.EndDrain();
-    item.moving_to.reset();
+    item.move.reset();
     return;
   }
-  if (value.rights().witness() != item.moving_to || !value.rights().WitnessActive()) {
+  if (value.rights().witness() != move.to || !value.rights().WitnessActive()) {
     return;
   }
   value.BeginDrain();
-  if (item.transfer_sent || value.OpenRequests() != 0 || !value.WitnessHasAll()) {
+  if (move.sent || value.OpenRequests() != 0 || !value.WitnessHasAll()) {
     return;
   }
-  item.transfer_sent = value.BeginTransfer(item.next_witness, at, out);
-  item.move_until = std::min(item.move_until, at.now + internal::kTransferWait);
+  move.sent = value.BeginTransfer(move.next_witness, at, out);
+  move.until = std::min(move.until, at.now + internal::kTransferWait);
 }
 
 template <node_ports Ports>
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -132,6 +132,14 @@
                                                     const step_time& at);
 
  private:
+  /// A move of a shard to its witness.
+  struct pending_move {
+    party to;
+    party next_witness;  ///< of the entry that it moves to
+    time_point until;    ///< when it is given up
+    bool sent{false};    ///< the record that gives the shard away was handed to the log
+  };
+
   struct slot {
     slot(shard_number number, const node_settings& settings)
         : value{number, settings.region_of_shard[number], settings.self, settings.shard,
@@ -148,10 +156,7 @@
     time_point next_claim{};
     time_point snapshot_at{};
     time_point served_at{};  ///< when somebody last said that it serves the shard
-    std::optional<party> moving_to;
-    party next_witness;         ///< of the entry that it moves to
-    bool transfer_sent{false};  ///< the record that gives it away was handed to the log
-    time_point move_until{kNever};
+    std::optional<pending_move> move;
   };
 
   struct local_message {
--- a/src/rosearch/ownership/shard_rights.h
+++ b/src/rosearch/ownership/shard_rights.h
@@ -807,9 +807,7 @@
     } else if (decided == wire::RULING_TAKEOVER) {
       mine.may_take_over = true;
     } else {
-      // Rule 10: as if it had resigned; the owner acts by its own right.
-      mine.resigned = true;
-      resigned_epoch_ = std::max(resigned_epoch_, epoch);
+      ResignAt(epoch, mine);  // the owner acts by its own right
     }
   }
 
@@ -841,8 +839,7 @@
     auto* const mine = Find(epoch, false, from);
     if (mine == nullptr || IsBlocked(epoch)) return;
     if (mine->stage == stage::kActing || mine->stage == stage::kStopped) return;
-    mine->resigned = true;
-    resigned_epoch_ = std::max(resigned_epoch_, epoch);
+    ResignAt(epoch, *mine);
     Send(from, epoch, out).mutable_resign();
   }
 
@@ -854,12 +851,17 @@
       if (mine.stage == stage::kActing) {
         mine.stage = stage::kStopped;
       } else if (mine.stage != stage::kStopped) {
-        mine.resigned = true;
-        resigned_epoch_ = std::max(resigned_epoch_, epoch);
+        ResignAt(epoch, mine);
       }
     }
   }
 
+  // Rule 10: the witness neither renews nor takes over at that epoch again.
+  void ResignAt(epoch_number epoch, part& mine) {
+    mine.resigned = true;
+    resigned_epoch_ = std::max(resigned_epoch_, epoch);
+  }
+
   void RepeatFarewells(time_point now, rights_output& out) {
     if (now < farewell_at_) return;
     farewell_at_ = now + settings_.renew_interval;
