The order of waiting steps in a file of its own; jobs beyond their customer's rate come after the others (sched)

Cause: a customer that sends many times its rate held up all others of the same priority, since order was priority, then deadline. Change: placement_order.h, a pure rank of a step (cut out of StepsInPlacementOrder), with the customer's rate before the deadline.

--- a/src/rosearch/sched/mechanism.h
+++ b/src/rosearch/sched/mechanism.h
@@ -27,9 +27,10 @@
   kEarlyElection,      ///< suspects the leader as soon as its connection breaks
   kRelays,             ///< peers handle the worker traffic of a large cell
   kAdviceSlots,        ///< chooses the workers of a long advice query when a process can send it
+  kRateOrder,          ///< serves jobs within their customer's rate before others
 };
 
-inline constexpr std::size_t kMechanismCount = 16;
+inline constexpr std::size_t kMechanismCount = 17;
 
 /// A set of mechanisms.
 class mechanism_set {
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <cmath>
 
+#include "rosearch/sched/placement_order.h"
 #include "rosearch/sched/scheduler.h"
 
 namespace rosearch::sched {
@@ -254,22 +255,12 @@
 }
 
 std::vector<step_state*> scheduler::StepsInPlacementOrder(const instant& now) {
-  // Services that lost a task come first, since their users are affected at once. The others are
-  // sorted by priority, then by deadline. Jobs that are late by more than twice their objective
-  // come last.
-  const auto key = [&](const step_state* step) {
-    const auto& job = *step->job;
-    const bool service = step->spec->service;
-    const bool hopeless = settings_.Uses(mechanism::kHopelessLast) && !service &&
-                          now.steady > job.finish_by + 2 * job.spec->objective;
-    return std::tuple{service ? 0 : 1, hopeless ? 1 : 0, job.priority, job.finish_by};
-  };
-  std::vector<std::pair<decltype(key(nullptr)), step_state*>> sorted;
+  std::vector<std::pair<placement_rank, step_state*>> sorted;
   std::erase_if(waiting_steps_,
                 [](auto* step) { return step->CountIdleTasks() == 0 && MarkUnlisted(*step); });
   for (auto* const step : waiting_steps_) {
     if (!StillBlocked(*step, now)) {
-      sorted.emplace_back(key(step), step);
+      sorted.emplace_back(RankOf(*step, settings_, now.steady), step);
     }
   }
   std::ranges::stable_sort(sorted, {}, [](const auto& each) { return each.first; });
