--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -318,7 +318,7 @@
     job_phase phase{job_phase::kCompleted};
     std::int64_t ended_ms{0};
     std::string customer{};
-    resources stopping{};  ///< of the runs that were still active when its end was stored
+    resources stopping{};  ///< max of runs that may still be active though they are not known
   };
 
   // scheduler_jobs.cc
@@ -458,6 +458,9 @@
   void AssignCustomer(job_state& job);
   /// Charges a run to the limit of a customer; `DetachRun` releases it.
   static void ChargeCustomer(live_run& run, customer_account* customer, const resources& amount);
+  /// @return max resources of a job's runs that a former leader may have started and that no worker
+  ///         has reported yet.
+  [[nodiscard]] resources UnreadUsage(const job_state& job, const instant& now) const;
   /// Estimates what the customers' runs use that a former leader may have started and that no
   /// worker has reported yet.
   void EstimateUnreadUsage(const instant& now);
--- a/src/rosearch/sched/scheduler_customers.cc
+++ b/src/rosearch/sched/scheduler_customers.cc
@@ -59,6 +59,23 @@
   return room;
 }
 
+resources scheduler::UnreadUsage(const job_state& job, const instant& now) const {
+  resources sum;
+  if (!job.restored) {
+    return sum;
+  }
+  for (const auto& occurrence : job.occurrences) {
+    for (const auto& step : occurrence->steps) {
+      const bool settled = !MayRunOnUnsettledWorker(*step);
+      const auto count = std::ranges::count_if(step->tasks, [&](const task_state& task) {
+        return !task.done && task.live == 0 && (!settled || task.not_before > now.steady);
+      });
+      sum = sum + step->spec->need * count;
+    }
+  }
+  return sum;
+}
+
 // A successor that knew nothing of such runs would start new jobs on top of them, and a customer
 // would have twice its limit running until all workers have answered.
 void scheduler::EstimateUnreadUsage(const instant& now) {
@@ -67,35 +84,26 @@
     return;
   }
   has_unread_usage_ = room.has_value();
-  std::map<customer_account*, resources> unread;
-  if (room) {
-    for (const auto& [id, job] : jobs_) {
-      if (job->customer == nullptr || !job->restored || IsTerminal(job->phase)) {
-        continue;
-      }
-      for (const auto& occurrence : job->occurrences) {
-        for (const auto& step : occurrence->steps) {
-          const bool settled = !MayRunOnUnsettledWorker(*step);
-          const auto count = std::ranges::count_if(step->tasks, [&](const task_state& task) {
-            return !task.done && task.live == 0 && (!settled || task.not_before > now.steady);
-          });
-          auto& amount = unread[job->customer];
-          amount = amount + step->spec->need * count;
-        }
-      }
-    }
-  }
-  for (auto& [id, ended] : ended_) {
-    if (!room) {
+  if (!room) {
+    for (auto& [id, ended] : ended_) {
       ended.stopping = resources{};
-    } else if (!ended.customer.empty() && ended.stopping != resources{}) {
-      auto& amount = unread[&customers_.Open(ended.customer)];
-      amount = amount + ended.stopping;
     }
+    for (auto& [name, account] : customers_) {
+      account.SetUnread({});
+    }
+    return;
+  }
+  std::map<std::string, resources> unread;  // by customer
+  for (const auto& [id, job] : jobs_) {
+    auto& amount = unread[job->spec->customer];
+    amount = amount + UnreadUsage(*job, now);
+  }
+  for (const auto& [id, ended] : ended_) {
+    auto& amount = unread[ended.customer];
+    amount = amount + ended.stopping;
   }
   for (auto& [name, account] : customers_) {
-    const auto found = unread.find(&account);
-    account.SetUnread(found == unread.end() ? resources{} : Least(found->second, *room));
+    account.SetUnread(Least(unread[name], *room));
   }
 }
 
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -485,7 +485,7 @@
   std::erase_if(waiting_steps_, of_job);
 }
 
-void scheduler::RetireEndedJobs(const instant&) {
+void scheduler::RetireEndedJobs(const instant& now) {
   const auto candidates = std::exchange(retiring_, {});
   for (const auto& id : candidates) {
     auto* const job = FindJob(id);
@@ -496,7 +496,8 @@
       continue;  // listed again when its last run ends or its record is stored
     }
     DropSteps(*job);
-    ended_[id] = ended_job{job->spec->queue, job->phase, job->ended_ms, job->spec->customer, {}};
+    ended_[id] = ended_job{job->spec->queue, job->phase, job->ended_ms, job->spec->customer,
+                           has_unread_usage_ ? UnreadUsage(*job, now) : resources{}};
     jobs_.erase(id);
   }
 }
--- a/test/rosearch/sched/scheduler_customers_test.cc
+++ b/test/rosearch/sched/scheduler_customers_test.cc
@@ -213,6 +213,37 @@
   CHECK(next.Started().size() == 1);
 }
 
+// A job is cancelled while a worker that may run its tasks hasn't answered the new leader yet. The
+// job is forgotten at once, but its runs go on until that worker is told.
+TEST_CASE("a new leader counts the unread runs of a job that it cancels") {
+  scheduler_fixture former;
+  former.SetLimit(kTwoTasks);
+  (void)former.Submit("a", 2, 1'000, "a");
+  former.SaveRecords();
+  REQUIRE(former.Starts().size() == 2);
+
+  new_leader next{former};
+  next.AddWorker("w0", {});
+  CHECK(next.leader.Cancel("a", {kQueue, "a"}, next.now) == cancel_verdict::kPending);
+  next.Store();
+  next.leader.Tick(next.now);
+  job_spec job;
+  job.id = "n";
+  job.queue = kQueue;
+  job.pool = "pool";
+  job.customer = "a";
+  job.objective = seconds{10};
+  job.steps.resize(1);
+  job.steps[0].need = {1'000, 100, 0};
+  job.steps[0].estimate = milliseconds{500};
+  (void)next.leader.Submit(job, next.now);
+  next.Store();
+  CHECK(next.Started().empty());
+  next.AddWorker("w1", {});
+  next.leader.Tick(next.now);
+  CHECK(next.Started().size() == 1);
+}
+
 TEST_CASE("a customer sees and cancels only its own jobs") {
   scheduler_fixture fixture;
   (void)fixture.Submit("a", 1, 1'000, "a");
