Read-through: a share of the limit that nothing asked for goes; one job for the tests of customers (sched)

Found while reading the whole change: customer_account::LimitShare had no caller; three tests of a new leader and the fixture built the same job line by line, now MakeJob of the fixture.

--- a/src/rosearch/sched/customer_accounts.cc
+++ b/src/rosearch/sched/customer_accounts.cc
@@ -60,16 +60,6 @@
   });
 }
 
-double customer_account::LimitShare() const {
-  double share = 0;
-  for (const auto& each : Dimensions({}, used_, limit_)) {
-    if (each.limit > 0) {
-      share = std::max(share, static_cast<double>(each.used) / static_cast<double>(each.limit));
-    }
-  }
-  return share;
-}
-
 void customer_accounts::Configure(const std::vector<customer_rules>& customers) {
   for (const auto& rules : customers) {
     Open(rules.name).Configure(rules);
--- a/src/rosearch/sched/customer_accounts.h
+++ b/src/rosearch/sched/customer_accounts.h
@@ -40,8 +40,6 @@
   [[nodiscard]] bool MayStartTogether(const resources& need, std::uint32_t count) const;
   /// @return whether this many tasks could start together if nothing else ran.
   [[nodiscard]] bool CouldEverStartTogether(const resources& need, std::uint32_t count) const;
-  /// @return the larger share of its limit in use, by resource; 0 without a limit.
-  [[nodiscard]] double LimitShare() const;
 
   /// Counts a new job against the rate to which the customer is entitled.
   /// @return whether the job is within the rate.
--- a/test/rosearch/sched/scheduler_customers_test.cc
+++ b/test/rosearch/sched/scheduler_customers_test.cc
@@ -156,16 +156,7 @@
 
   new_leader next{former};
   next.AddWorker("w0", {});
-  job_spec job;
-  job.id = "n";
-  job.queue = kQueue;
-  job.pool = "pool";
-  job.customer = "a";
-  job.objective = seconds{10};
-  job.steps.resize(1);
-  job.steps[0].need = {1'000, 100, 0};
-  job.steps[0].estimate = milliseconds{500};
-  (void)next.leader.Submit(job, next.now);
+  (void)next.leader.Submit(MakeJob("n", 1, 1'000, "a"), next.now);
   next.Store();
   CHECK(next.Started().empty());
 
@@ -195,17 +186,8 @@
   former.SaveRecords();
 
   new_leader next{former};
-  job_spec job;
-  job.id = "n";
-  job.queue = kQueue;
-  job.pool = "pool";
-  job.customer = "a";
-  job.objective = seconds{10};
-  job.steps.resize(1);
-  job.steps[0].need = {1'000, 100, 0};
-  job.steps[0].estimate = milliseconds{500};
   next.AddWorker("w0", {});
-  (void)next.leader.Submit(job, next.now);
+  (void)next.leader.Submit(MakeJob("n", 1, 1'000, "a"), next.now);
   next.Store();
   CHECK(next.Started().empty());
   next.AddWorker("w1", {});
@@ -227,16 +209,7 @@
   CHECK(next.leader.Cancel("a", {kQueue, "a"}, next.now) == cancel_verdict::kPending);
   next.Store();
   next.leader.Tick(next.now);
-  job_spec job;
-  job.id = "n";
-  job.queue = kQueue;
-  job.pool = "pool";
-  job.customer = "a";
-  job.objective = seconds{10};
-  job.steps.resize(1);
-  job.steps[0].need = {1'000, 100, 0};
-  job.steps[0].estimate = milliseconds{500};
-  (void)next.leader.Submit(job, next.now);
+  (void)next.leader.Submit(MakeJob("n", 1, 1'000, "a"), next.now);
   next.Store();
   CHECK(next.Started().empty());
   next.AddWorker("w1", {});
--- a/test/rosearch/sched/scheduler_fixture.h
+++ b/test/rosearch/sched/scheduler_fixture.h
@@ -16,6 +16,23 @@
 
 inline constexpr const char* kQueue = "cell.test/jobs/";
 
+/// @return a job of one step with this many tasks; an empty customer means none.
+inline job_spec MakeJob(const std::string& id, std::uint32_t count, std::int64_t processors,
+                        const std::string& customer) {
+  job_spec job;
+  job.id = id;
+  job.queue = kQueue;
+  job.pool = "pool";
+  job.max_attempts = 2;
+  job.steps.resize(1);
+  job.steps[0].count = count;
+  job.steps[0].need = {processors, 100, 0};
+  job.steps[0].estimate = std::chrono::milliseconds{500};
+  job.objective = std::chrono::seconds{10};
+  job.customer = customer;
+  return job;
+}
+
 /// A leading scheduler with idle workers that a test drives step by step.
 class scheduler_fixture {
  public:
@@ -76,18 +93,7 @@
   }
   submit_answer Submit(const std::string& id, std::uint32_t count, std::int64_t processors = 1'000,
                        const std::string& customer = {}) {
-    job_spec job;
-    job.id = id;
-    job.queue = kQueue;
-    job.pool = "pool";
-    job.max_attempts = 2;
-    job.steps.resize(1);
-    job.steps[0].count = count;
-    job.steps[0].need = {processors, 100, 0};
-    job.steps[0].estimate = std::chrono::milliseconds{500};
-    job.objective = std::chrono::seconds{10};
-    job.customer = customer;
-    return leader.Submit(job, now);
+    return leader.Submit(MakeJob(id, count, processors, customer), now);
   }
   std::vector<start_order> Starts() {
     leader.Schedule(now);
