--- a/src/rosearch/journal/snapshot_finder.cc
+++ b/src/rosearch/journal/snapshot_finder.cc
@@ -8,7 +8,7 @@
   if (entry.has_control()) {
     const auto& control = entry.control();
     if (control.has_snapshot() && control.snapshot().upto_offset() <= at) {
-      candidates_[at] = {{at, control.snapshot().upto_offset()}, 0};
+      candidates_[at] = {{at, control.snapshot().upto_offset()}, {}};
     }
     return;
   }
@@ -16,17 +16,17 @@
     return;
   }
   const auto& batch = entry.batch();
-  const auto [first, is_new] = first_of_epoch_.try_emplace(batch.epoch(), at);
+  const auto [first, is_new] = first_of_term_.try_emplace(TermOf(batch), at);
   first->second = std::min(first->second, at);
   const auto& records = batch.records();
   if (std::ranges::any_of(records, [](const auto& each) { return each.has_snapshot(); })) {
-    candidates_[at] = {{at, at}, batch.epoch()};
+    candidates_[at] = {{at, at}, TermOf(batch)};
   }
 }
 
 bool snapshot_finder::IsOvertaken(const candidate& snapshot) const {
-  const auto higher = first_of_epoch_.upper_bound(snapshot.epoch);
-  return std::any_of(higher, first_of_epoch_.end(),
+  const auto higher = first_of_term_.upper_bound(snapshot.term);
+  return std::any_of(higher, first_of_term_.end(),
                      [&](const auto& each) { return each.second < snapshot.place.at; });
 }
 
--- a/src/rosearch/journal/snapshot_finder.h
+++ b/src/rosearch/journal/snapshot_finder.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "rosearch/core/id.h"
+#include "rosearch/core/shard_term.h"
 #include "rosearch/journal/record_id.h"
 #include "rosearch/wire/record.pb.h"
 
@@ -21,8 +22,9 @@
 /// Finds the newest usable snapshot among records that are shown in any order: of the control
 /// stream, or of a shard.
 ///
-/// A shard's snapshot under an epoch that had been overtaken at that offset is void: an owner that
-/// was paused may still have written it. Beginning there would bring back what its successor ended.
+/// A shard's snapshot of a term that had been overtaken at that offset is void: a holder that was
+/// paused, or whose append was slow, may still have written it. Beginning there would bring back
+/// what its successor ended.
 class snapshot_finder {
  public:
   void Show(log_offset at, const wire::log_entry& entry);
@@ -34,13 +36,13 @@
  private:
   struct candidate {
     snapshot_place place;
-    epoch_number epoch{0};  ///< 0 in the control stream
+    shard_term term;  ///< of epoch 0 in the control stream
   };
 
   [[nodiscard]] bool IsOvertaken(const candidate& snapshot) const;
 
   std::map<log_offset, candidate> candidates_;
-  std::map<epoch_number, log_offset> first_of_epoch_;
+  std::map<shard_term, log_offset> first_of_term_;
 };
 
 }  // namespace rosearch::journal
--- a/src/rosearch/ownership/shard_rights.h
+++ b/src/rosearch/ownership/shard_rights.h
@@ -80,6 +80,12 @@
            at->second.stage == internal::rights_stage::kGranted;
   }
 
+  /// @return whether this process acts, or acted last, as the witness of its epoch.
+  [[nodiscard]] bool ActsAsWitness() const noexcept {
+    const auto at = parts_.find(held_epoch_);
+    return at != parts_.end() && !at->second.is_owner;
+  }
+
   /// @return the newest epoch known, zero for none.
   [[nodiscard]] epoch_number epoch() const noexcept {
     return history_.empty() ? 0 : history_.rbegin()->first;
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -159,7 +159,7 @@
   }
   if (copy_.WholeAt(event.epoch) ||
       (event.copied_epoch != 0 && copy_.WholeAt(event.copied_epoch))) {
-    journal_.Start(event.epoch, copy_.state(), copy_.sequence());
+    journal_.Start({event.epoch, rights_.ActsAsWitness()}, copy_.state(), copy_.sequence());
     Serve(true, at, out);
     return;
   }
@@ -219,7 +219,7 @@
     state = journal_.state();
     sequence = journal_.sequence();
   }
-  journal_.Start(epoch, std::move(state), sequence);
+  journal_.Start({epoch, rights_.ActsAsWitness()}, std::move(state), sequence);
   Serve(first_ever, at, out);
 }
 
--- a/src/rosearch/shard/shard_journal.cc
+++ b/src/rosearch/shard/shard_journal.cc
@@ -24,8 +24,8 @@
 
 }  // namespace
 
-void shard_journal::Start(epoch_number epoch, shard_state state, std::uint64_t sequence) {
-  epoch_ = epoch;
+void shard_journal::Start(shard_term term, shard_state state, std::uint64_t sequence) {
+  term_ = term;
   state_ = std::move(state);
   sequence_ = sequence;
   tail_.clear();
@@ -35,7 +35,7 @@
 }
 
 void shard_journal::ContinueAt(epoch_number epoch) {
-  epoch_ = epoch;
+  term_ = epoch;
   StopReplication();
   log_needs_snapshot_ = true;
 }
@@ -76,7 +76,7 @@
   const auto add = [&](std::uint64_t first) -> wire::replicate& {
     auto& message = messages.emplace_back();
     message.set_shard(shard_);
-    message.set_epoch(epoch_);
+    message.set_epoch(term_.epoch);
     message.set_first_sequence(first);
     return message;
   };
@@ -101,7 +101,7 @@
 }
 
 void shard_journal::OnWitnessAck(const wire::replicate_ack& ack, time_point now) {
-  if (!replicating_ || ack.epoch() != epoch_) {
+  if (!replicating_ || ack.epoch() != term_.epoch) {
     return;
   }
   if (ack.send_snapshot()) {
@@ -124,7 +124,7 @@
   }
   wire::shard_batch batch;
   batch.set_shard(shard_);
-  batch.set_epoch(epoch_);
+  SetTerm(term_, batch);
   if (log_needs_snapshot_) {
     batch.set_first_sequence(sequence_);
     *batch.add_records() = MakeSnapshot();
@@ -178,7 +178,7 @@
   auto& snapshot = *record.mutable_snapshot();
   snapshot = state_.Snapshot();
   snapshot.set_shard(shard_);
-  snapshot.set_epoch(epoch_);
+  snapshot.set_epoch(term_.epoch);
   snapshot.set_sequence(sequence_);
   return record;
 }
--- a/src/rosearch/shard/shard_journal.h
+++ b/src/rosearch/shard/shard_journal.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "rosearch/core/id.h"
+#include "rosearch/core/shard_term.h"
 #include "rosearch/core/time.h"
 #include "rosearch/shard/shard_state.h"
 #include "rosearch/wire/peer.pb.h"
@@ -33,9 +34,9 @@
   /// @param shard  the shard whose state this is.
   explicit shard_journal(shard_number shard) : shard_{shard} {}
 
-  /// Begins a term as the owner with a state that is durable as it is.
+  /// Begins a term with a state that is durable as it is.
   /// @param sequence  of the last record that the state includes.
-  void Start(epoch_number epoch, shard_state state, std::uint64_t sequence);
+  void Start(shard_term term, shard_state state, std::uint64_t sequence);
 
   /// Goes on at a later epoch with the same state and the same records in hand.
   void ContinueAt(epoch_number epoch);
@@ -87,7 +88,7 @@
   [[nodiscard]] std::uint64_t sequence() const noexcept { return sequence_; }
   /// @return the sequence up to which `TakeDurable` has given records out.
   [[nodiscard]] std::uint64_t delivered() const noexcept { return delivered_; }
-  [[nodiscard]] epoch_number epoch() const noexcept { return epoch_; }
+  [[nodiscard]] epoch_number epoch() const noexcept { return term_.epoch; }
 
  private:
   [[nodiscard]] wire::shard_record MakeSnapshot() const;
@@ -96,7 +97,7 @@
   void DropUnneeded();
 
   shard_number shard_;
-  epoch_number epoch_{0};
+  shard_term term_;
   shard_state state_;
   std::uint64_t sequence_{0};
   std::deque<wire::shard_record> tail_;  ///< the last records, up to `sequence_`
--- a/src/rosearch/shard/shard_log_view.cc
+++ b/src/rosearch/shard/shard_log_view.cc
@@ -10,23 +10,21 @@
 }  // namespace
 
 void shard_log_view::OnBatch(const std::string& author, const wire::shard_batch& batch) {
-  if (batch.epoch() < epoch_ || replaced_.contains(author)) {
+  const auto term = TermOf(batch);
+  if (term < term_ || replaced_.contains(author)) {
     return;
   }
-  if (batch.epoch() > epoch_) {
-    if (!BeginsWithSnapshot(batch)) {
-      return;
-    }
-    epoch_ = batch.epoch();
+  const bool begins_anew = term > term_ || author != author_;
+  if (begins_anew && !BeginsWithSnapshot(batch)) {
+    return;
+  }
+  if (term.epoch > term_.epoch) {
     replaced_.clear();
-    author_ = author;
   } else if (author != author_) {
-    if (!BeginsWithSnapshot(batch)) {
-      return;
-    }
     replaced_.insert(author_);
-    author_ = author;
   }
+  term_ = term;
+  author_ = author;
   TakeIn(batch);
 }
 
--- a/src/rosearch/shard/shard_log_view.h
+++ b/src/rosearch/shard/shard_log_view.h
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "rosearch/core/id.h"
+#include "rosearch/core/shard_term.h"
 #include "rosearch/shard/shard_state.h"
 #include "rosearch/wire/record.pb.h"
 
@@ -24,7 +25,8 @@
 
   [[nodiscard]] const shard_state& state() const noexcept { return state_; }
   [[nodiscard]] std::uint64_t sequence() const noexcept { return sequence_; }
-  [[nodiscard]] epoch_number epoch() const noexcept { return epoch_; }
+  [[nodiscard]] epoch_number epoch() const noexcept { return term_.epoch; }
+  [[nodiscard]] replica_version version() const noexcept { return {term_, sequence_}; }
 
   /// @return the newest author, or an empty text where the stream holds nothing.
   [[nodiscard]] const std::string& author() const noexcept { return author_; }
@@ -33,7 +35,7 @@
   void TakeIn(const wire::shard_batch& batch);
 
   shard_state state_;
-  epoch_number epoch_{0};
+  shard_term term_;
   std::uint64_t sequence_{0};
   std::string author_;
   std::set<std::string> replaced_;  ///< authors of this epoch whose batches are void
--- a/test/rosearch/journal/stream_reader_test.cc
+++ b/test/rosearch/journal/stream_reader_test.cc
@@ -28,10 +28,12 @@
   return entry.SerializeAsString();
 }
 
-std::string Batch(const std::string& id, epoch_number epoch, bool snapshot) {
+std::string Batch(const std::string& id, epoch_number epoch, bool snapshot,
+                  bool taken_over = false) {
   wire::log_entry entry;
   entry.set_id(id);
   entry.mutable_batch()->set_epoch(epoch);
+  entry.mutable_batch()->set_taken_over(taken_over);
   auto* const record = entry.mutable_batch()->add_records();
   snapshot ? static_cast<void>(record->mutable_snapshot()->set_epoch(epoch))
            : record->mutable_cancelled()->set_job("j");
@@ -180,6 +182,12 @@
        0,
        {"f/1/1", "f/1/2", "e/1/2"},
        false},
+      {"of an owner whose witness took over",
+       {Batch("e/1/1", 1, true), Batch("f/1/1", 1, true, true), Batch("f/1/2", 1, false, true),
+        Batch("e/1/2", 1, true)},
+       0,
+       {"f/1/1", "f/1/2", "e/1/2"},
+       false},
   };
   for (const auto& row : rows) {
     INFO(row.what);
