What a holder tells outlives it: standbys, copies passed on, claimants ask all entries (shard, node)

Cause: a claimant looked at the log and at its own copies only. Besides, a holder without witness and log told all the same (durable_by::kNobody), a lost holder was replaced only through the log, and a planned stop took the only copy with it. Rights and their rules are as they were. Why it works: what is told or acted on is with two entries or with the log; each copy of a shard that nobody serves is kept by two live entries while two live; a claimant that holds the right, so that nothing changes any more, takes the newest of all copies, ordered by (term, sequence).

--- a/src/rosearch/node/internal/node_balance.h
+++ b/src/rosearch/node/internal/node_balance.h
@@ -8,6 +8,48 @@
 
 namespace rosearch {
 
+template <node_ports Ports>
+void basic_node<Ports>::TellPeers(const step_time& at) {
+  std::vector<shard_peers> peers(slots_.size());
+  {
+    const std::scoped_lock lock{cell_.mutex};
+    if (at.now < cell_.tell_peers_at) {
+      return;
+    }
+    cell_.tell_peers_at = at.now + internal::kTellPeers;
+    for (shard_number number = 0; number < slots_.size(); ++number) {
+      peers[number] = PeersFor(number, at.now);
+    }
+  }
+  for (shard_number number = 0; number < slots_.size(); ++number) {
+    const std::scoped_lock lock{slots_[number]->mutex};
+    slots_[number]->value.SetPeers(std::move(peers[number]));
+  }
+}
+
+template <node_ports Ports>
+shard_peers basic_node<Ports>::PeersFor(shard_number number, time_point now) const {
+  shard_peers peers;
+  const auto* const self = cell_.members.Find(settings_.self.entry);
+  if (self == nullptr) {
+    return peers;
+  }
+  peers.standbys = WitnessCandidates(number, *self, cell_.members.Live(now));
+  for (const auto& [entry, known] : cell_.members.all()) {
+    const bool is_live = cell_.members.IsLive(known.who, now);
+    if (known.who == settings_.self || known.region != self->region) {
+      continue;
+    }
+    if (is_live || cell_.members.IsListed(known.who)) {
+      peers.sources.push_back(known.who);
+    }
+    const bool serves =
+        std::ranges::find(known.owned, number, &wire::shard_summary::shard) != known.owned.end();
+    peers.served_elsewhere = peers.served_elsewhere || (is_live && serves);
+  }
+  return peers;
+}
+
 template <node_ports Ports>
 void basic_node<Ports>::Balance(const step_time& at) {
   std::vector<member> copies;
@@ -187,27 +229,14 @@
     alone =
         cell_.members.Live(at.now).empty() || at.now >= cell_.stop_at + internal::kWaitForWitness;
   }
-  auto& value = item.value;
-  const auto role = value.rights().role();
-  if (role == rights_role::kWitness) {
-    value.Resign(at, out);
-    return;
-  }
-  if (role == rights_role::kNone) {
-    return;
-  }
-  value.BeginDrain();
-  const bool paired = value.WitnessHasAll() && value.rights().WitnessActive();
-  if (value.OpenRequests() == 0 && (paired || alone)) {
-    value.HandOver(at, out);
-  }
+  item.value.Leave(alone, at, out);
 }
 
 template <node_ports Ports>
 bool basic_node<Ports>::Stopped() const {
   for (const auto& item : slots_) {
     const std::scoped_lock lock{item->mutex};
-    if (item->value.OpenRequests() > 0 || item->value.rights().ActDeadline() != time_point::min()) {
+    if (!item->value.HasLeft()) {
       return false;
     }
   }
--- a/src/rosearch/node/internal/node_constants.h
+++ b/src/rosearch/node/internal/node_constants.h
@@ -30,6 +30,10 @@
 /// than a takeover takes, because a claim makes the witness give its copy of the state up.
 inline constexpr duration kUnservedFor = std::chrono::seconds{8};
 
+/// Between two looks at who may keep a shard's state: well below the time after which an entry
+/// counts as silent.
+inline constexpr duration kTellPeers = std::chrono::milliseconds{200};
+
 /// A record that moves a shard is waited for so long, with calls sent elsewhere. After that the
 /// owner takes calls again: the log is slow or down.
 inline constexpr duration kTransferWait = std::chrono::seconds{2};
--- a/src/rosearch/node/internal/node_messages.h
+++ b/src/rosearch/node/internal/node_messages.h
@@ -185,6 +185,20 @@
         });
       }
       break;
+    case wire::peer_message::kFindReplica:
+      if (message.find_replica().shard() < slots_.size()) {
+        WithShard(message.find_replica().shard(), at, [&](shard& value, shard_output& out) {
+          value.OnReplicaRequest(from, message.find_replica(), out);
+        });
+      }
+      break;
+    case wire::peer_message::kReplica:
+      if (message.replica().shard() < slots_.size()) {
+        WithShard(message.replica().shard(), at, [&](shard& value, shard_output& out) {
+          value.OnReplicaAnswer(from, message.replica(), at, out);
+        });
+      }
+      break;
     case wire::peer_message::kAsk:
       if (message.ask().shard() < slots_.size()) {
         WithShard(message.ask().shard(), at, [&](shard& value, shard_output& out) {
--- a/src/rosearch/node/internal/node_upkeep.h
+++ b/src/rosearch/node/internal/node_upkeep.h
@@ -51,6 +51,7 @@
     PumpAppender(at.now);
     log_up = LogUp(at.now);
   }
+  TellPeers(at);
   for (shard_number number = 0; number < slots_.size(); ++number) {
     WithShard(number, at, [&](shard& value, shard_output& out) {
       value.SetLogUp(log_up);
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -198,6 +198,7 @@
     usage_teller usage_told;
     usage_memory usage_heard;
     time_point balance_at{kNever};
+    time_point tell_peers_at{};
     time_point snapshot_at{kNever};
     time_point started_at{time_point::min()};
     bool announced{false};
@@ -241,6 +242,9 @@
   void OnHeartbeat(const wire::heartbeat& beat, const step_time& at);
   void TellQuotas(const step_time& at);
   void TellShards(const control_change& change, const step_time& at);
+  /// Tells each shard which other entries may keep its state.
+  void TellPeers(const step_time& at);
+  [[nodiscard]] shard_peers PeersFor(shard_number number, time_point now) const;
   void Balance(const step_time& at);
   void BalanceShard(shard_number number, const std::vector<const member*>& live,
                     const std::vector<party>& candidates, bool claims, const step_time& at);
--- a/src/rosearch/shard/fwd.h
+++ b/src/rosearch/shard/fwd.h
@@ -9,7 +9,7 @@
 class shard;
 class shard_journal;
 class shard_state;
-class witness_copy;
+class shard_replica;
 struct shard_output;
 struct shard_settings;
 struct task_key;
--- a/src/rosearch/shard/job_table.cc
+++ b/src/rosearch/shard/job_table.cc
@@ -47,6 +47,7 @@
   waiting_ = 0;
   for (const auto& [key, job] : journal_.state().jobs()) {
     TakeUp(key, job, now);
+    DriveOf(key).changed = journal_.sequence();
   }
 }
 
@@ -140,11 +141,17 @@
   }
 }
 
-void job_table::OnStatus(const call_origin& from, const job_key& key, shard_output& out) {
+void job_table::OnStatus(const call_origin& from, const job_key& key, bool durable,
+                         shard_output& out) {
   if (journal_.state().FindJob(key) == nullptr) {
     out.answers.push_back({from, ErrorAnswer(error_kind::kNotFound, "no such job")});
     return;
   }
+  if (!durable && DriveOf(key).changed > journal_.secured()) {
+    // An end that is told and then lost with this process would be taken back.
+    out.answers.push_back({from, ErrorAnswer(NoSecondCopy())});
+    return;
+  }
   Answer(from, key, out);
 }
 
@@ -318,7 +325,7 @@
 
 void job_table::OnDurable(const wire::shard_record& record, const job_context& context,
                           shard_output& out) {
-  SendDurableAnswers(out);
+  SendSecuredAnswers(out);
   const auto settle = [&](const wire::task_ref& ref) {
     const auto key = ParseTaskKey(ref.task());
     const auto found = key ? drives_.find(key->job) : drives_.end();
@@ -632,21 +639,21 @@
   }
   const auto sequence = found == drives_.end() ? 0 : found->second.changed;
   held_answers_.push_back({sequence, {to, std::move(answer)}});
-  SendDurableAnswers(out);
+  SendSecuredAnswers(out);
 }
 
 /// An owner that is cut off goes on until its right lapses. Told before the records that it rests
 /// on are durable, "ended" would be taken back by the successor, which starts the task again.
-void job_table::SendDurableAnswers(shard_output& out) {
-  const auto is_durable = [this](const held_answer& held) {
-    return held.sequence <= journal_.delivered();
+void job_table::SendSecuredAnswers(shard_output& out) {
+  const auto is_secured = [this](const held_answer& held) {
+    return held.sequence <= journal_.secured();
   };
   for (auto& held : held_answers_) {
-    if (is_durable(held)) {
+    if (is_secured(held)) {
       out.answers.push_back(held.answer);
     }
   }
-  std::erase_if(held_answers_, is_durable);
+  std::erase_if(held_answers_, is_secured);
 }
 
 void job_table::Record(const job_key& key, wire::shard_record record) {
--- a/src/rosearch/shard/job_table.h
+++ b/src/rosearch/shard/job_table.h
@@ -52,7 +52,8 @@
   /// @param durable  whether the acceptance would have a second copy; a known job is told anyway.
   void OnSubmit(const call_origin& from, const wire::job_accepted& job, bool durable,
                 const job_context& context, shard_output& out);
-  void OnStatus(const call_origin& from, const job_key& key, shard_output& out);
+  /// @param durable  whether another place can have the newest records.
+  void OnStatus(const call_origin& from, const job_key& key, bool durable, shard_output& out);
   void OnCancel(const call_origin& from, const job_key& key, const job_context& context,
                 shard_output& out);
 
@@ -68,6 +69,9 @@
 
   void Tick(const job_context& context, shard_output& out);
 
+  /// Sends the answers whose records another place has by now.
+  void SendSecuredAnswers(shard_output& out);
+
   /// @return tasks that wait for room.
   [[nodiscard]] std::size_t Waiting() const noexcept { return waiting_; }
 
@@ -141,7 +145,6 @@
   [[nodiscard]] wire::capacity_message MessageTo(shard_number shard) const;
   [[nodiscard]] wire::placement_made WantOf(const task_key& key) const;
   void Answer(const call_origin& to, const job_key& key, shard_output& out);
-  void SendDurableAnswers(shard_output& out);
 
   shard_number shard_;
   region_id region_;
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -112,6 +112,28 @@
   TakeRights(rights, at, out);
 }
 
+void shard::Leave(bool alone, const step_time& at, shard_output& out) {
+  const auto role = rights_.role();
+  if (role == rights_role::kWitness) {
+    Resign(at, out);
+    return;
+  }
+  if (role == rights_role::kNone) {
+    return;
+  }
+  BeginDrain();
+  const bool paired = WitnessHasAll() && rights_.WitnessActive();
+  // What only this process has would be lost with it, and a caller may have been told of it.
+  const bool is_kept = IsKeptElsewhere() || !Serving(at.now);
+  if (requests_.size() == 0 && (paired || (alone && is_kept))) {
+    HandOver(at, out);
+  }
+}
+
+bool shard::HasLeft() const {
+  return requests_.size() == 0 && rights_.ActDeadline() == time_point::min() && !OwesCopy();
+}
+
 void shard::TakeRights(rights_output& rights, const step_time& at, shard_output& out) {
   for (auto& envelope : rights.messages) {
     wire::peer_message message;
@@ -157,15 +179,20 @@
     Serve(true, at, out);
     return;
   }
-  if (copy_.WholeAt(event.epoch) ||
-      (event.copied_epoch != 0 && copy_.WholeAt(event.copied_epoch))) {
-    journal_.Start({event.epoch, rights_.ActsAsWitness()}, copy_.state(), copy_.sequence());
+  if (replica_.WholeAt(event.epoch) ||
+      (event.copied_epoch != 0 && replica_.WholeAt(event.copied_epoch))) {
+    const bool is_kept = HasPartner(replica_.version());
+    journal_.Start({event.epoch, rights_.ActsAsWitness()}, replica_.state(), replica_.sequence());
+    if (is_kept) {
+      journal_.OnStartKept();
+    }
     Serve(true, at, out);
     return;
   }
   log_view_ = shard_log_view{};
   reading_since_ = at.now;
-  ++reading_;
+  stream_read_ = false;
+  search_.Start(++reading_, at.now);
   phase_ = phase::kReading;
 }
 
@@ -182,6 +209,8 @@
   phase_ = phase::kIdle;
   replicating_ = false;
   journal_.StopReplication();
+  journal_.StopStandby();
+  standby_.Reset();
   pool_.OnLost(at.now);
   executors_.Drop(at.now);
   requests_.Drop(out);
@@ -198,29 +227,8 @@
   if (phase_ != phase::kReading || asked_at < reading_since_) {
     return;
   }
-  // What this process holds itself goes before the log where it is newer: it was the witness, or
-  // the owner, of the last epoch that wrote.
-  const auto epoch = rights_.act_epoch();
-  const bool first_ever = log_view_.epoch() == 0 && epoch == 1;
-  shard_state state = log_view_.state();
-  auto sequence = log_view_.sequence();
-  const auto older = std::pair{log_view_.epoch(), log_view_.sequence()};
-  if (std::pair{copy_.epoch(), copy_.sequence()} > older && copy_.WholeAt(copy_.epoch())) {
-    state = copy_.state();
-    sequence = copy_.sequence();
-  }
-  LOG(INFO) << "event=stream_read shard=" << number_ << " epoch=" << epoch
-            << " log_epoch=" << log_view_.epoch() << " log_sequence=" << log_view_.sequence()
-            << " log_author=" << log_view_.author() << " copy_epoch=" << copy_.epoch()
-            << " copy_sequence=" << copy_.sequence() << " own_epoch=" << journal_.epoch()
-            << " own_sequence=" << journal_.sequence();
-  const bool wrote_last = log_view_.author() == ToText(self_) || log_view_.author().empty();
-  if (wrote_last && std::pair{journal_.epoch(), journal_.sequence()} > older) {
-    state = journal_.state();
-    sequence = journal_.sequence();
-  }
-  journal_.Start({epoch, rights_.ActsAsWitness()}, std::move(state), sequence);
-  Serve(first_ever, at, out);
+  stream_read_ = true;
+  ServeWhenFound(at, out);
 }
 
 void shard::Serve(bool complete, const step_time& at, shard_output& out) {
@@ -248,7 +256,7 @@
 }
 
 std::uint64_t shard::Term() const noexcept {
-  return TermNumber(rights_.act_epoch(), rights_.role() == rights_role::kActingWitness);
+  return TermNumber(journal_.term().epoch, journal_.term().taken_over);
 }
 
 std::optional<wire::shard_batch> shard::TakeForLog() {
@@ -265,6 +273,10 @@
 
 void shard::OnReplicate(const party& from, const wire::replicate& message, const step_time& /*at*/,
                         shard_output& out) {
+  if (message.standby()) {
+    OnStandbyReplicate(from, message, out);
+    return;
+  }
   // Only the owner of the newest epoch replicates; an older one is told nothing and gives up.
   const auto owner = rights_.owner();
   if (!owner || *owner != from || message.epoch() != rights_.epoch()) {
@@ -276,16 +288,27 @@
     return;
   }
   wire::peer_message answer;
-  *answer.mutable_acked() = copy_.OnReplicate(message);
+  *answer.mutable_acked() = replica_.OnReplicate(message);
+  partner_ = from;
+  partner_version_ = replica_.version();
   out.peers.push_back({from, std::move(answer)});
 }
 
 void shard::OnReplicateAck(const party& from, const wire::replicate_ack& ack, const step_time& at,
                            shard_output& out) {
+  if (ack.standby()) {
+    OnStandbyAck(from, ack, at);
+    Settle(at, out);
+    return;
+  }
   if (rights_.witness() != from) {
     return;
   }
   journal_.OnWitnessAck(ack, at.now);
+  if (journal_.WitnessHasAll()) {
+    partner_ = from;
+    partner_version_ = journal_.version();
+  }
   Settle(at, out);
 }
 
@@ -316,6 +339,7 @@
     replicating_ = false;
     journal_.StopReplication();
   }
+  ReplicateToStandby(at, out);
   if (!paired) {
     return;
   }
@@ -324,13 +348,16 @@
     *message.mutable_records() = std::move(records);
     out.peers.push_back({*witness, std::move(message)});
   }
-  rights_.SetWitnessReady(journal_.WitnessInStep());
+  rights_.SetWitnessReady(journal_.WitnessHasTold());
 }
 
 void shard::DeliverDurable(const step_time& at, shard_output& out) {
-  const auto holder = rights_.WitnessActive() ? durable_by::kWitness
-                      : log_up_               ? durable_by::kLog
-                                              : durable_by::kNobody;
+  const auto holder = DurableBy();
+  if (std::exchange(kept_by_, holder) != holder) {
+    LOG(INFO) << "event=records_kept_by shard=" << number_ << " epoch=" << rights_.act_epoch()
+              << " by=" << DurableByName(holder) << " told=" << journal_.delivered()
+              << " secured=" << journal_.secured() << " newest=" << journal_.sequence();
+  }
   for (const auto& record : journal_.TakeDurable(holder)) {
     pool_output pool;
     pool_.OnDurable(record, at.now, pool);
@@ -338,6 +365,20 @@
     jobs_.OnDurable(record, JobContext(at), out);
     requests_.OnDurable(record);
   }
+  jobs_.SendSecuredAnswers(out);
+}
+
+durable_by shard::DurableBy() const {
+  if (rights_.WitnessActive()) {
+    return durable_by::kWitness;
+  }
+  if (journal_.HasStandby()) {
+    return durable_by::kStandby;
+  }
+  if (log_up_) {
+    return durable_by::kLog;
+  }
+  return peers_.standbys.empty() ? durable_by::kNobody : durable_by::kStandby;
 }
 
 }  // namespace rosearch
--- a/src/rosearch/shard/shard.h
+++ b/src/rosearch/shard/shard.h
@@ -19,12 +19,14 @@
 #include "rosearch/shard/cell_view.h"
 #include "rosearch/shard/executor_lane.h"
 #include "rosearch/shard/job_table.h"
+#include "rosearch/shard/replica_search.h"
 #include "rosearch/shard/request_table.h"
 #include "rosearch/shard/shard_journal.h"
 #include "rosearch/shard/shard_log_view.h"
 #include "rosearch/shard/shard_output.h"
+#include "rosearch/shard/shard_replica.h"
 #include "rosearch/shard/shard_settings.h"
-#include "rosearch/shard/witness_copy.h"
+#include "rosearch/shard/standby_choice.h"
 
 namespace rosearch {
 
@@ -35,6 +37,13 @@
   std::uint64_t unix_ms{0};
 };
 
+/// What an entry knows of the others that may keep a shard's state.
+struct shard_peers {
+  std::vector<party> standbys;   ///< live and not leaving, the best first
+  std::vector<party> sources;    ///< may have a state of the shard, and may answer
+  bool served_elsewhere{false};  ///< a live one says that it serves the shard
+};
+
 /// One shard as one entry holds it: the right to act, the records, and what is done with them while
 /// the right lasts. Reads no clock, socket or global randomness. Not for use by two threads at a
 /// time.
@@ -57,6 +66,7 @@
   void SetCandidates(std::vector<party> candidates);
   void BeginFirstClaim(const step_time& at, shard_output& out);
   void BeginClaim(const step_time& at, shard_output& out);
+  void SetPeers(shard_peers peers);
   /// The owner claims the next epoch with another witness.
   void BeginClaimWith(const party& witness, const step_time& at, shard_output& out);
 
@@ -71,6 +81,10 @@
                    shard_output& out);
   void OnReplicateAck(const party& from, const wire::replicate_ack& ack, const step_time& at,
                       shard_output& out);
+  void OnReplicaRequest(const party& from, const wire::replica_request& request,
+                        shard_output& out) const;
+  void OnReplicaAnswer(const party& from, const wire::replica_answer& answer, const step_time& at,
+                       shard_output& out);
   void OnCall(const call_origin& from, const wire::call& call, const step_time& at,
               shard_output& out);
   void OnCapacity(const wire::capacity_message& message, const step_time& at, shard_output& out);
@@ -103,7 +117,9 @@
   /// The next batch for the log begins with a snapshot.
   void RequestLogSnapshot() noexcept { journal_.RequestLogSnapshot(); }
   /// @return whether the stream has to be read from its oldest record before this shard can serve.
-  [[nodiscard]] bool WantsStream() const noexcept { return phase_ == phase::kReading; }
+  [[nodiscard]] bool WantsStream() const noexcept {
+    return phase_ == phase::kReading && !stream_read_;
+  }
   /// @return which reading of the stream is wanted; each has to begin at its oldest record.
   [[nodiscard]] std::uint64_t Reading() const noexcept { return reading_; }
   void OnStreamBatch(const std::string& author, const wire::shard_batch& batch);
@@ -119,6 +135,12 @@
   /// @param next_witness  of the new owner.
   /// @return false, and nothing happens, where the log is down or this entry may not act.
   bool BeginTransfer(const party& next_witness, const step_time& at, shard_output& out);
+  /// Does what is due for a planned stop: resigns as a witness; as a holder ends what is in flight
+  /// and gives the right up, to its witness or, `alone`, once another place has all that was told.
+  /// @param alone  no witness is to be expected.
+  void Leave(bool alone, const step_time& at, shard_output& out);
+  /// @return whether nothing of the shard is lost where this process ends now.
+  [[nodiscard]] bool HasLeft() const;
   /// Takes no new calls from now on.
   void BeginDrain() noexcept { draining_ = true; }
   void EndDrain() noexcept { draining_ = false; }
@@ -164,7 +186,34 @@
   void Pump(pool_output& pool, const step_time& at, shard_output& out);
   void Settle(const step_time& at, shard_output& out);
   void DeliverDurable(const step_time& at, shard_output& out);
+  [[nodiscard]] durable_by DurableBy() const;
   void Replicate(const step_time& at, shard_output& out);
+
+  // Copies without a right: of a holder without a witness, and of a shard that nobody serves.
+  /// A state that this entry has, as a holder or as a copy of a holder's.
+  struct own_replica {
+    replica_version version;
+    const shard_state* state{nullptr};
+  };
+  [[nodiscard]] std::optional<own_replica> NewestOwn() const;
+  /// @return whether no other live entry is known to have the state that this one has of a shard
+  ///   that nobody serves: where one could be given it, or where this one told what it holds.
+  [[nodiscard]] bool OwesCopy() const;
+  [[nodiscard]] bool HasPartner(const replica_version& version) const;
+  /// @return whether an entry lives and isn't leaving.
+  [[nodiscard]] bool IsStaying(const std::optional<party>& who) const;
+  /// @return whether another place has all that this holder told or acted on.
+  [[nodiscard]] bool IsKeptElsewhere() const;
+  /// @return whether this holder has no witness, or one that has fallen silent.
+  [[nodiscard]] bool IsAlone(time_point now) const;
+  [[nodiscard]] bool NeedsStandby(time_point now) const;
+  void ReplicateToStandby(const step_time& at, shard_output& out);
+  void SendToStandby(std::vector<wire::replicate> messages, shard_output& out) const;
+  void PassOn(const step_time& at, shard_output& out);
+  void OnStandbyAck(const party& from, const wire::replicate_ack& ack, const step_time& at);
+  void OnStandbyReplicate(const party& from, const wire::replicate& message, shard_output& out);
+  void Search(const step_time& at, shard_output& out);
+  void ServeWhenFound(const step_time& at, shard_output& out);
   void LoopBack(const step_time& at, shard_output& out);
   void TakeCapacity(const wire::capacity_message& message, const step_time& at, shard_output& out);
   void Dispatch(const step_time& at, shard_output& out);
@@ -181,8 +230,9 @@
   party self_;
   shard_rights rights_;
   shard_journal journal_;
-  witness_copy copy_;
+  shard_replica replica_;
   shard_log_view log_view_;
+  replica_search search_;
   cell_view cell_;
   vm_pool pool_;
   job_table jobs_;
@@ -195,6 +245,16 @@
   bool draining_{false};
   bool replicating_{false};
   epoch_number replicating_epoch_{0};
+  shard_peers peers_;
+  standby_choice standby_;
+  time_point pass_on_at_{};
+  time_point alone_since_{kNever};   ///< without an active witness
+  std::optional<party> partner_;     ///< the entry that last had all that this one had
+  replica_version partner_version_;  ///< as of then
+  shard_term replicated_term_;       ///< the newest whose holder had its state kept elsewhere
+  durable_by kept_by_{durable_by::kNobody};
+
+  bool stream_read_{false};
   time_point reading_since_{};
   std::uint64_t reading_{0};  ///< counts the readings begun
   time_point paused_until_{};
--- a/src/rosearch/shard/shard_work.cc
+++ b/src/rosearch/shard/shard_work.cc
@@ -169,7 +169,8 @@
       jobs_.OnSubmit(from, call.submit().job(), durable, JobContext(at), out);
       break;
     case wire::call::kStatus:
-      jobs_.OnStatus(from, {call.status().customer(), call.status().job()}, out);
+      jobs_.OnStatus(from, {call.status().customer(), call.status().job()},
+                     DurableBy() != durable_by::kNobody, out);
       break;
     case wire::call::kCancel:
       if (!durable) {
@@ -235,6 +236,12 @@
 
 void shard::OnSummary(const wire::shard_summary& summary, const region_id& region,
                       const step_time& at) {
+  if (summary.shard() == number_ && summary.replicated()) {
+    replicated_term_ = std::max(replicated_term_, TermOf(summary));
+  }
+  if (replica_.whole() && replica_.version().term < replicated_term_) {
+    replica_.Clear();
+  }
   if (cell_.OnSummary(summary, region) && phase_ == phase::kServing) {
     jobs_.OnTermOf(summary.shard(), at.now);
   }
@@ -260,8 +267,8 @@
   }
   wire::shard_summary summary;
   summary.set_shard(number_);
-  summary.set_epoch(rights_.act_epoch());
-  summary.set_taken_over(rights_.role() == rights_role::kActingWitness);
+  SetTerm(journal_.term(), summary);
+  summary.set_replicated(journal_.IsStartKept());
   if (!draining_) {
     *summary.mutable_largest_room() = pool_.LargestRoom();
     *summary.mutable_total_room() = pool_.TotalRoom();
@@ -281,6 +288,8 @@
   if (phase_ == phase::kPaused && at.now >= paused_until_) {
     OnLost(at, out);
   }
+  Search(at, out);
+  PassOn(at, out);
   if (!Serving(at.now)) {
     return;
   }
@@ -310,6 +319,12 @@
   dump["right_left_ms"] = LeftMs(std::max(rights_.ActDeadline(), now), now);
   dump["rights"] = rights_.Dump();
   dump["sequence"] = journal_.sequence();
+  dump["records_told"] = journal_.delivered();
+  dump["records_secured"] = journal_.secured();
+  dump["records_kept_by"] = Serving(now) ? DurableByName(DurableBy()) : "";
+  dump["standby"] = standby_.current() ? ToText(*standby_.current()) : "";
+  dump["replica_epoch"] = replica_.epoch();
+  dump["replica_sequence"] = replica_.sequence();
   dump["witness_in_step"] = journal_.WitnessInStep();
   dump["jobs"] = journal_.state().jobs().size();
   dump["tasks_waiting"] = jobs_.Waiting();
--- a/test/rosearch/shard/shard_journal_test.cc
+++ b/test/rosearch/shard/shard_journal_test.cc
@@ -3,7 +3,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 
-#include "rosearch/shard/witness_copy.h"
+#include "rosearch/shard/shard_replica.h"
 
 namespace rosearch {
 namespace {
@@ -20,7 +20,7 @@
 }
 
 /// Passes everything that is due to the copy and the acknowledgements back.
-void Exchange(shard_journal& journal, witness_copy& copy, time_point now) {
+void Exchange(shard_journal& journal, shard_replica& copy, time_point now) {
   for (const auto& message : journal.TakeForWitness(now)) {
     journal.OnWitnessAck(copy.OnReplicate(message), now);
   }
@@ -42,7 +42,7 @@
   journal.StartReplication(kStart);
   REQUIRE_FALSE(journal.TakeForWitness(kStart).empty());
   REQUIRE(journal.TakeForWitness(kStart + milliseconds{10}).empty());
-  witness_copy copy;
+  shard_replica copy;
   Exchange(journal, copy, kStart + milliseconds{400});
   CHECK(journal.WitnessInStep());
   CHECK(journal.WitnessHasAll());
@@ -59,7 +59,7 @@
   CHECK(journal.TakeDurable(durable_by::kLog).empty());
   CHECK(journal.TakeDurable(durable_by::kNobody).empty());
   journal.StartReplication(kStart);
-  witness_copy copy;
+  shard_replica copy;
   Exchange(journal, copy, kStart);
   CHECK(journal.TakeDurable(durable_by::kLog).empty());
   CHECK(journal.TakeDurable(durable_by::kWitness).size() == 1);
