A successor tries a gang again of which one member failed (shard)

Cause: that a gang is broken was known to the owner alone. One member had failed and waited, another ran on; a successor (or the same owner after a lapse of its right) took the committed one for a gang on its way, and when that one ended, waited for the rest to be committed. Change: a gang with a committed member beside a waiting one is broken, as all members are committed together. Test: 'a successor tries a gang again of which one member failed', which fails without the change (run).

--- a/src/rosearch/shard/job_table.cc
+++ b/src/rosearch/shard/job_table.cc
@@ -75,8 +75,10 @@
   drive_of_job.tasks.resize(job.tasks.size());
   drive_of_job.deadline =
       spec.deadline_ms() == 0 ? kNever : now + std::chrono::milliseconds{spec.deadline_ms()};
+  bool is_waiting = false;  // some task
   std::uint32_t index = 0;
   for (const auto& slot : job.tasks) {
+    is_waiting = is_waiting || slot.state == wire::TASK_QUEUED;
     const task_key task{key, index};
     auto& drive_of_task = drive_of_job.tasks[index++];
     drive_of_task.at = stage::kIdle;
@@ -95,6 +97,10 @@
     }
     SetDue(task, drive_of_task, now);
   }
+  // All members are committed together: one that waits beside them has failed, and the gang is to
+  // be tried again once the others have ended.
+  drive_of_job.gang_broken =
+      drive_of_job.gang_broken || (drive_of_job.gang_committing && is_waiting);
   if (job.Ended()) {
     drive_of_job.forget_at = now + settings_.keep_ended;
     SetDue({key, 0}, drive_of_job.tasks.front(), drive_of_job.forget_at);
--- a/test/rosearch/shard/job_table_test.cc
+++ b/test/rosearch/shard/job_table_test.cc
@@ -79,8 +79,77 @@
   shard_output out_;
 };
 
+constexpr time_point kNow{std::chrono::seconds{100}};
+const std::string kGang = "trinacria/crew";
+
+wire::shard_record GangOfTwo() {
+  wire::shard_record record;
+  auto& spec = *record.mutable_accepted()->mutable_spec();
+  spec.set_customer("trinacria");
+  spec.set_job("crew");
+  spec.set_kind(wire::JOB_GANG);
+  spec.set_count(2);
+  spec.mutable_needs()->set_processors_milli(1000);
+  record.mutable_accepted()->mutable_treatment()->set_retries(3);
+  return record;
+}
+
+wire::task_ref FirstAttemptOf(const std::string& index) {
+  wire::task_ref ref;
+  ref.set_task(kGang + '#' + index);
+  ref.set_attempt(1);
+  return ref;
+}
+
+wire::shard_record Committed(const std::string& index) {
+  wire::shard_record record;
+  *record.mutable_placing()->mutable_ref() = FirstAttemptOf(index);
+  record.mutable_placing()->set_target_shard(kHome);
+  return record;
+}
+
+/// A shard with room for both.
+wire::shard_summary Roomy() {
+  auto summary = SummaryOf(kHome);
+  summary.mutable_largest_room()->set_processors_milli(4000);
+  summary.mutable_total_room()->set_processors_milli(4000);
+  return summary;
+}
+
 }  // namespace
 
+// Guards against a gang that waits for ever: one member failed, another ran on, and the owner that
+// knew of it was replaced before that one ended.
+TEST_CASE("a successor tries a gang again of which one member failed", "[single-run]") {
+  shard_journal journal{kHome};
+  journal.Start(1, {}, 0);
+  journal.Propose(GangOfTwo());
+  journal.Propose(Committed("0"));
+  journal.Propose(Committed("1"));
+  wire::shard_record failed;
+  *failed.mutable_requeued()->mutable_ref() = FirstAttemptOf("0");
+  failed.mutable_requeued()->set_ran(true);
+  journal.Propose(failed);
+  cell_view cell;
+  static_cast<void>(cell.OnSummary(Roomy(), region_id{"sicily"}));
+  job_table jobs{kHome, region_id{"sicily"}, {}, journal, 1};
+  shard_output out;
+  jobs.Rebuild(kNow);
+  jobs.Tick({kNow, cell}, out);
+  wire::place_event ended;
+  *ended.mutable_ref() = FirstAttemptOf("1");
+  ended.set_kind(wire::PLACE_ENDED);
+  jobs.OnEvent(kHome, ended, {kNow, cell}, out);
+  for (auto now = kNow; now < kNow + std::chrono::seconds{5}; now += milliseconds{50}) {
+    jobs.Tick({now, cell}, out);
+  }
+  const auto* const job = journal.state().FindJob({"trinacria", "crew"});
+  REQUIRE(job != nullptr);
+  CHECK(job->tasks[1].state == wire::TASK_ENDED);
+  CHECK(job->tasks[0].state == wire::TASK_PLACING);
+  CHECK(job->tasks[0].attempt == 2);
+}
+
 // The cell is full, and the home shard runs nothing that may be stopped. Asking only there, urgent
 // work would wait for ever while another shard has work to preempt.
 TEST_CASE("urgent work asks one shard after the other to preempt") {
