An entry with an older copy is no second holder of a newer one (shard)

What callers could have seen: an end forgotten although an entry with it lived: that entry took the sender of an older copy for its second holder, and didn't pass its own on before it was lost. Cause: partner_version_ was set to what this entry had, not to what was received. Found while reading the diff.

--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -289,8 +289,7 @@
   }
   wire::peer_message answer;
   *answer.mutable_acked() = replica_.OnReplicate(message);
-  partner_ = from;
-  partner_version_ = replica_.version();
+  NotePartner(from, message);
   out.peers.push_back({from, std::move(answer)});
 }
 
--- a/src/rosearch/shard/shard.h
+++ b/src/rosearch/shard/shard.h
@@ -199,6 +199,7 @@
   /// @return whether no other live entry is known to have the state that this one has of a shard
   ///   that nobody serves: where one could be given it, or where this one told what it holds.
   [[nodiscard]] bool OwesCopy() const;
+  void NotePartner(const party& from, const wire::replicate& message);
   [[nodiscard]] bool HasPartner(const replica_version& version) const;
   /// @return whether an entry lives and isn't leaving.
   [[nodiscard]] bool IsStaying(const std::optional<party>& who) const;
--- a/src/rosearch/shard/shard_replicas.cc
+++ b/src/rosearch/shard/shard_replicas.cc
@@ -45,6 +45,17 @@
   return partner_version_ >= version && IsStaying(partner_);
 }
 
+/// The sender of records has them itself, but may have less than this entry.
+void shard::NotePartner(const party& from, const wire::replicate& message) {
+  const auto count = static_cast<std::uint64_t>(message.records_size());
+  const replica_version theirs{TermOf(message), message.first_sequence() + count - 1};
+  const auto own = NewestOwn();
+  if (own && theirs >= own->version) {
+    partner_ = from;
+    partner_version_ = theirs;
+  }
+}
+
 // A holder without a witness.
 
 bool shard::IsKeptElsewhere() const {
@@ -105,8 +116,7 @@
     ack.set_superseded(true);
   } else {
     ack = replica_.OnReplicate(message);
-    partner_ = from;
-    partner_version_ = replica_.version();
+    NotePartner(from, message);
   }
   out.peers.push_back({from, std::move(answer)});
 }
--- a/test/rosearch/shard/shard_replicas_test.cc
+++ b/test/rosearch/shard/shard_replicas_test.cc
@@ -121,6 +121,28 @@
   CHECK(cell.TellsEnd(kWitness, "swap"));
 }
 
+// Guards against a newest copy that isn't passed on because an entry with an older one sent that.
+TEST_CASE("an entry with an older copy is no second holder of a newer one", "[truthful-not-run]") {
+  shard keeper{0, region_id{"south"}, kArbiter, shard_settings{}, 1};
+  keeper.SetPeers({.standbys = {kOther}, .sources = {kOther}});
+  const auto send = [&](const party& from, std::uint64_t sequence) {
+    wire::replicate message;
+    message.set_epoch(3);
+    message.set_standby(true);
+    message.set_first_sequence(sequence);
+    message.add_records()->mutable_snapshot();
+    shard_output out;
+    keeper.OnReplicate(from, message, {}, out);
+  };
+  send(kOwner, 10);
+  send(kOther, 5);
+  shard_output out;
+  keeper.Tick({time_point{seconds{1000}}, 1}, out);
+  REQUIRE(out.peers.size() == 1);
+  CHECK(out.peers.front().to == kOther);
+  CHECK(out.peers.front().message.records().first_sequence() == 10);
+}
+
 // Guards against a last holder that ends its planned stop with what it alone knows.
 TEST_CASE("a lone holder stays until another place has what it told", "[graceful-stop]") {
   auto cell = InOutage();
