--- a/src/rosearch/shard/shard_journal.cc
+++ b/src/rosearch/shard/shard_journal.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "rosearch/shard/shard_replica.h"
 #include "rosearch/shard/task_key.h"
 
 namespace rosearch {
@@ -86,7 +87,7 @@
     return message;
   };
   if (due.snapshot) {
-    *add(sequence_).add_records() = MakeSnapshot();
+    *add(sequence_).add_records() = SnapshotRecord(shard_, version(), state_);
   }
   for (auto first = due.first; first <= due.last;) {
     const auto last = std::min(due.last, first + kLargestBatch - 1);
@@ -125,7 +126,7 @@
   SetTerm(term_, batch);
   if (log_needs_snapshot_) {
     batch.set_first_sequence(sequence_);
-    *batch.add_records() = MakeSnapshot();
+    *batch.add_records() = SnapshotRecord(shard_, version(), state_);
     log_needs_snapshot_ = false;
     log_given_ = sequence_;
     return batch;
@@ -197,16 +198,6 @@
   return records;
 }
 
-wire::shard_record shard_journal::MakeSnapshot() const {
-  wire::shard_record record;
-  auto& snapshot = *record.mutable_snapshot();
-  snapshot = state_.Snapshot();
-  snapshot.set_shard(shard_);
-  snapshot.set_epoch(term_.epoch);
-  snapshot.set_sequence(sequence_);
-  return record;
-}
-
 void shard_journal::DropUnneeded() {
   if (tail_.size() > kLongestTail && !log_needs_snapshot_) {
     log_needs_snapshot_ = true;
--- a/src/rosearch/shard/shard_journal.h
+++ b/src/rosearch/shard/shard_journal.h
@@ -124,7 +124,6 @@
   [[nodiscard]] replica_version version() const noexcept { return {term_, sequence_}; }
 
  private:
-  [[nodiscard]] wire::shard_record MakeSnapshot() const;
   [[nodiscard]] std::vector<wire::replicate> TakeFor(replica_feed& feed, time_point now) const;
   void OnAck(replica_feed& feed, const wire::replicate_ack& ack, time_point now);
   [[nodiscard]] std::uint64_t DurableBy(durable_by holder) const;
--- a/src/rosearch/shard/shard_replica.cc
+++ b/src/rosearch/shard/shard_replica.cc
@@ -49,4 +49,15 @@
   }
 }
 
+wire::shard_record SnapshotRecord(shard_number shard, const replica_version& version,
+                                  const shard_state& state) {
+  wire::shard_record record;
+  auto& snapshot = *record.mutable_snapshot();
+  snapshot = state.Snapshot();
+  snapshot.set_shard(shard);
+  snapshot.set_epoch(version.term.epoch);
+  snapshot.set_sequence(version.sequence);
+  return record;
+}
+
 }  // namespace rosearch
--- a/src/rosearch/shard/shard_replica.h
+++ b/src/rosearch/shard/shard_replica.h
@@ -41,6 +41,10 @@
   bool whole_{false};
 };
 
+/// @return a record that brings a receiver to a state of the shard at once.
+[[nodiscard]] wire::shard_record SnapshotRecord(shard_number shard, const replica_version& version,
+                                                const shard_state& state);
+
 }  // namespace rosearch
 
 #endif  // ROSEARCH_SHARD_SHARD_REPLICA_H_
--- a/src/rosearch/shard/shard_replicas.cc
+++ b/src/rosearch/shard/shard_replicas.cc
@@ -185,11 +185,7 @@
   SetTerm(own.version.term, message);
   message.set_standby(true);
   message.set_first_sequence(own.version.sequence);
-  auto& snapshot = *message.add_records()->mutable_snapshot();
-  snapshot = own.state->Snapshot();
-  snapshot.set_shard(number_);
-  snapshot.set_epoch(own.version.term.epoch);
-  snapshot.set_sequence(own.version.sequence);
+  *message.add_records() = SnapshotRecord(number_, own.version, *own.state);
   SendToStandby({std::move(message)}, out);
 }
 
--- a/test/rosearch/node/soak_test.cc
+++ b/test/rosearch/node/soak_test.cc
@@ -41,6 +41,11 @@
   KeepPromises({fault_mode::kMany, {24, 27, 28, 29, 32, 33, 34, 35, 37, 40, 41, 55, 5210}});
 }
 
+TEST_CASE("whole entries keep every promise while holders are lost in outages of the log",
+          "[soak][part-4]") {
+  KeepPromises({fault_mode::kMany, {135, 20015, 20088, 20154, 20170, 20186, 30551}});
+}
+
 // A run that can't be repeated can't be looked into: whoever sees a breach must see it again from
 // the line that it printed.
 TEST_CASE("one seed is one run to the byte", "[whole-answer]") {
