--- a/src/rosearch/shard/shard.h
+++ b/src/rosearch/shard/shard.h
@@ -66,6 +66,7 @@
   void SetCandidates(std::vector<party> candidates);
   void BeginFirstClaim(const step_time& at, shard_output& out);
   void BeginClaim(const step_time& at, shard_output& out);
+  /// Says who may keep the shard's state; without it no copies are sent or asked for.
   void SetPeers(shard_peers peers);
   /// The owner claims the next epoch with another witness.
   void BeginClaimWith(const party& witness, const step_time& at, shard_output& out);
@@ -81,6 +82,7 @@
                    shard_output& out);
   void OnReplicateAck(const party& from, const wire::replicate_ack& ack, const step_time& at,
                       shard_output& out);
+  /// A claimant asks for this entry's state: answered whether or not this entry has a newer one.
   void OnReplicaRequest(const party& from, const wire::replica_request& request,
                         shard_output& out) const;
   void OnReplicaAnswer(const party& from, const wire::replica_answer& answer, const step_time& at,
@@ -186,6 +188,7 @@
   void Pump(pool_output& pool, const step_time& at, shard_output& out);
   void Settle(const step_time& at, shard_output& out);
   void DeliverDurable(const step_time& at, shard_output& out);
+  /// @return who has to have a record before it is told or acted on.
   [[nodiscard]] durable_by DurableBy() const;
   void Replicate(const step_time& at, shard_output& out);
 
@@ -195,11 +198,13 @@
     replica_version version;
     const shard_state* state{nullptr};
   };
+  /// @return the newest state here, or none.
   [[nodiscard]] std::optional<own_replica> NewestOwn() const;
   /// @return whether no other live entry is known to have the state that this one has of a shard
   ///   that nobody serves: where one could be given it, or where this one told what it holds.
   [[nodiscard]] bool OwesCopy() const;
   void NotePartner(const party& from, const wire::replicate& message);
+  /// @return whether another live entry was told of a state as new as that one.
   [[nodiscard]] bool HasPartner(const replica_version& version) const;
   /// @return whether an entry lives and isn't leaving.
   [[nodiscard]] bool IsStaying(const std::optional<party>& who) const;
@@ -210,10 +215,13 @@
   [[nodiscard]] bool NeedsStandby(time_point now) const;
   void ReplicateToStandby(const step_time& at, shard_output& out);
   void SendToStandby(std::vector<wire::replicate> messages, shard_output& out) const;
+  /// Gives the state of a shard that nobody serves to one more live entry.
   void PassOn(const step_time& at, shard_output& out);
   void OnStandbyAck(const party& from, const wire::replicate_ack& ack, const step_time& at);
   void OnStandbyReplicate(const party& from, const wire::replicate& message, shard_output& out);
+  /// Asks the other entries for their states, as a claimant.
   void Search(const step_time& at, shard_output& out);
+  /// Serves with the newest state once the stream was read and the entries have answered.
   void ServeWhenFound(const step_time& at, shard_output& out);
   void LoopBack(const step_time& at, shard_output& out);
   void TakeCapacity(const wire::capacity_message& message, const step_time& at, shard_output& out);
--- a/test/rosearch/shard/shard_journal_test.cc
+++ b/test/rosearch/shard/shard_journal_test.cc
@@ -71,4 +71,39 @@
   CHECK(journal.TakeDurable(durable_by::kWitness).size() == 1);
 }
 
+// Guards against a witness that takes over without a record that was told because the log had it.
+TEST_CASE("a witness is not ready before it has all that was told", "[truthful-not-run]") {
+  shard_journal journal{0};
+  journal.Start(1, {}, 0);
+  journal.StartReplication(kStart);
+  shard_replica copy;
+  Exchange(journal, copy, kStart);
+  journal.Propose(Admitted("a"));
+  REQUIRE(journal.TakeForLog().has_value());
+  journal.OnLogDurable(1);
+  REQUIRE(journal.TakeDurable(durable_by::kLog).size() == 1);
+  CHECK(journal.WitnessInStep());
+  CHECK_FALSE(journal.WitnessHasTold());
+  Exchange(journal, copy, kStart + milliseconds{1});
+  CHECK(journal.WitnessHasTold());
+}
+
+// Guards against records that are told without being on the log: the answer to an append of an
+// earlier term of the same process names sequences of that term.
+TEST_CASE("an append of an earlier term says nothing of a later one's records",
+          "[truthful-not-run]") {
+  shard_journal journal{0};
+  journal.Start(1, {}, 700);
+  journal.Propose(Admitted("a"));
+  REQUIRE(journal.TakeForLog().has_value());
+  journal.Start(3, {}, 690);
+  journal.Propose(Admitted("b"));
+  journal.OnLogDurable(701);
+  CHECK(journal.TakeDurable(durable_by::kLog).empty());
+  CHECK(journal.LogLacksTold());
+  REQUIRE(journal.TakeForLog().has_value());
+  journal.OnLogDurable(691);
+  CHECK(journal.TakeDurable(durable_by::kLog).size() == 1);
+}
+
 }  // namespace rosearch
