A holder that goes on at a new epoch counts as replicated only once a copy of that epoch is (shard)

Cause: an owner whose witness was released claimed the next epoch and said at once that its state was kept elsewhere: that was the former witness's copy, of the epoch before, which the former witness dropped on hearing so. The owner was killed 0.4 s later, the log behind since its outage. Evidence: trace: records_kept_by ... epoch=5 told=142; claim of epoch 6; killed at 37.78 s; the claimant of epoch 8, the former witness, has copy_epoch=0 and begins with log_sequence=104. Change: what may be told (secured) and what lets older copies go (IsStartReplicated: log, witness or standby of this very term) are two things now. Test: 'a new epoch is not replicated before a copy of it is'.

--- a/src/rosearch/shard/shard_journal.cc
+++ b/src/rosearch/shard/shard_journal.cc
@@ -43,6 +43,7 @@
 
 void shard_journal::ContinueAt(epoch_number epoch) {
   term_ = epoch;
+  started_at_ = sequence_;
   StopReplication();
   // A standby takes in nothing of a later term before its snapshot.
   standby_.Stop();
--- a/src/rosearch/shard/shard_journal.h
+++ b/src/rosearch/shard/shard_journal.h
@@ -96,7 +96,7 @@
   /// The log has every record up to `sequence`.
   void OnLogDurable(std::uint64_t sequence);
 
-  /// Another entry has the state that this term began with.
+  /// Another entry has the state that this term began with, as of an earlier one.
   void OnStartKept() noexcept { secured_ = std::max(secured_, started_at_); }
 
   /// The next batch for the log begins with a snapshot.
@@ -117,8 +117,12 @@
   [[nodiscard]] std::uint64_t delivered() const noexcept { return delivered_; }
   /// @return the sequence up to which another place has the records, too: what may be told.
   [[nodiscard]] std::uint64_t secured() const noexcept { return secured_; }
-  /// @return whether another place has the state that this term began with.
-  [[nodiscard]] bool IsStartKept() const noexcept { return secured_ >= started_at_; }
+  /// @return whether the log, or another entry as of this term, has the state that this term began
+  ///   with: copies of earlier terms are needed no more.
+  [[nodiscard]] bool IsStartReplicated() const noexcept {
+    const bool is_on_log = log_confirmed_ && log_durable_ >= started_at_;
+    return is_on_log || witness_.Has(started_at_) || standby_.Has(started_at_);
+  }
   [[nodiscard]] const shard_term& term() const noexcept { return term_; }
   [[nodiscard]] epoch_number epoch() const noexcept { return term_.epoch; }
   [[nodiscard]] replica_version version() const noexcept { return {term_, sequence_}; }
--- a/src/rosearch/shard/shard_work.cc
+++ b/src/rosearch/shard/shard_work.cc
@@ -268,7 +268,7 @@
   wire::shard_summary summary;
   summary.set_shard(number_);
   SetTerm(journal_.term(), summary);
-  summary.set_replicated(journal_.IsStartKept());
+  summary.set_replicated(journal_.IsStartReplicated());
   if (!draining_) {
     *summary.mutable_largest_room() = pool_.LargestRoom();
     *summary.mutable_total_room() = pool_.TotalRoom();
--- a/test/rosearch/shard/shard_journal_test.cc
+++ b/test/rosearch/shard/shard_journal_test.cc
@@ -88,6 +88,31 @@
   CHECK(journal.WitnessHasTold());
 }
 
+// Guards against a holder that goes on at a new epoch and is lost at once: its former witness had
+// already dropped the only other copy, which was of the epoch before.
+TEST_CASE("a new epoch is not replicated before a copy of it is", "[truthful-not-run]") {
+  shard_journal journal{0};
+  journal.Start(5, {}, 82);
+  journal.Propose(Admitted("a"));
+  journal.StartReplication(kStart);
+  shard_replica copy;
+  Exchange(journal, copy, kStart);
+  REQUIRE(journal.TakeDurable(durable_by::kWitness).size() == 1);
+  REQUIRE(journal.IsStartReplicated());
+  journal.ContinueAt(6);
+  CHECK(journal.secured() == 83);
+  CHECK_FALSE(journal.IsStartReplicated());
+  SECTION("at a witness") {
+    journal.StartReplication(kStart);
+    Exchange(journal, copy, kStart);
+  }
+  SECTION("on the log") {
+    REQUIRE(journal.TakeForLog().has_value());
+    journal.OnLogDurable(83);
+  }
+  CHECK(journal.IsStartReplicated());
+}
+
 // Guards against records that are told without being on the log: the answer to an append of an
 // earlier term of the same process names sequences of that term.
 TEST_CASE("an append of an earlier term says nothing of a later one's records",
