--- a/test/rosearch/shard/shard_cell.h
+++ b/test/rosearch/shard/shard_cell.h
@@ -92,7 +92,7 @@
     spec.set_job(job);
     spec.set_count(1);
     spec.set_deadline_ms(deadline_ms);
-    (void)Ask(owner, std::move(call));
+    (void)Ask(owner, call);
   }
 
   /// Asks how a job stands.
@@ -102,7 +102,7 @@
     wire::call call;
     call.mutable_status()->set_customer("trinacria");
     call.mutable_status()->set_job(job);
-    return Ask(owner, std::move(call));
+    return Ask(owner, call);
   }
 
   /// @return whether a caller is told that the job has ended.
@@ -183,7 +183,7 @@
     Take(who, out);
   }
 
-  std::optional<wire::call_answer> Ask(const party& owner, wire::call call) {
+  std::optional<wire::call_answer> Ask(const party& owner, const wire::call& call) {
     answers_.clear();
     shard_output out;
     At(owner).OnCall({"caller", 1, ++calls_}, call, Now(), out);
