--- a/src/rosearch/core/shard_term.h
+++ b/src/rosearch/core/shard_term.h
@@ -10,7 +10,7 @@
 
 /// One holder's time at a shard: the owner of an epoch, or the witness that took that epoch over.
 struct shard_term {
-  /// @param of_epoch     the epoch.
+  /// @param of_epoch    the epoch.
   /// @param by_witness  whether its witness acts, after its owner.
   constexpr shard_term(epoch_number of_epoch = 0, bool by_witness = false) noexcept  // NOLINT
       : epoch{of_epoch}, taken_over{by_witness} {}
@@ -21,6 +21,11 @@
   friend constexpr auto operator<=>(const shard_term&, const shard_term&) = default;
 };
 
+/// @return a number that orders terms, as messages between shards carry it.
+[[nodiscard]] constexpr std::uint64_t TermNumber(const shard_term& term) noexcept {
+  return term.epoch * 2 + (term.taken_over ? 1 : 0);
+}
+
 /// How new a copy of a shard's state is. Copies of one term differ only in how far they go.
 struct replica_version {
   shard_term term;
--- a/src/rosearch/node/internal/node_balance.h
+++ b/src/rosearch/node/internal/node_balance.h
@@ -17,8 +17,9 @@
       return;
     }
     cell_.tell_peers_at = at.now + internal::kTellPeers;
+    const auto live = cell_.members.Live(at.now);
     for (shard_number number = 0; number < slots_.size(); ++number) {
-      peers[number] = PeersFor(number, at.now);
+      peers[number] = PeersFor(number, live, at.now);
     }
   }
   for (shard_number number = 0; number < slots_.size(); ++number) {
@@ -28,13 +29,14 @@
 }
 
 template <node_ports Ports>
-shard_peers basic_node<Ports>::PeersFor(shard_number number, time_point now) const {
+shard_peers basic_node<Ports>::PeersFor(shard_number number, const std::vector<const member*>& live,
+                                        time_point now) const {
   shard_peers peers;
   const auto* const self = cell_.members.Find(settings_.self.entry);
   if (self == nullptr) {
     return peers;
   }
-  peers.standbys = WitnessCandidates(number, *self, cell_.members.Live(now));
+  peers.standbys = WitnessCandidates(number, *self, live);
   for (const auto& [entry, known] : cell_.members.all()) {
     const bool is_live = cell_.members.IsLive(known.who, now);
     if (known.who == settings_.self || known.region != self->region) {
--- a/src/rosearch/node/internal/node_messages.h
+++ b/src/rosearch/node/internal/node_messages.h
@@ -35,7 +35,7 @@
 std::optional<entry_id> basic_node<Ports>::ServerOf(shard_number shard) const {
   const auto newest = cell_.control.Newest(shard);
   const auto route = cell_.routes.find(shard);
-  const auto assigned = newest ? TermNumber(newest->epoch, false) : 0;
+  const auto assigned = newest ? TermNumber(newest->epoch) : 0;
   if (route != cell_.routes.end() && route->second.first >= assigned) {
     return route->second.second;
   }
@@ -165,47 +165,35 @@
       OnHeartbeat(message.beat(), at);
       break;
     case wire::peer_message::kPair:
-      if (message.pair().shard() < slots_.size()) {
-        WithShard(message.pair().shard(), at, [&](shard& value, shard_output& out) {
-          value.OnPair(from, message.pair(), at, out);
-        });
-      }
+      WithKnownShard(message.pair().shard(), at, [&](shard& value, shard_output& out) {
+        value.OnPair(from, message.pair(), at, out);
+      });
       break;
     case wire::peer_message::kRecords:
-      if (message.records().shard() < slots_.size()) {
-        WithShard(message.records().shard(), at, [&](shard& value, shard_output& out) {
-          value.OnReplicate(from, message.records(), at, out);
-        });
-      }
+      WithKnownShard(message.records().shard(), at, [&](shard& value, shard_output& out) {
+        value.OnReplicate(from, message.records(), at, out);
+      });
       break;
     case wire::peer_message::kAcked:
-      if (message.acked().shard() < slots_.size()) {
-        WithShard(message.acked().shard(), at, [&](shard& value, shard_output& out) {
-          value.OnReplicateAck(from, message.acked(), at, out);
-        });
-      }
+      WithKnownShard(message.acked().shard(), at, [&](shard& value, shard_output& out) {
+        value.OnReplicateAck(from, message.acked(), at, out);
+      });
       break;
     case wire::peer_message::kFindReplica:
-      if (message.find_replica().shard() < slots_.size()) {
-        WithShard(message.find_replica().shard(), at, [&](shard& value, shard_output& out) {
-          value.OnReplicaRequest(from, message.find_replica(), out);
-        });
-      }
+      WithKnownShard(message.find_replica().shard(), at, [&](shard& value, shard_output& out) {
+        value.OnReplicaRequest(from, message.find_replica(), out);
+      });
       break;
     case wire::peer_message::kReplica:
-      if (message.replica().shard() < slots_.size()) {
-        WithShard(message.replica().shard(), at, [&](shard& value, shard_output& out) {
-          value.OnReplicaAnswer(from, message.replica(), at, out);
-        });
-      }
+      WithKnownShard(message.replica().shard(), at, [&](shard& value, shard_output& out) {
+        value.OnReplicaAnswer(from, message.replica(), at, out);
+      });
       break;
     case wire::peer_message::kAsk:
-      if (message.ask().shard() < slots_.size()) {
-        WithShard(message.ask().shard(), at, [&](shard& value, shard_output& out) {
-          value.OnCall({from.entry.value(), from.incarnation, message.ask().number()},
-                       message.ask(), at, out);
-        });
-      }
+      WithKnownShard(message.ask().shard(), at, [&](shard& value, shard_output& out) {
+        value.OnCall({from.entry.value(), from.incarnation, message.ask().number()}, message.ask(),
+                     at, out);
+      });
       break;
     case wire::peer_message::kAnswer: {
       const std::scoped_lock lock{cell_.mutex};
@@ -213,11 +201,9 @@
       break;
     }
     case wire::peer_message::kCapacity:
-      if (message.capacity().to_shard() < slots_.size()) {
-        WithShard(message.capacity().to_shard(), at, [&](shard& value, shard_output& out) {
-          value.OnCapacity(message.capacity(), at, out);
-        });
-      }
+      WithKnownShard(message.capacity().to_shard(), at, [&](shard& value, shard_output& out) {
+        value.OnCapacity(message.capacity(), at, out);
+      });
       break;
     case wire::peer_message::BODY_NOT_SET:
       break;
@@ -254,7 +240,7 @@
     for (const auto& summary : beat.owned()) {
       (void)cell_.view.OnSummary(summary, region);
       auto& route = cell_.routes[summary.shard()];
-      const auto term = TermNumber(summary.epoch(), summary.taken_over());
+      const auto term = TermNumber(TermOf(summary));
       if (term >= route.first) {
         route = {term, from};
       }
--- a/src/rosearch/node/internal/node_shards.h
+++ b/src/rosearch/node/internal/node_shards.h
@@ -42,6 +42,14 @@
   ReadForShard(item);
 }
 
+template <node_ports Ports>
+template <typename Step>
+void basic_node<Ports>::WithKnownShard(shard_number number, const step_time& at, Step step) {
+  if (number < slots_.size()) {
+    WithShard(number, at, step);
+  }
+}
+
 template <node_ports Ports>
 void basic_node<Ports>::Emit(slot& from, shard_output& out, const step_time& at) {
   const auto number = from.value.number();
--- a/src/rosearch/node/internal/node_upkeep.h
+++ b/src/rosearch/node/internal/node_upkeep.h
@@ -166,7 +166,7 @@
   for (const auto& summary : beat.owned()) {
     (void)cell_.view.OnSummary(summary, settings_.region);
     auto& route = cell_.routes[summary.shard()];
-    const auto term = TermNumber(summary.epoch(), summary.taken_over());
+    const auto term = TermNumber(TermOf(summary));
     if (term >= route.first) {
       route = {term, settings_.self.entry};
     }
--- a/src/rosearch/node/node.h
+++ b/src/rosearch/node/node.h
@@ -211,6 +211,9 @@
 
   template <typename Step>
   void WithShard(shard_number number, const step_time& at, Step step);
+  /// The same for a number that came from a peer: nothing happens where the cell has no such shard.
+  template <typename Step>
+  void WithKnownShard(shard_number number, const step_time& at, Step step);
   void Emit(slot& from, shard_output& out, const step_time& at);
   void AppendForShard(slot& from, const step_time& at);
   void ReadForShard(slot& from);
@@ -244,7 +247,9 @@
   void TellShards(const control_change& change, const step_time& at);
   /// Tells each shard which other entries may keep its state.
   void TellPeers(const step_time& at);
-  [[nodiscard]] shard_peers PeersFor(shard_number number, time_point now) const;
+  /// @param live  members heard lately and not leaving.
+  [[nodiscard]] shard_peers PeersFor(shard_number number, const std::vector<const member*>& live,
+                                     time_point now) const;
   void Balance(const step_time& at);
   void BalanceShard(shard_number number, const std::vector<const member*>& live,
                     const std::vector<party>& candidates, bool claims, const step_time& at);
--- a/src/rosearch/shard/cell_view.cc
+++ b/src/rosearch/shard/cell_view.cc
@@ -28,7 +28,7 @@
 }  // namespace
 
 bool cell_view::OnSummary(const wire::shard_summary& summary, const region_id& region) {
-  const auto term = TermNumber(summary.epoch(), summary.taken_over());
+  const auto term = TermNumber(rosearch::TermOf(summary));
   auto& known = shards_[summary.shard()];
   if (term < known.term) {
     return false;
--- a/src/rosearch/shard/cell_view.h
+++ b/src/rosearch/shard/cell_view.h
@@ -11,6 +11,7 @@
 
 #include "rosearch/core/id.h"
 #include "rosearch/core/resources.h"
+#include "rosearch/core/shard_term.h"
 #include "rosearch/wire/peer.pb.h"
 
 namespace rosearch {
@@ -89,12 +90,6 @@
   std::map<std::string, resources> quotas_;
 };
 
-/// Orders what may follow within a shard: a takeover by the witness keeps the epoch and raises
-/// this.
-[[nodiscard]] constexpr std::uint64_t TermNumber(epoch_number epoch, bool taken_over) noexcept {
-  return epoch * 2 + (taken_over ? 1 : 0);
-}
-
 }  // namespace rosearch
 
 #endif  // ROSEARCH_SHARD_CELL_VIEW_H_
--- a/src/rosearch/shard/replica_search.cc
+++ b/src/rosearch/shard/replica_search.cc
@@ -39,8 +39,8 @@
   if (answer.search() != number_) {
     return;
   }
+  answered_.insert(from);
   const auto version = VersionOf(answer);
-  answered_[from] = version;
   if (!answer.has_state() || (best_ && version <= best_->version)) {
     return;
   }
--- a/src/rosearch/shard/replica_search.h
+++ b/src/rosearch/shard/replica_search.h
@@ -2,8 +2,8 @@
 #define ROSEARCH_SHARD_REPLICA_SEARCH_H_
 
 #include <cstdint>
-#include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "rosearch/core/shard_term.h"
@@ -55,7 +55,7 @@
   time_point wait_until_{};
   time_point ask_at_{};
   std::vector<party> sources_;
-  std::map<party, replica_version> answered_;
+  std::set<party> answered_;
   std::optional<found_replica> best_;
   party best_holder_;
 };
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -255,9 +255,7 @@
   jobs_.Rebuild(at.now);
 }
 
-std::uint64_t shard::Term() const noexcept {
-  return TermNumber(journal_.term().epoch, journal_.term().taken_over);
-}
+std::uint64_t shard::Term() const noexcept { return TermNumber(journal_.term()); }
 
 std::optional<wire::shard_batch> shard::TakeForLog() {
   if (!Holds()) {
@@ -305,8 +303,7 @@
   }
   journal_.OnWitnessAck(ack, at.now);
   if (journal_.WitnessHasAll()) {
-    partner_ = from;
-    partner_version_ = journal_.version();
+    SetPartner(from, journal_.version());
   }
   Settle(at, out);
 }
--- a/src/rosearch/shard/shard.h
+++ b/src/rosearch/shard/shard.h
@@ -204,6 +204,7 @@
   ///   that nobody serves: where one could be given it, or where this one told what it holds.
   [[nodiscard]] bool OwesCopy() const;
   void NotePartner(const party& from, const wire::replicate& message);
+  void SetPartner(const party& who, const replica_version& version);
   /// @return whether another live entry was told of a state as new as that one.
   [[nodiscard]] bool HasPartner(const replica_version& version) const;
   /// @return whether an entry lives and isn't leaving.
--- a/src/rosearch/shard/shard_log_view.cc
+++ b/src/rosearch/shard/shard_log_view.cc
@@ -1,13 +1,8 @@
 #include "rosearch/shard/shard_log_view.h"
 
-namespace rosearch {
-namespace {
-
-bool BeginsWithSnapshot(const wire::shard_batch& batch) {
-  return batch.records_size() > 0 && batch.records(0).has_snapshot();
-}
+#include "rosearch/shard/shard_replica.h"
 
-}  // namespace
+namespace rosearch {
 
 void shard_log_view::OnBatch(const std::string& author, const wire::shard_batch& batch) {
   const auto term = TermOf(batch);
--- a/src/rosearch/shard/shard_log_view.h
+++ b/src/rosearch/shard/shard_log_view.h
@@ -16,7 +16,7 @@
 /// A shard's state as its stream on the log tells it, taken in by offset.
 ///
 /// A paused owner's append may reach the log after its successor has begun to write. Taken in, it
-/// would bring back work that the successor has decided otherwise, so a batch of a lower epoch, or
+/// would bring back work that the successor has decided otherwise, so a batch of a lower term, or
 /// of an author that another has replaced within an epoch, is void.
 class shard_log_view {
  public:
--- a/src/rosearch/shard/shard_replica.cc
+++ b/src/rosearch/shard/shard_replica.cc
@@ -1,14 +1,6 @@
 #include "rosearch/shard/shard_replica.h"
 
 namespace rosearch {
-namespace {
-
-bool BeginsWithSnapshot(const wire::replicate& message) {
-  return message.records_size() > 0 && message.records(0).has_snapshot();
-}
-
-}  // namespace
-
 wire::replicate_ack shard_replica::OnReplicate(const wire::replicate& message) {
   const auto term = TermOf(message);
   wire::replicate_ack ack;
--- a/src/rosearch/shard/shard_replica.h
+++ b/src/rosearch/shard/shard_replica.h
@@ -41,6 +41,13 @@
   bool whole_{false};
 };
 
+/// @param message  of a kind that holds records, for an entry or for the log.
+/// @return whether a receiver that knows nothing of their holder can begin with them.
+template <typename Message>
+[[nodiscard]] bool BeginsWithSnapshot(const Message& message) {
+  return message.records_size() > 0 && message.records(0).has_snapshot();
+}
+
 /// @return a record that brings a receiver to a state of the shard at once.
 [[nodiscard]] wire::shard_record SnapshotRecord(shard_number shard, const replica_version& version,
                                                 const shard_state& state);
--- a/src/rosearch/shard/shard_replicas.cc
+++ b/src/rosearch/shard/shard_replicas.cc
@@ -45,14 +45,18 @@
   return partner_version_ >= version && IsStaying(partner_);
 }
 
+void shard::SetPartner(const party& who, const replica_version& version) {
+  partner_ = who;
+  partner_version_ = version;
+}
+
 /// The sender of records has them itself, but may have less than this entry.
 void shard::NotePartner(const party& from, const wire::replicate& message) {
   const auto count = static_cast<std::uint64_t>(message.records_size());
   const replica_version theirs{TermOf(message), message.first_sequence() + count - 1};
   const auto own = NewestOwn();
   if (own && theirs >= own->version) {
-    partner_ = from;
-    partner_version_ = theirs;
+    SetPartner(from, theirs);
   }
 }
 
@@ -128,8 +132,7 @@
   if (phase_ == phase::kServing) {
     journal_.OnStandbyAck(ack, at.now);
     if (journal_.StandbyHasAll()) {
-      partner_ = from;
-      partner_version_ = journal_.version();
+      SetPartner(from, journal_.version());
     }
     return;
   }
@@ -142,8 +145,7 @@
     LOG(INFO) << "event=replica_passed_on shard=" << number_ << " to=" << from
               << " epoch=" << own->version.term.epoch << " sequence=" << own->version.sequence
               << " superseded=" << ack.superseded();
-    partner_ = from;
-    partner_version_ = own->version;
+    SetPartner(from, own->version);
   }
 }
 
--- a/test/rosearch/shard/shard_cell.h
+++ b/test/rosearch/shard/shard_cell.h
@@ -15,6 +15,10 @@
 
 namespace rosearch::test {
 
+inline const party kOwner{entry_id{"a"}, 1};
+inline const party kWitness{entry_id{"b"}, 2};
+inline const party kArbiter{entry_id{"c"}, 3};
+
 /// One shard at several entries with one clock and instant messages, a log that may go down and a
 /// list that shows entries while they run.
 class shard_cell {
--- a/test/rosearch/shard/shard_replicas_test.cc
+++ b/test/rosearch/shard/shard_replicas_test.cc
@@ -9,9 +9,9 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const party kOwner{entry_id{"a"}, 1};
-const party kWitness{entry_id{"b"}, 2};
-const party kArbiter{entry_id{"c"}, 3};
+using test::kArbiter;
+using test::kOwner;
+using test::kWitness;
 const party kOther{entry_id{"d"}, 4};
 const party kFresh{entry_id{"e"}, 5};
 
