No shard moves to a witness that was just asked to resign (shard, node)

Change: shard::CanTransfer, asked before the drain and again as the move begins. The move waits for the epoch with the new arbiter; the shard takes calls in between. Why it works: the move begins only from an epoch whose witness is active and not asked to resign, so the consent is that of an owner that acts by its witness's renewals. The rights' rules, random and mutation tests are as they were.

--- a/src/rosearch/node/internal/node_balance.h
+++ b/src/rosearch/node/internal/node_balance.h
@@ -193,11 +193,15 @@
     item.move.reset();
     return;
   }
-  if (value.rights().witness() != move.to || !value.rights().WitnessActive()) {
+  if (move.sent) {
+    return;
+  }
+  if (value.rights().witness() != move.to || !value.CanTransfer(at.now)) {
+    value.EndDrain();
     return;
   }
   value.BeginDrain();
-  if (move.sent || value.OpenRequests() != 0 || !value.WitnessHasAll()) {
+  if (value.OpenRequests() != 0 || !value.WitnessHasAll()) {
     return;
   }
   move.sent = value.BeginTransfer(move.next_witness, at, out);
--- a/src/rosearch/ownership/shard_rights.h
+++ b/src/rosearch/ownership/shard_rights.h
@@ -80,6 +80,10 @@
            at->second.stage == internal::rights_stage::kGranted;
   }
 
+  /// @return whether this owner asked its witness a moment ago to resign, so that the next epoch
+  ///     can have another arbiter. The answer may still be on its way.
+  [[nodiscard]] bool IsReleasingWitness(time_point now) const noexcept { return now < release_at_; }
+
   /// @return whether this process acts, or acted last, as the witness of its epoch.
   [[nodiscard]] bool ActsAsWitness() const noexcept {
     const auto at = parts_.find(held_epoch_);
--- a/src/rosearch/shard/shard.cc
+++ b/src/rosearch/shard/shard.cc
@@ -95,13 +95,18 @@
   TakeRights(rights, at, out);
 }
 
+// Records that follow a witness's resignation don't reach it, so its copy would not be whole.
+bool shard::CanTransfer(time_point now) const {
+  const bool has_witness = rights_.witness() && rights_.WitnessActive();
+  return log_up_ && has_witness && !rights_.IsReleasingWitness(now);
+}
+
 bool shard::BeginTransfer(const party& next_witness, const step_time& at, shard_output& out) {
-  const auto to = rights_.witness();
-  if (!log_up_ || !to) {
+  if (!CanTransfer(at.now)) {
     return false;
   }
   rights_output rights;
-  const bool begun = rights_.BeginTransferTo(*to, next_witness, at.now, rights);
+  const bool begun = rights_.BeginTransferTo(*rights_.witness(), next_witness, at.now, rights);
   TakeRights(rights, at, out);
   return begun;
 }
--- a/src/rosearch/shard/shard.h
+++ b/src/rosearch/shard/shard.h
@@ -132,10 +132,13 @@
   /// Gives the right to the witness; what is in flight must have ended before.
   void HandOver(const step_time& at, shard_output& out);
   void Resign(const step_time& at, shard_output& out);
+  /// @return whether the witness may become the owner now: it is active, was not asked to resign,
+  ///     and the log is up.
+  [[nodiscard]] bool CanTransfer(time_point now) const;
   /// Asks for the next epoch for the witness. This owner serves until that record is on the log and
   /// the new owner asks for its consent, so that the shard always has two holders of its state.
   /// @param next_witness  of the new owner.
-  /// @return false, and nothing happens, where the log is down or this entry may not act.
+  /// @return false, and nothing happens, unless `CanTransfer` and this entry may act.
   bool BeginTransfer(const party& next_witness, const step_time& at, shard_output& out);
   /// Does what is due for a planned stop: resigns as a witness; as a holder ends what is in flight
   /// and gives the right up, to its witness or, `alone`, once another place has all that was told.
--- a/test/rosearch/shard/shard_cell.h
+++ b/test/rosearch/shard/shard_cell.h
@@ -65,6 +65,9 @@
   /// Whether the log takes records of the shard; reads and claims go on.
   void SetAppends(bool taken) { appends_taken_ = taken; }
 
+  /// Whether messages between entries wait; none is lost.
+  void HoldMessages(bool held) { held_ = held; }
+
   /// Whether entries hear of one another beyond the messages of the shard's pair.
   void SetStandbys(bool there) { standbys_there_ = there; }
 
@@ -203,7 +206,7 @@
   }
 
   void Deliver() {
-    while (!sent_.empty() || (log_up_ && !control_.empty())) {
+    while ((!sent_.empty() && !held_) || (log_up_ && !control_.empty())) {
       if (log_up_ && !control_.empty()) {
         TakeClaim(control_.front());
         control_.pop_front();
@@ -256,6 +259,7 @@
   std::uint64_t calls_{0};
   bool log_up_{false};
   bool appends_taken_{true};
+  bool held_{false};
   bool standbys_there_{true};
   time_point now_{std::chrono::seconds{1000}};
 };
--- a/test/rosearch/shard/shard_move_test.cc
+++ b/test/rosearch/shard/shard_move_test.cc
@@ -55,4 +55,27 @@
   CHECK(cell.At(kOwner).rights().WitnessActive());
 }
 
+// Guards against an order that is answered "unknown" and does not run although its shard only
+// moved: the witness's resignation, which its owner had asked for, crossed the move, and the new
+// owner did not know that its copy was whole.
+TEST_CASE("no shard moves to a witness that is asked to resign", "[single-run]") {
+  const party other{entry_id{"d"}, 4};
+  test::shard_cell cell{{kOwner, kWitness, kArbiter, other}};
+  REQUIRE(cell.At(kOwner).rights().WitnessActive());
+  cell.Lose(kArbiter);
+  cell.HoldMessages(true);
+  cell.Run(milliseconds{50});  // the owner asks its witness to resign
+  CHECK_FALSE(cell.MoveToWitness(kOwner));
+  cell.HoldMessages(false);
+  // The next epoch has another arbiter, and the move goes on.
+  bool begun = false;
+  REQUIRE(cell.RunUntil(seconds{10}, [&cell, &begun] {
+    begun = begun || cell.MoveToWitness(kOwner);
+    return begun;
+  }));
+  REQUIRE(cell.RunUntil(seconds{5}, [&cell] { return cell.Serves(kWitness); }));
+  CHECK(cell.At(kWitness).state().recovery().fence_ms() == 0);
+  CHECK_FALSE(cell.At(kWitness).state().recovery().incomplete());
+}
+
 }  // namespace rosearch
