A witness that is not active yet is not replaced for a move (node)

Change: StepTowards gives the step that names a witness only where the newest epoch names none. One that is named becomes active with its next renewal, and one that is lost or resigned is replaced by the holder's own claim (ClaimAgain).

Test: `a witness that is not active yet is not replaced for a move`; on the code before it fails.

--- a/src/rosearch/node/shard_balance.cc
+++ b/src/rosearch/node/shard_balance.cc
@@ -71,10 +71,12 @@
   if (rights.epoch() != rights.act_epoch()) {
     return std::nullopt;
   }
-  if (!rights.WitnessActive()) {
-    return move_step::kPair;
+  if (rights.WitnessActive()) {
+    return rights.witness() == to ? move_step::kGive : move_step::kGiveToWitness;
   }
-  return rights.witness() == to ? move_step::kGive : move_step::kGiveToWitness;
+  // A witness that is named becomes active soon, or the holder itself replaces it. A claim with
+  // another one would stop the shard until the first one's promise has run out.
+  return rights.witness() ? std::nullopt : std::optional{move_step::kPair};
 }
 
 }  // namespace rosearch
--- a/src/rosearch/node/shard_balance.h
+++ b/src/rosearch/node/shard_balance.h
@@ -43,13 +43,13 @@
 /// What brings a shard nearer to an entry, the quickest first.
 enum class move_step {
   kGive,           ///< the entry is its active witness
-  kPair,           ///< there is no active witness: the entry becomes the witness first
+  kPair,           ///< there is no witness: the entry becomes the witness first
   kGiveToWitness,  ///< by way of the active witness, which then takes the entry as its own
 };
 
 /// @param rights  of the present holder.
 /// @param to      the entry that the shard should move to.
-/// @return the step to take, or none while another epoch is under way.
+/// @return the step to take, or none while another epoch or another pair is under way.
 [[nodiscard]] std::optional<move_step> StepTowards(const shard_rights& rights, const party& to);
 
 }  // namespace rosearch
