A claimant that hears nobody waits longer before it begins without the others' copies (shard)

Cause, from its trace: the pair of shard 0 was gone, entry-0 was cut off from all others (70.3 to 78.2 s) and claimed the shard at 74.19 s through the log. Its search had no answer, so after the 5 s for silent entries it began with what the log had (stream_read: log_epoch=9 log_sequence=282 peers_answered=0 peers_missing=3).

Change: while nobody at all answers, the search goes on for 25 s more or until the list shows nobody; from the first answer the others have their 5 s. Why it works: an entry that hears none of the listed ones is cut off itself or the last one. Lost ones leave the list; the others answer once the link is back. Such an entry serves no caller but its own meanwhile, and they are told to come back.

The test of the bounded wait has a second entry that answers; the 5 s are as they were.

--- a/src/rosearch/shard/replica_search.cc
+++ b/src/rosearch/shard/replica_search.cc
@@ -14,6 +14,10 @@
 /// the shard pauses meanwhile.
 constexpr duration kSearchWait = std::chrono::seconds{5};
 
+/// Added while nobody at all answers: then this entry is probably cut off itself, and the others
+/// have what it misses. Lost entries leave the list sooner.
+constexpr duration kIsolatedWait = std::chrono::seconds{25};
+
 }  // namespace
 
 void replica_search::Start(std::uint64_t number, time_point now) {
@@ -35,10 +39,14 @@
   return due;
 }
 
-void replica_search::OnAnswer(const party& from, const wire::replica_answer& answer) {
+void replica_search::OnAnswer(const party& from, const wire::replica_answer& answer,
+                              time_point now) {
   if (answer.search() != number_) {
     return;
   }
+  if (answered_.empty()) {
+    wait_until_ = std::max(wait_until_, now + kSearchWait);
+  }
   answered_.insert(from);
   const auto version = VersionOf(answer);
   if (!answer.has_state() || (best_ && version <= best_->version)) {
@@ -49,7 +57,10 @@
   best_holder_ = from;
 }
 
-bool replica_search::IsDone(time_point now) const { return now >= wait_until_ || Missing() == 0; }
+bool replica_search::IsDone(time_point now) const {
+  const auto until = answered_.empty() ? wait_until_ + kIsolatedWait : wait_until_;
+  return now >= until || Missing() == 0;
+}
 
 std::size_t replica_search::Missing() const {
   return static_cast<std::size_t>(std::ranges::count_if(
--- a/src/rosearch/shard/replica_search.h
+++ b/src/rosearch/shard/replica_search.h
@@ -36,9 +36,10 @@
   /// @return whom to ask now.
   [[nodiscard]] std::vector<party> TakeDue(time_point now);
 
-  void OnAnswer(const party& from, const wire::replica_answer& answer);
+  void OnAnswer(const party& from, const wire::replica_answer& answer, time_point now);
 
-  /// @return whether all sources have answered, or have had the time to.
+  /// @return whether all sources have answered, or have had the time to; more of it while nobody
+  ///     has.
   [[nodiscard]] bool IsDone(time_point now) const;
 
   /// @return sources that haven't answered.
--- a/src/rosearch/shard/shard_replicas.cc
+++ b/src/rosearch/shard/shard_replicas.cc
@@ -231,7 +231,7 @@
   if (phase_ != phase::kReading) {
     return;
   }
-  search_.OnAnswer(from, answer);
+  search_.OnAnswer(from, answer, at.now);
   ServeWhenFound(at, out);
 }
 
