--- a/test/rosearch/node/soak_test.cc
+++ b/test/rosearch/node/soak_test.cc
@@ -43,7 +43,8 @@
 
 TEST_CASE("whole entries keep every promise while holders are lost in outages of the log",
           "[soak][part-4]") {
-  KeepPromises({fault_mode::kMany, {135, 20015, 20088, 20154, 20170, 20186, 30551}});
+  KeepPromises(
+      {fault_mode::kMany, {135, 20015, 20047, 20088, 20154, 20170, 20186, 30551, 62463, 62768}});
 }
 
 // A run that can't be repeated can't be looked into: whoever sees a breach must see it again from
