The test of renewed claims waits for the leader's next tick, and for each ping to be answered (cell)

Cause: a fault of the test. Its wait, run_for(500 ms), returns as soon as its event loop has no work, so with the answer to the last ping. A leader renews at its next tick, up to 100 ms later. Mostly the first answers are lost (no connection back yet) and pings are repeated, so that a tick came in between; not always.

Ruled out: pings that did not arrive, a leader that does not renew, descriptors (the line "Too many open files" is of the case that takes them away on purpose).

Change: each ping must be answered (REQUIRE), then the renewal has 500 ms, the time that the test meant to give. The case of 5 peers now watches all of the 500 ms for a renewal that must not come; before it looked once, right after the answers.

--- a/test/rosearch/cell/node_test.cc
+++ b/test/rosearch/cell/node_test.cc
@@ -474,21 +474,27 @@
                   [this](const wire::peer_frame& frame) { exchanges_.insert(frame.exchange()); }};
 };
 
-/// Peers of a leader in name only: each sends it one ping.
+/// Peers of a leader in name only: each pings it until it has answered.
 class pinging_peers {
  public:
-  pinging_peers(const std::string& leader, std::uint64_t epoch, int count) {
+  pinging_peers(const std::string& leader, std::uint64_t epoch, int count) : unanswered_{count} {
+    constexpr seconds kMaxWait{5};
+    const auto deadline = SteadyNow() + kMaxWait;
     for (int number = 0; number < count; ++number) {
       wire::peer_frame frame;
       frame.set_epoch(epoch);
       frame.mutable_ping()->mutable_member()->set_address("peer-" + std::to_string(number));
-      link_.SendRequest(leader, std::move(frame), SteadyNow() + seconds{1},
-                        [](const wire::peer_frame*) {});
+      link_.SendRequest(leader, std::move(frame), deadline, [this](const wire::peer_frame* answer) {
+        unanswered_ -= answer != nullptr ? 1 : 0;
+      });
     }
-    io_.run_for(milliseconds{500});
+    io_.run_for(kMaxWait);  // returns once all are answered
   }
 
+  [[nodiscard]] bool AllAnswered() const { return unanswered_ == 0; }
+
  private:
+  int unanswered_;
   boost::asio::io_context io_;
   peer_link link_{io_, "127.0.0.1:47313", 77, [](const wire::peer_frame&) {}};
 };
@@ -533,6 +539,9 @@
   REQUIRE(cell_of_three::WaitUntil([&] { return leader.Leads(); }) < seconds{3});
   const int peers = GENERATE(5, 40);
   const pinging_peers joining{"127.0.0.1:47311", 1, peers};
+  REQUIRE(joining.AllAnswered());
+  constexpr milliseconds kMaxWait{500};
+  cell_of_three::WaitUntil([&] { return leader.Logged("claim_renewed"); }, kMaxWait);
   CHECK(leader.Logged("claim_renewed") == (peers == 40));
   CHECK((claims.From(0).size() > 1) == (peers == 40));
 }
