Callers and events of a job table have files of their own (shard)

job_table.cc had 670 lines: the steps of each task, what callers ask and are told, and what capacity shards and durable records say. Now 330, 130 (job_table_calls.cc) and 230 lines (job_table_events.cc); functions are moved whole. IsService stands beside IsGang, as two of the files use it; the constant kAvoidFor, which nothing used, goes (the setting `avoid` is what counts).

--- a/src/rosearch/shard/job_table.cc
+++ b/src/rosearch/shard/job_table.cc
@@ -11,26 +11,15 @@
 
 using internal::FromWire;
 
-/// A shard that refused a gang, or had nothing to preempt, is passed over for this long.
-constexpr duration kAvoidFor = std::chrono::seconds{2};
-
 /// Questions to the owner of a new term are spread over this long, so that a takeover isn't met by
 /// thousands of messages at once.
 constexpr duration kAskSpread = std::chrono::seconds{2};
 
-bool MayRunAgain(const job_entry& job) { return !job.accepted.spec().at_most_once(); }
-
-bool IsService(const job_entry& job) { return job.accepted.spec().kind() == wire::JOB_SERVICE; }
-
 std::uint32_t PriorityOf(const shard_state& state, const task_key& key) {
   const auto* const job = state.FindJob(key.job);
   return job == nullptr ? 0 : job->accepted.treatment().priority();
 }
 
-wire::call_answer ErrorAnswer(error_kind kind, std::string detail) {
-  return ErrorAnswer(error{kind, std::move(detail)});
-}
-
 }  // namespace
 
 job_table::job_table(shard_number shard, region_id region, job_settings settings,
@@ -56,13 +45,14 @@
     for (const auto& waiting : {job.submitters, job.cancellers}) {
       for (const auto& to : waiting) {
         // The record may or may not have reached the successor; asking it again is safe.
-        out.answers.push_back({to, ErrorAnswer(error_kind::kInterrupted, "ownership changed")});
+        out.answers.push_back(
+            {to, ErrorAnswer(error{error_kind::kInterrupted, "ownership changed"})});
       }
     }
   }
   for (const auto& held : std::exchange(held_answers_, {})) {
     out.answers.push_back(
-        {held.answer.to, ErrorAnswer(error_kind::kInterrupted, "ownership changed")});
+        {held.answer.to, ErrorAnswer(error{error_kind::kInterrupted, "ownership changed"})});
   }
   drives_.clear();
   due_.clear();
@@ -107,303 +97,6 @@
   }
 }
 
-void job_table::OnSubmit(const call_origin& from, const wire::job_accepted& job, bool durable,
-                         const job_context& context, shard_output& out) {
-  const job_key key{job.spec().customer(), job.spec().job()};
-  if (const auto* const known = journal_.state().FindJob(key)) {
-    auto known_spec = known->accepted.spec();
-    auto new_spec = job.spec();
-    // The time that is left shrinks between two tries of one submission.
-    known_spec.clear_deadline_ms();
-    new_spec.clear_deadline_ms();
-    if (known_spec.SerializeAsString() != new_spec.SerializeAsString()) {
-      out.answers.push_back({from, ErrorAnswer(error_kind::kDuplicateMismatch,
-                                               "the job is known with another description")});
-      return;
-    }
-    auto& submitters = DriveOf(key).submitters;
-    if (submitters.empty()) {
-      Answer(from, key, out);
-    } else if (std::ranges::find(submitters, from) == submitters.end()) {
-      submitters.push_back(from);
-    }
-    return;
-  }
-  if (!durable) {
-    out.answers.push_back({from, ErrorAnswer(NoSecondCopy())});
-    return;
-  }
-  wire::shard_record record;
-  *record.mutable_accepted() = job;
-  journal_.Propose(std::move(record));
-  TakeUp(key, *journal_.state().FindJob(key), context.now);
-  auto& drive_of_job = DriveOf(key);
-  drive_of_job.changed = journal_.sequence();
-  drive_of_job.submitters.push_back(from);
-  for (std::uint32_t index = 0; index < drive_of_job.tasks.size(); ++index) {
-    // Nothing is placed before the acceptance is durable: a start of a job that nobody remembers
-    // would run with no one to answer for it.
-    SetDue({key, index}, drive_of_job.tasks[index], kNever);
-  }
-}
-
-void job_table::OnStatus(const call_origin& from, const job_key& key, bool durable,
-                         shard_output& out) {
-  if (journal_.state().FindJob(key) == nullptr) {
-    out.answers.push_back({from, ErrorAnswer(error_kind::kNotFound, "no such job")});
-    return;
-  }
-  if (!durable && DriveOf(key).changed > journal_.secured()) {
-    // An end that is told and then lost with this process would be taken back.
-    out.answers.push_back({from, ErrorAnswer(NoSecondCopy())});
-    return;
-  }
-  Answer(from, key, out);
-}
-
-void job_table::OnCancel(const call_origin& from, const job_key& key, const job_context& context,
-                         shard_output& out) {
-  const auto* const job = journal_.state().FindJob(key);
-  if (job == nullptr) {
-    out.answers.push_back({from, ErrorAnswer(error_kind::kNotFound, "no such job")});
-    return;
-  }
-  if (job->cancelled || job->Ended()) {
-    Answer(from, key, out);
-    return;
-  }
-  wire::shard_record record;
-  record.mutable_cancelled()->set_customer(key.customer);
-  record.mutable_cancelled()->set_job(key.job);
-  Record(key, std::move(record));
-  auto& drive_of_job = DriveOf(key);
-  drive_of_job.cancellers.push_back(from);
-  for (std::uint32_t index = 0; index < drive_of_job.tasks.size(); ++index) {
-    if (drive_of_job.tasks[index].at != stage::kEnded) {
-      SetDue({key, index}, drive_of_job.tasks[index], context.now);
-    }
-  }
-}
-
-void job_table::OnEvent(shard_number from, const wire::place_event& event,
-                        const job_context& context, shard_output& out) {
-  const auto key = ParseTaskKey(event.ref().task());
-  const auto acknowledge = [&] {
-    auto message = MessageTo(from);
-    *message.mutable_ack()->mutable_ref() = event.ref();
-    message.mutable_ack()->set_home_shard(shard_);
-    message.mutable_ack()->set_kind(event.kind());
-    out.capacity.push_back(std::move(message));
-  };
-  const auto* const slot = key ? journal_.state().FindTask(*key) : nullptr;
-  if (slot == nullptr || slot->attempt != event.ref().attempt() || slot->target != from ||
-      slot->state == wire::TASK_QUEUED || slot->state == wire::TASK_ENDED) {
-    // An attempt that this shard has settled before, or doesn't know: nobody waits for it. While
-    // the record that settled it is not durable yet, the acknowledgement has to wait.
-    const bool settling = slot != nullptr && DriveOf(key->job).tasks[key->index].ack.has_value();
-    if (settling) {
-      return;
-    }
-    acknowledge();
-    if (event.kind() == wire::PLACE_STARTED || event.kind() == wire::PLACE_HELD) {
-      auto stop = MessageTo(from);
-      *stop.mutable_stop()->mutable_ref() = event.ref();
-      out.capacity.push_back(std::move(stop));
-    }
-    return;
-  }
-  auto& job = DriveOf(key->job);
-  auto& task = job.tasks[key->index];
-  switch (event.kind()) {
-    case wire::PLACE_HELD:
-      if (task.at == stage::kAsked && slot->held) {
-        SetStage(task, stage::kHeld);
-        SetDue(*key, task, context.now + settings_.hold);
-        CommitGangIfHeld(key->job, context.now);
-      }
-      return;
-    case wire::PLACE_STARTED:
-      if (task.at == stage::kAsked) {
-        SetStage(task, stage::kRunning);
-        task.vm = event.vm();
-        // A start may be confirmed between a cancel and the step that sends its stop. Not due
-        // again, the task would run on, seen by its caller as a cancelled job that never ends.
-        const bool stops = task.stopping || journal_.state().FindJob(key->job)->cancelled;
-        SetDue(*key, task, stops ? context.now : kNever);
-      }
-      return;
-    case wire::PLACE_REFUSED:
-      if (task.at != stage::kAsked && task.at != stage::kHeld) {
-        return;
-      }
-      context.cell.OnRefused(from);
-      SetStage(task, stage::kIdle);
-      task.stopping = false;
-      SetDue(*key, task, context.now + settings_.retry_room);
-      job.avoid.insert(from);
-      job.avoid_until = context.now + settings_.avoid;
-      if (IsGang(*journal_.state().FindJob(key->job))) {
-        BreakGang(key->job, context, out);
-      }
-      return;
-    case wire::PLACE_ENDED:
-    case wire::PLACE_LOST:
-      Ended(*key, event, context);
-      task.ack.emplace();
-      *task.ack->mutable_ref() = event.ref();
-      task.ack->set_home_shard(shard_);
-      task.ack->set_kind(event.kind());
-      return;
-    default:
-      return;
-  }
-}
-
-void job_table::Ended(const task_key& key, const wire::place_event& event,
-                      const job_context& context) {
-  const auto& job = *journal_.state().FindJob(key.job);
-  const auto& slot = SlotOf(key);
-  const auto& treatment = job.accepted.treatment();
-  const bool lost = event.kind() == wire::PLACE_LOST;
-  auto how = event.how();
-  if (lost && how.error().kind().empty()) {
-    how = EndingOf(error_kind::kTargetLost, "the VM was lost while the task may have run");
-  }
-  how.set_vm(event.vm());
-  const auto kind = ErrorKindFromName(how.error().kind());
-  const bool done = how.error().kind().empty();
-  const bool failed = !done && kind == error_kind::kTargetFailed;
-  const bool ran = lost || EffectOf(how) != outcome::kNotRun;
-
-  if (job.cancelled) {
-    EndTask(key,
-            done ? how
-                 : EndingOf(ran ? error_kind::kInterrupted : error_kind::kCancelled, "cancelled"));
-    return;
-  }
-  if (IsService(job)) {
-    Requeue(key, std::string{how.error().kind()}, {.charged = false, .ran = ran},
-            context.now + (failed ? settings_.retry_failed : settings_.retry_room));
-    return;
-  }
-  if (done || (ran && !MayRunAgain(job)) || (failed && slot.charged >= treatment.retries())) {
-    EndTask(key, how);
-    if (IsGang(job)) {
-      WakeGang(key.job, context.now + settings_.retry_room);
-    }
-    return;
-  }
-  DriveOf(key.job).gang_broken = IsGang(job);
-  Requeue(key, how.error().kind(), {.charged = failed, .ran = ran},
-          context.now + (failed ? settings_.retry_failed : settings_.retry_room));
-}
-
-void job_table::EndTask(const task_key& key, wire::ending how) {
-  if (SlotOf(key).ran && EffectOf(how) == outcome::kNotRun) {
-    // The last attempt did not run, but one before it did: "not run" of the task would be untrue,
-    // and a caller who believes it sends the same work to somebody else as well.
-    how = EndingOf(error_kind::kInterrupted,
-                   how.error().kind() + " after an attempt that may have run");
-  }
-  wire::shard_record record;
-  *record.mutable_ended()->mutable_ref() = RefOf(key, SlotOf(key).attempt);
-  *record.mutable_ended()->mutable_how() = std::move(how);
-  Record(key.job, std::move(record));
-  auto& task = DriveOf(key.job).tasks[key.index];
-  SetStage(task, stage::kEnded);
-  SetDue(key, task, kNever);
-}
-
-void job_table::Requeue(const task_key& key, const std::string& cause, attempt_effect effect,
-                        time_point due) {
-  wire::shard_record record;
-  *record.mutable_requeued()->mutable_ref() = RefOf(key, SlotOf(key).attempt);
-  record.mutable_requeued()->set_cause(cause);
-  record.mutable_requeued()->set_charged(effect.charged);
-  record.mutable_requeued()->set_ran(effect.ran);
-  Record(key.job, std::move(record));
-  auto& task = DriveOf(key.job).tasks[key.index];
-  SetStage(task, stage::kIdle);
-  task.stopping = false;
-  task.vm.clear();
-  SetDue(key, task, due);
-}
-
-void job_table::OnDurable(const wire::shard_record& record, const job_context& context,
-                          shard_output& out) {
-  SendSecuredAnswers(out);
-  const auto settle = [&](const wire::task_ref& ref) {
-    const auto key = ParseTaskKey(ref.task());
-    const auto found = key ? drives_.find(key->job) : drives_.end();
-    if (found == drives_.end()) {
-      return;
-    }
-    auto& task = found->second.tasks[key->index];
-    if (task.ack && task.ack->ref().attempt() == ref.attempt()) {
-      auto message = MessageTo(SlotOf(*key).target);
-      *message.mutable_ack() = std::move(*task.ack);
-      out.capacity.push_back(std::move(message));
-      task.ack.reset();
-    }
-    const auto* const job = journal_.state().FindJob(key->job);
-    if (job != nullptr && job->Ended() && found->second.forget_at == kNever) {
-      found->second.forget_at = context.now + settings_.keep_ended;
-      SetDue({key->job, 0}, found->second.tasks.front(), found->second.forget_at);
-    }
-  };
-  switch (record.body_case()) {
-    case wire::shard_record::kAccepted: {
-      const job_key key{record.accepted().spec().customer(), record.accepted().spec().job()};
-      const auto found = drives_.find(key);
-      if (found == drives_.end()) {
-        return;
-      }
-      for (const auto& to : std::exchange(found->second.submitters, {})) {
-        Answer(to, key, out);
-      }
-      for (std::uint32_t index = 0; index < found->second.tasks.size(); ++index) {
-        if (found->second.tasks[index].at == stage::kIdle) {
-          SetDue({key, index}, found->second.tasks[index], context.now);
-        }
-      }
-      return;
-    }
-    case wire::shard_record::kCancelled: {
-      const job_key key{record.cancelled().customer(), record.cancelled().job()};
-      const auto found = drives_.find(key);
-      if (found != drives_.end()) {
-        for (const auto& to : std::exchange(found->second.cancellers, {})) {
-          Answer(to, key, out);
-        }
-      }
-      return;
-    }
-    case wire::shard_record::kPlacing: {
-      const auto key = ParseTaskKey(record.placing().ref().task());
-      const auto found = key ? drives_.find(key->job) : drives_.end();
-      if (found == drives_.end()) {
-        return;
-      }
-      auto& task = found->second.tasks[key->index];
-      const auto& slot = SlotOf(*key);
-      if (task.at == stage::kSettling && slot.attempt == record.placing().ref().attempt() &&
-          slot.held == record.placing().held()) {
-        SetStage(task, stage::kAsked);
-        AskNow(*key, context, out);
-      }
-      return;
-    }
-    case wire::shard_record::kRequeued:
-      settle(record.requeued().ref());
-      return;
-    case wire::shard_record::kEnded:
-      settle(record.ended().ref());
-      return;
-    default:
-      return;
-  }
-}
-
 void job_table::OnTermOf(shard_number shard, time_point now) {
   for (auto& [key, job] : drives_) {
     std::uint32_t index = 0;
@@ -628,40 +321,6 @@
   return want;
 }
 
-void job_table::Answer(const call_origin& to, const job_key& key, shard_output& out) {
-  const auto& entry = *journal_.state().FindJob(key);
-  wire::call_answer answer;
-  *answer.mutable_job() = shard_state::Describe(entry);
-  answer.set_rule(entry.accepted.treatment().rule());
-  const auto found = drives_.find(key);
-  if (found != drives_.end()) {
-    for (std::size_t index = 0; index < found->second.tasks.size(); ++index) {
-      auto& task = *answer.mutable_job()->mutable_tasks(static_cast<int>(index));
-      if (found->second.tasks[index].at == stage::kRunning) {
-        task.set_state(wire::TASK_ACTIVE);
-        task.set_vm(found->second.tasks[index].vm);
-      }
-    }
-  }
-  const auto sequence = found == drives_.end() ? 0 : found->second.changed;
-  held_answers_.push_back({sequence, {to, std::move(answer)}});
-  SendSecuredAnswers(out);
-}
-
-/// An owner that is cut off goes on until its right lapses. Told before the records that it rests
-/// on are durable, "ended" would be taken back by the successor, which starts the task again.
-void job_table::SendSecuredAnswers(shard_output& out) {
-  const auto is_secured = [this](const held_answer& held) {
-    return held.sequence <= journal_.secured();
-  };
-  for (auto& held : held_answers_) {
-    if (is_secured(held)) {
-      out.answers.push_back(held.answer);
-    }
-  }
-  std::erase_if(held_answers_, is_secured);
-}
-
 void job_table::Record(const job_key& key, wire::shard_record record) {
   journal_.Propose(std::move(record));
   DriveOf(key).changed = journal_.sequence();
--- a/src/rosearch/shard/job_table.h
+++ b/src/rosearch/shard/job_table.h
@@ -118,6 +118,9 @@
   [[nodiscard]] static bool IsGang(const job_entry& job) {
     return job.accepted.spec().kind() == wire::JOB_GANG;
   }
+  [[nodiscard]] static bool IsService(const job_entry& job) {
+    return job.accepted.spec().kind() == wire::JOB_SERVICE;
+  }
 
   void TakeUp(const job_key& key, const job_entry& job, time_point now);
   void SetDue(const task_key& key, drive& task, time_point due);
