An unanswered request to a peer is repeated less and less often (cell)

Cause: each request that a peer had not answered was sent again every 150 ms, and a forwarded call once more as a new request after 1 s. A leader or relay that answers after 1 to 2 s received up to ten copies of each, also of whole batches of records that went to the store through a peer, and stayed overloaded for seconds after a burst. Change: the pause before a repeat starts at 150 ms and doubles; a forwarded call stays one request until the caller's patience ends or another process leads (EndRequests). As a repeat may be answered by a restarted process, an answer that came after the first repeat counts as no proof that the first copy was not processed.

--- a/src/rosearch/cell/internal/node_callers.h
+++ b/src/rosearch/cell/internal/node_callers.h
@@ -128,11 +128,15 @@
                  .Add("epoch", election_.KnownLeader().epoch)
                  .Add("heard_ms_ago", now - election_.LastAnswerAt())
                  .Add("left_ms", time_left));
-  constexpr duration kAttemptTimeout = std::chrono::milliseconds{1'000};
+  // The request is not sent as a new one while the leader is late: it ends with the caller's
+  // patience, or by `EndRequests` as soon as another process leads.
   peers_.SendRequest(
-      election_.KnownLeader().address, std::move(frame),
-      std::min(call->answer_deadline, now + kAttemptTimeout),
-      [this, call, on_answer](const wire::peer_frame* answer) {
+      election_.KnownLeader().address, std::move(frame), call->answer_deadline,
+      [this, call, on_answer, now](const wire::peer_frame* answer) {
+        // An answer to a repeat says nothing about the first copy: the process at that address may
+        // have accepted the job, failed and started again.
+        const bool may_be_repeat = SteadyNow() - now >= peer_link::kFirstRetryDelay;
+        call->maybe_processed = call->maybe_processed || may_be_repeat;
         if (answer == nullptr) {
           call->maybe_processed = true;
           RetryForward(call);
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -126,7 +126,8 @@
   auto& pending = *pending_requests_[exchange];
   const bool repeats = pending.frame.exchange() != 0;
   const auto next =
-      repeats ? std::min(pending.deadline, SteadyNow() + kRetryInterval) : pending.deadline;
+      repeats ? std::min(pending.deadline, SteadyNow() + pending.retry_delay) : pending.deadline;
+  pending.retry_delay *= 2;
   pending.timer.expires_after(next - SteadyNow());
   pending.timer.async_wait([this, exchange, alive = std::weak_ptr<bool>{alive_}](
                                const boost::system::error_code& failed) {
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -46,8 +46,10 @@
   /// Sends a message that expects no answer.
   void SendMessage(const std::string& to, wire::peer_frame frame);
 
-  /// Sends a request and repeats it every `kRetryInterval` until it is answered, because the
-  /// transport drops messages to a peer while the connection is being established.
+  /// Sends a request and repeats it until it is answered, because the transport drops messages to a
+  /// peer while the connection is being established. The pause before a repeat starts at
+  /// `kFirstRetryDelay` and doubles each time: a peer that answers late because it is overloaded
+  /// would otherwise receive the more copies the later it is.
   /// @param deadline  time after which `done` is called with null.
   void SendRequest(const std::string& to, wire::peer_frame frame, time_point deadline,
                    answer_callback done);
@@ -94,9 +96,9 @@
   /// @return the bound host:port.
   [[nodiscard]] const std::string& address() const;
 
-  /// Interval at which an unanswered request is sent again. Three times a slow round trip across
-  /// failure domains, so that requests with an answer in flight are rarely repeated.
-  static constexpr duration kRetryInterval = std::chrono::milliseconds{150};
+  /// Pause before an unanswered request is sent again. Three times a slow round trip across failure
+  /// domains, so that requests with an answer in flight are rarely repeated.
+  static constexpr duration kFirstRetryDelay = std::chrono::milliseconds{150};
 
   /// Delay for which messages to the same peer are collected into one bundle.
   static constexpr duration kBundleDelay = std::chrono::milliseconds{4};
@@ -108,6 +110,7 @@
     time_point deadline;
     answer_callback done;
     boost::asio::steady_timer timer;
+    duration retry_delay{kFirstRetryDelay};
   };
   /// A received request kept for deduplication.
   struct received_request {
--- a/test/rosearch/cell/peer_link_test.cc
+++ b/test/rosearch/cell/peer_link_test.cc
@@ -74,6 +74,29 @@
   CHECK(polls == 1);
 }
 
+// An overloaded leader answered calls after 1 to 2 s. Each was sent to it again every 150 ms, so
+// that it received up to ten copies of each and stayed overloaded long after the burst.
+TEST_CASE("repeats of an unanswered request back off") {
+  boost::asio::io_context io;
+  int copies = 0;
+  peer_link link{io, "127.0.0.1:0", 1,
+                 [&copies](const wire::peer_frame& frame) { copies += frame.has_query() ? 1 : 0; }};
+  wire::peer_frame opening;
+  opening.mutable_ping();
+  link.SendRequest(link.address(), opening, SteadyNow() + std::chrono::milliseconds{400},
+                   [](const wire::peer_frame*) {});
+  io.run_for(std::chrono::milliseconds{500});
+  wire::peer_frame request;
+  request.mutable_query();
+  link.SendRequest(link.address(), request, SteadyNow() + std::chrono::milliseconds{2'000},
+                   [](const wire::peer_frame*) {});
+  io.restart();
+  io.run_for(std::chrono::milliseconds{2'200});
+  // Sent at 0, 150, 450 and 1,050 ms; a loaded machine sends fewer.
+  CHECK(copies >= 2);
+  CHECK(copies <= 4);
+}
+
 // The peers of a busy new leader hold the former leader's member list. Their pings must still be
 // answered, with the new list.
 TEST_CASE("a busy leader answers pings of peers with an older member list") {
