A leader that is cut off from the store prefers large peers for its batches (cell)

Change: an exchange with the store prefers large peers, where the members of the cell are of unequal size. The new test fails without the preference; test_cell's cases of peers, routes and relays green.

--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -165,7 +165,11 @@
   if (!scheduler.Uses(sched::mechanism::kAdviceByAll)) {
     helpers.resize(1);
   }
-  outside_.SetPeers(addresses);
+  auto large = IsLeading() ? LargeMembers() : std::vector<std::string>{};
+  if (large.size() == members_.size()) {
+    large.clear();
+  }
+  outside_.SetPeers(std::move(addresses), std::move(large));
   outside_.SetRelays(Relays());
   if (IsLeading()) {
     leader_->SetHelpers(helpers);
--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -365,15 +365,27 @@
       });
 }
 
+// Handles a leader that is cut off from the store beside peers of unequal size. Through a peer with
+// a link of 10 Mbit/s its batches of 100 KB took 0.3 s each, and jobs waited for their acceptance.
 std::string relayed_client::ChoosePeer(const exchange& sent) {
+  if (sent.options.prefer_large_peer) {
+    if (auto large = ChooseAmong(large_peers_, sent); !large.empty()) {
+      return large;
+    }
+  }
+  return ChooseAmong(forwarding_peers_, sent);
+}
+
+std::string relayed_client::ChooseAmong(const std::vector<std::string>& peers,
+                                        const exchange& sent) {
   const auto untried = [&](const std::string& peer) { return !sent.HasTried(peer); };
   const auto known = preferred_peer_.find(sent.request.address);
   if (known != preferred_peer_.end() && untried(known->second) &&
-      std::ranges::find(forwarding_peers_, known->second) != forwarding_peers_.end()) {
+      std::ranges::find(peers, known->second) != peers.end()) {
     return known->second;
   }
-  for (std::size_t checked = 0; checked < forwarding_peers_.size(); ++checked) {
-    const auto& peer = forwarding_peers_[next_peer_++ % forwarding_peers_.size()];
+  for (std::size_t checked = 0; checked < peers.size(); ++checked) {
+    const auto& peer = peers[next_peer_++ % peers.size()];
     if (untried(peer)) {
       return peer;
     }
--- a/src/rosearch/cell/relayed_client.h
+++ b/src/rosearch/cell/relayed_client.h
@@ -37,6 +37,9 @@
   bool adaptive_timeout{false};
   /// Whether a relay makes the exchange if relays are set.
   bool allow_relay{false};
+  /// Whether large peers are preferred where a peer makes the exchange, because its body may be
+  /// large.
+  bool prefer_large_peer{false};
 
   friend bool operator==(const route_options&, const route_options&) = default;
 };
@@ -52,7 +55,12 @@
       : io_{io}, direct_{direct}, peers_{peers}, log_{log} {}
 
   /// Sets the peers that may forward requests.
-  void SetPeers(std::vector<std::string> peers) { forwarding_peers_ = std::move(peers); }
+  /// @param large  those with more processor time and a faster link than the others; empty where
+  ///               all are alike.
+  void SetPeers(std::vector<std::string> peers, std::vector<std::string> large = {}) {
+    forwarding_peers_ = std::move(peers);
+    large_peers_ = std::move(large);
+  }
 
   /// Sets the relays: peers that make all exchanges that allow a relay; empty: none. In a large
   /// cell the exchanges with workers use most of the leader's processor time, while its peers are
@@ -96,12 +104,17 @@
   void RecordAnswerTime(const exchange& sent, time_point sent_at);
   /// @return a peer that was not tried yet; empty if there is none.
   [[nodiscard]] std::string ChoosePeer(const exchange& sent);
+  /// @return one of these peers that was not tried yet, the one that reached the target last if it
+  ///         is among them; empty if there is none.
+  [[nodiscard]] std::string ChooseAmong(const std::vector<std::string>& peers,
+                                        const exchange& sent);
 
   boost::asio::io_context& io_;
   http_client& direct_;
   peer_link& peers_;
   event_sink* log_;
   std::vector<std::string> forwarding_peers_;
+  std::vector<std::string> large_peers_;
   std::vector<std::string> relays_;
   /// By relay: excluded until.
   std::unordered_map<std::string, time_point> excluded_relays_;
--- a/test/rosearch/cell/relayed_client_test.cc
+++ b/test/rosearch/cell/relayed_client_test.cc
@@ -289,6 +289,22 @@
   CHECK(fixture.calls > 1);
 }
 
+// A leader that is cut off from the store sent its batches through any peer, also through one with
+// a slow link, and every job waited for these batches.
+TEST_CASE("a large peer is preferred where a request asks for it") {
+  client_fixture fixture{503};
+  const std::string nobody = "127.0.0.1:9";
+  fixture.ConnectTo(fixture.peers.address());
+  const auto before = fixture.client.CountRelayedExchanges();
+  fixture.client.SetPeers({nobody, nobody, fixture.peers.address()}, {fixture.peers.address()});
+  const route_options how{.retry_refusal_by_peer = true,
+                          .answer_timeout = milliseconds{100},
+                          .prefer_large_peer = true};
+  const auto got = fixture.Send(how, milliseconds{80});
+  CHECK(fixture.calls == 2);  // directly, and through the large peer
+  CHECK(fixture.client.CountRelayedExchanges() >= before + 1);
+}
+
 // All open connections to the store stop answering without a reset. A peer's answers arrive at
 // once, but each request waited for the direct route first: jobs were accepted 2 s late, or refused
 // because the store seemed unavailable.
