--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -27,6 +27,11 @@
   return request.exchange() != 0 && !request.once() && !read_only;
 }
 
+/// @return whether the pause before each repeat of a request grows. Pings and queries are small,
+/// and a
+///         leader that has just been elected must be heard before its peers replace it.
+bool BacksOff(const wire::peer_frame& request) { return request.has_call() || request.has_relay(); }
+
 std::string DeduplicationKey(const wire::peer_frame& request) {
   return request.from() + '#' + std::to_string(request.exchange());
 }
@@ -127,7 +132,9 @@
   const bool repeats = pending.frame.exchange() != 0;
   const auto next =
       repeats ? std::min(pending.deadline, SteadyNow() + pending.retry_delay) : pending.deadline;
-  pending.retry_delay *= 2;
+  if (BacksOff(pending.frame)) {
+    pending.retry_delay *= 2;
+  }
   pending.timer.expires_after(next - SteadyNow());
   pending.timer.async_wait([this, exchange, alive = std::weak_ptr<bool>{alive_}](
                                const boost::system::error_code& failed) {
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -47,9 +47,9 @@
   void SendMessage(const std::string& to, wire::peer_frame frame);
 
   /// Sends a request and repeats it until it is answered, because the transport drops messages to a
-  /// peer while the connection is being established. The pause before a repeat starts at
-  /// `kFirstRetryDelay` and doubles each time: a peer that answers late because it is overloaded
-  /// would otherwise receive the more copies the later it is.
+  /// peer while the connection is being established. The pause before a repeat is
+  /// `kFirstRetryDelay`. For calls and relayed exchanges it doubles each time: a peer that answers
+  /// late because it is overloaded would otherwise receive the more copies the later it is.
   /// @param deadline  time after which `done` is called with null.
   void SendRequest(const std::string& to, wire::peer_frame frame, time_point deadline,
                    answer_callback done);
@@ -93,6 +93,11 @@
   /// @return the number of received requests kept for deduplication.
   [[nodiscard]] std::size_t CountStoredRequests() const { return received_requests_.size(); }
 
+  /// @return the number of messages received, repeats included.
+  [[nodiscard]] std::uint64_t CountReceived() const {
+    return transport_->Counters().messages_received;
+  }
+
   /// @return the bound host:port.
   [[nodiscard]] const std::string& address() const;
 
