A process with a slow link leaves leadership to others (cell)

Cause: after all processes of the second new deployment had been killed, one with 0.3 CPUs and a link of 10 Mbit/s claimed first. It took 1.1 s to serve, was silent for its peers, was replaced by another of that kind and led again: three leaders in 16 s, calls refused or held to their end. Change: leader_fitness takes the rate of the link, from the settings and in cell_member, beside the processor time. Below 50 Mbit/s a process claims later, offers leadership to others and is no relay, as one below 0.2 CPUs. Where the rate is not told, and in cells without such processes, nothing changes.

--- a/src/rosearch/cell/cell_settings.cc
+++ b/src/rosearch/cell/cell_settings.cc
@@ -133,6 +133,7 @@
   settings.advice_address = in.Address("advice_address", false);
   settings.processor_milli =
       static_cast<std::uint32_t>(in.Number("processors", 1.0, 0.001, 1024) * 1000);
+  settings.link_mbps = static_cast<std::uint32_t>(in.Number("link_mbps", 0, 0, 1'000'000));
   settings.file_descriptors =
       static_cast<std::uint32_t>(in.Number("file_descriptors", 1024, 64, 1'000'000));
   settings.grace = std::chrono::milliseconds{
--- a/src/rosearch/cell/cell_settings.h
+++ b/src/rosearch/cell/cell_settings.h
@@ -23,6 +23,7 @@
   std::string store_address;            ///< host:port of the platform's store
   std::string advice_address;           ///< host:port of the advice service; empty: none
   std::uint32_t processor_milli{1000};  ///< processor limit in thousandths of a processor
+  std::uint32_t link_mbps{0};           ///< rate of the network link in Mbit/s; 0: not known
   std::uint32_t file_descriptors{1024};
   duration grace{std::chrono::seconds{6}};  ///< time from a stop order until the process is killed
   leader_settings leading{};
--- a/src/rosearch/cell/fwd.h
+++ b/src/rosearch/cell/fwd.h
@@ -9,6 +9,7 @@
 class relayed_client;
 class settling_period;
 struct cell_settings;
+struct leader_fitness;
 
 }  // namespace rosearch::cell
 
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -210,6 +210,7 @@
                  .Add("epoch", leader_->epoch())
                  .Add("to", larger.size())
                  .Add("processor_milli", settings_.processor_milli)
+                 .Add("link_mbps", settings_.link_mbps)
                  .Add("workers", leader_->Workers()));
   // Only larger peers are notified; this process keeps leading until one of them has claimed.
   for (const auto& address : larger) {
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -18,6 +18,7 @@
 #include "rosearch/cell/cell_settings.h"
 #include "rosearch/cell/election.h"
 #include "rosearch/cell/leader.h"
+#include "rosearch/cell/leader_fitness.h"
 #include "rosearch/cell/peer_choice.h"
 #include "rosearch/cell/peer_link.h"
 #include "rosearch/cell/ports.h"
@@ -134,9 +135,6 @@
     bool maybe_processed{false};  ///< a leader may have processed it, so it can't be refused
   };
 
-  /// Processes with fewer thousandths of a processor than this claim later than larger ones: a
-  /// leader of 350 workers needs about a fifth of a processor.
-  static constexpr std::uint32_t kLargeProcess = 200;
   /// A process without an answer of the leader for this long isn't ready. Load balancers probe once
   /// a second and tolerate two failed probes; a leader change alone takes less than this.
   static constexpr duration kReadyTimeout = std::chrono::milliseconds{2'500};
@@ -202,6 +200,7 @@
     self.set_name(settings_.name);
     // A stopping process is no candidate and no relay: requests through it would be lost with it.
     self.set_processor_milli(stopping_ ? 0 : settings_.processor_milli);
+    self.set_link_mbps(settings_.link_mbps);
     return self;
   }
   [[nodiscard]] static std::uint32_t Millis(duration span) {
@@ -209,9 +208,11 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(span).count());
   }
   [[nodiscard]] bool IsLeading() const { return leader_ != nullptr; }
-  [[nodiscard]] bool IsSmall() const { return settings_.processor_milli < kLargeProcess; }
+  [[nodiscard]] bool IsSmall() const {
+    return !leader_fitness{settings_.processor_milli, settings_.link_mbps}.IsFit();
+  }
   [[nodiscard]] static bool IsSmall(const wire::cell_member& facts) {
-    return facts.processor_milli() < kLargeProcess;
+    return !leader_fitness{facts.processor_milli(), facts.link_mbps()}.IsFit();
   }
   [[nodiscard]] static duration PingInterval(const member& peer) {
     if (peer.ping_interval > duration{}) {
--- a/test/rosearch/cell/cell_of_three.h
+++ b/test/rosearch/cell/cell_of_three.h
@@ -115,7 +115,8 @@
 class process {
  public:
   process(claims_log& claims, const std::string& address, const std::vector<std::string>& seeds,
-          std::uint64_t incarnation, std::uint32_t processor_milli = 1'000, int workers = 1)
+          std::uint64_t incarnation, std::uint32_t processor_milli = 1'000, int workers = 1,
+          std::uint32_t link_mbps = 0)
       : ports_{io_, claims},
         peers_{io_, address, incarnation,
                [this](const wire::peer_frame& frame) { node_->Receive(frame); },
@@ -126,6 +127,7 @@
     settings.name = address;
     settings.seeds = seeds;
     settings.processor_milli = processor_milli;
+    settings.link_mbps = link_mbps;
     node_ = std::make_unique<node<claiming_ports>>(io_, settings, ports_, peers_, client_,
                                                    incarnation, 0.0, log_, metrics_);
     node_->Begin();
--- a/test/rosearch/cell/node_test.cc
+++ b/test/rosearch/cell/node_test.cc
@@ -136,6 +136,19 @@
   CHECK(small.Logged("leadership_offered") == (workers == kManyWorkers));
 }
 
+// As above, but the first process lacks a fast link rather than processor time.
+TEST_CASE("a process with a slow link hands many workers over to one with a fast link") {
+  constexpr std::uint32_t kProcessorMilli = 500;
+  constexpr int kManyWorkers = 160;
+  claims_log claims;
+  process slow{claims, "127.0.0.1:47311", {}, 1, kProcessorMilli, kManyWorkers, 10};
+  REQUIRE(cell_of_three::WaitUntil([&] { return slow.Leads(); }) < seconds{5});
+  process fast{claims, "127.0.0.1:47312", {"127.0.0.1:47311"}, 2, kProcessorMilli, kManyWorkers,
+               200};
+  CHECK(cell_of_three::WaitUntil([&] { return fast.Leads(); }) < seconds{5});
+  CHECK(slow.Logged("leadership_offered"));
+}
+
 // Most processes, the leader among them, lose power at once. They are still on the new leader's
 // member list; as relays they would lose its requests to workers.
 TEST_CASE("a new leader uses only processes that answered it as relays") {
