Workers that restart under their id, and registry records of other writers (sched, cell, platform)

Cause: the scheduler took an id for one incarnation. The runs of a worker that restarted under its id stayed charged to it, its new ends were taken for known ones, and a start order in flight could be executed by the new incarnation beside a new run of the task. A registry record of another program under the key of a known worker removed the worker.

Change: worker_facts, worker_report, orders, watches and the stored list of workers carry `born`. A higher one begins an incarnation (scheduler_incarnations.cc): listed runs end as lost; runs whose start may execute in it are stopped there by their number. Lower ones are ignored. Nothing starts before the incarnation's record is read and it has answered. Start orders that were never answered are remembered after their run, until they can't be in flight any more. The decoder names the member that makes a record unusable; such a record is logged and counted once per content and changes nothing.

--- a/src/rosearch/cell/cell_metrics.cc
+++ b/src/rosearch/cell/cell_metrics.cc
@@ -53,6 +53,8 @@
     metric_help{"rosearch_waiting_tasks", "Tasks of open steps that are not running."},
     metric_help{"rosearch_worker_looks_total",
                 "Workers examined for waiting steps; measures the cost of an attempt."},
+    metric_help{"rosearch_worker_records_unusable_total",
+                "Registry records that name no usable worker, once per key and content."},
     metric_help{"rosearch_workers_live", "Workers that answer."},
 };
 
--- a/src/rosearch/cell/internal/leader_inputs.h
+++ b/src/rosearch/cell/internal/leader_inputs.h
@@ -53,21 +53,44 @@
 template <typename Ports>
 void leader<Ports>::ApplyWorkerRecord(const sched::stored_record& record,
                                       std::set<std::string>* seen) {
-  auto facts = record.value.empty() ? std::nullopt : Ports::DecodeWorker(record.key, record.value);
-  const auto& pools = scheduler_.configuration().pools;
-  const bool usable =
-      facts && std::ranges::find(pools, facts->pool, &sched::pool_rules::name) != pools.end();
-  if (!usable) {
-    // The worker was removed, its record is unreadable, or its pool is not configured in this
-    // cell: it must not get work.
+  if (record.value.empty()) {
     RemoveWorker(record.key);
     return;
   }
   if (seen != nullptr) {
     seen->insert(record.key);
   }
+  const auto facts = Ports::DecodeWorker(record.key, record.value);
+  if (facts.has_error()) {
+    ReportUnusableRecord(record, facts.error().detail);
+    return;
+  }
+  const auto& pools = scheduler_.configuration().pools;
+  if (std::ranges::find(pools, facts.value().pool, &sched::pool_rules::name) == pools.end()) {
+    ReportUnusableRecord(record, "pool");
+    return;
+  }
   pending_removals_.erase(record.key);
-  scheduler_.ObserveWorker(*facts, Now());
+  scheduler_.ObserveWorker(facts.value(), Now());
+}
+
+// A record of another writer says nothing about a worker that a valid one has named under the same
+// key, so the worker keeps its facts.
+template <typename Ports>
+void leader<Ports>::ReportUnusableRecord(const sched::stored_record& record,
+                                         const std::string& cause) {
+  constexpr std::size_t kMaxKnownRecords = 10'000;
+  if (unusable_records_.size() >= kMaxKnownRecords) {
+    unusable_records_.clear();
+  }
+  if (!unusable_records_.emplace(record.key, std::hash<std::string>{}(record.value)).second) {
+    return;
+  }
+  metrics_.Count("rosearch_worker_records_unusable_total");
+  log_.Write(event_line{"worker_record_unusable", event_weight::kFailure}
+                 .Add("worker", record.key)
+                 .Add("cause", cause)
+                 .Add("bytes", record.value.size()));
 }
 
 template <typename Ports>
--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -230,21 +230,23 @@
     return;
   }
   const auto sent_at = SteadyNow();
-  ports_.Watch(*watch, epoch_, Bind([worker, sent_at](leader& self, const watch_answer& answer) {
-    self.unanswered_slice_.erase(worker);
-    if (answer.report) {
-      self.scheduler_.OnReport(worker, sent_at, *answer.report, Now());
-    } else {
-      self.scheduler_.OnWatchFailed(worker, answer.failure, Now());
-    }
-    self.PostPump();
-    const auto pause = self.scheduler_.WatchDelay(worker, Now());
-    if (pause > duration{}) {
-      self.WatchAfter(worker, pause);
-    } else {
-      self.Watch(worker);
-    }
-  }));
+  ports_.Watch(
+      *watch, epoch_,
+      Bind([worker, born = watch->born, sent_at](leader& self, const watch_answer& answer) {
+        self.unanswered_slice_.erase(worker);
+        if (answer.report) {
+          self.scheduler_.OnReport(worker, sent_at, *answer.report, Now());
+        } else {
+          self.scheduler_.OnWatchFailed(worker, answer.failure, Now(), born);
+        }
+        self.PostPump();
+        const auto pause = self.scheduler_.WatchDelay(worker, Now());
+        if (pause > duration{}) {
+          self.WatchAfter(worker, pause);
+        } else {
+          self.Watch(worker);
+        }
+      }));
 }
 
 }  // namespace rosearch::cell
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -258,6 +258,8 @@
   void ApplyConfiguration(const sched::stored_record& record);
   void FollowRegistry();
   void ApplyWorkerRecord(const sched::stored_record& record, std::set<std::string>* seen);
+  /// Logs and counts a registry record that names no usable worker, once per key and content.
+  void ReportUnusableRecord(const sched::stored_record& record, const std::string& cause);
   void RemoveWorker(const std::string& id);
   void RemoveOverdueWorkers();
 
@@ -341,8 +343,10 @@
   std::map<std::string, std::unique_ptr<boost::asio::steady_timer>> watches_;  ///< by worker
   std::unordered_map<std::string, std::vector<waiting_caller>> callers_;       ///< by job
   std::map<std::string, time_point> pending_removals_;  ///< workers to remove, by deadline
-  std::deque<batch_in_flight> batches_;                 ///< oldest first
-  std::deque<std::string> unwatched_;                   ///< workers still to be watched
+  /// Unusable registry records that were logged, by key and hash of the content.
+  std::set<std::pair<std::string, std::size_t>> unusable_records_;
+  std::deque<batch_in_flight> batches_;     ///< oldest first
+  std::deque<std::string> unwatched_;       ///< workers still to be watched
   std::set<std::string> unanswered_slice_;  ///< workers of the last slice that have not answered
   time_point slice_watched_at_{};           ///< when that slice was watched
   bool paused_before_slice_{false};         ///< a pause was made since then
--- a/src/rosearch/cell/ports.h
+++ b/src/rosearch/cell/ports.h
@@ -84,7 +84,7 @@
   ports.Advise(text, query, advice_callback{});
   { Ports::DecodeConfiguration(text) } -> std::same_as<result<sched::cell_configuration>>;
   { Ports::ConfigurationKey() } -> std::convertible_to<std::string_view>;
-  { Ports::DecodeWorker(text, text) } -> std::same_as<std::optional<sched::worker_facts>>;
+  { Ports::DecodeWorker(text, text) } -> std::same_as<result<sched::worker_facts>>;
   { Ports::DecodeJob(text) } -> std::same_as<result<sched::job_spec>>;
   { Ports::EncodePhase(sched::job_phase{}) } -> std::same_as<std::string>;
   { Ports::EncodeWaiting(std::size_t{}) } -> std::same_as<std::string>;
--- a/src/rosearch/sched/order.h
+++ b/src/rosearch/sched/order.h
@@ -22,6 +22,7 @@
   std::shared_ptr<const job_spec> job;
   std::string checkpoint;  ///< checkpoint to resume from; empty: start from the beginning
   std::string ticket;      ///< proof of the advice that allows it; empty: none needed
+  std::int64_t born{0};    ///< incarnation that it is sent to; see `worker_facts::born`
 
   friend bool operator==(const start_order&, const start_order&) = default;
 };
@@ -32,6 +33,7 @@
   std::string address;
   std::string task;
   std::uint32_t run{0};
+  std::int64_t born{0};  ///< incarnation that it is sent to; see `worker_facts::born`
 
   friend bool operator==(const stop_order&, const stop_order&) = default;
 };
--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -43,6 +43,7 @@
   if (!worker) {
     worker = std::make_unique<worker_state>();
     worker->facts = facts;
+    worker->born = facts.born;
     worker->leaves_at = facts.draining ? now.steady + facts.min_time_left : kNever;
     fill_.Update(*worker);
     workers_dirty_ = true;
@@ -54,6 +55,14 @@
                    .Add("draining", static_cast<int>(facts.draining)));
     return;
   }
+  if (facts.born < worker->born) {
+    log_.Write(event_line{"worker_record_outdated", event_weight::kDetail}
+                   .Add("worker", facts.id)
+                   .Add("born", facts.born)
+                   .Add("newest", worker->born));
+    return;
+  }
+  const bool restarted = facts.born > worker->born;
   worker->listed = true;
   if (facts.draining && !worker->facts.draining) {
     worker->leaves_at = now.steady + facts.min_time_left;
@@ -69,7 +78,13 @@
   if (worker->facts.capacity != facts.capacity || worker->facts.draining != facts.draining) {
     RecordFreedRoom(*worker);
   }
+  if (!worker->HasCurrentFacts()) {
+    RecordFreedRoom(*worker);
+  }
   worker->facts = facts;
+  if (restarted) {
+    BeginIncarnation(*worker, facts.born, nullptr, {}, now);
+  }
   fill_.Update(*worker);
 }
 
@@ -101,13 +116,15 @@
   auto& worker = *found->second;
   const bool live = worker.session == session_phase::kLive;
   const bool lease_expired = now.steady >= worker.lease_until && !unsettled_.contains(id);
-  if (!worker.listed && worker.runs.empty() && (live || lease_expired)) {
+  const bool has_late_starts = std::ranges::any_of(
+      worker.late_starts, [&](const late_start& each) { return now.steady < each.expires; });
+  if (!worker.listed && worker.runs.empty() && !has_late_starts && (live || lease_expired)) {
     log_.Write(event_line{"worker_dropped", event_weight::kStateChange}.Add("worker", id));
     DropWorker(id);
     return std::nullopt;
   }
   const bool answers = live && worker.silent_watches == 0;
-  watch_request watch{id, worker.facts.address, worker.acked_end, answers, duration{}};
+  watch_request watch{id, worker.facts.address, worker.acked_end, answers, duration{}, worker.born};
   if (answers && worker.seen_end == worker.acked_end) {
     watch.wait =
         worker.runs.empty() || IsOverloaded()
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -98,6 +98,7 @@
   std::uint64_t acked_end{0};  ///< ends up to this number are stored; the worker may discard them
   bool extend_lease{false};
   duration wait{};  ///< how long the worker may delay its answer until a run ends (long polling)
+  std::int64_t born{0};  ///< incarnation that it is sent to; see `worker_facts::born`
 
   friend bool operator==(const watch_request&, const watch_request&) = default;
 };
@@ -241,7 +242,10 @@
   [[nodiscard]] duration WatchDelay(const std::string& worker, const instant& now) const;
   void OnReport(const std::string& worker, time_point sent_at, const worker_report& report,
                 const instant& now);
-  void OnWatchFailed(const std::string& worker, watch_failure failure, const instant& now);
+  /// @param sent_to  incarnation that the watch was sent to. The answer of another worker in its
+  ///                 place says nothing about a later incarnation, which may have moved.
+  void OnWatchFailed(const std::string& worker, watch_failure failure, const instant& now,
+                     std::optional<std::int64_t> sent_to = std::nullopt);
   void OnStartAnswer(const start_order& sent, start_outcome outcome, const instant& now);
   /// @param acknowledged  whether the worker acknowledged the order.
   void OnStopAnswer(const stop_order& sent, bool acknowledged, const instant& now);
@@ -354,7 +358,11 @@
   void RestoreJob(const std::string& id, const std::string& job_text,
                   const std::string& progress_text, const instant& now);
   void AckEndsWithoutRecords();
-  [[nodiscard]] std::string EncodeWorkers(std::vector<std::string>& open) const;
+  /// A worker and its incarnation.
+  using worker_incarnation = std::pair<std::string, std::int64_t>;
+  [[nodiscard]] std::string EncodeWorkers(std::vector<worker_incarnation>& open) const;
+  /// @return a worker if the incarnation is its newest known one; otherwise null.
+  [[nodiscard]] worker_state* FindIncarnation(const std::string& worker, std::int64_t born);
   void HoldTasks(worker_state& worker);
   void ReleaseTasks(worker_state& worker);
   void SetNotBefore(const std::string& task, time_point not_before);
@@ -397,6 +405,24 @@
   /// @return the run number for a task's `count`-th run under this leadership.
   [[nodiscard]] std::uint32_t RunNumber(std::uint32_t count) const;
 
+  // scheduler_incarnations.cc
+  /// Begins a new incarnation of a worker. Runs that certainly ended with the former one end as
+  /// lost; a run that may have started or may still start in the new one is stopped there.
+  /// @param report  report of the new incarnation that shows it; null: its registry record.
+  /// @param sent_at  when the watch that brought the report was sent.
+  void BeginIncarnation(worker_state& worker, std::int64_t born, const worker_report* report,
+                        time_point sent_at, const instant& now);
+  /// Stops a run that may execute in the worker's new incarnation.
+  void StopInNewIncarnation(live_run& run, const instant& now);
+  /// Stops the runs of late start orders in the worker's new incarnation.
+  void StopLateStarts(worker_state& worker, const instant& now);
+  /// Keeps a run's start order in `worker_state::late_starts` if it may still be in flight.
+  void RecordLateStart(const live_run& run);
+  /// Handles a report of a former incarnation. It counts as an unanswered watch if the watch was
+  /// sent since the new one is known.
+  void IgnoreReport(const worker_state& worker, std::int64_t born, time_point sent_at,
+                    const instant& now);
+
   // scheduler_progress.cc
   /// @return the typical run time of a step's tasks, from ended runs and from active runs on
   ///         workers other than `excluded_worker`; nothing if there are too few samples.
--- a/src/rosearch/sched/scheduler_advice.cc
+++ b/src/rosearch/sched/scheduler_advice.cc
@@ -232,6 +232,11 @@
                               static_cast<double>(std::max<std::size_t>(1, query.workers.size()));
   share += kAdvisedShareWeight * (answered_share - share);
   for (const auto& worker : query.workers) {
+    const auto restarted = workers_.find(worker);
+    if (restarted != workers_.end() &&
+        restarted->second->born_known_at > step->advice.query_sent_at()) {
+      continue;  // the advice is about the former incarnation
+    }
     const auto given = std::ranges::find(*allowed, worker, &advised_worker::worker);
     if (given == allowed->end()) {
       step->advice.Refuse(worker);
--- a/src/rosearch/sched/scheduler_reports.cc
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -55,6 +55,7 @@
   new_run->worker = &worker;
   new_run->started_at = now.steady;
   new_run->progressed_at = now.steady;
+  new_run->adopted = true;
   ++worker.unknown_runs;
   const auto name = task_name::Parse(row.task);
   if (const auto* const step = name ? FindStep(*name) : nullptr) {
@@ -80,6 +81,8 @@
   }
   auto& run = AttachRun(*step, name->index, worker, row.run, now);
   run.phase = run_phase::kRunning;
+  run.listed = true;
+  run.adopted = true;
   run.checkpoint = row.checkpoint;
   run.percent = row.percent;
   run.confirmed_at = now.steady;
@@ -97,8 +100,10 @@
   std::vector<live_run*> ended_runs;
   for (const auto& each : worker.runs) {
     auto& run = *each.second;
+    // A restarted worker may have executed a late order of an earlier run; until that has ended,
+    // the task must not start elsewhere.
     const bool listed = std::ranges::any_of(report.running, [&](const running_row& row) {
-      return row.run == run.run && row.task == run.task;
+      return row.task == run.task && (row.run == run.run || worker.born != 0);
     });
     if (listed || run.confirmed_at >= sent_at) {
       run.missing = false;
@@ -123,6 +128,13 @@
     return;
   }
   auto& worker = *found->second;
+  if (report.born < worker.born) {
+    IgnoreReport(worker, report.born, sent_at, now);
+    return;
+  }
+  if (report.born > worker.born) {
+    BeginIncarnation(worker, report.born, &report, sent_at, now);
+  }
   if (worker.session != session_phase::kLive) {
     log_.Write(event_line{"worker_live", event_weight::kStateChange}
                    .Add("worker", worker_id)
@@ -147,8 +159,13 @@
     }
     auto& run = *known->second;
     if (run.run != row.run) {
+      if (worker.born != 0) {
+        orders_.emplace_back(
+            stop_order{worker_id, worker.facts.address, row.task, row.run, worker.born});
+      }
       continue;
     }
+    run.listed = true;
     if (run.phase == run_phase::kStarting || run.phase == run_phase::kUnsure) {
       run.phase = run_phase::kRunning;
       run.confirmed_at = now.steady;
@@ -190,7 +207,7 @@
 }
 
 void scheduler::OnWatchFailed(const std::string& worker_id, watch_failure failure,
-                              const instant& now) {
+                              const instant& now, std::optional<std::int64_t> sent_to) {
   if (failure == watch_failure::kStaleFence) {
     deposed_ = true;
     return;
@@ -200,6 +217,9 @@
     return;
   }
   auto& worker = *found->second;
+  if (sent_to && *sent_to != worker.born) {
+    return;
+  }
   if (failure == watch_failure::kOtherIncarnation) {
     EndRunsAsLost(worker, "restarted", now);
     SettleWorker(worker_id, "restarted", now);
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -82,13 +82,15 @@
   auto& worker = *run.worker;
   worker.lease_until = std::max(worker.lease_until, now.steady + MaxLeaseDuration());
   orders_.emplace_back(start_order{worker.facts.id, worker.facts.address, run.task, run.run,
-                                   run.step->job->spec, run.checkpoint, run.ticket});
+                                   run.step->job->spec, run.checkpoint, run.ticket, worker.born});
+  ++run.unanswered_starts;
+  run.start_sent_at = now.steady;
 }
 
 void scheduler::OrderStop(live_run& run, const instant& now) {
   const auto& facts = run.worker->facts;
   run.retry_at = now.steady + settings_.stop_retry_interval;
-  orders_.emplace_back(stop_order{facts.id, facts.address, run.task, run.run});
+  orders_.emplace_back(stop_order{facts.id, facts.address, run.task, run.run, run.worker->born});
 }
 
 void scheduler::LogRepeatedOrder(const live_run& run, std::string_view order) {
@@ -144,6 +146,7 @@
 
 void scheduler::DetachRun(live_run& run) {
   auto& worker = *run.worker;
+  RecordLateStart(run);
   worker.used = worker.used - run.charged;
   if (run.customer != nullptr) {
     run.customer->Release(run.customer_charge);
@@ -271,10 +274,15 @@
     return;
   }
   if (outcome == start_outcome::kOtherIncarnation) {
-    OnWatchFailed(sent.worker, watch_failure::kOtherIncarnation, now);
+    OnWatchFailed(sent.worker, watch_failure::kOtherIncarnation, now, sent.born);
     return;
   }
-  auto* const run = FindRun(sent.worker, sent.task, sent.run);
+  auto* const run = FindIncarnation(sent.worker, sent.born) == nullptr
+                        ? nullptr
+                        : FindRun(sent.worker, sent.task, sent.run);
+  if (run != nullptr && outcome != start_outcome::kUnknown && run->unanswered_starts > 0) {
+    --run->unanswered_starts;
+  }
   if (run == nullptr || run->phase == run_phase::kStopping || run->phase == run_phase::kRunning) {
     return;
   }
@@ -332,6 +340,9 @@
 }
 
 void scheduler::OnStopAnswer(const stop_order& sent, bool acknowledged, const instant& now) {
+  if (FindIncarnation(sent.worker, sent.born) == nullptr) {
+    return;
+  }
   auto* const run = FindRun(sent.worker, sent.task, sent.run);
   if (run == nullptr || run->phase != run_phase::kStopping) {
     return;
--- a/src/rosearch/sched/scheduler_store.cc
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -21,8 +21,8 @@
 struct scheduler::stored_effects {
   std::vector<std::string> new_jobs;
   std::vector<std::pair<std::string, job_phase>> progress;
-  std::vector<std::pair<std::string, std::uint64_t>> ends;  ///< worker, newest processed end
-  std::vector<std::string> recorded;                        ///< workers
+  std::vector<std::pair<worker_incarnation, std::uint64_t>> ends;  ///< newest processed end
+  std::vector<worker_incarnation> recorded;
   std::vector<std::string> forgotten;
   bool workers{false};
 };
@@ -47,6 +47,7 @@
         worker->facts.pool = stored.pool();
         worker->listed = false;
       }
+      worker->born = std::max(worker->born, stored.born());
       worker->lease_until = now.steady + settings_.former_leader_send_margin + MaxLeaseDuration();
       if (stored.closed()) {
         worker->held_tasks.assign(stored.tasks().begin(), stored.tasks().end());
@@ -164,7 +165,8 @@
     batch.records.push_back({std::string{kWorkersKey}, EncodeWorkers(effects.recorded)});
   }
   for (const auto& id : workers_with_unstored_ends_) {
-    effects.ends.emplace_back(id, workers_.at(id)->seen_end);
+    const auto& worker = *workers_.at(id);
+    effects.ends.emplace_back(worker_incarnation{id, worker.born}, worker.seen_end);
   }
   urgent_ = false;
   storing_[batch.number] = std::move(effects);
@@ -195,23 +197,24 @@
       retiring_.push_back(id);
     }
   }
-  for (const auto& [id, end] : effects.ends) {
-    const auto found = workers_.find(id);
-    if (found != workers_.end() && found->second->acked_end < end) {
-      found->second->acked_end = end;
+  for (const auto& [worker, end] : effects.ends) {
+    const auto& [id, born] = worker;
+    auto* const known = FindIncarnation(id, born);
+    if (known != nullptr && known->acked_end < end) {
+      known->acked_end = end;
       workers_with_stored_ends_.push_back(id);
-      if (end == found->second->seen_end) {
+      if (end == known->seen_end) {
         workers_with_unstored_ends_.erase(id);
       }
     }
   }
-  for (const auto& id : effects.recorded) {
-    const auto found = workers_.find(id);
-    const bool still_open = found != workers_.end() && !found->second->facts.draining &&
-                            found->second->session == session_phase::kLive;
-    if (still_open && !found->second->recorded) {
-      found->second->recorded = true;
-      RecordFreedRoom(*found->second);
+  for (const auto& [id, born] : effects.recorded) {
+    auto* const known = FindIncarnation(id, born);
+    const bool still_open =
+        known != nullptr && !known->facts.draining && known->session == session_phase::kLive;
+    if (still_open && !known->recorded) {
+      known->recorded = true;
+      RecordFreedRoom(*known);
     }
   }
   RetireEndedJobs(now);
@@ -263,16 +266,17 @@
   return found != jobs_.end() && !found->second->accepted;
 }
 
-std::string scheduler::EncodeWorkers(std::vector<std::string>& open) const {
+std::string scheduler::EncodeWorkers(std::vector<worker_incarnation>& open) const {
   wire::stored_workers stored;
   for (const auto& [id, worker] : workers_) {
     auto& each = *stored.add_workers();
     each.set_id(id);
     each.set_address(worker->facts.address);
     each.set_pool(worker->facts.pool);
+    each.set_born(worker->born);
     const bool may_start = worker->session == session_phase::kLive && !worker->facts.draining;
     if (may_start || unsettled_.contains(id)) {
-      open.push_back(id);
+      open.emplace_back(id, worker->born);
       continue;
     }
     each.set_closed(true);
--- a/src/rosearch/sched/step_advice.h
+++ b/src/rosearch/sched/step_advice.h
@@ -49,6 +49,11 @@
   [[nodiscard]] const std::vector<allowance>& Allowed() const { return allowed_; }
   [[nodiscard]] bool Refused(const std::string& worker) const { return refused_.contains(worker); }
 
+  /// Removes a worker's allowance or refusal, which don't hold for a later incarnation.
+  void ForgetWorker(const worker_state* worker, const std::string& id) {
+    RemoveWorker(worker);
+    refused_.erase(id);
+  }
   /// Removes the allowance of a worker; call before the worker is destroyed.
   void RemoveWorker(const worker_state* worker) {
     std::erase_if(allowed_, [&](const auto& each) { return each.worker == worker; });
--- a/src/rosearch/sched/worker_facts.h
+++ b/src/rosearch/sched/worker_facts.h
@@ -14,7 +14,7 @@
 
 /// A worker's entry in the platform's registry.
 struct worker_facts {
-  std::string id;       ///< identifies one incarnation of a worker; a restart gets a new id
+  std::string id;       ///< a restarted worker may keep its id; see `born`
   std::string address;  ///< host:port
   std::string pool;
   std::string failure_domain;
@@ -24,6 +24,9 @@
   resources capacity{};
   bool draining{false};      ///< it is leaving: nothing new may start there
   duration min_time_left{};  ///< while draining: min time until it leaves
+  /// Start of the incarnation in Unix ms. A higher one is a restart under the same id. 0: not
+  /// reported, so the id has a single incarnation.
+  std::int64_t born{0};
 
   /// @return whether the worker has a label; true for the empty label.
   [[nodiscard]] bool HasLabel(const std::string& label) const {
@@ -71,6 +74,7 @@
 struct worker_report {
   std::vector<running_row> running;
   std::vector<ended_row> ended;
+  std::int64_t born{0};  ///< see `worker_facts::born`
 
   friend bool operator==(const worker_report&, const worker_report&) = default;
 };
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -80,6 +80,21 @@
   bool missing{false};            ///< missing from the last report, which should have listed it
   std::uint32_t pace{100};        ///< speed limit set by the scheduler, in percent
   std::uint32_t load{0};          ///< see `running_row::load`
+  /// Copies of the start order that may still be in flight: a restarted worker would execute them.
+  std::uint32_t unanswered_starts{0};
+  time_point start_sent_at{};  ///< when the newest copy of the start order was sent
+  bool listed{false};          ///< listed in a report of the worker's incarnation
+  bool adopted{false};         ///< found in a report; an earlier leader sent its start order
+};
+
+/// A start order that was never answered, of a run that has ended. The incarnation that ended the
+/// run refuses the order, but a restarted worker would execute it.
+struct late_start {
+  std::string task;
+  std::uint32_t run{0};
+  time_point expires{};  ///< it is no longer in flight then
+
+  friend bool operator==(const late_start&, const late_start&) = default;
 };
 
 /// Tracks failures and slow runs of a worker, and excludes it from placement after them.
@@ -132,8 +147,7 @@
   friend bool operator==(const room_reservation&, const room_reservation&) = default;
 };
 
-/// One incarnation of a worker: its registry entry, the resources charged to it and its last
-/// report.
+/// A worker: its registry entry, its incarnation, the resources charged to it and its last report.
 struct worker_state {
   worker_facts facts;
   session_phase session{session_phase::kNew};
@@ -149,9 +163,12 @@
   /// Until then runs here may continue without contact to the leader; counted from the last send.
   time_point lease_until{};
   time_point leaves_at{kNever};  ///< while draining: runs can continue at least until then
-  std::uint64_t seen_end{0};     ///< newest end processed
-  std::uint64_t acked_end{0};    ///< newest end that is stored
-  time_point report_sent_at{};   ///< when the watch that brought the newest report was sent
+  std::int64_t born{0};          ///< newest known incarnation; see `worker_facts::born`
+  time_point born_known_at{};    ///< when `born` last increased
+  std::vector<late_start> late_starts;
+  std::uint64_t seen_end{0};    ///< newest end processed
+  std::uint64_t acked_end{0};   ///< newest end that is stored
+  time_point report_sent_at{};  ///< when the watch that brought the newest report was sent
   std::uint32_t silent_watches{0};
   worker_health health;
   double slowness{1.0};         ///< smoothed ratio of run times to those of siblings elsewhere
@@ -171,9 +188,11 @@
   /// @return the room that a step may use, without reservations of other steps of the same or a
   ///         higher priority.
   [[nodiscard]] resources FreeFor(const step_state& step) const;
-  /// @return whether the worker is live, listed and not draining.
+  /// @return whether `facts` describe the known incarnation; a former one may have had more room.
+  [[nodiscard]] bool HasCurrentFacts() const { return facts.born == born; }
+  /// @return whether the worker is live, listed with its current facts and not draining.
   [[nodiscard]] bool TakesWork() const {
-    return session == session_phase::kLive && listed && !facts.draining;
+    return session == session_phase::kLive && listed && HasCurrentFacts() && !facts.draining;
   }
   /// @return whether runs may start there: it takes work, is stored as open and runs only known
   ///         tasks.
--- a/test/adapter/codec_test.cc
+++ b/test/adapter/codec_test.cc
@@ -92,10 +92,10 @@
 
 TEST_CASE("a worker's entry names its kind, rack and room") {
   const auto read = DecodeWorker("i-1", kWorker);
-  REQUIRE(read);
-  CHECK(read->rack == "r1");
-  CHECK(read->capacity == resources{16'000, 32'768, 0});
-  CHECK_FALSE(read->draining);
+  REQUIRE(read.has_value());
+  CHECK(read.value().rack == "r1");
+  CHECK(read.value().capacity == resources{16'000, 32'768, 0});
+  CHECK_FALSE(read.value().draining);
 }
 
 // Guards against registry entries of other writers whose members are missing or of the wrong type,
@@ -117,9 +117,9 @@
     auto text = kWorker;
     text.replace(text.find(from), from.size(), to);
     INFO(text);
-    CHECK_FALSE(DecodeWorker("i-1", text));
+    CHECK(DecodeWorker("i-1", text).has_error());
   }
-  CHECK_FALSE(DecodeWorker("i-1", std::string("\xff\x00\x13", 3)));
+  CHECK(DecodeWorker("i-1", std::string("\xff\x00\x13", 3)).has_error());
 }
 
 TEST_CASE("a job keeps its steps, and what they depend on") {
--- a/test/rosearch/cell/fake_ports.h
+++ b/test/rosearch/cell/fake_ports.h
@@ -59,9 +59,12 @@
     const bool slow = !records.empty() && reorder_appends && ++record_appends % 2 == 1;
     RunAfter(slow ? milliseconds{25} : milliseconds{1}, [done, answer] { done(answer); });
   }
-  void Read(stream, std::uint64_t from, duration wait, const log_callback& done) {
+  void Read(stream which, std::uint64_t from, duration wait, const log_callback& done) {
     log_page page;
     page.next = from;
+    if (which == stream::kWorkers) {
+      page.records = std::exchange(worker_changes, {});
+    }
     RunAfter(std::max<duration>(wait, milliseconds{5}), [done, page] { done(page); });
   }
   void ReadNewest(stream which, const std::string&, const newest_callback& done) {
@@ -70,7 +73,7 @@
       page.records = {{"config", configuration}};
     } else if (which == stream::kWorkers) {
       for (int at = 1; at <= workers; ++at) {
-        page.records.push_back({"w" + std::to_string(at), "here"});
+        page.records.push_back({"w" + std::to_string(at), worker_record});
       }
     } else if (which == stream::kState) {
       for (const auto& [key, value] : stored) {
@@ -119,8 +122,10 @@
     return decoded;
   }
   static std::string_view ConfigurationKey() { return "config"; }
-  static std::optional<sched::worker_facts> DecodeWorker(const std::string& id,
-                                                         const std::string&) {
+  static result<sched::worker_facts> DecodeWorker(const std::string& id, const std::string& text) {
+    if (text == kUnusable) {
+      return error{error_kind::kInvalidRequest, "state"};
+    }
     return sched::worker_facts{id, "10.0.0.1:80",     "pool", "", "", "",
                                {}, {8'000, 8'000, 0}, false,  {}};
   }
@@ -149,6 +154,9 @@
   /// Text of a configuration with a queue that requires keys, an open one, and customers "a" and
   /// "b" with the keys "ka" and "kb".
   static constexpr const char* kWithCustomers = "customers";
+  static constexpr const char* kUnusable = "unusable";  ///< a record of another writer
+  std::string worker_record{"here"};                    ///< of each worker
+  std::vector<std::string> worker_changes;  ///< keyed records that the next read returns
 
   std::string configuration{"1"};
   std::map<std::string, std::string> stored;
--- a/test/rosearch/cell/leader_test.cc
+++ b/test/rosearch/cell/leader_test.cc
@@ -228,4 +228,31 @@
   CHECK(cell.ports.stored.contains("ja"));
 }
 
+// Another program writes a record under the key of a known worker. The worker would be removed with
+// its runs, or be missing after the next full read of the registry.
+TEST_CASE("an unusable registry record neither removes nor hides a worker") {
+  leader_fixture cell;
+  const auto change = [&](const std::string& value) {
+    cell.ports.worker_changes.push_back(JoinKeyed({"w1", value}));
+  };
+  const auto count_lines = [&] {
+    return std::ranges::count_if(cell.log.lines, [](const std::string& line) {
+      return line.find("worker_record_unusable worker=w1 cause=state") != std::string::npos;
+    });
+  };
+  change(fake_ports::kUnusable);
+  change(fake_ports::kUnusable);
+  cell.Run(milliseconds{500});
+  CHECK(count_lines() == 1);
+  CHECK(cell.metrics.Text().find("rosearch_worker_records_unusable_total 1") != std::string::npos);
+  (void)cell.SendCall("POST", "a", "job");
+  cell.Run(milliseconds{700});
+  CHECK(cell.ports.starts.size() == 1);
+  change("");
+  cell.Run(milliseconds{500});
+  CHECK(std::ranges::any_of(cell.log.lines, [](const std::string& line) {
+    return line.find("worker_unlisted worker=w1") != std::string::npos;
+  }));
+}
+
 }  // namespace rosearch::cell
