Late start orders at restarted workers, cancelled jobs, and restarts in the simulated cell (sched)

An acknowledgement cursor sent after a missed answer could discard ends that nobody had read.

Change: a run is stopped by its number, not ended as lost, if a late start of its task is in flight; an earlier run that a worker lists is stopped too. A watch after an unanswered one acknowledges no ends where the worker reports `born`. Late start orders are remembered for 15 s. Tests of cancelled tasks that start late: unanswered start, change of leader, restart. The simulated cell restarts workers under their ids, with late reports of the former incarnation.

--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -124,7 +124,10 @@
     return std::nullopt;
   }
   const bool answers = live && worker.silent_watches == 0;
-  watch_request watch{id, worker.facts.address, worker.acked_end, answers, duration{}, worker.born};
+  // A restart breaks the watch in flight. The next one may reach an incarnation that counts its
+  // ends from 1 again, so it must not acknowledge them.
+  const auto acked_end = answers || worker.born == 0 ? worker.acked_end : 0;
+  watch_request watch{id, worker.facts.address, acked_end, answers, duration{}, worker.born};
   if (answers && worker.seen_end == worker.acked_end) {
     watch.wait =
         worker.runs.empty() || IsOverloaded()
--- a/src/rosearch/sched/scheduler_incarnations.cc
+++ b/src/rosearch/sched/scheduler_incarnations.cc
@@ -1,5 +1,6 @@
 // Restarts of a worker under its former id in `scheduler`.
 #include <algorithm>
+#include <chrono>
 #include <utility>
 #include <vector>
 
@@ -8,6 +9,9 @@
 namespace rosearch::sched {
 namespace {
 
+/// Max time that a start order may be in flight: longer than any order is delayed in the tests.
+constexpr duration kMaxOrderDelay = std::chrono::seconds{15};
+
 bool Lists(const worker_report* report, const live_run& run) {
   return report != nullptr && std::ranges::any_of(report->running, [&](const running_row& row) {
            return row.run == run.run && row.task == run.task;
@@ -18,10 +22,12 @@
 ///         to a start order doesn't tell which incarnation sent it; a list of runs does.
 bool EndedWithFormerIncarnation(const live_run& run, const worker_report* report,
                                 time_point sent_at) {
-  if (run.unanswered_starts > 0 || Lists(report, run)) {
+  const auto& worker = *run.worker;
+  const bool has_late_start = std::ranges::find(worker.late_starts, run.task, &late_start::task) !=
+                              worker.late_starts.end();
+  if (run.unanswered_starts > 0 || has_late_start || Lists(report, run)) {
     return false;
   }
-  const auto& worker = *run.worker;
   if (report != nullptr) {
     // The new incarnation has this leader's fence and refuses the orders of earlier leaders. A
     // start that was confirmed before the watch was sent would be listed.
@@ -41,6 +47,8 @@
                                  const worker_report* report, time_point sent_at,
                                  const instant& now) {
   const auto& id = worker.facts.id;
+  std::erase_if(worker.late_starts,
+                [&](const late_start& each) { return each.expires <= now.steady; });
   std::vector<live_run*> lost;
   std::vector<live_run*> uncertain;
   for (const auto& [task, run] : worker.runs) {
@@ -85,8 +93,8 @@
   if (!worker.runs.empty()) {
     // The deadline in a late order is on the former incarnation's clock, so the order isn't refused
     // as late.
-    worker.lease_until = std::max(
-        worker.lease_until, now.steady + MaxLeaseDuration() + settings_.former_leader_send_margin);
+    worker.lease_until =
+        std::max(worker.lease_until, now.steady + kMaxOrderDelay + MaxLeaseDuration());
   }
   RecordFreedRoom(worker);
 }
@@ -114,14 +122,12 @@
   }
   std::erase_if(worker.late_starts,
                 [&](const late_start& each) { return each.expires <= run.start_sent_at; });
-  worker.late_starts.push_back(
-      {run.task, run.run,
-       run.start_sent_at + MaxLeaseDuration() + settings_.former_leader_send_margin});
+  worker.late_starts.push_back({run.task, run.run, run.start_sent_at + kMaxOrderDelay});
 }
 
 void scheduler::StopLateStarts(worker_state& worker, const instant& now) {
   for (const auto& late : std::exchange(worker.late_starts, {})) {
-    if (late.expires <= now.steady || worker.runs.contains(late.task)) {
+    if (worker.runs.contains(late.task)) {
       continue;  // a stop of a later run of the task covers the earlier one
     }
     StopUnknownRun(worker, {late.task, late.run, {}, 0, 0}, now);
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -70,6 +70,7 @@
     made.facts.id = "w" + std::to_string(next_worker_++);
     made.facts.address = "10.0.0." + std::to_string(at) + ":80";
     made.facts.pool = kPool;
+    made.facts.born = faults.in_place_restarts > 0 ? 1 : 0;
     made.facts.rack = "r" + std::to_string(at / 4);
     made.facts.labels = {"a", made.facts.rack};
     made.facts.capacity = {kProcessorsMilli[at % 4], kProcessorsMilli[at % 4] * 4, 0};
@@ -327,6 +328,14 @@
   const auto name = task_name::Parse(order.task);
   auto& job = jobs_[name->job];
   const auto& step = job.spec.steps[name->step];
+  for (const auto& [id, other] : workers_) {
+    if (other.running.contains(order.task) && !step.may_duplicate) {
+      AddViolation("task runs twice at the same time: " + order.task);
+    }
+  }
+  if (order.born != worker.facts.born) {
+    return;  // a restarted worker can't tell that a late order was stopped before, or executed
+  }
   auto used = step.need;
   for (const auto& [task, run] : worker.running) {
     used = used + run.charged;
@@ -334,11 +343,6 @@
   if (!used.FitsIn(worker.facts.capacity)) {
     AddViolation("worker " + worker.facts.id + " is overcommitted by task " + order.task);
   }
-  for (const auto& [id, other] : workers_) {
-    if (other.running.contains(order.task) && !step.may_duplicate) {
-      AddViolation("task runs twice at the same time: " + order.task);
-    }
-  }
   if (job.acked_done.contains(order.task)) {
     AddViolation("task starts again after its success was acknowledged: " + order.task);
   }
@@ -514,28 +518,30 @@
     return;
   }
   ScheduleAfter(kNetworkDelay, [this, id, epoch, watch = *watch, sent_at = now_] {
-    AnswerWatch(id, epoch, watch, sent_at, now_ + watch.wait);
+    AnswerWatch(id, epoch, watch, sent_at, now_ + watch.wait, std::nullopt);
   });
 }
 
 void cell_world::AnswerWatch(const std::string& id, std::uint64_t epoch, const watch_request& watch,
-                             time_point sent_at, time_point give_up) {
+                             time_point sent_at, time_point give_up,
+                             std::optional<std::int64_t> asked) {
   auto* const worker = FindWorker(id);
+  const bool broken = worker != nullptr && asked && *asked != worker->facts.born;
   const auto next = [this, id, epoch] {
     if (epoch == epoch_) {
       RequestPass();
       ScheduleAfter(leader_->WatchDelay(id, Now()), [this, id, epoch] { SendWatch(id, epoch); });
     }
   };
-  if (worker == nullptr || !Reachable(*worker) || epoch < worker->fence) {
-    const auto failure = worker == nullptr       ? watch_failure::kOtherIncarnation
-                         : epoch < worker->fence ? watch_failure::kStaleFence
-                                                 : watch_failure::kNoAnswer;
+  if (worker == nullptr || broken || !Reachable(*worker) || epoch < worker->fence) {
+    const auto failure = worker == nullptr                  ? watch_failure::kOtherIncarnation
+                         : !broken && epoch < worker->fence ? watch_failure::kStaleFence
+                                                            : watch_failure::kNoAnswer;
     ScheduleAfter(failure == watch_failure::kNoAnswer ? kAnswerTimeout : kNetworkDelay,
-                  [this, id, epoch, failure, next] {
-                    EnqueueForLeader([this, id, epoch, failure, next] {
+                  [this, id, epoch, failure, next, born = watch.born] {
+                    EnqueueForLeader([this, id, epoch, failure, next, born] {
                       if (epoch == epoch_) {
-                        leader_->OnWatchFailed(id, failure, Now());
+                        leader_->OnWatchFailed(id, failure, Now(), born);
                         next();
                       }
                     });
@@ -547,23 +553,17 @@
   if (watch.extend_lease) {
     worker->lease_until = std::max(worker->lease_until, sent_at + kMaxLease);
   }
-  AckEnds(*worker, watch.acked_end);
+  if (!asked) {
+    AckEnds(*worker, watch.acked_end);
+  }
   if (worker->ended.empty() && now_ < give_up) {
-    ScheduleAfter(std::chrono::milliseconds{10}, [this, id, epoch, watch, sent_at, give_up] {
-      AnswerWatch(id, epoch, watch, sent_at, give_up);
-    });
+    ScheduleAfter(std::chrono::milliseconds{10},
+                  [this, id, epoch, watch, sent_at, give_up, born = worker->facts.born] {
+                    AnswerWatch(id, epoch, watch, sent_at, give_up, born);
+                  });
     return;
   }
-  worker_report report;
-  report.ended = worker->ended;
-  for (const auto& [task, run] : worker->running) {
-    const auto part = std::chrono::duration<double>{now_ - run.began} /
-                      std::chrono::duration<double>{run.ends - run.began};
-    const auto name = task_name::Parse(task);
-    const bool service = jobs_[name->job].spec.steps[name->step].service;
-    const auto percent = service ? 100U : static_cast<std::uint32_t>(part * 99);
-    report.running.push_back({task, run.run, run.checkpoint, percent, 0});
-  }
+  const auto report = ReportOf(*worker);
   ScheduleAfter(kNetworkDelay, [this, id, epoch, report, sent_at, next] {
     EnqueueForLeader([this, id, epoch, report, sent_at, next] {
       if (epoch == epoch_) {
@@ -574,8 +574,43 @@
   });
 }
 
+worker_report cell_world::ReportOf(const fake_worker& worker) {
+  worker_report report;
+  report.born = worker.facts.born;
+  report.ended = worker.ended;
+  for (const auto& [task, run] : worker.running) {
+    const auto part = std::chrono::duration<double>{now_ - run.began} /
+                      std::chrono::duration<double>{run.ends - run.began};
+    const auto name = task_name::Parse(task);
+    const bool service = jobs_[name->job].spec.steps[name->step].service;
+    const auto percent = service ? 100U : static_cast<std::uint32_t>(part * 99);
+    report.running.push_back({task, run.run, run.checkpoint, percent, 0});
+  }
+  return report;
+}
+
 // Faults, callers, virtual time.
 
+void cell_world::RestartInPlace(const std::string& id) {
+  auto& worker = workers_[id];
+  ScheduleAfter(std::chrono::milliseconds{random_.Between(0, 200)},
+                [this, id, epoch = epoch_, sent_at = now_, report = ReportOf(worker)] {
+                  if (epoch == epoch_) {
+                    leader_->OnReport(id, sent_at, report, Now());
+                  }
+                });
+  fake_worker made;
+  made.facts = worker.facts;
+  made.facts.born = Now().wall_ms;
+  worker = std::move(made);
+  ScheduleAfter(std::chrono::milliseconds{random_.Between(0, 900)},
+                [this, id, facts = worker.facts] {
+                  if (workers_.contains(id)) {
+                    leader_->ObserveWorker(facts, Now());
+                  }
+                });
+}
+
 void cell_world::MakeWorkerFail(std::size_t number) {
   std::next(workers_.begin(), static_cast<std::ptrdiff_t>(number))->second.always_fails = true;
 }
@@ -592,6 +627,7 @@
 
 void cell_world::InjectFaults() {
   std::vector<std::string> dying;
+  std::vector<std::string> restarting;
   for (auto& [id, worker] : workers_) {
     if (random_.Chance(faults_.worker_unreachable)) {
       worker.unreachable_until = now_ + std::chrono::milliseconds{random_.Between(1'000, 9'000)};
@@ -599,6 +635,13 @@
     if (random_.Chance(faults_.worker_restarts)) {
       dying.push_back(id);
     }
+    // Draws no random number while the fault is off, so runs of other faults keep their sequence.
+    if (faults_.in_place_restarts > 0 && random_.Chance(faults_.in_place_restarts)) {
+      restarting.push_back(id);
+    }
+  }
+  for (const auto& id : restarting) {
+    RestartInPlace(id);
   }
   for (const auto& id : dying) {
     auto former = workers_[id];
--- a/test/rosearch/sched/cell_world.h
+++ b/test/rosearch/sched/cell_world.h
@@ -36,6 +36,7 @@
   double store_drops{0};         ///< per append: neither stored nor answered
   double advice_answer_lost{0};  ///< per advice query: never answered
   double worker_restarts{0};     ///< per worker and second: restarts under a new id
+  double in_place_restarts{0};   ///< per worker and second: restarts under its id
   double worker_unreachable{0};  ///< per worker and second: unreachable for 1 to 9 s
   double leader_dies{0};         ///< per second: replaced by a new leader
   double stale_orders{0};        ///< per order of a former leader: arrives seconds late; unused
@@ -158,8 +159,9 @@
   void StorePending();
   void SendBatch(std::uint64_t epoch, const state_batch& batch, bool may_be_stored);
   void SendWatch(const std::string& id, std::uint64_t epoch);
+  /// @param asked  incarnation that the watch reached; its restart breaks the connection.
   void AnswerWatch(const std::string& id, std::uint64_t epoch, const watch_request& watch,
-                   time_point sent_at, time_point give_up);
+                   time_point sent_at, time_point give_up, std::optional<std::int64_t> asked);
   void Execute(const order& decided);
   void Execute(const start_order& decided);
   void Execute(const stop_order& decided);
@@ -171,6 +173,11 @@
   void EndRun(fake_worker& worker, const std::string& key, end_kind how);
   void AdvanceWorker(fake_worker& worker);
   void InjectFaults();
+  /// @return all runs and unacknowledged ends of a worker.
+  [[nodiscard]] worker_report ReportOf(const fake_worker& worker);
+  /// Restarts a worker under its id. The leader learns it from a report or from the record, and may
+  /// get a report of the former incarnation after that.
+  void RestartInPlace(const std::string& id);
   void AckEnds(fake_worker& worker, std::uint64_t end);
   [[nodiscard]] fake_worker* FindWorker(const std::string& id);
   [[nodiscard]] bool Reachable(const fake_worker& worker) const {
--- a/test/rosearch/sched/random_days_test.cc
+++ b/test/rosearch/sched/random_days_test.cc
@@ -120,6 +120,22 @@
   }
 }
 
+// Workers restart under their ids while answers are lost, orders come late, and leaders die. Guards
+// against a run of a former incarnation that counts in the new one, and a late order that the new
+// one executes beside another run of the task.
+TEST_CASE("restarts of workers under their ids run nothing twice") {
+  for (std::uint64_t seed = 1; seed <= 16; ++seed) {
+    world_faults faults;
+    faults.in_place_restarts = 0.03;
+    faults.order_answer_lost = 0.08;
+    faults.order_delayed = 0.05;
+    faults.worker_unreachable = seed % 2 == 0 ? 0.01 : 0.0;
+    faults.leader_dies = seed % 4 == 0 ? 0.04 : 0.0;
+    faults.run_fails = 0.05;
+    RunRandomLoad(seed, faults);
+  }
+}
+
 // Advice queries stay unanswered, as when the process that sent them dies. Guards against accepted
 // jobs that never start although the cell has room for them.
 TEST_CASE("lost advice answers keep no job waiting forever") {
--- a/test/rosearch/sched/worker_incarnations_test.cc
+++ b/test/rosearch/sched/worker_incarnations_test.cc
@@ -436,4 +436,97 @@
   CHECK_FALSE(fixture.log.Has("worker_restarted"));
 }
 
+// The worker restarts unnoticed and executes a late order. A watch with the cursor of the former
+// incarnation would make it discard the end of that run.
+TEST_CASE("a watch after an unanswered one acknowledges no ends") {
+  restart_fixture fixture;
+  const auto start = fixture.RunJob("a", 1).at(0);
+  fixture.Report("w0", Lists(kFirst, {}, {{1, start.task, 1, end_kind::kDone, {}}}));
+  (void)fixture.Store();
+  CHECK(fixture.AckedEnd() == 1);
+  fixture.leader.OnWatchFailed("w0", watch_failure::kNoAnswer, fixture.now, kFirst);
+  CHECK(fixture.AckedEnd() == 0);
+  fixture.Report("w0", Lists(kFirst, {}));
+  CHECK(fixture.AckedEnd() == 1);
+}
+
+// The start order may be executed seconds after the cancel was acknowledged. The run must be
+// stopped even if the first stop orders are lost.
+TEST_CASE("a cancelled task whose start was never answered is stopped until that is acknowledged") {
+  restart_fixture fixture;
+  const auto start = fixture.StartJob("a", 1).at(0);
+  if (GENERATE(false, true)) {
+    fixture.leader.OnStartAnswer(start, start_outcome::kUnknown, fixture.now);
+  }
+  (void)fixture.leader.Cancel("a", {kQueue}, fixture.now);
+  (void)fixture.Store();
+  CHECK(fixture.leader.Phase("a", {kQueue}) == job_phase::kCancelled);
+  for (int tries = 1; tries <= 3; ++tries) {
+    CHECK(fixture.Starts().empty());
+    REQUIRE(fixture.stops.size() == static_cast<std::size_t>(tries));
+    fixture.leader.OnStopAnswer(fixture.stops.back(), false, fixture.now);
+    fixture.AdvanceTime(milliseconds{400});
+    fixture.Report(
+        "w0", Lists(kFirst, tries == 2 ? std::vector{start.task} : std::vector<std::string>{}));
+    fixture.leader.Tick(fixture.now);
+    CHECK(fixture.Runs() == 1);
+  }
+  (void)fixture.Starts();
+  fixture.leader.OnStopAnswer(fixture.stops.back(), true, fixture.now);
+  fixture.AdvanceTime(milliseconds{10});
+  fixture.Report("w0", Lists(kFirst, {}));
+  CHECK(fixture.Runs() == 0);
+}
+
+// The leader that cancelled the job is gone when the worker executes the start order.
+TEST_CASE("a cancelled task that starts late is stopped by the next leader") {
+  const bool restarted = GENERATE(false, true);
+  restart_fixture fixture;
+  (void)fixture.Submit("a", 1);
+  fixture.SaveRecords();
+  const auto start = fixture.Starts().at(0);
+  (void)fixture.leader.Cancel("a", {kQueue}, fixture.now);
+  fixture.SaveRecords();
+  const auto born = restarted ? kSecond : kFirst;
+  new_leader next{fixture};
+  CHECK(next.leader.Phase("a", {kQueue}) == job_phase::kCancelled);
+  next.leader.ObserveWorker(Facts("w0", born), next.now);
+  (void)next.leader.NextWatch("w0", next.now);
+  next.leader.OnReport("w0", next.now.steady, Lists(born, {start.task}), next.now);
+  const auto orders = next.Orders();
+  REQUIRE(orders.size() == 1);
+  const auto* const stop = std::get_if<stop_order>(&orders[0]);
+  REQUIRE(stop != nullptr);
+  CHECK(stop->task == start.task);
+  CHECK(stop->run == start.run);
+  CHECK(stop->born == born);
+}
+
+// A copy of the start order of run 1 is in flight when that run has ended and run 2 of the task
+// runs on the same worker. The new incarnation may execute it beside a third run elsewhere.
+TEST_CASE("a task with a late start order is stopped in the new incarnation before it runs again") {
+  restart_fixture fixture;
+  const auto first = fixture.StartJob("a", 1, 3'000).at(0);
+  fixture.Report("w0", Lists(kFirst, {}, {{1, first.task, 1, end_kind::kFailed, {}}}));
+  (void)fixture.Store();
+  fixture.AdvanceTime(seconds{1});
+  const auto second = fixture.Starts().at(0);
+  fixture.leader.OnStartAnswer(second, start_outcome::kStarted, fixture.now);
+  fixture.AdvanceTime(milliseconds{10});
+  auto report = Lists(kFirst, {second.task});
+  report.running[0].run = second.run;
+  fixture.Report("w0", report);
+  fixture.Restart(kSecond);
+  CHECK(fixture.StartedTasks().empty());
+  CHECK(fixture.stops.back().run == second.run);
+  fixture.leader.OnStopAnswer(fixture.stops.back(), true, fixture.now);
+  fixture.AdvanceTime(milliseconds{10});
+  fixture.Report("w0", Lists(kSecond, {first.task}));  // executed before the stop arrived
+  CHECK(fixture.StartedTasks().empty());
+  CHECK(fixture.stops.back().run == first.run);
+  fixture.AdvanceTime(milliseconds{10});
+  fixture.Report("w0", Lists(kSecond, {}));
+  CHECK(fixture.StartedTasks().size() == 1);
+}
+
 }  // namespace rosearch::sched
