Tests of the decoder of registry records: a table of causes, and random values in any member (platform)

Cause: a record of another writer may lack members, have members of the wrong type, name a state that doesn't exist, or contain huge numbers or no JSON.

Change: the table names the member that makes each record unusable; a randomized test checks that an accepted record has a pool, amounts and a start of its incarnation within their limits.

--- a/test/adapter/codec_test.cc
+++ b/test/adapter/codec_test.cc
@@ -1,10 +1,13 @@
 #include "platform/codec.h"
 
+#include <algorithm>
 #include <array>
+#include <boost/json.hpp>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
 
+#include "platform/json_value.h"
 #include "rosearch/core/random_source.h"
 
 namespace rosearch::platform {
@@ -98,28 +101,128 @@
   CHECK_FALSE(read.value().draining);
 }
 
+TEST_CASE("a worker's entry names the start of its incarnation") {
+  const auto with_born = [](const std::string& value) {
+    return DecodeWorker("i-1", R"({"born":)" + value + ',' + kWorker.substr(1));
+  };
+  CHECK(DecodeWorker("i-1", kWorker).value().born == 0);
+  CHECK(with_born("1796365682123").value().born == 1'796'365'682'123);
+  CHECK(DecodeReportBorn(*ParseObject(R"({"born":7,"running":[]})")) == 7);
+  CHECK(DecodeReportBorn(*ParseObject(R"({"running":[]})")) == 0);
+  CHECK(DecodeReportBorn(*ParseObject(R"({"born":"7"})")) == 0);
+}
+
 // Guards against registry entries of other writers whose members are missing or of the wrong type,
-// or that aren't JSON. If such an entry were accepted, tasks placed on that worker would never
-// start.
-TEST_CASE("an entry that can't be read in full names no worker") {
-  const std::vector<std::pair<std::string, std::string>> changes{
-      {R"("ready")", R"("broken")"},
-      {R"("ready")", "5"},
-      {R"("10.0.0.9:8080")", "17"},
-      {R"("10.0.0.9:8080")", R"("x")"},
-      {R"("cpu":16000,)", ""},
-      {R"(16000)", R"("many")"},
-      {R"(["a","r1"])", "7"},
-      {R"("service":"s",)", ""},
-      {R"(16000)", "-4"},
-      {R"({"service")", R"(["service")"}};
-  for (const auto& [from, to] : changes) {
+// name no known state, are huge, or that aren't JSON. If such an entry were accepted, tasks placed
+// on that worker would never start, and a huge start of an incarnation would hide the real ones.
+TEST_CASE("an entry that can't be read in full names no worker, and the member is reported") {
+  struct change {
+    std::string from;
+    std::string to;
+    std::string cause;
+  };
+  const std::vector<change> changes{
+      {R"("ready")", R"("broken")", "state"},
+      {R"("ready")", "5", "state"},
+      {R"("state":"ready",)", "", "state"},
+      {R"("10.0.0.9:8080")", "17", "address"},
+      {R"("10.0.0.9:8080")", R"("x")", "address"},
+      {R"("10.0.0.9:8080")", R"(":8080")", "address"},
+      {R"("10.0.0.9:8080")", R"("10.0.0.9:http")", "address"},
+      {R"("10.0.0.9:8080")", R"("10.0.0.9:80800")", "address"},
+      {R"("10.0.0.9:8080")", R"("10.0.0.9:0")", "address"},
+      {R"("address":"10.0.0.9:8080",)", "", "address"},
+      {R"("cpu":16000,)", "", "capacity"},
+      {R"(16000)", R"("many")", "capacity"},
+      {R"(16000)", "-4", "capacity"},
+      {R"(16000)", "1e15", "capacity"},
+      {R"(32768)", "99999999999999999999", "capacity"},
+      {R"("gpu":0)", R"("gpu":"none")", "capacity"},
+      {R"({"cpu":16000,"mem-mb":32768,"gpu":0})", "[16000]", "capacity"},
+      {R"(["a","r1"])", "7", "labels"},
+      {R"(["a","r1"])", R"(["a",1])", "labels"},
+      {R"(,"labels":["a","r1"])", "", "labels"},
+      {R"("service":"s",)", "", "service"},
+      {R"("service":"s")", R"("service":"")", "service"},
+      {R"("zone":"z")", R"("zone":3)", "zone"},
+      {R"("sequence":4)", R"("remaining-ms":"soon")", "remaining-ms"},
+      {R"("sequence":4)", R"("born":"1796365682123")", "born"},
+      {R"("sequence":4)", R"("born":1796365682123.5)", "born"},
+      {R"("sequence":4)", R"("born":-1)", "born"},
+      {R"("sequence":4)", R"("born":null)", "born"},
+      {R"("sequence":4)", R"("born":9000000000000000)", "born"},
+      {R"("sequence":4)", R"("born":18446744073709551615)", "born"},
+      {R"({"service")", R"(["service")", "not a JSON object"}};
+  for (const auto& each : changes) {
     auto text = kWorker;
-    text.replace(text.find(from), from.size(), to);
+    REQUIRE(text.find(each.from) != std::string::npos);
+    text.replace(text.find(each.from), each.from.size(), each.to);
     INFO(text);
+    const auto read = DecodeWorker("i-1", text);
+    REQUIRE(read.has_error());
+    CHECK(read.error().detail == each.cause);
+  }
+  const std::vector<std::string> texts{std::string("\xff\x00\x13", 3),
+                                       "null",
+                                       "17",
+                                       "[]",
+                                       "{}",
+                                       "{",
+                                       kWorker + "x",
+                                       kWorker.substr(0, kWorker.size() / 2),
+                                       std::string(100'000, '['),
+                                       std::string(100'000, '9')};
+  for (const auto& text : texts) {
     CHECK(DecodeWorker("i-1", text).has_error());
   }
-  CHECK(DecodeWorker("i-1", std::string("\xff\x00\x13", 3)).has_error());
+  CHECK(DecodeWorker("", kWorker).has_error());
+}
+
+// Values of any type in any member. An entry that is accepted must be one that can be scheduled on.
+TEST_CASE("an entry with random values names a usable worker or none") {
+  random_source random{23};
+  const std::array<std::string, 12> values{"null",
+                                           "true",
+                                           "-1",
+                                           "0",
+                                           "7.5",
+                                           "1e300",
+                                           "9007199254740993",
+                                           "18446744073709551615",
+                                           R"("")",
+                                           R"("ready")",
+                                           "[]",
+                                           R"({"cpu":1,"mem-mb":1})"};
+  const std::array<std::string, 10> members{"service", "address",      "zone", "state", "capacity",
+                                            "labels",  "remaining-ms", "born", "cpu",   "gpu"};
+  int usable = 0;
+  for (int round = 0; round < 20'000; ++round) {
+    auto entry = *ParseObject(kWorker);
+    for (auto changes = random.Between(1, 3); changes > 0; --changes) {
+      const auto pick = [&](const auto& list) {
+        return list[static_cast<std::size_t>(
+            random.Between(0, static_cast<std::int64_t>(list.size()) - 1))];
+      };
+      const auto member = pick(members);
+      const auto value = boost::json::parse(pick(values));
+      auto* const capacity = entry["capacity"].if_object();
+      const bool amount = (member == "cpu" || member == "gpu") && capacity != nullptr;
+      (amount ? *capacity : entry)[member] = value;
+    }
+    const auto read = DecodeWorker("i-1", boost::json::serialize(entry));
+    if (read.has_error()) {
+      CHECK_FALSE(read.error().detail.empty());
+      continue;
+    }
+    ++usable;
+    const auto& facts = read.value();
+    CHECK(facts.born >= 0);
+    CHECK(facts.born <= 4'102'444'800'000);
+    CHECK(std::max(facts.capacity.processors_milli, facts.capacity.accelerators) <= 1'000'000'000);
+    CHECK(std::min(facts.capacity.processors_milli, facts.capacity.accelerators) >= 0);
+    CHECK_FALSE(facts.pool.empty());
+  }
+  CHECK(usable > 0);
 }
 
 TEST_CASE("a job keeps its steps, and what they depend on") {
