Every second worker of the stand-in platform restarts under its id (soak/cell)

Cause: the stand-in gave each restarted worker a new id, so real processes never met an incarnation.

Change: workers with odd numbers keep their id, report `born` in the registry and in the list of runs, and count their clock and their ends from the restart.

--- a/soak/cell/run.py
+++ b/soak/cell/run.py
@@ -258,7 +258,8 @@
 
     async def do_reborn(self, node, span):
         worker = self.random.choice(self.workers)
-        self.store.put("keyed.servers", worker.id, b"")
+        if worker.born is None:
+            self.store.put("keyed.servers", worker.id, b"")
         worker.reborn()
         worker.register()
 
--- a/soak/cell/stand_in.py
+++ b/soak/cell/stand_in.py
@@ -218,24 +218,36 @@
         self.fail = 0.05
         self.lose = 0.0
         self.http = HttpServer(self.handle)
+        self.id, self.life = None, 0
         self.reborn()
 
     def reborn(self):
-        self.id = f"i-{self.random.getrandbits(40):010x}"
+        """Restarts the worker. Every second one keeps its id and reports when it was born."""
+        self.life += 1
+        if self.number % 2 == 0 or self.id is None:
+            self.id = f"i-{self.random.getrandbits(40):010x}"
+        self.born = None if self.number % 2 == 0 else int(time.time() * 1000)
+        self.clock_zero = 0 if self.born is None else now_ms() - 1
         self.fence, self.deadline, self.count = 0, 0, 0
         self.running, self.ended, self.over = {}, [], {}
         self.news = asyncio.Event()
 
+    def clock_ms(self):
+        return now_ms() - self.clock_zero
+
+    def with_born(self, members):
+        return members if self.born is None else {**members, "born": self.born}
+
     def register(self, state="ready"):
-        self.store.put("keyed.servers", self.id, json.dumps(
+        self.store.put("keyed.servers", self.id, json.dumps(self.with_born(
             {"service": SERVICE, "address": f"127.0.0.1:{self.http.port}", "zone": "z",
              "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0,
              "capacity": {"cpu": self.cpu, "mem-mb": self.cpu * 4, "gpu": 0},
-             "labels": ["a", f"r{self.number // 4}"], "clock-ms": now_ms(),
-             "remaining-ms": 4000, "sequence": 1}).encode())
+             "labels": ["a", f"r{self.number // 4}"], "clock-ms": self.clock_ms(),
+             "remaining-ms": 4000, "sequence": 1})).encode())
 
     def advance(self):
-        moment = now_ms()
+        moment = self.clock_ms()
         for task, run in list(self.running.items()):
             if run["stop_at"] is not None and moment >= run["stop_at"]:
                 self.end(task, "stopped")
@@ -265,67 +277,69 @@
 
     async def handle(self, method, path, headers, body):
         if headers.get("x-target-instance", self.id) != self.id:
-            return reply(421, {"clock-ms": now_ms()})
+            return reply(421, {"clock-ms": self.clock_ms()})
         call = json.loads(body)
         self.advance()
         if call.get("fence", 0) < self.fence:
-            return reply(409, {"clock-ms": now_ms(), "reason": "fence"})
+            return reply(409, {"clock-ms": self.clock_ms(), "reason": "fence"})
         self.fence = call.get("fence", 0)
         answer = await {"/run-start": self.start, "/run-stop": self.stop,
                         "/hold": self.hold, "/pace": self.pace}[path](call)
         return None if self.random.random() < self.lose else answer
 
     async def pace(self, call):
-        return reply(200, {"clock-ms": now_ms()})
+        return reply(200, {"clock-ms": self.clock_ms()})
 
     def extend(self, call):
         if "deadline-ms" in call:
-            self.deadline = max(self.deadline, min(call["deadline-ms"], now_ms() + MAX_LEASE_MS))
+            longest = self.clock_ms() + MAX_LEASE_MS
+            self.deadline = max(self.deadline, min(call["deadline-ms"], longest))
 
     async def start(self, call):
         task, run = call["task"], call["run"]
-        if call.get("deadline-ms", 0) <= now_ms():
-            return reply(409, {"clock-ms": now_ms(), "reason": "late"})
+        if call.get("deadline-ms", 0) <= self.clock_ms():
+            return reply(409, {"clock-ms": self.clock_ms(), "reason": "late"})
         self.extend(call)
         if task in self.running and self.running[task]["run"] == run:
-            return reply(200, {"clock-ms": now_ms()})
+            return reply(200, {"clock-ms": self.clock_ms()})
         if run <= self.over.get(task, 0):
-            return reply(409, {"clock-ms": now_ms(), "reason": "old"})
+            return reply(409, {"clock-ms": self.clock_ms(), "reason": "old"})
         self.judge.started(self, task)
         job_id, _, step, _ = task.split(".")
         spec = self.judge.jobs[job_id]["steps"][int(step)]
         length = int(spec["estimate-ms"] * (0.5 + self.random.random()))
         if spec.get("long-running"):
             length = 10**9
-        self.running[task] = {"run": run, "cpu": spec["cpu"], "began": now_ms(),
-                              "ends": now_ms() + length, "stop_at": None,
+        self.running[task] = {"run": run, "cpu": spec["cpu"], "began": self.clock_ms(),
+                              "ends": self.clock_ms() + length, "stop_at": None,
                               "fails": self.random.random() < self.fail}
-        return reply(200, {"clock-ms": now_ms()})
+        return reply(200, {"clock-ms": self.clock_ms()})
 
     async def stop(self, call):
         task, run = call["task"], call["run"]
         self.over[task] = max(self.over.get(task, 0), run)
         if task in self.running and self.running[task]["run"] <= run:
-            self.running[task]["stop_at"] = now_ms() + STOP_MS
-        return reply(200, {"clock-ms": now_ms()})
+            self.running[task]["stop_at"] = self.clock_ms() + STOP_MS
+        return reply(200, {"clock-ms": self.clock_ms()})
 
     async def hold(self, call):
         self.acknowledge(call.get("ack-cursor", 0))
         self.extend(call)
         until = time.monotonic() + call.get("wait-ms", 0) / 1000
-        life = self.id
-        while not self.ended and time.monotonic() < until and life == self.id:
+        life = self.life
+        while not self.ended and time.monotonic() < until and life == self.life:
             await asyncio.sleep(0.01)
             self.advance()
-        if life != self.id:
-            return reply(421, {"clock-ms": now_ms()})
-        moment = now_ms()
+        if life != self.life:
+            return None if self.born else reply(421, {"clock-ms": self.clock_ms()})
+        moment = self.clock_ms()
         rows = []
         for task, run in self.running.items():
             part = min(99, int(100 * (moment - run["began"]) / max(1, run["ends"] - run["began"])))
             rows.append([task, run["run"], "", 100 if run["ends"] - run["began"] > 10**8 else part,
                          0])
-        return reply(200, {"clock-ms": moment, "running": rows, "ended-runs": self.ended[:500]})
+        return reply(200, self.with_born(
+            {"clock-ms": moment, "running": rows, "ended-runs": self.ended[:500]}))
 
 
 class Advice:
