--- a/src/rosearch/cell/advice_dispatcher.cc
+++ b/src/rosearch/cell/advice_dispatcher.cc
@@ -24,8 +24,7 @@
 
 void advice_dispatcher::Add(sched::advice_query query, time_point now) {
   auto& queue = IsLongQuery(query.cost) ? long_queries_ : urgent_queries_;
-  auto due = now + kDelayPerPriorityLevel * static_cast<int>(query.priority) +
-             (query.beyond_rate ? kDelayBeyondRate : duration{});
+  auto due = now + kDelayPerPriorityLevel * static_cast<int>(query.priority);
   for (auto* const each_queue : {&urgent_queries_, &long_queries_}) {
     const auto same = [&](const queued_query& other) { return other.query.step == query.step; };
     if (const auto known = std::ranges::find_if(*each_queue, same); known != each_queue->end()) {
@@ -51,12 +50,6 @@
   return free > long_queries_.size() ? free - long_queries_.size() : 0;
 }
 
-std::size_t advice_dispatcher::CountFreeSlots(time_point now) const {
-  const auto free = static_cast<std::size_t>(
-      std::ranges::count_if(helpers_, [&](const auto& each) { return each.busy_until <= now; }));
-  return free > CountQueued() ? free - CountQueued() : 0;
-}
-
 advice_dispatcher::helper* advice_dispatcher::FindFreeHelper(bool long_query, time_point now) {
   const auto urgent_only = CountUrgentOnlyHelpers();
   for (std::size_t at = 0; at < helpers_.size(); ++at) {
--- a/src/rosearch/cell/advice_dispatcher.h
+++ b/src/rosearch/cell/advice_dispatcher.h
@@ -21,8 +21,7 @@
 /// suffer head-of-line blocking by long ones.
 ///
 /// Urgent queries are sent before long ones, and within each kind in the order of their due time:
-/// the time of arrival plus a delay per level of priority and one for work beyond its customer's
-/// rate. Strict priority order starves the lowest
+/// the time of arrival plus a delay per level of priority. Strict priority order starves the lowest
 /// priority, because steps query again each time their tickets expire: in one day, 130 queries
 /// waited for 30 s and more.
 class advice_dispatcher {
@@ -50,9 +49,6 @@
   /// @return how many more long queries could be sent at once.
   [[nodiscard]] std::size_t CountLongSlots(time_point now) const;
 
-  /// @return how many more queries of any kind could be sent at once.
-  [[nodiscard]] std::size_t CountFreeSlots(time_point now) const;
-
   /// @return the number of queued queries.
   [[nodiscard]] std::size_t CountQueued() const {
     return urgent_queries_.size() + long_queries_.size();
@@ -62,10 +58,6 @@
   /// query in flight can hold up a more urgent one for that long anyway.
   static constexpr duration kDelayPerPriorityLevel = std::chrono::milliseconds{600};
 
-  /// Delay of the due time of a query for work beyond its customer's rate. Less than a level of
-  /// priority, as in the order of placement.
-  static constexpr duration kDelayBeyondRate = kDelayPerPriorityLevel / 2;
-
   /// Grace period after the expected duration of a query. A helper that has not answered by then
   /// counts as free again, so that a lost answer does not block it for good. Longer than the
   /// timeout of the exchange itself, 0.84 s.
--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -88,7 +88,6 @@
     if (settings_.scheduler.Uses(sched::mechanism::kAdviceSlots)) {
       scheduler_.SetLongAdviceSlots(advice_.CountLongSlots(now));
     }
-    scheduler_.SetAdviceCapacity(advice_.CountFreeSlots(now));
     scheduler_.Schedule(Now());
     return;
   }
--- a/src/rosearch/sched/customer_accounts.h
+++ b/src/rosearch/sched/customer_accounts.h
@@ -44,8 +44,6 @@
   /// Counts a new job against the rate to which the customer is entitled.
   /// @return whether the job is within the rate.
   bool TakeFromRate(time_point now) { return rate_.TryTake(now); }
-  /// @return whether a new job would be within the rate.
-  [[nodiscard]] bool HasRateFor(time_point now) { return rate_.HasToken(now); }
 
  private:
   std::string name_;
--- a/src/rosearch/sched/job_state.cc
+++ b/src/rosearch/sched/job_state.cc
@@ -93,21 +93,6 @@
   return longest;
 }
 
-duration RemainingPath(const std::vector<step_spec>& steps, std::size_t first) {
-  std::vector<std::optional<duration>> ends(steps.size());  // empty: doesn't depend on `first`
-  ends[first] = steps[first].estimate;
-  auto longest = steps[first].estimate;
-  for (auto at = first + 1; at < steps.size(); ++at) {
-    for (const auto before : steps[at].after) {
-      if (ends[before]) {
-        ends[at] = std::max(ends[at].value_or(duration{}), *ends[before] + steps[at].estimate);
-        longest = std::max(longest, *ends[at]);
-      }
-    }
-  }
-  return longest;
-}
-
 double TotalWork(const job_spec& job) {
   double work = 0;
   for (const auto& step : job.steps) {
--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -16,7 +16,6 @@
 namespace rosearch::sched {
 
 class customer_account;
-struct share_account;
 struct live_run;
 struct step_state;
 struct worker_state;
@@ -80,7 +79,6 @@
   time_point next_waiting_log_at{};       ///< earliest next log line about what it waits for
   bool awaits_advice_slot{false};         ///< no process could send its advice query
   bool at_limit{false};                   ///< its customer's limit keeps tasks from starting
-  double preempted_work{0};               ///< discarded by preemption for it; see `LostWork`
 
   /// @return the number of tasks that should be started.
   [[nodiscard]] std::uint32_t CountIdleTasks() const;
@@ -100,7 +98,6 @@
 struct job_state {
   std::shared_ptr<const job_spec> spec;
   customer_account* customer{nullptr};  ///< null: belongs to no customer
-  share_account* share{nullptr};        ///< its customer's, in its pool and priority
   // Current rules of its queue; the last known ones if the queue was removed.
   std::string pool;
   std::uint32_t priority{0};
@@ -132,9 +129,6 @@
 /// @return the length of the critical path through the steps, by their estimates.
 [[nodiscard]] duration CriticalPath(const std::vector<step_spec>& steps);
 
-/// @return the length of the longest path that starts with a step, by the steps' estimates.
-[[nodiscard]] duration RemainingPath(const std::vector<step_spec>& steps, std::size_t first);
-
 /// @return the total work of a job, processors times estimates, in thousandths of a processor times
 ///         ms.
 [[nodiscard]] double TotalWork(const job_spec& job);
--- a/src/rosearch/sched/order.h
+++ b/src/rosearch/sched/order.h
@@ -55,7 +55,6 @@
   std::vector<std::string> workers;
   advice_cost cost;
   std::uint32_t priority{0};
-  bool beyond_rate{false};  ///< its step goes after those within their customers' rates
 
   friend bool operator==(const advice_query&, const advice_query&) = default;
 };
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <ostream>
 #include <set>
 #include <string>
 #include <string_view>
@@ -18,13 +17,11 @@
 #include "rosearch/log/event_line.h"
 #include "rosearch/sched/cell_configuration.h"
 #include "rosearch/sched/customer_accounts.h"
-#include "rosearch/sched/fair_share.h"
 #include "rosearch/sched/fill_index.h"
 #include "rosearch/sched/instant.h"
 #include "rosearch/sched/job_spec.h"
 #include "rosearch/sched/job_state.h"
 #include "rosearch/sched/order.h"
-#include "rosearch/sched/placement_order.h"
 #include "rosearch/sched/scheduler_settings.h"
 #include "rosearch/sched/worker_facts.h"
 #include "rosearch/sched/worker_state.h"
@@ -173,9 +170,6 @@
   std::map<std::uint32_t, double> running{};  ///< used by other runs, by priority
   /// Work of waiting tasks except services, in thousandths of a processor times ms, by priority.
   std::map<std::uint32_t, double> waiting{};
-  /// The parts of `running` and `waiting` that are within the rates of their customers.
-  std::map<std::uint32_t, double> running_within_rate{};
-  std::map<std::uint32_t, double> waiting_within_rate{};
   time_point measure_again_at{};
 
   friend bool operator==(const pool_load&, const pool_load&) = default;
@@ -261,9 +255,6 @@
   /// Sets how many long advice queries can be sent at once. Further steps wait for a free process
   /// before their workers are chosen, instead of queueing with workers that are full by then.
   void SetLongAdviceSlots(std::size_t slots) { long_advice_slots_ = slots; }
-  /// Sets how many advice queries of any kind can be sent at once. Advice that isn't needed yet is
-  /// requested only while some can.
-  void SetAdviceCapacity(std::size_t queries) { advice_capacity_ = queries; }
   /// @param allowed  null if the query was not answered.
   void OnAdvice(const advice_query& query, const std::vector<advised_worker>* allowed,
                 const instant& now);
@@ -354,8 +345,6 @@
   /// @return how long a job would wait for the leader's event loop, in ms.
   [[nodiscard]] double EstimateLeaderDelayMs(const job_spec& job) const;
   [[nodiscard]] pool_load MeasureLoad(const std::string& pool) const;
-  /// @return whether admission ignores work beyond the rates of its customers for a job.
-  [[nodiscard]] bool PassesBeyondRate(const job_spec& job, const instant& now);
   /// @return the load of a pool from a recent measurement.
   [[nodiscard]] const pool_load& RecentLoad(const std::string& pool, const instant& now);
   [[nodiscard]] double MeanSlackMs(const job_spec& job);
@@ -470,7 +459,7 @@
   /// Removes the steps of a job from all lists.
   void DropSteps(const job_state& job);
   /// @return the open steps that may find room now, in scheduling order.
-  [[nodiscard]] placement_queue StepsInPlacementOrder(const instant& now);
+  [[nodiscard]] std::vector<step_state*> StepsInPlacementOrder(const instant& now);
   [[nodiscard]] bool MayRunOnUnsettledWorker(const step_state& step) const;
   void PlaceTasks(step_state& step, const instant& now);
   [[nodiscard]] bool IsEligible(const step_state& step, const task_state* task,
@@ -486,50 +475,15 @@
   [[nodiscard]] double Score(const step_state& step, const worker_state& worker) const;
   worker_state* PickWorker(const step_state& step, const task_state& task, bool advised,
                            const instant& now);
-  [[nodiscard]] std::uint32_t CountRunsOn(const step_state& step, const worker_state& worker) const;
-
-  // scheduler_preemption.cc
   void PreemptForStep(step_state& step, std::uint32_t tasks, const instant& now);
   bool PreemptOnWorker(step_state& step, worker_state& worker, const instant& now);
-  /// A worker, and the runs to preempt there for one task.
-  struct preemption_plan {
-    worker_state* worker{nullptr};
-    std::vector<live_run*> victims;
-    double lost_work{0};
-  };
-  /// As `PreemptForStep`, in cells that divide room among customers.
-  void PreemptByLostWork(step_state& step, std::uint32_t tasks, const instant& now);
-  /// @return the runs to preempt at a worker for one task; nothing if it would get no room or too
-  ///         much work would be lost. No victims: enough runs are stopping there already.
-  [[nodiscard]] std::optional<preemption_plan> PlanPreemption(const step_state& step,
-                                                              worker_state& worker,
-                                                              const instant& now) const;
-  void Preempt(step_state& step, const preemption_plan& plan, const instant& now);
-  /// @return the work that a stop of a run discards, in thousandths of a processor times ms.
-  [[nodiscard]] double LostWork(const live_run& run, const instant& now) const;
-  /// @return the work that preemption for a step may still discard.
-  [[nodiscard]] static double PreemptionBudget(const step_state& step);
-  /// @return whether a step would be late even if runs were preempted for it now.
-  [[nodiscard]] bool WouldBeLate(const step_state& step, const instant& now) const;
-  /// @return whether a step that isn't urgent has waited long enough to reclaim room.
-  [[nodiscard]] bool IsReclaimDue(const step_state& step, const instant& now) const;
-  [[nodiscard]] bool MayPreempt(const step_state& step, const live_run& run) const;
-  /// @return whether a run may be preempted for a step in a cell that divides room among customers.
-  [[nodiscard]] bool MayPreemptByShare(const step_state& step, const live_run& run) const;
+  [[nodiscard]] std::uint32_t CountRunsOn(const step_state& step, const worker_state& worker) const;
 
   // scheduler_customers.cc
   /// Connects a job with the account of its customer.
   void AssignCustomer(job_state& job);
   /// Charges a run to the limit of a customer; `DetachRun` releases it.
-  static void ChargeCustomer(live_run& run, const job_state& job, const resources& amount);
-  /// @return whether room is divided among customers by their weights.
-  [[nodiscard]] bool UsesShares() const {
-    return shares_.Enabled() && settings_.Uses(mechanism::kShares);
-  }
-  void MeasureCapacities(const instant& now);
-  /// @return whether room that other customers use beyond their share may be reclaimed for a step:
-  ///         it is within the rate and, with one more task, within the share of its customer.
-  [[nodiscard]] bool MayReclaim(const step_state& step) const;
+  static void ChargeCustomer(live_run& run, customer_account* customer, const resources& amount);
   /// @return max resources of a job's runs that a former leader may have started and that no worker
   ///         has reported yet.
   [[nodiscard]] resources UnreadUsage(const job_state& job, const instant& now) const;
@@ -567,13 +521,6 @@
   void RequestAdvice(step_state& step, std::uint32_t tasks, const instant& now);
   /// @return whether a query for a step may be sent now; gives up an overdue one.
   [[nodiscard]] bool MayRequestAdvice(step_state& step, const instant& now);
-  /// @return whether an answer would be of no use now: the limit of the step's customer lets none
-  /// of
-  ///         its tasks start, or the step is hopeless and others need the advice service.
-  [[nodiscard]] bool IsAdviceWasted(const step_state& step, const instant& now) const;
-  /// @return whether a query for a step may name workers without room. Those of a customer over its
-  ///         share are given to others first.
-  [[nodiscard]] bool MayAskAhead(const step_state& step) const;
   void SendAdviceQuery(step_state& step, std::vector<std::string> workers, std::uint32_t tasks,
                        const instant& now);
 
@@ -593,6 +540,7 @@
   ///         answered.
   [[nodiscard]] bool HasRoomSoon(const step_state& step, const worker_state& worker,
                                  const instant& now) const;
+  [[nodiscard]] bool MayPreempt(const step_state& step, const live_run& run) const;
 
   // scheduler_gangs.cc
   void PlaceGang(step_state& step, const instant& now);
@@ -606,8 +554,6 @@
 
   // scheduler_views.cc
   [[nodiscard]] wait_view DiagnoseWait(const step_state& step, const instant& now) const;
-  /// Writes what each customer uses of each pool and priority, lends and borrows.
-  void WriteShares(std::ostream& out) const;
   void LogWaitingStep(step_state& step, const instant& now);
   void LogLimitWait(const step_state& step, const instant& now);
 
@@ -629,7 +575,6 @@
   event_sink& log_;
   cell_configuration configuration_;
   customer_accounts customers_;
-  fair_share shares_;
   std::set<std::string> urgent_pools_;  ///< pools with an urgent queue
   std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
   std::unordered_map<std::string, ended_job> ended_;
@@ -657,7 +602,6 @@
   std::uint64_t all_room_version_{1};  ///< room version of the last change that may affect any step
   std::uint64_t next_batch_{1};
   std::size_t long_advice_slots_{kUnlimitedAdviceSlots};
-  std::size_t advice_capacity_{kUnlimitedAdviceSlots};  ///< see `SetAdviceCapacity`
   std::uint64_t placement_attempts_{0};
   std::uint64_t workers_considered_{0};
   duration newest_delay_{};  ///< last value passed to `RecordLoopDelay`
@@ -666,9 +610,6 @@
   std::uint32_t admission_limit_{kNoAdmissionLimit};  ///< max jobs admitted until the next tick
   std::map<std::uint64_t, stored_effects> storing_;
   time_point next_forget_{};
-  time_point next_capacities_at_{};
-  std::size_t preemption_cursor_{0};  ///< rotates the allowed workers that preemption considers
-  std::string preempt_from_{};        ///< worker that preemption without advice considers first
   time_point restored_at_{};
   bool has_unread_usage_{false};  ///< `EstimateUnreadUsage` found some
 };
--- a/src/rosearch/sched/scheduler_advice.cc
+++ b/src/rosearch/sched/scheduler_advice.cc
@@ -144,7 +144,7 @@
   };
   add_names(found.allowed, 1.0);
   add_names(found.unknown, AdvisedShare(step));
-  if (expected >= wanted || !MayAskAhead(step)) {
+  if (expected >= wanted || !settings_.Uses(mechanism::kAdviceAhead)) {
     return names;
   }
   const auto& cost = *step.job->advice;
@@ -175,8 +175,7 @@
 
 void scheduler::SendAdviceQuery(step_state& step, std::vector<std::string> workers,
                                 std::uint32_t tasks, const instant& now) {
-  advice_query query{step.Name(), std::move(workers), *step.job->advice, step.job->priority,
-                     UsesShares() && !step.job->spec->within_rate};
+  advice_query query{step.Name(), std::move(workers), *step.job->advice, step.job->priority};
   step.advice.RecordQuery(now.steady, now.steady + QueryCost(query) + settings_.advice_timeout);
   log_.Write(event_line{"advice_asked", event_weight::kDetail}
                  .Add("job", step.job->spec->id)
@@ -186,38 +185,9 @@
   if (IsLongQuery(query.cost) && long_advice_slots_ != kUnlimitedAdviceSlots) {
     --long_advice_slots_;
   }
-  if (advice_capacity_ != kUnlimitedAdviceSlots && advice_capacity_ > 0) {
-    --advice_capacity_;
-  }
   orders_.emplace_back(std::move(query));
 }
 
-// A surge brings more steps than the advice service can answer in time. Its calls go to steps that
-// can start.
-bool scheduler::IsAdviceWasted(const step_state& step, const instant& now) const {
-  if (!UsesShares() || step.spec->service) {
-    return false;
-  }
-  if (CountStartsWithinLimit(step) == 0) {
-    return true;
-  }
-  const bool hopeless = RankOf(step, settings_, now.steady).hopeless;
-  return hopeless && advice_capacity_ == 0;
-}
-
-bool scheduler::MayAskAhead(const step_state& step) const {
-  if (!settings_.Uses(mechanism::kAdviceAhead)) {
-    return false;
-  }
-  if (!UsesShares()) {
-    return true;
-  }
-  const auto& job = *step.job;
-  const bool borrows =
-      !job.spec->within_rate && job.share != nullptr && shares_.IsOverShare(*job.share);
-  return !borrows && advice_capacity_ > 0;
-}
-
 // The answer to a query can be lost on its way, or with the process that sent the query. If an
 // overdue query weren't given up, its step would wait for advice forever even with room for all its
 // tasks.
@@ -225,9 +195,6 @@
   if (step.advice.HasPendingQuery(now.steady) || now.steady < step.advice.next_query_at) {
     return false;
   }
-  if (IsAdviceWasted(step, now)) {
-    return false;
-  }
   step.awaits_advice_slot = IsLongQuery(*step.job->advice) && long_advice_slots_ == 0;
   if (step.awaits_advice_slot) {
     return false;
--- a/src/rosearch/sched/scheduler_customers.cc
+++ b/src/rosearch/sched/scheduler_customers.cc
@@ -1,7 +1,6 @@
 // Customers of `scheduler`: whose limit a run counts against, and what a former leader may have
 // started for a customer.
 #include <algorithm>
-#include <chrono>
 
 #include "rosearch/sched/scheduler.h"
 
@@ -11,9 +10,6 @@
 /// Room assumed at a worker that isn't in the registry yet; more than any worker has.
 constexpr resources kMaxRoom{1'000'000'000, 1'000'000'000, 1'000'000};
 
-/// Interval at which the pools' capacities are summed over their workers.
-constexpr duration kCapacityInterval = std::chrono::milliseconds{50};
-
 /// @return the smaller amount of each resource.
 resources Least(const resources& a, const resources& b) {
   return {std::min(a.processors_milli, b.processors_milli), std::min(a.memory_mb, b.memory_mb),
@@ -25,39 +21,15 @@
 void scheduler::AssignCustomer(job_state& job) {
   if (!job.spec->customer.empty()) {
     job.customer = &customers_.Open(job.spec->customer);
-    job.share = &shares_.Open(*job.customer, job.pool, job.priority);
   }
 }
 
-void scheduler::ChargeCustomer(live_run& run, const job_state& job, const resources& amount) {
-  if (job.customer != nullptr) {
-    run.customer = job.customer;
-    run.share = job.share;
+void scheduler::ChargeCustomer(live_run& run, customer_account* customer, const resources& amount) {
+  if (customer != nullptr) {
+    run.customer = customer;
     run.customer_charge = amount;
-    job.customer->Charge(amount);
-    job.share->used = job.share->used + amount;
-  }
-}
-
-void scheduler::MeasureCapacities(const instant& now) {
-  if (!UsesShares() || now.steady < next_capacities_at_) {
-    return;
+    customer->Charge(amount);
   }
-  next_capacities_at_ = now.steady + kCapacityInterval;
-  std::map<std::string, resources> capacities;
-  for (const auto& [id, worker] : workers_) {
-    if (worker->TakesWork()) {
-      auto& capacity = capacities[worker->facts.pool];
-      capacity = capacity + worker->facts.capacity;
-    }
-  }
-  shares_.SetCapacities(capacities);
-}
-
-bool scheduler::MayReclaim(const step_state& step) const {
-  const auto& job = *step.job;
-  return job.share != nullptr && job.spec->within_rate &&
-         shares_.FitsShare(*job.share, step.spec->need);
 }
 
 std::uint32_t scheduler::CountStartsWithinLimit(const step_state& step) {
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -104,7 +104,6 @@
                  .Add("customers", configuration.customers.size()));
   configuration_ = std::move(configuration);
   customers_.Configure(configuration_.customers);
-  shares_.Configure(configuration_.customers);
   urgent_pools_.clear();
   for (const auto& rules : configuration_.queues) {
     if (rules.priority == 0) {
@@ -113,7 +112,6 @@
   }
   for (auto& [id, job] : jobs_) {
     ResolveRules(*job);
-    AssignCustomer(*job);
   }
   RecordRoomForAnyStep();
 }
@@ -185,13 +183,8 @@
         continue;
       }
       const auto charged = static_cast<double>(run->charged.processors_milli);
-      const auto& job = *run->step->job;
-      if (run->step->spec->service) {
-        load.services += charged;
-      } else {
-        load.running[job.priority] += charged;
-        load.running_within_rate[job.priority] += job.spec->within_rate ? charged : 0;
-      }
+      (run->step->spec->service ? load.services : load.running[run->step->job->priority]) +=
+          charged;
     }
   }
   for (const auto& [id, job] : jobs_) {
@@ -202,9 +195,8 @@
       for (const auto& step : occurrence->steps) {
         const auto idle = occurrence->done || step->spec->service ? 0U : step->CountIdleTasks();
         const auto ms = std::chrono::duration<double, std::milli>{step->spec->estimate}.count();
-        const double work = idle * static_cast<double>(step->spec->need.processors_milli) * ms;
-        load.waiting[job->priority] += work;
-        load.waiting_within_rate[job->priority] += job->spec->within_rate ? work : 0;
+        load.waiting[job->priority] +=
+            idle * static_cast<double>(step->spec->need.processors_milli) * ms;
       }
     }
   }
@@ -228,13 +220,6 @@
   return delay * settings_.loop_waits_per_step * static_cast<double>(job.steps.size());
 }
 
-// Work beyond a rate goes after work of the same priority within it. If it counted all the same,
-// the surge of one customer would have the jobs of all others refused.
-bool scheduler::PassesBeyondRate(const job_spec& job, const instant& now) {
-  return UsesShares() && settings_.Uses(mechanism::kRateOrder) && !job.customer.empty() &&
-         customers_.Open(job.customer).HasRateFor(now.steady);
-}
-
 // Refuses jobs that can't start in time to meet their objective, for example during bursts of long
 // jobs in a cell that is 80 % full. Without it, such jobs would also make all later ones miss their
 // objectives.
@@ -246,12 +231,11 @@
   }
   const auto& load = RecentLoad(job.pool, now);
   double room = load.capacity - load.services;  // processors that jobs of this priority may use
-  const bool passes = PassesBeyondRate(job, now);
-  for (const auto& [priority, charged] : passes ? load.running_within_rate : load.running) {
+  for (const auto& [priority, charged] : load.running) {
     room -= priority < job.priority ? charged : 0;
   }
   double ahead = 0;  // waiting work of the same or a more urgent priority
-  for (const auto& [priority, work] : passes ? load.waiting_within_rate : load.waiting) {
+  for (const auto& [priority, work] : load.waiting) {
     ahead += priority <= job.priority ? work : 0;
   }
   const double wait = room > 0 ? ahead / room : 0;
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -254,8 +254,8 @@
   }
 }
 
-placement_queue scheduler::StepsInPlacementOrder(const instant& now) {
-  std::vector<placement_queue::ranked_step> sorted;
+std::vector<step_state*> scheduler::StepsInPlacementOrder(const instant& now) {
+  std::vector<std::pair<placement_rank, step_state*>> sorted;
   std::erase_if(waiting_steps_,
                 [](auto* step) { return step->CountIdleTasks() == 0 && MarkUnlisted(*step); });
   for (auto* const step : waiting_steps_) {
@@ -264,7 +264,12 @@
     }
   }
   std::ranges::stable_sort(sorted, {}, [](const auto& each) { return each.first; });
-  return {std::move(sorted), UsesShares()};
+  std::vector<step_state*> steps;
+  steps.reserve(sorted.size());
+  for (const auto& [ignored, step] : sorted) {
+    steps.push_back(step);
+  }
+  return steps;
 }
 
 void scheduler::Schedule(const instant& now) {
@@ -272,9 +277,7 @@
     return;
   }
   RetireEndedJobs(now);
-  MeasureCapacities(now);
-  auto steps = StepsInPlacementOrder(now);
-  while (auto* const step = steps.Next()) {
+  for (auto* const step : StepsInPlacementOrder(now)) {
     ++placement_attempts_;
     LogWaitingStep(*step, now);
     if (!IsStartable(*step)) {
@@ -327,10 +330,9 @@
   if (advised) {
     RequestAdvice(step, unplaced, now);
   }
-  if (IsUrgent(step) || IsReclaimDue(step, now)) {
+  if (IsUrgent(step)) {
     PreemptForStep(step, unplaced, now);
-  }
-  if (!IsUrgent(step)) {
+  } else {
     ReserveWorkers(step, unplaced, now);
   }
   if (!backing_off) {
@@ -338,4 +340,61 @@
   }
 }
 
+void scheduler::PreemptForStep(step_state& step, std::uint32_t tasks, const instant& now) {
+  if (!settings_.Uses(mechanism::kPreemption)) {
+    return;
+  }
+  std::vector<worker_state*> candidates;
+  if (step.job->advice) {
+    for (const auto& allowance : step.advice.Allowed()) {
+      candidates.push_back(allowance.worker);
+    }
+  } else {
+    for (const auto& [id, worker] : workers_) {
+      candidates.push_back(worker.get());
+    }
+  }
+  for (auto* const worker : candidates) {
+    if (tasks == 0) {
+      return;
+    }
+    if (!Fits(step, *worker) && IsEligible(step, nullptr, *worker, now) &&
+        PreemptOnWorker(step, *worker, now)) {
+      --tasks;
+    }
+  }
+}
+
+bool scheduler::PreemptOnWorker(step_state& step, worker_state& worker, const instant& now) {
+  const auto& need = step.spec->need;
+  // Runs that are already stopping count as free room, so that no more runs than needed are
+  // preempted for the same task.
+  auto free = worker.Free();
+  std::vector<live_run*> victims;
+  for (const auto& [task, run] : worker.runs) {
+    if (run->phase == run_phase::kStopping) {
+      free = free + run->charged;
+    } else if (MayPreempt(step, *run)) {
+      victims.push_back(run.get());
+    }
+  }
+  std::ranges::sort(victims, std::greater{},
+                    [](const auto* run) { return run->charged.processors_milli; });
+  std::vector<live_run*> chosen;
+  for (auto* const victim : victims) {
+    if (need.FitsIn(free)) {
+      break;
+    }
+    free = free + victim->charged;
+    chosen.push_back(victim);
+  }
+  if (!need.FitsIn(free)) {
+    return false;
+  }
+  for (auto* const victim : chosen) {
+    StopRun(*victim, stop_reason::kPreempted, now, &step);
+  }
+  return true;
+}
+
 }  // namespace rosearch::sched
--- a/src/rosearch/sched/scheduler_reports.cc
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -59,7 +59,7 @@
   ++worker.unknown_runs;
   const auto name = task_name::Parse(row.task);
   if (const auto* const step = name ? FindStep(*name) : nullptr) {
-    ChargeCustomer(*new_run, *step->job, step->spec->need);
+    ChargeCustomer(*new_run, step->job->customer, step->spec->need);
   }
   auto& run = *(worker.runs[row.task] = std::move(new_run));
   StopRun(run, stop_reason::kUnknownRun, now);
@@ -171,7 +171,6 @@
       run.confirmed_at = now.steady;
     }
     if (!row.checkpoint.empty()) {
-      run.saved_at = row.checkpoint == run.checkpoint ? run.saved_at : now.steady;
       run.checkpoint = row.checkpoint;
     }
     if (row.percent != run.percent) {
--- a/src/rosearch/sched/scheduler_reservations.cc
+++ b/src/rosearch/sched/scheduler_reservations.cc
@@ -32,6 +32,15 @@
 
 }  // namespace
 
+bool scheduler::MayPreempt(const step_state& step, const live_run& run) const {
+  if (run.phase != run_phase::kRunning || run.step == nullptr) {
+    return false;
+  }
+  const auto& spec = *run.step->spec;
+  return run.step->job->priority > step.job->priority && spec.checkpoints && !spec.gang &&
+         !spec.service && !spec.uses_leftover;
+}
+
 duration scheduler::TimeUntilRoom(const step_state& step, const worker_state& worker,
                                   const instant& now) const {
   std::vector<std::pair<duration, resources>> ends;
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -61,7 +61,7 @@
   if (step.spec->uses_leftover) {
     new_run->charged.processors_milli = 0;
   }
-  ChargeCustomer(*new_run, *step.job, step.spec->need);
+  ChargeCustomer(*new_run, step.job->customer, step.spec->need);
   new_run->started_at = now.steady;
   new_run->progressed_at = now.steady;
   ++step.tasks[index].live;
@@ -150,7 +150,6 @@
   worker.used = worker.used - run.charged;
   if (run.customer != nullptr) {
     run.customer->Release(run.customer_charge);
-    run.share->used = run.share->used - run.customer_charge;
   }
   fill_.Update(worker);
   if (run.step != nullptr) {
--- a/src/rosearch/sched/scheduler_views.cc
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -1,7 +1,6 @@
 // Diagnostic output of `scheduler`: counts, dumps, and reasons why steps wait.
 #include <algorithm>
 #include <chrono>
-#include <cmath>
 #include <sstream>
 
 #include "rosearch/sched/scheduler.h"
@@ -16,11 +15,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
 }
 
-std::int64_t PerMille(double fraction) {
-  constexpr double kPerMille = 1'000.0;
-  return static_cast<std::int64_t>(std::lround(fraction * kPerMille));
-}
-
 std::string_view SessionName(session_phase phase) {
   constexpr std::string_view kNames[]{"new", "live", "silent"};
   return kNames[static_cast<std::size_t>(phase)];
@@ -96,11 +90,8 @@
       ++view.open;
     }
   }
-  const auto& job = *step.job;
-  const bool borrows = UsesShares() && !job.spec->within_rate && job.share != nullptr &&
-                       shares_.IsOverShare(*job.share);
   if (view.open == 0) {
-    view.what = borrows ? "customer_share" : "workers";
+    view.what = "workers";
   } else {
     view.what = step.job->advice ? "advice" : "a_pass";
   }
@@ -148,22 +139,6 @@
                  .Add("limit_mb", customer.limit().memory_mb));
 }
 
-void scheduler::WriteShares(std::ostream& out) const {
-  if (!UsesShares()) {
-    return;
-  }
-  for (const auto& [key, account] : shares_.Accounts()) {
-    const double fraction = DominantFraction(account.used, *account.capacity);
-    const double entitled = shares_.Entitlement(*account.customer);
-    out << "share " << key.customer << " pool=" << key.pool << " priority=" << key.priority
-        << " cpu=" << account.used.processors_milli << " mb=" << account.used.memory_mb
-        << " accelerators=" << account.used.accelerators << " used_permille=" << PerMille(fraction)
-        << " entitled_permille=" << PerMille(entitled)
-        << " lent_permille=" << PerMille(std::max(0.0, entitled - fraction))
-        << " borrowed_permille=" << PerMille(std::max(0.0, fraction - entitled)) << '\n';
-  }
-}
-
 std::string scheduler::Dump(const instant& now) const {
   std::ostringstream out;
   out << "epoch=" << epoch_ << " version=" << configuration_.version << " jobs=" << jobs_.size()
@@ -187,7 +162,6 @@
         << customer.limit().accelerators << " unread_cpu=" << customer.unread().processors_milli
         << " weight=" << customer.weight() << '\n';
   }
-  WriteShares(out);
   for (const auto* const step : open_steps_) {
     out << "step " << step->Name() << " idle=" << step->CountIdleTasks() << " done=" << step->done
         << '/' << step->tasks.size() << " asking=" << step->advice.HasPendingQuery(now.steady)
@@ -217,11 +191,6 @@
       << " priority=" << job.priority << " max_attempts=" << job.max_attempts
       << " left_ms=" << Millis(job.finish_by - now.steady) << " runs=" << job.live
       << (job.accepted ? "" : " waits_for=store") << '\n';
-  if (UsesShares() && job.share != nullptr) {
-    out << "share used_permille="
-        << PerMille(DominantFraction(job.share->used, *job.share->capacity))
-        << " entitled_permille=" << PerMille(shares_.Entitlement(*job.customer)) << '\n';
-  }
   for (const auto& occurrence : job.occurrences) {
     for (const auto& step : occurrence->steps) {
       out << "step " << step->Name() << " done=" << step->done << '/' << step->tasks.size()
--- a/src/rosearch/sched/token_bucket.h
+++ b/src/rosearch/sched/token_bucket.h
@@ -21,15 +21,6 @@
   /// Takes a token.
   /// @return whether there was one.
   bool TryTake(time_point now) {
-    if (!HasToken(now)) {
-      return false;
-    }
-    tokens_ -= 1.0;
-    return true;
-  }
-
-  /// @return whether `TryTake` would find a token.
-  [[nodiscard]] bool HasToken(time_point now) {
     if (!started_) {
       started_ = true;
       tokens_ = burst_;
@@ -39,7 +30,11 @@
     }
     tokens_ = std::min(burst_, tokens_);
     refilled_at_ = now;
-    return tokens_ >= 1.0;
+    if (tokens_ < 1.0) {
+      return false;
+    }
+    tokens_ -= 1.0;
+    return true;
   }
 
  private:
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -62,12 +62,10 @@
   resources charged{};                  ///< resources charged to the worker
   customer_account* customer{nullptr};  ///< whose limit it counts against; null: none
   resources customer_charge{};          ///< resources charged to the customer
-  share_account* share{nullptr};        ///< account that also has this charge; null: none
   run_phase phase{run_phase::kStarting};
   stop_reason reason{stop_reason::kNone};
   std::string ticket;
   std::string checkpoint;  ///< newest reported by the worker
-  time_point saved_at{};   ///< when that checkpoint was first reported
   std::uint32_t percent{0};
   std::uint32_t tries{1};      ///< number of times that the start order was sent
   time_point started_at{};     ///< when the start order was first sent
--- a/test/rosearch/cell/advice_dispatcher_test.cc
+++ b/test/rosearch/cell/advice_dispatcher_test.cc
@@ -219,35 +219,4 @@
   CHECK(dispatcher.TakeNext(back_at)->query.step == "next");
 }
 
-// In a surge, queries for work beyond a customer's rate would delay those for work within it.
-TEST_CASE("queries for work beyond its rate go after those within") {
-  advice_dispatcher dispatcher;
-  dispatcher.SetHelpers({""});
-  auto beyond = Query("beyond", true);
-  beyond.beyond_rate = true;
-  dispatcher.Add(beyond, kStart);
-  dispatcher.Add(Query("within", true), kStart + milliseconds{1});
-  CHECK(dispatcher.TakeNext(kStart)->query.step == "within");
-  dispatcher.ReleaseHelper("");
-  // It must not wait forever: a later query within the rate doesn't pass it.
-  dispatcher.Add(Query("later", true), kStart + 2 * advice_dispatcher::kDelayBeyondRate);
-  CHECK(dispatcher.TakeNext(kStart)->query.step == "beyond");
-}
-
-// Advice that isn't needed yet would hold up steps that can start now.
-TEST_CASE("the free slots are the free processes without those that queued queries need") {
-  advice_dispatcher dispatcher;
-  CHECK(dispatcher.CountFreeSlots(kStart) == 0);
-  dispatcher.SetHelpers({"", "1", "2"});
-  CHECK(dispatcher.CountFreeSlots(kStart) == 3);
-  dispatcher.Add(Query("a", true), kStart);
-  CHECK(dispatcher.CountFreeSlots(kStart) == 2);
-  (void)dispatcher.TakeNext(kStart);
-  CHECK(dispatcher.CountFreeSlots(kStart) == 2);
-  for (const auto* step : {"b", "c", "d", "e"}) {
-    dispatcher.Add(Query(step, true), kStart);
-  }
-  CHECK(dispatcher.CountFreeSlots(kStart) == 0);
-}
-
 }  // namespace rosearch::cell
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -31,7 +31,6 @@
   if (options.long_queue_advice != advice_cost{}) {
     made.queues[1].advice = options.long_queue_advice;
   }
-  made.customers = options.customers;
   if (!options.has_urgent_queue) {
     made.queues.erase(made.queues.begin());
   }
@@ -203,7 +202,6 @@
     const auto free =
         std::ranges::count_if(advice_free_at_, [&](auto free_at) { return free_at <= now_; });
     leader_->SetLongAdviceSlots(static_cast<std::size_t>(free));
-    leader_->SetAdviceCapacity(static_cast<std::size_t>(free));
   }
   leader_->Schedule(Now());
   const auto orders = leader_->TakeOrders();
@@ -400,14 +398,6 @@
   run.ends = step.service ? now_ + std::chrono::hours{1} : now_ + work * percent / 100;
   run.fails = random_.Chance(faults_.run_fails) || worker->always_fails;
   run.charged = step.need;
-  run.saves = step.checkpoints && options_.checkpoint_interval > duration{};
-  if (!order.checkpoint.empty()) {
-    run.checkpoint = order.checkpoint;
-    run.resumed_from = std::chrono::milliseconds{std::stoll(order.checkpoint)};
-    run.ends = std::max(now_, run.ends - run.resumed_from);
-  }
-  auto& job = jobs_[name->job];
-  job.first_start = job.first_start.value_or(now_);
   worker->running[order.task] = run;
   return start_outcome::kStarted;
 }
@@ -427,14 +417,6 @@
       auto* const current = FindWorker(id);
       if (current != nullptr && current->running.contains(task) &&
           current->running[task].run == run) {
-        auto& stopped = current->running[task];
-        SaveProgress(stopped);
-        const auto saved = std::chrono::milliseconds{
-            stopped.checkpoint.empty() ? 0 : std::stoll(stopped.checkpoint)};
-        const auto lost = now_ - stopped.began + stopped.resumed_from - saved;
-        constexpr double kMilli = 1'000.0;
-        lost_core_seconds_ += std::chrono::duration<double>{lost}.count() *
-                              static_cast<double>(stopped.charged.processors_milli) / kMilli;
         EndRun(*current, task, end_kind::kStopped);
       }
     });
@@ -592,12 +574,11 @@
   });
 }
 
-worker_report cell_world::ReportOf(fake_worker& worker) {
+worker_report cell_world::ReportOf(const fake_worker& worker) {
   worker_report report;
   report.born = worker.facts.born;
   report.ended = worker.ended;
-  for (auto& [task, run] : worker.running) {
-    SaveProgress(run);
+  for (const auto& [task, run] : worker.running) {
     const auto part = std::chrono::duration<double>{now_ - run.began} /
                       std::chrono::duration<double>{run.ends - run.began};
     const auto name = task_name::Parse(task);
@@ -689,9 +670,7 @@
   job.payload = "payload";
   job.max_attempts = kMaxAttempts;
   job.accepted_ms = Now().wall_ms;
-  if (job.objective == duration{}) {
-    job.objective = CriticalPath(job.steps) * 3 / 2 + std::chrono::milliseconds{250};
-  }
+  job.objective = CriticalPath(job.steps) * 3 / 2 + std::chrono::milliseconds{250};
   auto& known = jobs_[job.id];
   known.spec = job;
   known.submitted_at = now_;
@@ -735,36 +714,6 @@
   return found == jobs_.end() ? std::nullopt : leader_->Phase(id, {found->second.spec.queue});
 }
 
-void cell_world::SaveProgress(fake_run& run) const {
-  if (!run.saves) {
-    return;
-  }
-  const auto interval =
-      std::chrono::duration_cast<std::chrono::milliseconds>(options_.checkpoint_interval);
-  const auto work = now_ - run.began + run.resumed_from;
-  const auto saved = (work / interval) * interval;
-  if (saved > run.resumed_from) {
-    run.checkpoint = std::to_string(saved.count());
-  }
-}
-
-double cell_world::BusyShare() const {
-  double used = 0;
-  double capacity = 0;
-  for (const auto& [id, worker] : workers_) {
-    capacity += static_cast<double>(worker.facts.capacity.processors_milli);
-    for (const auto& [task, run] : worker.running) {
-      used += static_cast<double>(run.charged.processors_milli);
-    }
-  }
-  return used / capacity;
-}
-
-std::optional<duration> cell_world::StartDelay(const std::string& id) const {
-  const auto& job = jobs_.at(id);
-  return job.first_start ? std::optional{*job.first_start - job.submitted_at} : std::nullopt;
-}
-
 std::vector<std::string> cell_world::Unfinished() const {
   std::vector<std::string> open;
   for (const auto& [id, job] : jobs_) {
--- a/test/rosearch/sched/cell_world.h
+++ b/test/rosearch/sched/cell_world.h
@@ -58,8 +58,6 @@
   std::uint32_t advice_allowed_tenths{7};  ///< tenths of the workers that advice allows
   std::size_t max_advice_queries{0};       ///< concurrent advice queries; 0: unlimited
   bool has_urgent_queue{true};             ///< whether an urgent queue shares the workers
-  std::vector<customer_rules> customers{};
-  duration checkpoint_interval{};  ///< of runs that save checkpoints; 0: they save none
   leader_cost cost{};
 };
 
@@ -104,16 +102,6 @@
   [[nodiscard]] instant Now() const;
   /// @return time from submission to the latest successful task end; nothing before the first.
   [[nodiscard]] std::optional<duration> CompletionTime(const std::string& job) const;
-  /// @return time from submission to the first start of a task; nothing before it.
-  [[nodiscard]] std::optional<duration> StartDelay(const std::string& job) const;
-  /// @return the objective of a job, as submitted.
-  [[nodiscard]] duration Objective(const std::string& job) const {
-    return jobs_.at(job).spec.objective;
-  }
-  /// @return the share of all processors that running tasks use.
-  [[nodiscard]] double BusyShare() const;
-  /// @return core-seconds of runs that were stopped without being saved.
-  [[nodiscard]] double LostCoreSeconds() const { return lost_core_seconds_; }
 
   static constexpr std::string_view kQueue = "cell.test/jobs/";
   static constexpr std::string_view kLongQueue = "cell.test/plans/";
@@ -125,9 +113,7 @@
     time_point began{};
     time_point ends{};
     bool fails{false};
-    std::string checkpoint;   ///< when it was saved, in ms of work
-    duration resumed_from{};  ///< work that an earlier run saved
-    bool saves{false};
+    std::string checkpoint;
     resources charged{};
   };
   struct fake_worker {
@@ -152,7 +138,6 @@
     std::set<std::string> acked_done;  ///< tasks whose success the leader acknowledged
     time_point submitted_at{};
     time_point last_done_at{};
-    std::optional<time_point> first_start;
   };
 
   void ScheduleAt(time_point when, std::function<void()> what);
@@ -189,13 +174,11 @@
   void AdvanceWorker(fake_worker& worker);
   void InjectFaults();
   /// @return all runs and unacknowledged ends of a worker.
-  [[nodiscard]] worker_report ReportOf(fake_worker& worker);
+  [[nodiscard]] worker_report ReportOf(const fake_worker& worker);
   /// Restarts a worker under its id. The leader learns it from a report or from the record, and may
   /// get a report of the former incarnation after that.
   void RestartInPlace(const std::string& id);
   void AckEnds(fake_worker& worker, std::uint64_t end);
-  /// Updates the checkpoint of a run.
-  void SaveProgress(fake_run& run) const;
   [[nodiscard]] fake_worker* FindWorker(const std::string& id);
   [[nodiscard]] bool Reachable(const fake_worker& worker) const {
     return now_ >= worker.unreachable_until;
@@ -228,7 +211,6 @@
   std::uint64_t next_id_{1};
   std::uint64_t next_worker_{1};
   std::size_t start_count_{0};
-  double lost_core_seconds_{0};
 };
 
 }  // namespace rosearch::sched
