Run times are predicted from declared estimates and ended runs (sched)

Cause: declared estimates are off by up to nine tenths, and they alone decide the order of jobs, what counts as hopeless and what admission expects. Change: run_time_model keeps a decayed regression of the logarithm of the run time on that of the estimate per queue, customer and image. The scheduler learns from runs that it started from scratch, predicts at submission, restore and configuration, and stores the model beside other records at most every 10 s. The stored job keeps what its caller declared. The mechanism is switched off by "estimates".

--- a/src/rosearch/sched/fwd.h
+++ b/src/rosearch/sched/fwd.h
@@ -13,6 +13,7 @@
 struct worker_facts;
 struct worker_report;
 class fill_index;
+class run_time_model;
 class scheduler;
 
 }  // namespace rosearch::sched
--- a/src/rosearch/sched/job_state.cc
+++ b/src/rosearch/sched/job_state.cc
@@ -56,6 +56,8 @@
   return job->spec->id + '.' + std::to_string(occurrence) + '.' + std::to_string(index);
 }
 
+duration step_state::RunTime() const { return job->predicted.run_times[index]; }
+
 step_state* job_state::Step(std::uint32_t occurrence, std::uint32_t step) const {
   if (occurrence >= occurrences.size() || step >= occurrences[occurrence]->steps.size()) {
     return nullptr;
@@ -80,6 +82,15 @@
 }
 
 duration CriticalPath(const std::vector<step_spec>& steps) {
+  std::vector<duration> estimates;
+  estimates.reserve(steps.size());
+  for (const auto& step : steps) {
+    estimates.push_back(step.estimate);
+  }
+  return CriticalPath(steps, estimates);
+}
+
+duration CriticalPath(const std::vector<step_spec>& steps, const std::vector<duration>& run_times) {
   std::vector<duration> ends(steps.size());
   duration longest{};
   for (std::size_t at = 0; at < steps.size(); ++at) {
@@ -87,7 +98,7 @@
     for (const auto before : steps[at].after) {
       begin = std::max(begin, ends[before]);
     }
-    ends[at] = begin + steps[at].estimate;
+    ends[at] = begin + run_times[at];
     longest = std::max(longest, ends[at]);
   }
   return longest;
--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -85,6 +85,8 @@
   /// @return JOB.OCCURRENCE.STEP.
   [[nodiscard]] std::string Name() const;
   [[nodiscard]] bool Finished() const { return done == tasks.size(); }
+  /// @return the predicted run time of a task.
+  [[nodiscard]] duration RunTime() const;
 };
 
 /// One execution of all steps of a job.
@@ -94,6 +96,14 @@
   std::vector<std::unique_ptr<step_state>> steps;  ///< empty until it is due and after it is done
 };
 
+/// What is expected of a job, from its declared estimates and what earlier runs took.
+struct job_prediction {
+  std::vector<duration> run_times;  ///< of a task of each step
+  duration objective{};             ///< from acceptance to completion, by these run times
+
+  friend bool operator==(const job_prediction&, const job_prediction&) = default;
+};
+
 /// An accepted job that hasn't ended, or whose runs are still being stopped.
 struct job_state {
   std::shared_ptr<const job_spec> spec;
@@ -110,7 +120,9 @@
   bool new_record{true};                       ///< its specification has yet to be stored
   bool dirty{false};                           ///< its progress has yet to be stored
   std::uint32_t live{0};                       ///< runs that may be active
-  time_point finish_by{};                      ///< deadline from its objective
+  job_prediction predicted;
+  time_point submitted_at{};
+  time_point finish_by{};  ///< deadline from its predicted objective
   std::int64_t ended_ms{0};
   std::vector<std::unique_ptr<occurrence_state>> occurrences;  ///< all that have become due
 
@@ -128,6 +140,10 @@
 
 /// @return the length of the critical path through the steps, by their estimates.
 [[nodiscard]] duration CriticalPath(const std::vector<step_spec>& steps);
+/// @param run_times  of a task of each step.
+/// @return the length of the critical path through the steps.
+[[nodiscard]] duration CriticalPath(const std::vector<step_spec>& steps,
+                                    const std::vector<duration>& run_times);
 
 /// @return the total work of a job, processors times estimates, in thousandths of a processor times
 ///         ms.
--- a/src/rosearch/sched/placement_order.cc
+++ b/src/rosearch/sched/placement_order.cc
@@ -12,7 +12,7 @@
     return rank;
   }
   rank.hopeless =
-      settings.Uses(mechanism::kHopelessLast) && now > job.finish_by + 2 * job.spec->objective;
+      settings.Uses(mechanism::kHopelessLast) && now > job.finish_by + 2 * job.predicted.objective;
   rank.beyond_rate = !job.spec->within_rate && settings.Uses(mechanism::kRateOrder);
   return rank;
 }
--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -154,6 +154,7 @@
 
 void scheduler::Tick(const instant& now) {
   ForgetEndedJobs(now);
+  ScheduleRunTimeRecord(now);
   for (const auto& [id, worker] : workers_) {
     if (worker->session != session_phase::kLive && now.steady >= worker->lease_until) {
       EndRunsAsLost(*worker, "lease_lapsed", now);
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -22,6 +22,7 @@
 #include "rosearch/sched/job_spec.h"
 #include "rosearch/sched/job_state.h"
 #include "rosearch/sched/order.h"
+#include "rosearch/sched/run_time_model.h"
 #include "rosearch/sched/scheduler_settings.h"
 #include "rosearch/sched/worker_facts.h"
 #include "rosearch/sched/worker_state.h"
@@ -337,13 +338,14 @@
   void ResolveRules(job_state& job) const;
   void RetireEndedJobs(const instant& now);
   void FinishOccurrence(job_state& job, occurrence_state& occurrence, const instant& now);
-  [[nodiscard]] submit_answer Admit(const job_spec& job, const instant& now);
+  [[nodiscard]] submit_answer Admit(const job_spec& job, const job_prediction& predicted,
+                                    const instant& now);
   /// @return how long a job would wait for the leader's event loop, in ms.
   [[nodiscard]] double EstimateLeaderDelayMs(const job_spec& job) const;
   [[nodiscard]] pool_load MeasureLoad(const std::string& pool) const;
   /// @return the load of a pool from a recent measurement.
   [[nodiscard]] const pool_load& RecentLoad(const std::string& pool, const instant& now);
-  [[nodiscard]] double MeanSlackMs(const job_spec& job);
+  [[nodiscard]] double MeanSlackMs(const job_spec& job, const job_prediction& predicted);
   [[nodiscard]] bool FitsSomewhere(const job_spec& job) const;
   /// @return whether there is room for all tasks of a job's first step now.
   [[nodiscard]] bool HasRoomForFirstStep(const job_spec& job) const;
@@ -410,6 +412,15 @@
   void RescueRun(live_run& run, const run_outlook& outlook, const instant& now);
   [[nodiscard]] bool MayRescueRun() const;
 
+  // scheduler_estimates.cc
+  /// @return run times by what earlier runs took, and the objective that follows from them.
+  [[nodiscard]] job_prediction PredictJob(const job_spec& job) const;
+  static void ApplyPrediction(job_state& job, job_prediction predicted);
+  void LogPrediction(const job_spec& spec, const job_state& job);
+  void LearnRunTime(const live_run& run, duration took);
+  /// Decides whether the model of run times is stored with the next batch.
+  void ScheduleRunTimeRecord(const instant& now);
+
   // scheduler_placement.cc
   [[nodiscard]] bool IsStartable(const step_state& step) const;
   /// @return whether a step that found no room would fail again, since no room was freed on workers
@@ -560,6 +571,10 @@
   std::map<std::string, pool_load> loads_;       ///< by pool
   std::map<std::string, double> mean_slack_ms_;  ///< by queue: mean time that its jobs can wait
   std::map<std::string, double> advised_share_;  ///< by queue: share of named workers allowed
+  run_time_model run_times_;
+  bool run_times_changed_{false};  ///< since they were last due to be stored
+  bool run_times_due_{false};      ///< to be stored with the next batch
+  time_point next_run_times_record_{};
   std::vector<order> orders_;
   std::vector<settled_job> settled_;
   std::vector<job_timing> timings_;
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -66,8 +66,7 @@
   // The duration of recurring jobs and services is set by their callers, so it says nothing about
   // the cell's performance.
   if (job.spec->occurrences == 0 && !job.spec->steps.front().service) {
-    const auto handed_in = job.finish_by - job.spec->objective;
-    timings_.push_back({ended, job.phase, job.priority, now.steady - handed_in});
+    timings_.push_back({ended, job.phase, job.priority, now.steady - job.submitted_at});
   }
 }
 
@@ -112,6 +111,7 @@
   }
   for (auto& [id, job] : jobs_) {
     ResolveRules(*job);
+    ApplyPrediction(*job, PredictJob(*job->spec));
   }
   RecordRoomForAnyStep();
 }
@@ -141,9 +141,10 @@
   return true;
 }
 
-double scheduler::MeanSlackMs(const job_spec& job) {
-  const auto chain = std::chrono::duration<double, std::milli>{CriticalPath(job.steps)}.count();
-  const auto objective = std::chrono::duration<double, std::milli>{job.objective}.count();
+double scheduler::MeanSlackMs(const job_spec& job, const job_prediction& predicted) {
+  const auto path = CriticalPath(job.steps, predicted.run_times);
+  const auto chain = std::chrono::duration<double, std::milli>{path}.count();
+  const auto objective = std::chrono::duration<double, std::milli>{predicted.objective}.count();
   const double own = std::max(0.0, objective - chain);
   auto& mean = mean_slack_ms_.try_emplace(job.queue, own).first->second;
   mean += kSlackWeight * (own - mean);
@@ -194,7 +195,7 @@
     for (const auto& occurrence : job->occurrences) {
       for (const auto& step : occurrence->steps) {
         const auto idle = occurrence->done || step->spec->service ? 0U : step->CountIdleTasks();
-        const auto ms = std::chrono::duration<double, std::milli>{step->spec->estimate}.count();
+        const auto ms = std::chrono::duration<double, std::milli>{step->RunTime()}.count();
         load.waiting[job->priority] +=
             idle * static_cast<double>(step->spec->need.processors_milli) * ms;
       }
@@ -223,9 +224,10 @@
 // Refuses jobs that can't start in time to meet their objective, for example during bursts of long
 // jobs in a cell that is 80 % full. Without it, such jobs would also make all later ones miss their
 // objectives.
-submit_answer scheduler::Admit(const job_spec& job, const instant& now) {
+submit_answer scheduler::Admit(const job_spec& job, const job_prediction& predicted,
+                               const instant& now) {
   // Estimates of a single job are wrong by half or more; their mean over the queue is not.
-  const double slack = MeanSlackMs(job) * settings_.admission_slack;
+  const double slack = MeanSlackMs(job, predicted) * settings_.admission_slack;
   if (EstimateLeaderDelayMs(job) > slack || admitted_since_tick_ >= admission_limit_) {
     return {submit_verdict::kRefused, kMinRetryAfter, "leader_busy"};
   }
@@ -275,8 +277,10 @@
                    .Add("customer", job.customer));
     return {submit_verdict::kRefused, {}, "exceeds_limit"};
   }
+  auto predicted = PredictJob(job);
   const bool exempt = job.steps.front().service || !settings_.Uses(mechanism::kAdmission);
-  const auto admitted = exempt ? submit_answer{submit_verdict::kPending, {}, {}} : Admit(job, now);
+  const auto admitted =
+      exempt ? submit_answer{submit_verdict::kPending, {}, {}} : Admit(job, predicted, now);
   if (admitted.verdict == submit_verdict::kRefused) {
     log_.Write(event_line{"job_refused", event_weight::kFailure}
                    .Add("job", job.id)
@@ -290,7 +294,9 @@
     job.within_rate = customers_.Open(job.customer).TakeFromRate(now.steady);
   }
   auto new_job = std::make_unique<job_state>();
-  new_job->finish_by = now.steady + job.objective;
+  new_job->submitted_at = now.steady;
+  ApplyPrediction(*new_job, std::move(predicted));
+  LogPrediction(job, *new_job);
   log_.Write(event_line{"job_received"}
                  .Add("job", job.id)
                  .Add("queue", job.queue)
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -109,6 +109,7 @@
   run.checkpoint = std::move(checkpoint);
   if (run.checkpoint.empty()) {
     run.measured_from = progress_mark{now.steady, 0};
+    run.from_scratch = true;
   }
   OrderStart(run, now);
   log_.Write(event_line{"run_ordered", event_weight::kDetail}
@@ -190,6 +191,7 @@
   if (how == end_kind::kDone) {
     worker.health.RecordSuccess();
     RecordRunSpeed(run, took);
+    LearnRunTime(run, took);
   } else if (how == end_kind::kFailed && worker.health.RecordFailure(settings_, now.steady)) {
     log_.Write(event_line{"worker_quarantined", event_weight::kStateChange}
                    .Add("worker", worker.facts.id)
--- a/src/rosearch/sched/scheduler_store.cc
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -13,6 +13,7 @@
 constexpr char kJobKey = 'j';
 constexpr char kProgressKey = 'p';
 constexpr std::string_view kWorkersKey = "w";
+constexpr std::string_view kRunTimesKey = "t";
 
 std::string Key(char kind, const std::string& id) { return kind + id; }
 
@@ -25,6 +26,7 @@
   std::vector<std::string> recorded;                        ///< workers
   std::vector<std::string> forgotten;
   bool workers{false};
+  bool run_times{false};
 };
 
 scheduler::scheduler(const scheduler_settings& settings, std::uint64_t epoch, event_sink& log)
@@ -57,6 +59,11 @@
     }
     return true;
   }
+  if (record.key == kRunTimesKey) {
+    auto model = run_time_model::Decode(record.value);
+    run_times_ = model ? std::move(*model) : run_time_model{};
+    return model.has_value();
+  }
   if (record.key.size() < 2 || (record.key[0] != kJobKey && record.key[0] != kProgressKey)) {
     return false;
   }
@@ -90,9 +97,10 @@
   job->new_record = false;
   const auto age =
       std::chrono::milliseconds{std::max<std::int64_t>(0, now.wall_ms - spec->accepted_ms)};
-  job->finish_by = now.steady + spec->objective - age;
+  job->submitted_at = now.steady - age;
   job->spec = std::make_shared<const job_spec>(std::move(*spec));
   ResolveRules(*job);
+  ApplyPrediction(*job, PredictJob(*job->spec));
   AssignCustomer(*job);
   ApplyProgress(progress, *job);
   auto& restored_job = *(jobs_[id] = std::move(job));
@@ -163,6 +171,11 @@
     effects.workers = true;
     batch.records.push_back({std::string{kWorkersKey}, EncodeWorkers(effects.recorded)});
   }
+  // The model is only written beside other records: losing the newest samples is harmless.
+  if (!batch.records.empty() && std::exchange(run_times_due_, false)) {
+    effects.run_times = true;
+    batch.records.push_back({std::string{kRunTimesKey}, run_times_.Encode()});
+  }
   for (const auto& id : workers_with_unstored_ends_) {
     effects.ends.emplace_back(id, workers_.at(id)->seen_end);
   }
@@ -234,6 +247,7 @@
   }
   forgotten_.insert(forgotten_.end(), effects.forgotten.begin(), effects.forgotten.end());
   workers_dirty_ = workers_dirty_ || effects.workers;
+  run_times_due_ = run_times_due_ || effects.run_times;
 }
 
 void scheduler::RefuseNewJob(const std::string& id, std::string_view reason) {
--- a/src/rosearch/sched/scheduler_views.cc
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -1,6 +1,7 @@
 // Diagnostic output of `scheduler`: counts, dumps, and reasons why steps wait.
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <sstream>
 
 #include "rosearch/sched/scheduler.h"
@@ -162,6 +163,12 @@
         << customer.limit().accelerators << " unread_cpu=" << customer.unread().processors_milli
         << " weight=" << customer.weight() << '\n';
   }
+  run_times_.Visit([&](const run_time_key& key, const run_time_regression& each) {
+    out << "run_times queue=" << key.queue << " customer=" << key.customer << " image=" << key.image
+        << " weight=" << each.weight << " mean_declared_ms=" << std::exp(each.mean_declared)
+        << " mean_measured_ms=" << std::exp(each.mean_measured) << " residual=" << each.Residual()
+        << " as_declared=" << each.DeclaredFits() << '\n';
+  });
   for (const auto* const step : open_steps_) {
     out << "step " << step->Name() << " idle=" << step->CountIdleTasks() << " done=" << step->done
         << '/' << step->tasks.size() << " asking=" << step->advice.HasPendingQuery(now.steady)
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -74,6 +74,7 @@
   /// Start of the speed measurement: the start of the run, or its first report if it resumed from a
   /// checkpoint or was adopted from an earlier leader.
   std::optional<progress_mark> measured_from{};
+  bool from_scratch{false};       ///< started by this leader, and not from a checkpoint
   bool copied{false};             ///< another copy was started because this run is slow
   time_point retry_at{kNever};    ///< when an unanswered order is retried
   bool stop_acknowledged{false};  ///< the worker acknowledged the stop order
--- a/test/rosearch/sched/placement_order_test.cc
+++ b/test/rosearch/sched/placement_order_test.cc
@@ -20,6 +20,7 @@
     made.objective = seconds{10};
     made.within_rate = within_rate;
     job.spec = std::make_shared<const job_spec>(made);
+    job.predicted.objective = made.objective;
     job.priority = priority;
     job.finish_by = kNow + left;
     step.job = &job;
