--- a/benchmark/leader_bench.cc
+++ b/benchmark/leader_bench.cc
@@ -8,6 +8,7 @@
 #include <variant>
 #include <vector>
 
+#include "rosearch/sched/run_time_model.h"
 #include "rosearch/sched/scheduler.h"
 
 namespace rosearch::sched {
@@ -207,5 +208,69 @@
 }
 BENCHMARK(ReadWorkers)->Arg(50)->Arg(540)->Arg(3'000)->Unit(benchmark::kMillisecond);
 
+/// A model of 200 queues, each with customers and images.
+class learned_model {
+ public:
+  learned_model() {
+    for (std::size_t at = 0; at < 20 * kKeys; ++at) {
+      Learn(at);
+    }
+  }
+  void Learn(std::size_t at) {
+    model.Learn(Key(at), Declared(at), milliseconds{640 + at % 100}, 1.0);
+  }
+  [[nodiscard]] duration Predict(std::size_t at) const {
+    return model.Predict(Key(at), Declared(at));
+  }
+
+  run_time_model model;
+
+ private:
+  static constexpr std::size_t kQueues = 200;
+  static constexpr std::size_t kKeys = kQueues * 21;
+  [[nodiscard]] static duration Declared(std::size_t at) { return milliseconds{100 + at % 997}; }
+  [[nodiscard]] run_time_key Key(std::size_t at) const {
+    return {queues_[at % kQueues], customers_[at % kKeys / kQueues], images_[at % images_.size()]};
+  }
+  [[nodiscard]] static std::vector<std::string> Names(const std::string& prefix,
+                                                      std::size_t count) {
+    std::vector<std::string> names;
+    for (std::size_t at = 0; at < count; ++at) {
+      names.push_back(prefix + std::to_string(at));
+    }
+    return names;
+  }
+
+  std::vector<std::string> queues_{Names("cell.test/queue-", kQueues)};
+  std::vector<std::string> customers_{Names("customer-", 21)};
+  std::vector<std::string> images_{Names("registry.test/image-", 3)};
+};
+
+void PredictRunTime(benchmark::State& state) {
+  const learned_model learned;
+  std::size_t at = 0;
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(learned.Predict(at++));
+  }
+}
+BENCHMARK(PredictRunTime);
+
+void LearnRunTime(benchmark::State& state) {
+  learned_model learned;
+  std::size_t at = 0;
+  for (auto _ : state) {
+    learned.Learn(at++);
+  }
+}
+BENCHMARK(LearnRunTime);
+
+void EncodeRunTimes(benchmark::State& state) {
+  const learned_model learned;
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(learned.model.Encode());
+  }
+}
+BENCHMARK(EncodeRunTimes)->Unit(benchmark::kMillisecond);
+
 }  // namespace
 }  // namespace rosearch::sched
--- a/src/rosearch/cell/cell_metrics.cc
+++ b/src/rosearch/cell/cell_metrics.cc
@@ -39,6 +39,7 @@
     metric_help{"rosearch_placement_attempts_total",
                 "Attempts to place a waiting step; measures the cost of scheduling."},
     metric_help{"rosearch_relayed_total", "Exchanges relayed by a peer."},
+    metric_help{"rosearch_run_times_learned_total", "Ended runs whose run time was learned."},
     metric_help{"rosearch_runs", "Runs that may be in progress."},
     metric_help{"rosearch_start_seconds", "Time from a start order to its answer."},
     metric_help{"rosearch_starts_refused_total", "Start orders that were refused or unanswered."},
--- a/src/rosearch/cell/internal/leader_views.h
+++ b/src/rosearch/cell/internal/leader_views.h
@@ -36,6 +36,7 @@
   set("rosearch_batches", batches_.size());
   metrics_.SetTotal("rosearch_placement_attempts_total", counts.placement_attempts);
   metrics_.SetTotal("rosearch_worker_looks_total", counts.workers_considered);
+  metrics_.SetTotal("rosearch_run_times_learned_total", counts.run_times_learned);
   metrics_.Set("rosearch_oldest_report_seconds",
                std::chrono::duration<double>{counts.oldest_report}.count());
 }
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -122,6 +122,7 @@
   duration oldest_report{};      ///< max age of the newest report over all live workers
   std::uint64_t placement_attempts{0};  ///< attempts to place a waiting step, since the start
   std::uint64_t workers_considered{0};  ///< workers considered for a waiting step, since the start
+  std::uint64_t run_times_learned{0};   ///< runs whose run time was learned, since the start
 
   friend bool operator==(const cell_counts&, const cell_counts&) = default;
 };
@@ -575,6 +576,7 @@
   bool run_times_changed_{false};  ///< since they were last due to be stored
   bool run_times_due_{false};      ///< to be stored with the next batch
   time_point next_run_times_record_{};
+  std::uint64_t run_times_learned_{0};
   std::vector<order> orders_;
   std::vector<settled_job> settled_;
   std::vector<job_timing> timings_;
--- a/src/rosearch/sched/scheduler_estimates.cc
+++ b/src/rosearch/sched/scheduler_estimates.cc
@@ -79,10 +79,10 @@
 }
 
 void scheduler::LearnRunTime(const live_run& run, duration took) {
-  // A run that resumed or was adopted took longer than is known; what an overloaded leader measures
-  // includes its own delay.
+  // A run that resumed or was adopted began before it was ordered, one whose order was repeated
+  // began later, and what an overloaded leader measures includes its own delay.
   if (!settings_.Uses(mechanism::kEstimates) || run.step == nullptr || !run.from_scratch ||
-      IsOverloaded()) {
+      run.tries > 1 || IsOverloaded()) {
     return;
   }
   const auto& step = *run.step->spec;
@@ -94,6 +94,7 @@
   run_times_.Learn(KeyOf(*run.step->job->spec, step), step.estimate,
                    std::chrono::duration_cast<duration>(normal), 1.0 / step.count);
   run_times_changed_ = true;
+  ++run_times_learned_;
 }
 
 void scheduler::ScheduleRunTimeRecord(const instant& now) {
--- a/src/rosearch/sched/scheduler_views.cc
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -42,6 +42,7 @@
   counts.unsettled = unsettled_.size();
   counts.placement_attempts = placement_attempts_;
   counts.workers_considered = workers_considered_;
+  counts.run_times_learned = run_times_learned_;
   for (const auto& [id, worker] : workers_) {
     counts.runs += worker->runs.size();
     if (worker->session != session_phase::kLive) {
--- a/test/rosearch/sched/scheduler_fixture.h
+++ b/test/rosearch/sched/scheduler_fixture.h
@@ -36,8 +36,9 @@
 /// A leading scheduler with idle workers that a test drives step by step.
 class scheduler_fixture {
  public:
-  explicit scheduler_fixture(std::size_t workers = 2, std::uint64_t epoch = 1)
-      : leader{scheduler_settings{}, epoch, log} {
+  explicit scheduler_fixture(std::size_t workers = 2, std::uint64_t epoch = 1,
+                             const scheduler_settings& settings = {})
+      : leader{settings, epoch, log} {
     cell_configuration made;
     made.version = 1;
     made.queues = {
