Slow workers are recognized by the run times of earlier jobs where a step has no siblings (sched)

Cause: a run was compared only with runs of its own step, so jobs of a single task stayed on slow workers. Change: without siblings, a run is compared with the predicted run time if at most one task in a hundred exceeds that as far as a slow worker would; a single such run is not conclusive.

--- a/src/rosearch/sched/run_time_model.cc
+++ b/src/rosearch/sched/run_time_model.cc
@@ -26,6 +26,11 @@
 
 constexpr int kNumbers = 6;
 
+/// Standard deviations above the prediction that one task in a hundred exceeds, and the samples
+/// that it takes to know the standard deviation.
+constexpr double kMaxSpread = 2.33;
+constexpr double kMinWeightForSpread = 10;
+
 /// Bytes that the tag and length of an entry or a name may take.
 constexpr std::size_t kFramingBytes = 4;
 
@@ -111,6 +116,15 @@
 
 }  // namespace
 
+const run_time_model::customer_samples* run_time_model::Find(const run_time_key& key) const {
+  const auto queue = queues_.find(key.queue);
+  if (queue == queues_.end()) {
+    return nullptr;
+  }
+  const auto customer = queue->second.find(key.customer);
+  return customer == queue->second.end() ? nullptr : &customer->second;
+}
+
 run_time_model::customer_samples& run_time_model::Open(const run_time_key& key) {
   auto queue = queues_.find(key.queue);
   if (queue == queues_.end()) {
@@ -153,12 +167,8 @@
 }
 
 duration run_time_model::Predict(const run_time_key& key, duration declared) const {
-  const auto queue = queues_.find(key.queue);
-  if (declared <= duration{} || queue == queues_.end()) {
-    return declared;
-  }
-  const auto customer = queue->second.find(key.customer);
-  if (customer == queue->second.end()) {
+  const auto* const samples = declared > duration{} ? Find(key) : nullptr;
+  if (samples == nullptr) {
     return declared;
   }
   const double x = LogMs(declared);
@@ -170,8 +180,8 @@
       predicted += share * (with.At(x) - predicted);
     }
   };
-  blend(customer->second.all);
-  const auto& images = customer->second.images;
+  blend(samples->all);
+  const auto& images = samples->images;
   if (const auto image = images.find(UsableImage(key.image)); image != images.end()) {
     blend(image->second.regression);
   }
@@ -183,6 +193,22 @@
   return std::max(duration{1}, std::chrono::duration_cast<duration>(time));
 }
 
+std::optional<duration> run_time_model::PredictWithin(const run_time_key& key, duration declared,
+                                                      double factor) const {
+  const auto* const samples = declared > duration{} ? Find(key) : nullptr;
+  if (samples == nullptr) {
+    return std::nullopt;
+  }
+  const auto image = samples->images.find(UsableImage(key.image));
+  const bool by_image = image != samples->images.end() && image->second.regression.IsUsable();
+  const auto& regression = by_image ? image->second.regression : samples->all;
+  const double spread = kMaxSpread * std::sqrt(regression.Residual());
+  if (regression.weight < kMinWeightForSpread || spread > std::log(factor)) {
+    return std::nullopt;
+  }
+  return Predict(key, declared);
+}
+
 std::string run_time_model::Encode() const {
   struct entry {
     run_time_key key;
--- a/src/rosearch/sched/run_time_model.h
+++ b/src/rosearch/sched/run_time_model.h
@@ -45,6 +45,11 @@
   ///         the declared estimates are accurate or absent.
   [[nodiscard]] duration Predict(const run_time_key& key, duration declared) const;
 
+  /// @return the predicted run time, if at most one task in a hundred exceeds it by this factor;
+  ///         nothing if more do, or if there are too few samples.
+  [[nodiscard]] std::optional<duration> PredictWithin(const run_time_key& key, duration declared,
+                                                      double factor) const;
+
   /// @return a protobuf record of at most `kMaxRecordBytes`. If not all fits, the regressions with
   ///         the least weight are left out.
   [[nodiscard]] std::string Encode() const;
@@ -81,6 +86,8 @@
   };
   using customers = std::map<std::string, customer_samples, std::less<>>;
 
+  /// @return null if nothing was learned of the queue and customer.
+  [[nodiscard]] const customer_samples* Find(const run_time_key& key) const;
   customer_samples& Open(const run_time_key& key);
   image_samples& OpenImage(customer_samples& samples, std::string_view image);
 
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -146,9 +146,10 @@
 
 /// Forecast for an active run.
 struct run_outlook {
-  double slowdown{1.0};  ///< ratio of its run time to that of its siblings elsewhere
-  duration remaining{};  ///< remaining time at its current speed
-  duration elsewhere{};  ///< time of a new start elsewhere, including the stop
+  double slowdown{1.0};     ///< ratio of its run time to that of its siblings elsewhere
+  duration remaining{};     ///< remaining time at its current speed
+  duration elsewhere{};     ///< time of a new start elsewhere, including the stop
+  bool by_siblings{false};  ///< compared with its siblings; otherwise with earlier jobs
 
   friend bool operator==(const run_outlook&, const run_outlook&) = default;
 };
@@ -418,6 +419,9 @@
   [[nodiscard]] job_prediction PredictJob(const job_spec& job) const;
   static void ApplyPrediction(job_state& job, job_prediction predicted);
   void LogPrediction(const job_spec& spec, const job_state& job);
+  /// @return the run time of a step's tasks by what earlier jobs took; nothing if their run times
+  ///         differ too much to tell which run is slow.
+  [[nodiscard]] std::optional<duration> TypicalOfEarlierJobs(const step_state& step) const;
   void LearnRunTime(const live_run& run, duration took);
   /// Decides whether the model of run times is stored with the next batch.
   void ScheduleRunTimeRecord(const instant& now);
--- a/src/rosearch/sched/scheduler_estimates.cc
+++ b/src/rosearch/sched/scheduler_estimates.cc
@@ -78,6 +78,14 @@
   }
 }
 
+std::optional<duration> scheduler::TypicalOfEarlierJobs(const step_state& step) const {
+  if (!settings_.Uses(mechanism::kEstimates) || step.spec->service || step.spec->uses_leftover) {
+    return std::nullopt;
+  }
+  return run_times_.PredictWithin(KeyOf(*step.job->spec, *step.spec), step.spec->estimate,
+                                  settings_.slow_factor);
+}
+
 void scheduler::LearnRunTime(const live_run& run, duration took) {
   // A run that resumed or was adopted began before it was ordered, one whose order was repeated
   // began later, and what an overloaded leader measures includes its own delay.
--- a/src/rosearch/sched/scheduler_progress.cc
+++ b/src/rosearch/sched/scheduler_progress.cc
@@ -81,12 +81,17 @@
 std::optional<run_outlook> scheduler::EstimateOutlook(const live_run& run,
                                                       const instant& now) const {
   const auto projected = ProjectedTime(run, now);
-  const auto typical = projected ? TypicalRunTime(*run.step, *run.worker) : std::nullopt;
+  auto typical = projected ? TypicalRunTime(*run.step, *run.worker) : std::nullopt;
+  const bool by_siblings = typical.has_value();
+  if (projected && !by_siblings) {
+    typical = TypicalOfEarlierJobs(*run.step);
+  }
   if (!typical || *typical <= duration{} ||
       now.steady - run.measured_from->at < *typical * kMinObservedShare) {
     return std::nullopt;
   }
   run_outlook outlook;
+  outlook.by_siblings = by_siblings;
   outlook.slowdown =
       std::chrono::duration<double>{*projected} / std::chrono::duration<double>{*typical};
   const double left = 1.0 - std::min(100U, run.percent) / 100.0;
@@ -143,6 +148,7 @@
   std::vector<std::pair<live_run*, run_outlook>> slow;
   std::size_t compared = 0;
   double slowest = 0;
+  double slowest_by_siblings = 0;
   for (const auto& [task, run] : worker.runs) {
     const bool comparable = run->step != nullptr && !run->step->spec->service &&
                             !run->step->spec->uses_leftover && !IsTerminal(run->step->job->phase);
@@ -152,13 +158,16 @@
     }
     ++compared;
     slowest = std::max(slowest, outlook->slowdown);
+    if (outlook->by_siblings) {
+      slowest_by_siblings = std::max(slowest_by_siblings, outlook->slowdown);
+    }
     if (outlook->slowdown >= settings_.slow_factor) {
       slow.emplace_back(run.get(), *outlook);
     }
   }
   // A single slow run among normal ones is a task with more work, which would be as slow on another
-  // worker.
-  const bool conclusive = slow.size() > 1 || slowest >= kSingleRunSlowdown;
+  // worker. One that only earlier jobs can be compared with may be a larger job.
+  const bool conclusive = slow.size() > 1 || slowest_by_siblings >= kSingleRunSlowdown;
   if (slow.empty() || slow.size() * 2 <= compared || !conclusive) {
     return;
   }
--- a/test/rosearch/sched/run_time_model_test.cc
+++ b/test/rosearch/sched/run_time_model_test.cc
@@ -112,6 +112,26 @@
   CHECK(predict("new") == predict({}));
 }
 
+// A run must not be taken for a slow one where run times differ as much as slow workers do.
+TEST_CASE("a run time is only typical if others hardly exceed it") {
+  run_time_model steady;
+  run_time_model varied;
+  random_source random{10};
+  for (int at = 0; at < 9; ++at) {
+    steady.Learn(kKey, milliseconds{500}, milliseconds{500}, 1);
+  }
+  CHECK_FALSE(steady.PredictWithin(kKey, milliseconds{500}, 2.5));
+  for (int at = 0; at < 100; ++at) {
+    steady.Learn(kKey, milliseconds{500}, FromLog(std::log(800.0) + 0.3 * Signed(random)), 1);
+    varied.Learn(kKey, milliseconds{500}, FromLog(std::log(800.0) + Signed(random)), 1);
+  }
+  const auto typical = steady.PredictWithin(kKey, milliseconds{500}, 2.5);
+  REQUIRE(typical);
+  CHECK(Ms(*typical) == Approx(800).epsilon(0.1));
+  CHECK_FALSE(varied.PredictWithin(kKey, milliseconds{500}, 2.5));
+  CHECK_FALSE(steady.PredictWithin({kKey.queue, "other", {}}, milliseconds{500}, 2.5));
+}
+
 // Callers choose the names of images, so their number must not fill the leader's memory.
 TEST_CASE("the number of images per queue and customer is bounded") {
   run_time_model model;
--- a/test/rosearch/sched/run_time_replay_test.cc
+++ b/test/rosearch/sched/run_time_replay_test.cc
@@ -96,6 +96,42 @@
   return {ShareInTime(world, quick), ShareInTime(world, long_work)};
 }
 
+scheduler_settings Off() {
+  scheduler_settings settings;
+  settings.off.Add(mechanism::kEstimates);
+  return settings;
+}
+
+/// Submits jobs of a single task for 20 s; for the last 10 s, two workers are slower.
+/// @param large_every  one job in so many takes seven times as long; 0: none.
+/// @return share of the other jobs of the last 10 s that completed within about three times their
+///         time.
+double SingleTasks(const scheduler_settings& settings, double slowdown, int large_every) {
+  cell_world world{17, {}, kWorkers, settings};
+  world.Run(seconds{1});
+  std::vector<replayed_job> jobs;
+  constexpr int kRounds = 1'000;
+  for (int round = 0; round < kRounds; ++round) {
+    if (round == kRounds / 2) {
+      world.SetWorkerSlowdown(3, slowdown);
+      world.SetWorkerSlowdown(7, slowdown);
+    }
+    job_spec job;
+    job.steps.resize(1);
+    job.steps[0].need = {1'000, 1'000, 0};
+    job.steps[0].estimate = milliseconds{1'500};
+    const bool large = large_every > 0 && round % large_every == 0;
+    const auto id = world.Submit(job, large ? 7 : 1);
+    if (round >= kRounds / 2 && !large) {
+      jobs.push_back({id, milliseconds{5'000}});
+    }
+    world.Run(milliseconds{20});
+  }
+  world.Run(seconds{30});
+  CHECK(world.Violations().empty());
+  return ShareInTime(world, jobs);
+}
+
 struct comparison {
   replay_result with;
   replay_result without;
@@ -104,13 +140,11 @@
 /// @return means over several seeds.
 comparison Compare(double max_error) {
   constexpr int kSeeds = 4;
-  scheduler_settings off;
-  off.off.Add(mechanism::kEstimates);
   comparison sum;
   for (int seed = 0; seed < kSeeds; ++seed) {
     for (const bool uses : {true, false}) {
       const auto result =
-          Replay(max_error, uses ? scheduler_settings{} : off, 40 + static_cast<unsigned>(seed));
+          Replay(max_error, uses ? scheduler_settings{} : Off(), 40 + static_cast<unsigned>(seed));
       auto& total = uses ? sum.with : sum.without;
       total.quick += result.quick / kSeeds;
       total.long_work += result.long_work / kSeeds;
@@ -133,6 +167,25 @@
   CHECK(result.with.long_work > result.without.long_work + 0.03);
 }
 
+// Jobs of a single task have no siblings to compare with, so a slow worker would keep its runs.
+TEST_CASE("slow workers are recognized by the run times of earlier jobs") {
+  const double with = SingleTasks({}, 7, 0);
+  const double without = SingleTasks(Off(), 7, 0);
+  std::cout << "single tasks among slow workers, in time: " << with
+            << ", without calibrated run times " << without << '\n';
+  CHECK(with > without + 0.03);
+}
+
+// A job in a hundred takes seven times as long. Its worker is not slow, and a new start of the task
+// would take as long again.
+TEST_CASE("single tasks that take much longer don't cost jobs by being taken for slow runs") {
+  const double with = SingleTasks({}, 1, 100);
+  const double without = SingleTasks(Off(), 1, 100);
+  std::cout << "single tasks, one in a hundred longer, in time: " << with
+            << ", without calibrated run times " << without << '\n';
+  CHECK(with >= without - 0.005);
+}
+
 // A correction of estimates that need none must not cost jobs.
 TEST_CASE("calibrated run times cost nothing if estimates are accurate") {
   const auto result = Compare(1);
