--- a/src/rosearch/cell/cell_metrics.cc
+++ b/src/rosearch/cell/cell_metrics.cc
@@ -55,6 +55,7 @@
                 "Workers examined for waiting steps; measures the cost of an attempt."},
     metric_help{"rosearch_worker_records_unusable_total",
                 "Registry records that name no usable worker, once per key and content."},
+    metric_help{"rosearch_worker_restarts_total", "Restarts of workers under their former id."},
     metric_help{"rosearch_workers_live", "Workers that answer."},
 };
 
--- a/src/rosearch/cell/internal/leader_views.h
+++ b/src/rosearch/cell/internal/leader_views.h
@@ -35,6 +35,7 @@
   set("rosearch_callers_waiting", callers_.size());
   set("rosearch_batches", batches_.size());
   metrics_.SetTotal("rosearch_placement_attempts_total", counts.placement_attempts);
+  metrics_.SetTotal("rosearch_worker_restarts_total", counts.worker_restarts);
   metrics_.SetTotal("rosearch_worker_looks_total", counts.workers_considered);
   metrics_.Set("rosearch_oldest_report_seconds",
                std::chrono::duration<double>{counts.oldest_report}.count());
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -122,6 +122,7 @@
   duration oldest_report{};      ///< max age of the newest report over all live workers
   std::uint64_t placement_attempts{0};  ///< attempts to place a waiting step, since the start
   std::uint64_t workers_considered{0};  ///< workers considered for a waiting step, since the start
+  std::uint64_t worker_restarts{0};     ///< restarts of workers under their id, since the start
 
   friend bool operator==(const cell_counts&, const cell_counts&) = default;
 };
@@ -604,6 +605,7 @@
   std::size_t long_advice_slots_{kUnlimitedAdviceSlots};
   std::uint64_t placement_attempts_{0};
   std::uint64_t workers_considered_{0};
+  std::uint64_t worker_restarts_{0};
   duration newest_delay_{};  ///< last value passed to `RecordLoopDelay`
   duration loop_delay_{};    ///< smaller of the last two delays: one delayed tick has no effect
   std::uint32_t admitted_since_tick_{0};              ///< jobs admitted since the last tick
--- a/src/rosearch/sched/scheduler_incarnations.cc
+++ b/src/rosearch/sched/scheduler_incarnations.cc
@@ -62,6 +62,7 @@
                  .Add("lost", lost.size())
                  .Add("uncertain", uncertain.size())
                  .Add("by", report != nullptr ? "report" : "record"));
+  ++worker_restarts_;
   worker.born = born;
   worker.born_known_at = now.steady;
   worker.session = session_phase::kNew;
--- a/src/rosearch/sched/scheduler_views.cc
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -41,6 +41,7 @@
   counts.unsettled = unsettled_.size();
   counts.placement_attempts = placement_attempts_;
   counts.workers_considered = workers_considered_;
+  counts.worker_restarts = worker_restarts_;
   for (const auto& [id, worker] : workers_) {
     counts.runs += worker->runs.size();
     if (worker->session != session_phase::kLive) {
