--- a/src/rosearch/sched/scheduler_views.cc
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -43,6 +43,7 @@
   counts.placement_attempts = placement_attempts_;
   counts.workers_considered = workers_considered_;
   counts.run_times_learned = run_times_learned_;
+  counts.worker_restarts = worker_restarts_;
   for (const auto& [id, worker] : workers_) {
     counts.runs += worker->runs.size();
     if (worker->session != session_phase::kLive) {
