Calls are handled in slices, with retry times from known state (cell)

Cause: a burst of calls kept a leader from its other events; each refused caller came back after 1 s and used up its four retries in an outage of 6 s; an append that was overdue for the leader's own delay was reported as store_away. Change: cell::call_intake decides which calls wait for a slice, which are refused as leader_busy, and when refused callers return. A refusal for these reasons, and the answer to a known job, no longer decode the body. The age of an append excludes the event loop's delay, and begins again with each answer of the store to another append. Run: test_cell (115 cases pass).

--- a/src/rosearch/cell/fwd.h
+++ b/src/rosearch/cell/fwd.h
@@ -4,6 +4,7 @@
 namespace rosearch::cell {
 
 class advice_dispatcher;
+class call_intake;
 class election;
 class peer_link;
 class relayed_client;
--- a/src/rosearch/cell/internal/leader_callers.h
+++ b/src/rosearch/cell/internal/leader_callers.h
@@ -22,7 +22,9 @@
       } else if (settled.accepted || settled.cancelled) {
         caller.answer({200, "{}", 0, false});
       } else {
-        RefuseJob(settled.reason, Unavailable(1), caller.answer);
+        const auto retry =
+            intake_.RetryAfterOutage(settled.id, caller.objective, caller.came_at, SteadyNow());
+        RefuseJob(settled.reason, Unavailable(retry), caller.answer);
       }
     }
     if (remaining.empty()) {
@@ -88,11 +90,59 @@
   return std::nullopt;
 }
 
+template <typename Ports>
+bool leader<Ports>::AnswerWithoutBody(const std::string& id, const sched::job_scope& scope,
+                                      const sched::queue_rules& rules, time_point answer_by,
+                                      bool refuse_new, respond& answer) {
+  // A job whose record may be stored must not be answered as refused, not even on a retry: the
+  // caller waits until the outcome of the append is known.
+  if (scheduler_.Phase(id, scope)) {
+    answer({200, "{}", 0, false});
+    return true;
+  }
+  if (scheduler_.IsPending(id)) {
+    sched::job_spec repeated;
+    repeated.id = id;
+    repeated.queue = scope.queue;
+    repeated.customer = scope.customer;
+    if (scheduler_.Submit(std::move(repeated), Now()).verdict == sched::submit_verdict::kPending) {
+      const auto objective = intake_.UsualObjective(scope.queue).value_or(rules.latency_target);
+      callers_[id].push_back({std::move(answer), answer_by, SteadyNow(), objective, false});
+      return true;
+    }
+    return false;
+  }
+  const auto condition = StoreCondition();
+  if (condition == store_condition::kUsable && !refuse_new) {
+    return false;
+  }
+  const auto now = SteadyNow();
+  const auto objective = intake_.UsualObjective(scope.queue).value_or(rules.latency_target);
+  const bool away = condition == store_condition::kAway;
+  if (away) {
+    intake_.OnStoreAway(batches_.front().sent_at, now);
+  }
+  const std::string_view reason = away ? "store_away" : "leader_busy";
+  const auto retry = away ? intake_.RetryAfterOutage(id, objective, now, now)
+                          : intake_.RetryAfterBusy(id, objective, now);
+  event_line line{"job_refused", event_weight::kFailure};
+  line.Add("job", id).Add("reason", reason).Add("retry_after_s", retry);
+  if (away) {
+    line.Add("away_ms", now - batches_.front().sent_at);
+  }
+  log_.Write(line);
+  RefuseJob(reason, {away ? 503U : 429U, {}, retry, false}, answer);
+  return true;
+}
+
 template <typename Ports>
 void leader<Ports>::AnswerSubmit(const std::string& id, const sched::job_scope& scope,
-                                 const std::string& body, const sched::queue_rules& rules,
-                                 time_point answer_by, respond answer) {
-  auto read = Ports::DecodeJob(body);
+                                 const caller_request& request, const sched::queue_rules& rules,
+                                 time_point answer_by, bool refuse_new, respond answer) {
+  if (AnswerWithoutBody(id, scope, rules, answer_by, refuse_new, answer)) {
+    return;
+  }
+  auto read = Ports::DecodeJob(request.body);
   if (read.has_error()) {
     log_.Write(event_line{"job_refused", event_weight::kFailure}
                    .Add("job", id)
@@ -112,33 +162,111 @@
   job.advice = rules.advice;
   job.accepted_ms = now.wall_ms;
   const auto chain = std::chrono::duration<double, std::micro>{sched::CriticalPath(job.steps)};
-  job.objective =
+  const auto objective =
       std::chrono::duration_cast<duration>(chain * rules.stretch) + rules.latency_target;
-  // A job whose record may be stored must not be answered as refused, not even on a retry: the
-  // caller waits until the outcome of the append is known.
-  const bool known = scheduler_.IsPending(id) || scheduler_.Phase(id, scope).has_value();
-  if (!known && StoreUnavailable()) {
-    log_.Write(event_line{"job_refused", event_weight::kFailure}
-                   .Add("job", id)
-                   .Add("reason", "store_away")
-                   .Add("away_ms", now.steady - batches_.front().sent_at));
-    RefuseJob("store_away", Unavailable(1), answer);
-    return;
-  }
+  job.objective = objective;
   const auto verdict = scheduler_.Submit(std::move(job), now);
   if (verdict.verdict == sched::submit_verdict::kAccepted) {
     answer({200, "{}", 0, false});
   } else if (verdict.verdict == sched::submit_verdict::kRefused) {
-    const auto seconds = std::chrono::ceil<std::chrono::seconds>(verdict.retry_after).count();
-    RefuseJob(verdict.reason, {429, {}, static_cast<std::uint32_t>(seconds), false}, answer);
+    std::uint32_t retry = 0;  // a retry of this job is pointless
+    if (verdict.reason == "leader_busy") {
+      retry = intake_.RetryAfterBusy(id, objective, now.steady);
+    } else if (verdict.retry_after > duration{}) {
+      retry = intake_.RetryAfter(id, verdict.retry_after, objective, now.steady);
+    }
+    RefuseJob(verdict.reason, {429, {}, retry, false}, answer);
   } else {
-    callers_[id].push_back({std::move(answer), answer_by, false});
+    intake_.OnAccepted(scope.queue, objective, now.steady);
+    callers_[id].push_back({std::move(answer), answer_by, SteadyNow(), objective, false});
     PostPump();
   }
 }
 
 template <typename Ports>
 void leader<Ports>::Handle(const caller_request& request, duration time_left, respond answer) {
+  const auto now = SteadyNow();
+  const auto answer_by = now + std::min(time_left, settings_.caller_timeout);
+  auto job = request.path.substr(request.path.rfind('/') + 1);
+  const auto turn = intake_.OnCall(job, request.method == "POST", now);
+  switch (turn) {
+    case call_turn::kNow:
+      intake_.OnHandled();
+      HandleNow(request, answer_by, false, std::move(answer));
+      break;
+    case call_turn::kRefuse:
+      RecordIntakeRefusal(true);
+      HandleNow(request, answer_by, true, std::move(answer));
+      break;
+    case call_turn::kNext:
+      next_calls_.push_back({request, std::move(job), turn, now, answer_by, std::move(answer)});
+      break;
+    case call_turn::kInOrder:
+      submissions_.push_back({request, std::move(job), turn, now, answer_by, std::move(answer)});
+      break;
+  }
+  PostSlice();
+}
+
+template <typename Ports>
+void leader<Ports>::PostSlice() {
+  if (!std::exchange(slice_posted_, true)) {
+    boost::asio::post(io_, Bind([](leader& self) { self.RunSlice(); }));
+  }
+}
+
+template <typename Ports>
+void leader<Ports>::RunSlice() {
+  slice_posted_ = false;
+  auto now = SteadyNow();
+  intake_.BeginSlice(now);
+  while (intake_.CountWaiting() > 0 && intake_.HasTime(now)) {
+    auto& queue = next_calls_.empty() ? submissions_ : next_calls_;
+    auto call = std::move(queue.front());
+    queue.pop_front();
+    metrics_.Observe("rosearch_call_wait_seconds", now - call.arrived_at);
+    const bool late = intake_.OnTaken(call.job, call.turn, now) || now >= call.answer_by;
+    intake_.OnHandled();
+    HandleNow(call.request, call.answer_by, late, std::move(call.answer));
+    now = SteadyNow();
+  }
+  if (intake_.CountWaiting() > 0) {
+    PostSlice();
+  } else {
+    RecordIntakeRefusal(false);
+  }
+}
+
+template <typename Ports>
+void leader<Ports>::RecordIntakeRefusal(bool refused) {
+  const auto now = SteadyNow();
+  if (refused && intake_refused_++ == 0) {
+    intake_full_at_ = now;
+    log_.Write(event_line{"intake_full", event_weight::kStateChange}
+                   .Add("epoch", epoch_)
+                   .Add("calls", intake_.CountWaiting())
+                   .Add("wait_ms", intake_.ExpectedWait(now)));
+  } else if (!refused && intake_refused_ > 0) {
+    log_.Write(event_line{"intake_open", event_weight::kStateChange}
+                   .Add("epoch", epoch_)
+                   .Add("refused", std::exchange(intake_refused_, 0))
+                   .Add("for_ms", now - intake_full_at_));
+  }
+}
+
+template <typename Ports>
+void leader<Ports>::EndQueuedCalls() {
+  // They were not processed: the next leader gets them.
+  for (auto* queue : {&next_calls_, &submissions_}) {
+    for (auto& call : std::exchange(*queue, {})) {
+      call.answer({503, {}, 0, true});
+    }
+  }
+}
+
+template <typename Ports>
+void leader<Ports>::HandleNow(const caller_request& request, time_point answer_by, bool refuse_new,
+                              respond answer) {
   if (!Serving() || resigning_) {
     answer({503, {}, 0, true});
     return;
@@ -157,7 +285,6 @@
   if (!customer) {
     return;
   }
-  const auto answer_by = SteadyNow() + std::min(time_left, settings_.caller_timeout);
   const auto queue = rules->Key();
   // A queue without keys shows all its jobs to anybody, also to callers who show a key.
   const sched::job_scope scope{queue, rules->requires_key ? *customer : std::string_view{}};
@@ -171,7 +298,7 @@
     return;
   }
   if (request.method == "POST") {
-    AnswerSubmit(id, {queue, *customer}, request.body, *rules, answer_by, std::move(answer));
+    AnswerSubmit(id, {queue, *customer}, request, *rules, answer_by, refuse_new, std::move(answer));
     return;
   }
   if (request.method != "GET" && request.method != "DELETE") {
@@ -200,7 +327,7 @@
       answer({410, {}, 0, false});
       return;
     case sched::cancel_verdict::kPending:
-      callers_[id].push_back({std::move(answer), answer_by, true});
+      callers_[id].push_back({std::move(answer), answer_by, SteadyNow(), {}, true});
       PostPump();
       return;
   }
--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -24,8 +24,9 @@
   After(tick_timer_, settings_.tick_interval,
         [due = SteadyNow() + settings_.tick_interval](leader& self) {
           self.DetectProcessPause();
-          self.RecordLoopDelay(SteadyNow() - due);
           const auto now = Now();
+          self.RecordLoopDelay(now.steady - due);
+          self.intake_.OnTick(due, now.steady, now.steady + self.settings_.tick_interval);
           self.scheduler_.Tick(now);
           self.RemoveOverdueWorkers();
           self.ExpireCallers();
--- a/src/rosearch/cell/internal/leader_store.h
+++ b/src/rosearch/cell/internal/leader_store.h
@@ -23,13 +23,32 @@
 }
 
 template <typename Ports>
-bool leader<Ports>::StoreUnavailable() const {
-  // The store counts as unavailable after a failed append or one that exceeds the timeout.
+duration leader<Ports>::StoreTimeout() const {
   constexpr int kSlowAppendFactor = 3;
-  const auto timeout = std::clamp(kSlowAppendFactor * smoothed_append_time_,
-                                  settings_.min_store_timeout, settings_.max_store_timeout);
+  return std::clamp(kSlowAppendFactor * smoothed_append_time_, settings_.min_store_timeout,
+                    settings_.max_store_timeout);
+}
+
+template <typename Ports>
+bool leader<Ports>::AppendOverdue() const {
   return !batches_.empty() &&
-         (batches_.front().failures > 0 || SteadyNow() - batches_.front().sent_at > timeout);
+         (batches_.front().failures > 0 || SteadyNow() - batches_.front().sent_at > StoreTimeout());
+}
+
+template <typename Ports>
+auto leader<Ports>::StoreCondition() const -> store_condition {
+  if (!AppendOverdue()) {
+    return store_condition::kUsable;
+  }
+  // An answer to a later append or to a probe shows that the store responds, and that the oldest
+  // append was lost or is delayed on its way.
+  const auto& oldest = batches_.front();
+  const bool answered_since = store_answered_.at > oldest.sent_at;
+  const auto now = SteadyNow();
+  const auto silent = intake_.Age(answered_since ? store_answered_ : oldest.sent_mark, now);
+  const bool away =
+      (oldest.failures > 0 && store_answered_.at <= store_failed_at_) || silent > StoreTimeout();
+  return away ? store_condition::kAway : store_condition::kLeaderLate;
 }
 
 template <typename Ports>
@@ -72,7 +91,7 @@
     PostPump();
     return;
   }
-  batch_in_flight batch{taken.number, next_sequence_++, {}, now};
+  batch_in_flight batch{taken.number, next_sequence_++, {}, now, intake_.Mark(now)};
   for (const auto& record : taken.records) {
     batch.records.push_back(JoinKeyed(record));
   }
@@ -107,11 +126,14 @@
 template <typename Ports>
 void leader<Ports>::ProbeStore() {
   const auto now = SteadyNow();
-  if (!StoreUnavailable() || now - probed_at_ < settings_.store_probe_interval) {
+  if (!AppendOverdue() || now - probed_at_ < settings_.store_probe_interval) {
     return;
   }
   probed_at_ = now;
   AppendNothing([](leader& self, time_point asked_at, bool stored) {
+    if (stored) {
+      self.RecordAppendAnswered();
+    }
     if (stored && self.resent_at_ < asked_at) {
       self.ResendBatches();
     }
@@ -135,6 +157,7 @@
     SendBatch(batches_.front());
   }
   RecordStoreAnswer(true);
+  intake_.OnStoreBack();
   PostPump();
 }
 
@@ -144,6 +167,10 @@
   if (batch == batches_.end() || batch->stored) {
     return;
   }
+  if (answer.outcome == append_outcome::kStored ||
+      answer.outcome == append_outcome::kOutOfSequence) {
+    RecordAppendAnswered();
+  }
   const bool already_stored =
       answer.outcome == append_outcome::kOutOfSequence && answer.next_sequence > batch->sequence;
   if (already_stored) {
@@ -170,6 +197,7 @@
     return;
   }
   RecordStoreAnswer(false);
+  intake_.OnStoreAway(batches_.front().sent_at, SteadyNow());
   metrics_.Count("rosearch_appends_failed_total");
   if (answer.outcome == append_outcome::kNotStored && !batch->may_be_stored &&
       batches_.size() == 1) {
--- a/src/rosearch/cell/internal/leader_takeover.h
+++ b/src/rosearch/cell/internal/leader_takeover.h
@@ -149,6 +149,7 @@
   for (auto& [id, timer] : watches_) {
     timer->cancel();
   }
+  EndQueuedCalls();
   for (auto& [id, waiting] : std::exchange(callers_, {})) {
     for (auto& caller : waiting) {
       caller.answer({kMayBeStored, {}, 0, true});
--- a/src/rosearch/cell/internal/leader_views.h
+++ b/src/rosearch/cell/internal/leader_views.h
@@ -33,6 +33,7 @@
   set("rosearch_unsettled_workers", counts.unsettled);
   set("rosearch_advice_waiting", advice_.CountQueued());
   set("rosearch_callers_waiting", callers_.size());
+  set("rosearch_calls_waiting", intake_.CountWaiting());
   set("rosearch_batches", batches_.size());
   metrics_.SetTotal("rosearch_placement_attempts_total", counts.placement_attempts);
   metrics_.SetTotal("rosearch_worker_looks_total", counts.workers_considered);
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "rosearch/cell/advice_dispatcher.h"
+#include "rosearch/cell/call_intake.h"
 #include "rosearch/cell/cell_metrics.h"
 #include "rosearch/cell/ports.h"
 #include "rosearch/core/time.h"
@@ -172,7 +173,7 @@
     PostPump();
   }
 
-  /// Handles one caller's request.
+  /// Handles one caller's request, at once or after the events that are ready.
   void Handle(const caller_request& request, duration time_left, respond answer);
 
   /// Stores pending decisions, then ends the leadership.
@@ -197,13 +198,31 @@
   struct waiting_caller {
     respond answer;
     time_point answer_by;
+    time_point came_at{};
+    duration objective{};  ///< of its job; 0: it cancels
     bool cancels{false};
   };
+  /// A call that waits for a slice.
+  struct queued_call {
+    caller_request request;
+    std::string job;
+    call_turn turn{call_turn::kInOrder};
+    time_point arrived_at;
+    time_point answer_by;
+    respond answer;
+  };
+  /// What the oldest append says about new jobs.
+  enum class store_condition : std::uint8_t {
+    kUsable,
+    kAway,        ///< the store doesn't answer, or refused
+    kLeaderLate,  ///< the append is overdue, but not because of the store
+  };
   struct batch_in_flight {
     std::uint64_t number{0};
     std::uint64_t sequence{0};
     std::vector<std::string> records;
     time_point sent_at{};
+    loop_mark sent_mark{};
     bool stored{false};
     bool out_of_order{false};   ///< arrived before its predecessor: the store refused it
     bool may_be_stored{false};  ///< an attempt remained unanswered
@@ -286,14 +305,36 @@
   void OnBatchAnswer(std::uint64_t number, const append_answer& answer);
   void CompleteStoredBatches();
   void RecordStoreAnswer(bool reached);
-  [[nodiscard]] bool StoreUnavailable() const;
+  /// @return whether the oldest append failed or exceeds the timeout, for whatever reason.
+  [[nodiscard]] bool AppendOverdue() const;
+  /// Tells the store's absence from the delay of this process.
+  [[nodiscard]] store_condition StoreCondition() const;
+  [[nodiscard]] duration StoreTimeout() const;
+  /// Records that the store answered an append.
+  void RecordAppendAnswered() { store_answered_ = intake_.Mark(SteadyNow()); }
   void AnswerSettledCallers();
   void ExpireCallers();
   void RefuseJob(std::string_view reason, const caller_answer& how, const respond& answer);
   void RecordTimings();
 
-  void AnswerSubmit(const std::string& id, const sched::job_scope& scope, const std::string& body,
-                    const sched::queue_rules& rules, time_point answer_by, respond answer);
+  /// Handles a call whose turn has come.
+  /// @param refuse_new  whether a job that is not known is refused without reading its body.
+  void HandleNow(const caller_request& request, time_point answer_by, bool refuse_new,
+                 respond answer);
+  /// Has `RunSlice` called after the events that are ready.
+  void PostSlice();
+  /// Handles waiting calls for the time of a slice.
+  void RunSlice();
+  void RecordIntakeRefusal(bool refused);
+  void EndQueuedCalls();
+  void AnswerSubmit(const std::string& id, const sched::job_scope& scope,
+                    const caller_request& request, const sched::queue_rules& rules,
+                    time_point answer_by, bool refuse_new, respond answer);
+  /// Answers a submission whose job is known or can't be accepted now, without reading its body.
+  /// @return whether it was answered, or waits for its earlier copy.
+  [[nodiscard]] bool AnswerWithoutBody(const std::string& id, const sched::job_scope& scope,
+                                       const sched::queue_rules& rules, time_point answer_by,
+                                       bool refuse_new, respond& answer);
   /// Finds out for which customer a caller acts.
   /// @return its name, empty where the queue is open to anybody; nothing if the request was refused
   ///         because its key is missing or unknown.
@@ -332,6 +373,9 @@
   leader_hooks hooks_;
   sched::scheduler scheduler_;
   advice_dispatcher advice_;
+  call_intake intake_;
+  std::deque<queued_call> next_calls_;   ///< waiting status queries and cancels
+  std::deque<queued_call> submissions_;  ///< waiting submissions, and calls about their jobs
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer pass_timer_;
   boost::asio::steady_timer writer_timer_;
@@ -360,6 +404,9 @@
   time_point resent_at_{};
   time_point probed_at_{};
   time_point store_failed_at_{};
+  loop_mark store_answered_{};  ///< the store's latest answer to an append
+  time_point intake_full_at_{};
+  std::uint64_t intake_refused_{0};  ///< calls refused by the intake since `intake_full_at_`
   time_point store_state_changed_at_{};
   duration last_tick_{};
   bool late_{false};  ///< the last tick exceeded `leader_settings::lateness_threshold`
@@ -371,6 +418,7 @@
   bool resigning_{false};
   bool ended_{false};
   bool pump_posted_{false};
+  bool slice_posted_{false};
   bool pass_pending_{false};
   bool verifying_{false};
 };
--- a/test/rosearch/cell/fake_ports.h
+++ b/test/rosearch/cell/fake_ports.h
@@ -125,6 +125,7 @@
                                {}, {8'000, 8'000, 0}, false,  {}};
   }
   static result<sched::job_spec> DecodeJob(const std::string& text) {
+    std::this_thread::sleep_for(decode_cost);
     if (text.empty()) {
       return error{error_kind::kInvalidRequest, "empty"};
     }
@@ -159,6 +160,7 @@
   std::optional<std::uint64_t> next_sequence;  ///< unset: any first number is accepted
   duration first_append_delay{};               ///< of the first append; 0: as the others
   duration watch_cost{};  ///< time for which a worker's first answer blocks the leader
+  static inline duration decode_cost{};  ///< time for which reading a job blocks the leader
   int append_count{0};
   int record_appends{0};
   int workers{1};
@@ -219,6 +221,7 @@
     Run(milliseconds{60});
   }
   ~leader_fixture() {
+    fake_ports::decode_cost = {};
     instance->End("test over");
     io.restart();
     io.run_for(milliseconds{10});
