Messages received together reach the event loop in one post (cell)

Cause: each received message woke the event loop by itself, which costs most in a burst of calls. Change: the transport's thread appends to a list, and posts only if the list was empty; the handler takes the whole list, in order.

--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -248,20 +248,41 @@
 }
 
 void peer_link::OnTransportMessage(const std::string& bytes) {
-  auto frame = std::make_shared<wire::peer_frame>();
+  auto frame = std::make_unique<wire::peer_frame>();
   if (!frame->ParseFromString(bytes)) {
     return;  // malformed, not from a peer; no exchange depends on a single message
   }
   if (frame->has_ping()) {
     ReplyToPing(*frame);
   }
-  boost::asio::post(io_, [this, alive = std::weak_ptr<bool>{alive_}, frame] {
+  {
+    const std::scoped_lock lock{received_mutex_};
+    received_.push_back(std::move(frame));
+    if (received_.size() > 1) {
+      return;  // the event loop has been woken for those before it
+    }
+  }
+  boost::asio::post(io_, [this, alive = std::weak_ptr<bool>{alive_}] {
     if (!alive.expired()) {
-      HandleFrame(*frame);
+      HandleReceived(alive);
     }
   });
 }
 
+void peer_link::HandleReceived(const std::weak_ptr<bool>& alive) {
+  std::vector<std::unique_ptr<wire::peer_frame>> frames;
+  {
+    const std::scoped_lock lock{received_mutex_};
+    frames.swap(received_);
+  }
+  for (const auto& frame : frames) {
+    if (alive.expired()) {
+      return;  // a callback has destroyed this object
+    }
+    HandleFrame(*frame);
+  }
+}
+
 void peer_link::HandleFrame(const wire::peer_frame& frame) {
   if (frame.has_bundle()) {
     for (const auto& each : frame.bundle().frames()) {
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "rosearch/core/time.h"
 #include "rosearch/net/peer_transport.h"
@@ -20,7 +21,7 @@
 
 /// Requests and answers between the processes of a cell. All calls and callbacks run on the thread
 /// of the io_context. The transport's own thread reads messages, answers pings with the reply set
-/// by `SetPingReply`, and posts the messages to the io_context.
+/// by `SetPingReply`, and hands messages received together to the io_context in one post.
 class peer_link {
  public:
   /// Receives the answer, or null if none arrived before the deadline.
@@ -139,6 +140,9 @@
   void ReplyToPing(const wire::peer_frame& ping);
   /// Handles a message on the transport's own thread.
   void OnTransportMessage(const std::string& bytes);
+  /// Handles the messages that were received since its last call, in order.
+  /// @param alive  expires with this object.
+  void HandleReceived(const std::weak_ptr<bool>& alive);
   void HandleFrame(const wire::peer_frame& frame);
   /// Records a received request, or sends the stored answer again if it is a duplicate.
   /// @return whether the request is a duplicate.
@@ -157,6 +161,10 @@
   std::unordered_map<std::string, wire::peer_frame> bundles_;  ///< by peer
   boost::asio::steady_timer bundle_timer_;
   std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
+  std::mutex received_mutex_;
+  /// Received and not handled yet, oldest first; guarded by `received_mutex_`. One wake-up of the
+  /// event loop handles all of them.
+  std::vector<std::unique_ptr<wire::peer_frame>> received_;
   mutable std::mutex reply_mutex_;
   /// The member list as it is appended to a serialized ping reply.
   struct serialized_members {
--- a/test/rosearch/cell/peer_link_test.cc
+++ b/test/rosearch/cell/peer_link_test.cc
@@ -3,11 +3,14 @@
 #include <sys/resource.h>
 #include <unistd.h>
 
+#include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include "rosearch/platform/clock.h"
 
@@ -52,6 +55,48 @@
   CHECK(link.CountStoredRequests() == 1);
 }
 
+// Guards against one wake-up of the event loop for each message of a burst, and against a changed
+// order of messages.
+TEST_CASE("messages received together are handled together and in order") {
+  boost::asio::io_context io;
+  const auto work = boost::asio::make_work_guard(io);
+  constexpr std::uint64_t kMessages = 20;
+  std::vector<std::uint64_t> epochs;
+  peer_link link{io, "127.0.0.1:0", 1,
+                 [&epochs](const wire::peer_frame& frame) { epochs.push_back(frame.epoch()); }};
+  const auto deadline = SteadyNow() + std::chrono::seconds{2};
+  const auto send = [&link](std::uint64_t epoch) {
+    wire::peer_frame frame;
+    frame.set_epoch(epoch);
+    frame.mutable_query();
+    link.SendMessage(link.address(), std::move(frame));
+  };
+  // Messages are dropped until the connection is made.
+  while (epochs.empty() && SteadyNow() < deadline) {
+    send(0);
+    io.run_one_for(std::chrono::milliseconds{20});
+  }
+  while (io.run_one_for(std::chrono::milliseconds{50}) > 0) {
+  }
+  epochs.clear();
+  const auto before = link.CountReceived();
+  for (std::uint64_t epoch = 1; epoch <= kMessages; ++epoch) {
+    send(epoch);
+  }
+  while (link.CountReceived() < before + kMessages && SteadyNow() < deadline) {
+    std::this_thread::sleep_for(std::chrono::milliseconds{1});
+  }
+  std::size_t handlers = 0;
+  while (epochs.size() < kMessages && SteadyNow() < deadline) {
+    handlers += io.poll();
+  }
+  CHECK(handlers <= 2);  // the last message may still be decoded when it is counted
+  REQUIRE(epochs.size() == kMessages);
+  for (std::uint64_t epoch = 1; epoch <= kMessages; ++epoch) {
+    CHECK(epochs[epoch - 1] == epoch);
+  }
+}
+
 // Guards against copies of pings in the queue of a peer that answers late.
 TEST_CASE("a polling request is sent once") {
   boost::asio::io_context io;
