Benchmark of accepted, refused and repeated calls at a leader

Cause: nothing showed what a call costs the leader. Change: three cases with a leader of 50 workers on fake ports, with the platform's decoder.

--- a/benchmark/leader_bench.cc
+++ b/benchmark/leader_bench.cc
@@ -1,13 +1,17 @@
-// What deciding costs a leader, by the number of its workers.
+// What deciding and calls cost a leader.
 #include <benchmark/benchmark.h>
 
 #include <algorithm>
 #include <chrono>
+#include <memory>
 #include <string>
+#include <thread>
 #include <unordered_map>
 #include <variant>
 #include <vector>
 
+#include "platform/codec.h"
+#include "rosearch/cell/fake_ports.h"
 #include "rosearch/sched/scheduler.h"
 
 namespace rosearch::sched {
@@ -209,3 +213,106 @@
 
 }  // namespace
 }  // namespace rosearch::sched
+
+namespace rosearch::cell {
+namespace {
+
+/// Fake ports with the platform's decoder: reading the body is part of what a call costs.
+class decoding_ports final : public fake_ports {
+ public:
+  using fake_ports::fake_ports;
+  static result<sched::job_spec> DecodeJob(const std::string& text) {
+    return platform::DecodeJob(text);
+  }
+};
+
+class no_log final : public event_sink {
+ public:
+  void Write(const event_line&) override {}
+};
+
+/// A leader of 50 workers whose store and workers are fakes.
+class called_leader {
+ public:
+  called_leader() {
+    ports_.workers = 50;
+    leader_settings settings;
+    settings.scheduler.off.Add(sched::mechanism::kAdmission);
+    leader_ = std::make_shared<leader<decoding_ports>>(
+        io_, ports_, settings, 1, log_, metrics_, leader_hooks{[] { return duration{}; }, [] {}});
+    leader_->Begin();
+    Run(milliseconds{200});
+  }
+  ~called_leader() {
+    leader_->End("done");
+    Run(milliseconds{10});
+  }
+  called_leader(const called_leader&) = delete;
+  called_leader& operator=(const called_leader&) = delete;
+
+  /// Makes the store silent for longer than the leader waits for it.
+  void LoseStore() {
+    ports_.drop_appends = true;
+    Call("pending");
+    Run(milliseconds{800});
+  }
+  void Run(duration span) {
+    io_.restart();
+    io_.run_for(span);
+  }
+  void Call(const std::string& job) {
+    leader_->Handle({"POST", "host", "/jobs/" + job, kBody}, milliseconds{2'000},
+                    [this](const caller_answer& answer) { ++answers_[answer.status]; });
+    io_.restart();
+    io_.poll();
+  }
+  [[nodiscard]] double Answered(unsigned status) { return answers_[status]; }
+
+ private:
+  inline static const std::string kBody =
+      R"({"spec":"text","steps":[{"count":10,"cpu":800,"mem-mb":256,"estimate-ms":700}]})";
+
+  boost::asio::io_context io_;
+  decoding_ports ports_{io_};
+  no_log log_;
+  metric_set metrics_;
+  std::unordered_map<unsigned, double> answers_;
+  std::shared_ptr<leader<decoding_ports>> leader_;
+};
+
+/// New jobs, with what storing and placing them costs. CPU time counts.
+void AcceptCalls(benchmark::State& state) {
+  called_leader called;
+  std::size_t number = 0;
+  for (auto _ : state) {
+    called.Call("job-" + std::to_string(number++));
+  }
+  state.counters["accepted"] = called.Answered(200);
+}
+BENCHMARK(AcceptCalls)->Iterations(3'000);
+
+void RefuseCalls(benchmark::State& state) {
+  called_leader called;
+  called.LoseStore();
+  std::size_t number = 0;
+  for (auto _ : state) {
+    called.Call("job-" + std::to_string(number++));
+  }
+  state.counters["refused"] = called.Answered(503);
+}
+BENCHMARK(RefuseCalls)->Iterations(3'000);
+
+/// The same job over and over, after it was accepted.
+void RepeatCalls(benchmark::State& state) {
+  called_leader called;
+  called.Call("job");
+  called.Run(milliseconds{100});
+  for (auto _ : state) {
+    called.Call("job");
+  }
+  state.counters["accepted"] = called.Answered(200);
+}
+BENCHMARK(RepeatCalls)->Iterations(3'000);
+
+}  // namespace
+}  // namespace rosearch::cell
