Entries refuse calls of queues that the leader has closed (admission)

In a burst every entry forwarded calls that the leader refused, and the refusals took the leader's time and link. The leader now closes a queue whose submissions are all refused and tells its peers by their pings. The leader accepts no new job of a queue until its last window has expired; a stored record lets its successor do so, too.

--- a/src/rosearch/cell/fwd.h
+++ b/src/rosearch/cell/fwd.h
@@ -6,10 +6,12 @@
 class advice_dispatcher;
 class election;
 class peer_link;
+class queue_shedding;
 class relayed_client;
 class settling_period;
 struct cell_settings;
 struct leader_fitness;
+struct shed_offer;
 
 }  // namespace rosearch::cell
 
--- a/src/rosearch/cell/internal/leader_callers.h
+++ b/src/rosearch/cell/internal/leader_callers.h
@@ -125,7 +125,11 @@
     RefuseJob("store_away", Unavailable(1), answer);
     return;
   }
+  if (!known && RefuseShedJob(job, answer)) {
+    return;
+  }
   const auto verdict = scheduler_.Submit(std::move(job), now);
+  shedding_.OnVerdict(rules.Key(), verdict, SuspendAwareNow());
   if (verdict.verdict == sched::submit_verdict::kAccepted) {
     answer({200, "{}", 0, false});
   } else if (verdict.verdict == sched::submit_verdict::kRefused) {
--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -31,6 +31,7 @@
           self.ExpireCallers();
           self.ProbeStore();
           self.RecordTimings();
+          self.UpdateShedding();
           self.Pump();
           if (!self.ended_) {
             self.ScheduleTick();
--- a/src/rosearch/cell/internal/leader_store.h
+++ b/src/rosearch/cell/internal/leader_store.h
@@ -35,7 +35,8 @@
 template <typename Ports>
 void leader<Ports>::StoreRecords() {
   const auto now = SteadyNow();
-  if (!scheduler_.HasRecords() || !MayAct()) {
+  const bool has_records = scheduler_.HasRecords() || shedding_.HasRecord(SuspendAwareNow());
+  if (!has_records || !MayAct()) {
     return;
   }
   if (!batches_.empty()) {
@@ -67,6 +68,7 @@
   }
   collecting_since_ = time_point{};
   auto taken = scheduler_.TakeBatch();
+  shedding_.AddRecord(taken, SuspendAwareNow());
   if (taken.records.empty()) {
     scheduler_.OnStored(taken.number, Now());
     PostPump();
@@ -85,9 +87,11 @@
   const auto asked_at = SteadyNow();
   ports_.Append(stream::kState, batch.records, writer_proof{"scheduler", epoch_, batch.sequence},
                 std::nullopt,
-                Bind([asked_at, number = batch.number](leader& self, const append_answer& answer) {
+                Bind([asked_at, lease_from = SuspendAwareNow(), number = batch.number](
+                         leader& self, const append_answer& answer) {
                   if (answer.outcome == append_outcome::kStored) {
                     self.ConfirmLeadership(asked_at);
+                    self.shedding_.OnStoreConfirmed(lease_from);
                   }
                   self.OnBatchAnswer(number, answer);
                 }));
@@ -130,6 +134,7 @@
     batches_.pop_front();
     first_stored_ = true;
     scheduler_.OnStored(number, Now());
+    shedding_.OnStored(number);
   }
   if (!batches_.empty() && std::exchange(batches_.front().out_of_order, false)) {
     SendBatch(batches_.front());
@@ -177,6 +182,7 @@
     batches_.clear();
     --next_sequence_;
     scheduler_.OnNotStored(number);
+    shedding_.OnNotStored(number);
     AnswerSettledCallers();
     After(writer_timer_, settings_.store_retry_interval, [](leader& self) { self.StoreRecords(); });
     return;
--- a/src/rosearch/cell/internal/leader_takeover.h
+++ b/src/rosearch/cell/internal/leader_takeover.h
@@ -35,7 +35,8 @@
           return;
         }
         for (const auto& record : page.value().records) {
-          if (!self.scheduler_.Restore(record, Now())) {
+          if (!self.shedding_.Restore(record, SuspendAwareNow()) &&
+              !self.scheduler_.Restore(record, Now())) {
             self.log_.Write(
                 event_line{"record_unreadable", event_weight::kFailure}.Add("key", record.key));
           }
@@ -164,19 +165,20 @@
 template <typename Callback>
 void leader<Ports>::AppendNothing(Callback on_answer) {
   const auto asked_at = SteadyNow();
-  ports_.Append(
-      stream::kState, {}, writer_proof{"scheduler", epoch_, 0}, std::nullopt,
-      Bind([asked_at, on_answer = std::move(on_answer)](leader& self, const append_answer& answer) {
-        if (answer.outcome == append_outcome::kFenced) {
-          self.End("fenced");
-          return;
-        }
-        const bool stored = answer.outcome == append_outcome::kStored;
-        if (stored) {
-          self.ConfirmLeadership(asked_at);
-        }
-        on_answer(self, asked_at, stored);
-      }));
+  ports_.Append(stream::kState, {}, writer_proof{"scheduler", epoch_, 0}, std::nullopt,
+                Bind([asked_at, lease_from = SuspendAwareNow(), on_answer = std::move(on_answer)](
+                         leader& self, const append_answer& answer) {
+                  if (answer.outcome == append_outcome::kFenced) {
+                    self.End("fenced");
+                    return;
+                  }
+                  const bool stored = answer.outcome == append_outcome::kStored;
+                  if (stored) {
+                    self.ConfirmLeadership(asked_at);
+                    self.shedding_.OnStoreConfirmed(lease_from);
+                  }
+                  on_answer(self, asked_at, stored);
+                }));
 }
 
 template <typename Ports>
--- a/src/rosearch/cell/internal/node_callers.h
+++ b/src/rosearch/cell/internal/node_callers.h
@@ -27,7 +27,9 @@
   pending->refuse_at = now + kLeaderTimeout;
   pending->respond = std::move(respond);
   ++calls_in_flight_;
-  Forward(pending);
+  if (!RefuseShedCall(pending)) {
+    Forward(pending);
+  }
 }
 
 /// Returns the metric label of an HTTP method. Unknown methods share one label, so that callers
--- a/src/rosearch/cell/internal/node_pings.h
+++ b/src/rosearch/cell/internal/node_pings.h
@@ -14,16 +14,19 @@
   *frame.mutable_ping()->mutable_member() = Self();
   frame.mutable_ping()->set_members_version(members_version_);
   frame.mutable_ping()->set_interval_ms(Millis(OwnPingInterval()));
+  frame.mutable_ping()->set_shed_version(shed_.FilterVersion(election_.KnownLeader().epoch));
   return frame;
 }
 
 template <typename Ports>
 void node<Ports>::Ping() {
   const auto now = SteadyNow();
+  const auto lease_from = SuspendAwareNow();
   if (election_.LeaderReachable(now)) {
-    peers_.SendPollingRequest(
-        election_.KnownLeader().address, MakePing(), now + kPingTimeout,
-        [this, now](const wire::peer_frame* answer) { OnPingAnswered(now, answer); });
+    peers_.SendPollingRequest(election_.KnownLeader().address, MakePing(), now + kPingTimeout,
+                              [this, now, lease_from](const wire::peer_frame* answer) {
+                                OnPingAnswered(now, lease_from, answer);
+                              });
     return;
   }
   const auto epoch = election_.KnownLeader().epoch;
@@ -38,26 +41,27 @@
   first_pings_in_flight_ = targets.size();
   for (const auto& target : targets) {
     peers_.SendRequest(target, MakePing(), now + kPingTimeout,
-                       [this, now, epoch](const wire::peer_frame* answer) {
+                       [this, now, lease_from, epoch](const wire::peer_frame* answer) {
                          if (epoch == first_ping_epoch_ && first_pings_in_flight_ > 0) {
                            --first_pings_in_flight_;
                          }
-                         OnPingAnswered(now, answer);
+                         OnPingAnswered(now, lease_from, answer);
                        });
   }
 }
 
 template <typename Ports>
-void node<Ports>::OnPingAnswered(time_point asked_at, const wire::peer_frame* answer) {
+void node<Ports>::OnPingAnswered(time_point asked_at, time_point lease_from,
+                                 const wire::peer_frame* answer) {
   if (answer == nullptr) {
     return;
   }
   metrics_.Observe("rosearch_peer_round_trip_seconds", SteadyNow() - asked_at);
-  OnPong(*answer);
+  OnPong(*answer, lease_from);
 }
 
 template <typename Ports>
-void node<Ports>::OnPong(const wire::peer_frame& frame) {
+void node<Ports>::OnPong(const wire::peer_frame& frame, time_point lease_from) {
   const auto& pong = frame.pong();
   const auto now = SteadyNow();
   if (IsLeading() || frame.epoch() != election_.KnownLeader().epoch) {
@@ -71,6 +75,7 @@
   }
   election_.OnLeaderAnswer(frame.epoch(), now);
   last_leader_answer_at_ = now;
+  RecordShedWindow(frame, lease_from);
   if (pong.members_size() > 0) {
     members_.clear();
     for (const auto& each : pong.members()) {
@@ -144,6 +149,7 @@
     peers_.SetPingMembers(&members);
   }
   peers_.SetPingReply(std::make_unique<wire::peer_frame>(MakePong()), now + kPingReplyValidity);
+  peers_.SetShedOffer(leader_->MakeShedOffer());
 }
 
 template <typename Ports>
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -22,6 +22,7 @@
 #include "rosearch/cell/advice_dispatcher.h"
 #include "rosearch/cell/cell_metrics.h"
 #include "rosearch/cell/ports.h"
+#include "rosearch/cell/queue_shedding.h"
 #include "rosearch/core/time.h"
 #include "rosearch/log/event_line.h"
 #include "rosearch/metrics/metric_set.h"
@@ -112,6 +113,7 @@
         metrics_{metrics},
         hooks_{std::move(hooks)},
         scheduler_{settings_.scheduler, epoch, log},
+        shedding_{scheduler_, log, metrics},
         tick_timer_{io},
         pass_timer_{io},
         writer_timer_{io},
@@ -175,6 +177,11 @@
   /// Handles one caller's request.
   void Handle(const caller_request& request, duration time_left, respond answer);
 
+  /// @return the window of closed queues to add to ping replies, in place of the former one.
+  [[nodiscard]] shed_offer MakeShedOffer() {
+    return Serving() && !resigning_ ? shedding_.MakeOffer(SuspendAwareNow()) : shed_offer{};
+  }
+
   /// Stores pending decisions, then ends the leadership.
   void Resign() {
     resigning_ = true;
@@ -291,6 +298,11 @@
   void ExpireCallers();
   void RefuseJob(std::string_view reason, const caller_answer& how, const respond& answer);
   void RecordTimings();
+  /// Refuses a new job of a queue whose calls other processes may be refusing.
+  /// @return whether it was refused.
+  bool RefuseShedJob(const sched::job_spec& job, const respond& answer);
+  /// Closes and reopens queues, and keeps the permission to send windows.
+  void UpdateShedding();
 
   void AnswerSubmit(const std::string& id, const sched::job_scope& scope, const std::string& body,
                     const sched::queue_rules& rules, time_point answer_by, respond answer);
@@ -331,6 +343,7 @@
   metric_set& metrics_;
   leader_hooks hooks_;
   sched::scheduler scheduler_;
+  queue_shedding shedding_;
   advice_dispatcher advice_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer pass_timer_;
@@ -380,6 +393,7 @@
 #include "rosearch/cell/internal/leader_callers.h"
 #include "rosearch/cell/internal/leader_inputs.h"
 #include "rosearch/cell/internal/leader_orders.h"
+#include "rosearch/cell/internal/leader_shedding.h"
 #include "rosearch/cell/internal/leader_store.h"
 #include "rosearch/cell/internal/leader_takeover.h"
 #include "rosearch/cell/internal/leader_views.h"
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+#include "rosearch/admission/shed_table.h"
 #include "rosearch/cell/cell_metrics.h"
 #include "rosearch/cell/cell_settings.h"
 #include "rosearch/cell/election.h"
@@ -221,7 +222,9 @@
     return IsSmall(peer.facts) ? kReservePingInterval : kPingInterval;
   }
   [[nodiscard]] duration OwnPingInterval() const {
-    return election_.IsReserve() ? kReservePingInterval : kPingInterval;
+    // With pings further apart than its validity, a window would expire before its renewal.
+    return election_.IsReserve() && !shed_.HasWindow(SuspendAwareNow()) ? kReservePingInterval
+                                                                        : kPingInterval;
   }
   /// Decides by the member list whether this process is a reserve candidate.
   void UpdateCandidacy();
@@ -240,8 +243,15 @@
   /// a time is repeated until it is answered. When hundreds of processes each had several pings in
   /// flight and repeated all of them, a new leader spent its processor time on answering copies.
   void Ping();
-  void OnPingAnswered(time_point asked_at, const wire::peer_frame* answer);
-  void OnPong(const wire::peer_frame& frame);
+  /// @param lease_from  the time of sending as read from `SuspendAwareNow`.
+  void OnPingAnswered(time_point asked_at, time_point lease_from, const wire::peer_frame* answer);
+  void OnPong(const wire::peer_frame& frame, time_point lease_from);
+  /// Records which queues accept no new jobs.
+  /// @param lease_from  when the ping was sent, as read from `SuspendAwareNow`.
+  void RecordShedWindow(const wire::peer_frame& frame, time_point lease_from);
+  /// Refuses a submission that the leader would refuse.
+  /// @return whether it was refused.
+  bool RefuseShedCall(const std::shared_ptr<forwarded_call>& call);
   void AnnounceLeadership();
   void NotifyPeersOfResignation(std::uint64_t epoch);
   void SendResignation(const std::string& address, std::uint64_t epoch);
@@ -290,6 +300,7 @@
   void WithdrawPingReply() {
     peers_.SetPingReply(nullptr, {});
     peers_.SetPingMembers(nullptr);
+    peers_.SetShedOffer({});
     published_members_ = 0;
   }
   void AnswerCall(const wire::peer_frame& frame);
@@ -309,6 +320,7 @@
   event_sink& log_;
   metric_set& metrics_;
   election election_;
+  admission::shed_table shed_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer claims_timer_;
   boost::asio::steady_timer handover_timer_;
@@ -348,6 +360,7 @@
 #include "rosearch/cell/internal/node_claims.h"
 #include "rosearch/cell/internal/node_leadership.h"
 #include "rosearch/cell/internal/node_pings.h"
+#include "rosearch/cell/internal/node_shedding.h"
 #include "rosearch/cell/internal/node_views.h"
 
 #endif  // ROSEARCH_CELL_NODE_H_
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -232,6 +232,11 @@
   ping_members_ = std::move(serialized);
 }
 
+void peer_link::SetShedOffer(shed_offer offer) {
+  const std::scoped_lock lock{reply_mutex_};
+  shed_offer_ = std::move(offer);
+}
+
 void peer_link::ReplyToPing(const wire::peer_frame& ping) {
   const std::scoped_lock lock{reply_mutex_};
   if (!CanReplyToLocked(ping)) {
@@ -244,6 +249,14 @@
   if (ping.ping().members_version() != ping_members_->version) {
     bytes += ping_members_->bytes;  // a parser merges serialized messages that follow each other
   }
+  // The window ends at the peer a fixed time after it sent this ping, however late the reply
+  // leaves.
+  if (shed_offer_.version > 0 && SuspendAwareNow() < shed_offer_.send_until) {
+    bytes += shed_offer_.window;
+    if (ping.ping().shed_version() != shed_offer_.version) {
+      bytes += *shed_offer_.filter;
+    }
+  }
   transport_->Send(ping.from(), std::move(bytes));
 }
 
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -12,6 +12,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "rosearch/cell/shed_offer.h"
 #include "rosearch/core/time.h"
 #include "rosearch/net/peer_transport.h"
 #include "rosearch/wire/cell.pb.h"
@@ -98,6 +99,10 @@
     return transport_->Counters().messages_received;
   }
 
+  /// Sets the window of closed queues that the transport's own thread adds to its replies to pings,
+  /// in place of the former one.
+  void SetShedOffer(shed_offer offer);
+
   /// @return the bound host:port.
   [[nodiscard]] const std::string& address() const;
 
@@ -166,6 +171,7 @@
   std::unique_ptr<wire::peer_frame> ping_reply_;  ///< guarded by `reply_mutex_`, as the next two
   std::optional<serialized_members> ping_members_;
   time_point ping_reply_until_{};
+  shed_offer shed_offer_;  ///< guarded by `reply_mutex_`
   std::unique_ptr<peer_transport> transport_;
 };
 
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -171,6 +171,11 @@
   std::map<std::uint32_t, double> waiting{};
   time_point measure_again_at{};
 
+  /// @return processors that jobs of a priority may use.
+  [[nodiscard]] double RoomFor(std::uint32_t priority) const;
+  /// @return the time in ms until the waiting work of the same and more urgent priorities is done.
+  [[nodiscard]] double WaitMs(std::uint32_t priority) const;
+
   friend bool operator==(const pool_load&, const pool_load&) = default;
 };
 
@@ -224,6 +229,12 @@
   [[nodiscard]] std::optional<job_phase> Phase(std::string_view id, const job_scope& scope) const;
   /// @return the number of accepted jobs of a queue that haven't started yet.
   [[nodiscard]] std::size_t CountWaitingJobs(std::string_view queue) const;
+  /// @return the ids of all known jobs of these queues, also of those that are not stored yet or
+  ///         have ended.
+  [[nodiscard]] std::vector<std::string> KnownJobs(const std::vector<std::string>& queues) const;
+  /// @return how much longer than its objective allows a new job of a queue would wait; zero if
+  ///         jobs of the queue are admitted.
+  [[nodiscard]] duration ExcessWait(const std::string& queue, const instant& now);
 
   // Workers.
 
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -170,6 +170,23 @@
   return fitting >= static_cast<std::int64_t>(step.count);
 }
 
+double pool_load::RoomFor(std::uint32_t priority) const {
+  double room = capacity - services;
+  for (const auto& [other, charged] : running) {
+    room -= other < priority ? charged : 0;
+  }
+  return room;
+}
+
+double pool_load::WaitMs(std::uint32_t priority) const {
+  double ahead = 0;
+  for (const auto& [other, work] : waiting) {
+    ahead += other <= priority ? work : 0;
+  }
+  const double room = RoomFor(priority);
+  return room > 0 ? ahead / room : 0;
+}
+
 pool_load scheduler::MeasureLoad(const std::string& pool) const {
   pool_load load;
   for (const auto& [id, worker] : workers_) {
@@ -230,15 +247,8 @@
     return {submit_verdict::kRefused, kMinRetryAfter, "leader_busy"};
   }
   const auto& load = RecentLoad(job.pool, now);
-  double room = load.capacity - load.services;  // processors that jobs of this priority may use
-  for (const auto& [priority, charged] : load.running) {
-    room -= priority < job.priority ? charged : 0;
-  }
-  double ahead = 0;  // waiting work of the same or a more urgent priority
-  for (const auto& [priority, work] : load.waiting) {
-    ahead += priority <= job.priority ? work : 0;
-  }
-  const double wait = room > 0 ? ahead / room : 0;
+  const double room = load.RoomFor(job.priority);
+  const double wait = load.WaitMs(job.priority);
   const bool has_room = load.free > room * (UrgentReserveShare(job.pool) + kFreeShareMargin);
   if (room <= 0 || wait <= slack || (has_room && HasRoomForFirstStep(job))) {
     return {submit_verdict::kPending, {}, {}};
@@ -248,6 +258,21 @@
           std::clamp<duration>(retry_after, kMinRetryAfter, kMaxRetryAfter), "overload"};
 }
 
+duration scheduler::ExcessWait(const std::string& queue, const instant& now) {
+  const auto* const rules = configuration_.Find(queue);
+  const auto slack = mean_slack_ms_.find(queue);
+  if (rules == nullptr || slack == mean_slack_ms_.end()) {
+    return {};
+  }
+  const auto& load = RecentLoad(rules->pool, now);
+  const double reserve = rules->priority == 0 ? 0.0 : UrgentReserveShare(rules->pool);
+  if (load.free > load.RoomFor(rules->priority) * (reserve + kFreeShareMargin)) {
+    return {};  // may have room for the first step of the next job
+  }
+  const double excess = load.WaitMs(rules->priority) - slack->second * settings_.admission_slack;
+  return std::chrono::milliseconds{static_cast<std::int64_t>(std::max(0.0, excess))};
+}
+
 submit_answer scheduler::Submit(job_spec job, const instant& now) {
   const job_scope scope{job.queue, job.customer};
   if (const auto ended = ended_.find(job.id); ended != ended_.end()) {
--- a/src/rosearch/sched/scheduler_views.cc
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -34,6 +34,24 @@
 
 }  // namespace
 
+std::vector<std::string> scheduler::KnownJobs(const std::vector<std::string>& queues) const {
+  const auto is_listed = [&](const std::string& queue) {
+    return std::ranges::find(queues, queue) != queues.end();
+  };
+  std::vector<std::string> ids;
+  for (const auto& [id, job] : jobs_) {
+    if (is_listed(job->spec->queue)) {
+      ids.push_back(id);
+    }
+  }
+  for (const auto& [id, ended] : ended_) {
+    if (is_listed(ended.queue)) {
+      ids.push_back(id);
+    }
+  }
+  return ids;
+}
+
 cell_counts scheduler::Counts(const instant& now) const {
   cell_counts counts;
   counts.jobs = jobs_.size();
