Queues close by the expected wait and reopen sooner; tests with a leader (admission)

A queue was closed by the wait beyond the objectives, which stays near zero as admission refuses just the jobs beyond it. The whole wait decides now: a queue closes with more than 1 s of work waiting, and reopens while its workers still have work for the time that its last windows take to expire. That time is shorter, as it counts from when the window was withdrawn from the prepared reply.

--- a/src/rosearch/admission/shed_lease.cc
+++ b/src/rosearch/admission/shed_lease.cc
@@ -38,6 +38,7 @@
     auto& queue = queues_[record.queue];
     queue.config_version = record.config_version;
     queue.recorded = true;
+    queue.restored = true;
     queue.held_until = now + kTakeoverHold;
   }
 }
@@ -108,11 +109,9 @@
 shed_grant shed_lease::Grant(time_point now) {
   const auto until = std::min(now + kSendValidity, confirmed_at_ + kConfirmationValidity);
   shed_grant grant;
-  if (until <= now) {
-    return grant;
-  }
   for (auto& [name, queue] : queues_) {
-    if (queue.closed && queue.recorded) {
+    queue.granted = until > now && queue.closed && queue.recorded;
+    if (queue.granted) {
       grant.queues.push_back(name);
       queue.held_until = std::max(queue.held_until, until + kWindowValidity + kClockMargin);
     }
@@ -124,4 +123,12 @@
   return grant;
 }
 
+void shed_lease::OnReplaced(time_point now) {
+  for (auto& [name, queue] : queues_) {
+    if (!queue.granted && !queue.restored) {
+      queue.held_until = std::min(queue.held_until, now + kWindowValidity + kClockMargin);
+    }
+  }
+}
+
 }  // namespace rosearch::admission
--- a/src/rosearch/admission/shed_lease.h
+++ b/src/rosearch/admission/shed_lease.h
@@ -80,6 +80,8 @@
 
   /// Grants the window to send from now on, in place of the former one.
   [[nodiscard]] shed_grant Grant(time_point now);
+  /// Records that no window granted before the newest one can be sent any more.
+  void OnReplaced(time_point now);
 
   /// A granted window may be sent for this long; it spans a few ticks of a leader's event loop.
   static constexpr duration kSendValidity = std::chrono::milliseconds{400};
@@ -96,6 +98,8 @@
     bool recorded{false};     ///< the store has a record that names it
     std::uint64_t batch{0};   ///< the first batch with a record that names it; 0: none yet
     time_point held_until{};  ///< expiry of the last window that may have been sent
+    bool restored{false};     ///< an earlier leader may have sent windows
+    bool granted{false};      ///< the newest grant names it
   };
   [[nodiscard]] static bool Holds(const held_queue& queue, time_point now) {
     return queue.closed || now < queue.held_until;
--- a/src/rosearch/admission/shed_policy.cc
+++ b/src/rosearch/admission/shed_policy.cc
@@ -1,7 +1,5 @@
 #include "rosearch/admission/shed_policy.h"
 
-#include "rosearch/admission/shed_window.h"
-
 namespace rosearch::admission {
 
 void shed_policy::OnAccepted(const std::string& queue) {
@@ -37,12 +35,11 @@
     const auto since = now - state.since;
     const bool due = state.closed ? since >= kMinClosedTime : MustClose(state, now);
     const auto wait = due ? expected_wait(queue) : duration{};
-    const bool must_wait = wait > kWindowValidity;
-    if (due && !state.closed && must_wait) {
+    if (due && !state.closed && wait > kMinWait) {
       decisions.push_back({queue, true, state.refused, since, wait});
       state.closed = true;
       state.since = now;
-    } else if (due && state.closed && (!must_wait || since >= kMaxClosedTime)) {
+    } else if (due && state.closed && (wait <= kReopenWait || since >= kMaxClosedTime)) {
       decisions.push_back({queue, false, state.refused, since, wait});
       each = queues_.erase(each);
       continue;
--- a/src/rosearch/admission/shed_policy.h
+++ b/src/rosearch/admission/shed_policy.h
@@ -18,7 +18,7 @@
   bool close{false};         ///< false: reopen
   std::uint32_t refused{0};  ///< submissions refused in sequence before the queue closed
   duration since{};          ///< refused, or closed, for so long
-  duration expected_wait{};  ///< of a new job beyond what its objective allows
+  duration expected_wait{};  ///< of a new job; zero if it would be accepted
 
   friend bool operator==(const shed_decision&, const shed_decision&) = default;
 };
@@ -31,8 +31,8 @@
   void OnAccepted(const std::string& queue);
   /// Records that a new job was refused because too much work is waiting.
   void OnRefused(const std::string& queue, time_point now);
-  /// @param expected_wait  returns, for a queue, how much longer than its objective allows a new
-  ///                       job would wait; zero if it would be accepted.
+  /// @param expected_wait  returns, for a queue, how long a new job would wait; zero if it would be
+  ///                       accepted.
   /// @return the queues to close and to reopen, which count as closed and reopened from now on.
   [[nodiscard]] std::vector<shed_decision> Decide(
       const std::function<duration(const std::string&)>& expected_wait, time_point now);
@@ -45,8 +45,13 @@
   static constexpr std::uint32_t kMinRefusals = 10;
   /// Without a submission for this long, earlier refusals say nothing about the present load.
   static constexpr duration kMaxRefusalGap = std::chrono::milliseconds{250};
+  /// Until the last window has expired after a queue was reopened, its workers need other work. A
+  /// closed queue with less work waiting is reopened.
+  static constexpr duration kReopenWait = std::chrono::milliseconds{500};
   /// Each closing sends a filter to all entries.
-  static constexpr duration kMinClosedTime = std::chrono::milliseconds{1'000};
+  static constexpr duration kMinClosedTime = std::chrono::milliseconds{500};
+  /// A queue with less work waiting is not closed, so that its workers don't run out of work.
+  static constexpr duration kMinWait = kMinClosedTime + kReopenWait;
   /// The expected wait is an estimate: the queue is reopened after this to see whether its
   /// submissions are still refused.
   static constexpr duration kMaxClosedTime = std::chrono::milliseconds{5'000};
--- a/src/rosearch/cell/internal/node_pings.h
+++ b/src/rosearch/cell/internal/node_pings.h
@@ -150,6 +150,7 @@
   }
   peers_.SetPingReply(std::make_unique<wire::peer_frame>(MakePong()), now + kPingReplyValidity);
   peers_.SetShedOffer(leader_->MakeShedOffer());
+  leader_->OnShedOfferReplaced();
 }
 
 template <typename Ports>
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -182,6 +182,9 @@
     return Serving() && !resigning_ ? shedding_.MakeOffer(SuspendAwareNow()) : shed_offer{};
   }
 
+  /// Records that ping replies carry the newest window or none.
+  void OnShedOfferReplaced() { shedding_.OnOfferReplaced(SuspendAwareNow()); }
+
   /// Stores pending decisions, then ends the leadership.
   void Resign() {
     resigning_ = true;
--- a/src/rosearch/cell/queue_shedding.cc
+++ b/src/rosearch/cell/queue_shedding.cc
@@ -76,11 +76,12 @@
   waits_.clear();
   for (const auto& rules : configuration.queues) {
     if (lease_.IsClosed(rules.Key())) {
-      waits_[rules.Key()] = scheduler_.ExcessWait(rules.Key(), now);
+      waits_[rules.Key()] = scheduler_.ExpectedWait(rules.Key(), now).excess;
     }
   }
   const auto expected_wait = [&](const std::string& queue) {
-    return scheduler_.ExcessWait(queue, now);
+    const auto wait = scheduler_.ExpectedWait(queue, now);
+    return wait.excess > duration{} ? wait.total : duration{};
   };
   for (const auto& decision : policy_.Decide(expected_wait, suspend_aware_now)) {
     Apply(decision);
@@ -91,7 +92,7 @@
 void queue_shedding::Apply(const admission::shed_decision& decision) {
   if (decision.close) {
     lease_.Close(decision.queue, config_version_);
-    waits_[decision.queue] = decision.expected_wait;
+    waits_[decision.queue] = kMinRetryAfter;  // until the next call of `Update`
   } else {
     lease_.Reopen(decision.queue);
     waits_.erase(decision.queue);
@@ -146,7 +147,7 @@
 
 shed_offer queue_shedding::MakeOffer(time_point now) {
   if (scheduler_.configuration().version != config_version_) {
-    return {};  // the next `Update` reopens the queues
+    lease_.ReopenAll();  // the next `Update` resets the policy
   }
   const auto grant = lease_.Grant(now);
   if (grant.version == 0) {
--- a/src/rosearch/cell/queue_shedding.h
+++ b/src/rosearch/cell/queue_shedding.h
@@ -53,6 +53,8 @@
 
   /// @return the window to append to ping replies from now on, in place of the former one.
   [[nodiscard]] shed_offer MakeOffer(time_point now);
+  /// Records that no window made before the newest one can be sent any more.
+  void OnOfferReplaced(time_point now) { lease_.OnReplaced(now); }
 
  private:
   void Apply(const admission::shed_decision& decision);
@@ -65,7 +67,7 @@
   metric_set& metrics_;
   admission::shed_policy policy_;
   admission::shed_lease lease_;
-  std::map<std::string, duration> waits_;  ///< expected excess wait of closed queues
+  std::map<std::string, duration> waits_;  ///< of closed queues: wait until jobs are admitted
   std::uint64_t config_version_{0};        ///< the decisions of `policy_` are based on it
   std::uint64_t filter_version_{0};
   std::shared_ptr<const std::string> filter_;
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -161,6 +161,14 @@
   friend bool operator==(const job_timing&, const job_timing&) = default;
 };
 
+/// The wait of a new job, by the work that is waiting before it.
+struct expected_wait {
+  duration total{};
+  duration excess{};  ///< beyond what the objectives of its queue allow; zero: it is admitted
+
+  friend bool operator==(const expected_wait&, const expected_wait&) = default;
+};
+
 /// Capacity and load of a pool, over the workers that take work; processors in thousandths.
 struct pool_load {
   double capacity{0};
@@ -232,9 +240,8 @@
   /// @return the ids of all known jobs of these queues, also of those that are not stored yet or
   ///         have ended.
   [[nodiscard]] std::vector<std::string> KnownJobs(const std::vector<std::string>& queues) const;
-  /// @return how much longer than its objective allows a new job of a queue would wait; zero if
-  ///         jobs of the queue are admitted.
-  [[nodiscard]] duration ExcessWait(const std::string& queue, const instant& now);
+  /// @return how long a new job of a queue would wait.
+  [[nodiscard]] expected_wait ExpectedWait(const std::string& queue, const instant& now);
 
   // Workers.
 
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -258,7 +258,7 @@
           std::clamp<duration>(retry_after, kMinRetryAfter, kMaxRetryAfter), "overload"};
 }
 
-duration scheduler::ExcessWait(const std::string& queue, const instant& now) {
+expected_wait scheduler::ExpectedWait(const std::string& queue, const instant& now) {
   const auto* const rules = configuration_.Find(queue);
   const auto slack = mean_slack_ms_.find(queue);
   if (rules == nullptr || slack == mean_slack_ms_.end()) {
@@ -269,8 +269,10 @@
   if (load.free > load.RoomFor(rules->priority) * (reserve + kFreeShareMargin)) {
     return {};  // may have room for the first step of the next job
   }
-  const double excess = load.WaitMs(rules->priority) - slack->second * settings_.admission_slack;
-  return std::chrono::milliseconds{static_cast<std::int64_t>(std::max(0.0, excess))};
+  const auto wait = load.WaitMs(rules->priority);
+  const auto excess = std::max(0.0, wait - slack->second * settings_.admission_slack);
+  return {std::chrono::milliseconds{static_cast<std::int64_t>(wait)},
+          std::chrono::milliseconds{static_cast<std::int64_t>(excess)}};
 }
 
 submit_answer scheduler::Submit(job_spec job, const instant& now) {
--- a/test/rosearch/admission/shed_lease_test.cc
+++ b/test/rosearch/admission/shed_lease_test.cc
@@ -72,6 +72,26 @@
   CHECK(lease.TakeRecord(2).empty());
 }
 
+// Guards against a queue that refuses jobs longer than needed, or shorter: a window that is sent
+// at the last moment still lasts its whole time.
+TEST_CASE("a withdrawn window shortens the hold, but not that of an earlier leader") {
+  auto lease = LeaseWithClosedQueue();
+  CHECK(lease.Grant(kStart).version > 0);
+  lease.OnReplaced(kStart);
+  CHECK(lease.IsHeld("q", kConfig, kStart + kWindowValidity + shed_lease::kClockMargin));
+  lease.Reopen("q");
+  lease.OnReplaced(kStart);
+  CHECK(lease.IsHeld("q", kConfig, kStart + kWindowValidity + shed_lease::kClockMargin));
+  CHECK(lease.Grant(kStart).version == 0);
+  lease.OnReplaced(kStart);
+  CHECK(lease.IsHeld("q", kConfig, kStart + kWindowValidity));
+  CHECK_FALSE(lease.IsHeld("q", kConfig, kStart + kWindowValidity + shed_lease::kClockMargin));
+  shed_lease successor;
+  successor.Restore({{"q", kConfig}}, kStart);
+  successor.OnReplaced(kStart);
+  CHECK(successor.IsHeld("q", kConfig, kStart + shed_lease::kTakeoverHold - milliseconds{1}));
+}
+
 // Guards against a filter that lacks the jobs accepted between two closings.
 TEST_CASE("a queue that is closed again gets a new version") {
   auto lease = LeaseWithClosedQueue();
--- a/test/rosearch/admission/shed_protocol_test.cc
+++ b/test/rosearch/admission/shed_protocol_test.cc
@@ -78,6 +78,7 @@
   }
   void Tick(duration now) {
     grant_ = lease_.Grant(clock_.At(now));
+    lease_.OnReplaced(clock_.At(now));
     if (grant_.version != 0 && grant_.version != filter_version_) {
       filter_version_ = grant_.version;
       filter_ = std::make_unique<id_filter>(known_.size(), filter_version_);
--- a/test/rosearch/cell/fake_ports.h
+++ b/test/rosearch/cell/fake_ports.h
@@ -81,7 +81,9 @@
   }
   void Start(const sched::start_order& order, std::uint64_t, const start_callback& done) {
     starts.push_back(order);
-    ended.push_back({++last_end, order.task, order.run, sched::end_kind::kDone, ""});
+    if (!runs_last) {
+      ended.push_back({++last_end, order.task, order.run, sched::end_kind::kDone, ""});
+    }
     RunAfter(milliseconds{1}, [done] { done(sched::start_outcome::kStarted); });
   }
   void Stop(const sched::stop_order&, std::uint64_t, const stop_callback& done) {
@@ -168,6 +170,7 @@
   bool drop_appends{false};
   bool fence_appends{false};
   bool reorder_appends{false};
+  bool runs_last{false};  ///< no run ends
 
  private:
   /// Stores records with the expected sequence number, ignores a repeat and refuses any other.
--- a/test/rosearch/cell/peer_link_test.cc
+++ b/test/rosearch/cell/peer_link_test.cc
@@ -143,6 +143,44 @@
   CHECK(answered_frame.pong().members_size() == 1);
 }
 
+// Guards against a filter of hundreds of ids in each reply, and against a window that is sent after
+// the time until which the leader accounts for it.
+TEST_CASE("replies to pings carry a window until it ends, and its filter once") {
+  boost::asio::io_context busy;
+  peer_link leader{busy, "127.0.0.1:0", 1, [](const wire::peer_frame&) {}};
+  wire::peer_frame members;
+  leader.SetPingMembers(&members);
+  auto reply = std::make_unique<wire::peer_frame>();
+  reply->mutable_pong()->set_leading(true);
+  leader.SetPingReply(std::move(reply), SteadyNow() + std::chrono::seconds{60});
+  wire::peer_frame window;
+  window.mutable_pong()->set_shed_version(3);
+  wire::peer_frame filter;
+  filter.mutable_pong()->set_shed_filter("bits");
+  const bool expired = GENERATE(false, true);
+  const auto held_version = GENERATE(2U, 3U);
+  leader.SetShedOffer({3, SuspendAwareNow() + std::chrono::seconds{expired ? -1 : 60},
+                       window.SerializeAsString(),
+                       std::make_shared<const std::string>(filter.SerializeAsString())});
+
+  boost::asio::io_context io;
+  peer_link follower{io, "127.0.0.1:0", 1, [](const wire::peer_frame&) {}};
+  wire::peer_frame ping;
+  ping.mutable_ping()->set_shed_version(held_version);
+  wire::peer_frame answered;
+  follower.SendRequest(leader.address(), ping, SteadyNow() + std::chrono::seconds{2},
+                       [&](const wire::peer_frame* answer) {
+                         answered = answer != nullptr ? *answer : wire::peer_frame{};
+                       });
+  const auto until = SteadyNow() + std::chrono::seconds{2};
+  while (!answered.has_pong() && SteadyNow() < until) {
+    io.run_one_for(std::chrono::milliseconds{20});
+  }
+  CHECK(answered.pong().leading());
+  CHECK(answered.pong().shed_version() == (expired ? 0U : 3U));
+  CHECK(answered.pong().has_shed_filter() == (!expired && held_version != 3U));
+}
+
 // A process of a large cell that ran out of file descriptors ended with an uncaught exception and
 // dropped the connections of all its callers. Not built with sanitizers: the one that checks object
 // types opens a pipe for it, which needs descriptors itself. There the `peer_transport` test that
