A test of an entry that refuses calls of a closed queue (cell)

Two processes over loopback: the leader closes a queue, the entry refuses its calls but not those for known jobs, and forwards again once its window has expired.

--- a/test/rosearch/cell/cell_of_three.h
+++ b/test/rosearch/cell/cell_of_three.h
@@ -116,13 +116,16 @@
  public:
   process(claims_log& claims, const std::string& address, const std::vector<std::string>& seeds,
           std::uint64_t incarnation, std::uint32_t processor_milli = 1'000, int workers = 1,
-          std::uint32_t link_mbps = 0)
+          std::uint32_t link_mbps = 0, const std::string& configuration = "1",
+          bool runs_last = false)
       : ports_{io_, claims},
         peers_{io_, address, incarnation,
                [this](const wire::peer_frame& frame) { node_->Receive(frame); },
                [this](const std::string& peer) { node_->OnConnectionBroken(peer); }},
         client_{io_, http_, peers_} {
     ports_.workers = workers;
+    ports_.configuration = configuration;
+    ports_.runs_last = runs_last;
     cell_settings settings;
     settings.name = address;
     settings.seeds = seeds;
@@ -184,13 +187,14 @@
   }
   /// Submits a job to this process, as a caller would.
   /// @return the HTTP status of the answer.
-  [[nodiscard]] std::future<unsigned> Submit(const std::string& id) {
+  [[nodiscard]] std::future<unsigned> Submit(const std::string& id,
+                                             const std::string& prefix = "/jobs/") {
     auto answered = std::make_shared<std::promise<unsigned>>();
     auto status = answered->get_future();
-    boost::asio::post(io_, [this, id, answered] {
+    boost::asio::post(io_, [this, path = prefix + id, answered] {
       http_call call;
       call.method = "POST";
-      call.path = "/jobs/" + id;
+      call.path = path;
       call.headers["host"] = "host";
       call.body = "job";
       node_->HandleCall(call, [answered](const http_response& response) {
--- a/test/rosearch/cell/node_test.cc
+++ b/test/rosearch/cell/node_test.cc
@@ -190,4 +190,52 @@
   CHECK(cell.processes[1]->IsReady());
 }
 
+// Guards against a leader that refuses each call of a burst itself, and against an entry that
+// refuses a job whose earlier try was accepted.
+TEST_CASE("an entry refuses calls of a closed queue, except for known jobs") {
+  claims_log claims;
+  constexpr std::uint32_t kLarge = 1'000;
+  process leader{claims, "127.0.0.1:47311", {}, 1, kLarge, 1, 0, fake_ports::kWithCustomers, true};
+  REQUIRE(cell_of_three::WaitUntil([&] { return leader.Leads(); }) < seconds{3});
+  process entry{
+      claims, "127.0.0.1:47312", {"127.0.0.1:47311"}, 2, kLarge, 1, 0, fake_ports::kWithCustomers,
+      true};
+  REQUIRE(cell_of_three::WaitUntil([&] { return entry.IsReady(); }) < seconds{3});
+  const auto submit = [](process& to, const std::string& id) { return to.Submit(id, "/open/"); };
+  constexpr int kRunning = 80;     // as many as fit
+  constexpr int kWaiting = 1'700;  // 2 s of work
+  std::vector<std::future<unsigned>> accepted;
+  accepted.reserve(kRunning + kWaiting);
+  for (int number = 0; number < kRunning; ++number) {
+    accepted.push_back(submit(leader, "running" + std::to_string(number)));
+  }
+  std::this_thread::sleep_for(milliseconds{200});
+  for (int number = 0; number < kWaiting; ++number) {
+    accepted.push_back(submit(leader, "waiting" + std::to_string(number)));
+  }
+  std::this_thread::sleep_for(milliseconds{200});  // the leader measures its load again
+  std::vector<std::future<unsigned>> refused;
+  for (int number = 0; number < 300 && !leader.Logged("queue_closed"); ++number) {
+    refused.push_back(submit(entry, "refused" + std::to_string(number)));
+    std::this_thread::sleep_for(milliseconds{10});
+  }
+  REQUIRE(leader.Logged("queue_closed"));
+  for (int number = 0; number < 100 && !entry.Logged("call_refused"); ++number) {
+    refused.push_back(submit(entry, "shed" + std::to_string(number)));
+    std::this_thread::sleep_for(milliseconds{10});
+  }
+  CHECK(entry.Logged("call_refused"));
+  CHECK(submit(entry, "waiting7").get() == 200);
+  for (auto& status : accepted) {
+    REQUIRE(status.get() == 200);
+  }
+  for (auto& status : refused) {
+    REQUIRE(status.get() == 429);
+  }
+  // The window expires with the link to the leader.
+  leader.Suspend();
+  std::this_thread::sleep_for(milliseconds{400});
+  CHECK(submit(entry, "late").get() != 429);
+}
+
 }  // namespace rosearch::cell
