Closing of queues can be switched off by the setting 'without' (cell)

Run: test_admission, also with address and undefined-behaviour sanitizers (24 cases pass); nine cases of test_cell about closed queues and settings pass.

--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -113,7 +113,7 @@
         metrics_{metrics},
         hooks_{std::move(hooks)},
         scheduler_{settings_.scheduler, epoch, log},
-        shedding_{scheduler_, log, metrics},
+        shedding_{settings_.scheduler.Uses(sched::mechanism::kShedding), scheduler_, log, metrics},
         tick_timer_{io},
         pass_timer_{io},
         writer_timer_{io},
--- a/src/rosearch/cell/queue_shedding.cc
+++ b/src/rosearch/cell/queue_shedding.cc
@@ -56,7 +56,7 @@
 
 void queue_shedding::OnVerdict(const std::string& queue, const sched::submit_answer& verdict,
                                time_point now) {
-  if (scheduler_.configuration().customers.empty()) {
+  if (!may_close_ || scheduler_.configuration().customers.empty()) {
     return;
   }
   if (verdict.verdict == sched::submit_verdict::kRefused && verdict.reason == "overload") {
--- a/src/rosearch/cell/queue_shedding.h
+++ b/src/rosearch/cell/queue_shedding.h
@@ -23,9 +23,10 @@
 /// Times other than those in `sched::instant` are readings of `SuspendAwareNow`.
 class queue_shedding {
  public:
+  /// @param may_close  whether queues may be closed; records of earlier leaders count in any case.
   /// @param scheduler  of the same leadership; must outlive this object, as must the others.
-  queue_shedding(sched::scheduler& scheduler, event_sink& log, metric_set& metrics)
-      : scheduler_{scheduler}, log_{log}, metrics_{metrics} {}
+  queue_shedding(bool may_close, sched::scheduler& scheduler, event_sink& log, metric_set& metrics)
+      : may_close_{may_close}, scheduler_{scheduler}, log_{log}, metrics_{metrics} {}
 
   /// Restores the record of an earlier leader, which the store has fenced before it was read.
   /// @return whether the record belongs here.
@@ -62,6 +63,7 @@
   [[nodiscard]] std::string EncodeFilter(const admission::shed_grant& grant) const;
   [[nodiscard]] duration RetryAfter(const std::string& queue) const;
 
+  bool may_close_;
   sched::scheduler& scheduler_;
   event_sink& log_;
   metric_set& metrics_;
--- a/src/rosearch/sched/mechanism.h
+++ b/src/rosearch/sched/mechanism.h
@@ -28,9 +28,10 @@
   kRelays,             ///< peers handle the worker traffic of a large cell
   kAdviceSlots,        ///< chooses the workers of a long advice query when a process can send it
   kRateOrder,          ///< serves jobs within their customer's rate before others
+  kShedding,           ///< closes queues of which all jobs are refused
 };
 
-inline constexpr std::size_t kMechanismCount = 17;
+inline constexpr std::size_t kMechanismCount = 18;
 
 /// A set of mechanisms.
 class mechanism_set {
