--- a/benchmark/leader_bench.cc
+++ b/benchmark/leader_bench.cc
@@ -10,9 +10,9 @@
 #include <variant>
 #include <vector>
 
-#include "rosearch/sched/run_time_model.h"
 #include "platform/codec.h"
 #include "rosearch/cell/fake_ports.h"
+#include "rosearch/sched/run_time_model.h"
 #include "rosearch/sched/scheduler.h"
 
 namespace rosearch::sched {
