--- a/src/rosearch/cell/cell_settings.cc
+++ b/src/rosearch/cell/cell_settings.cc
@@ -11,6 +11,11 @@
 
 namespace json = boost::json;
 
+/// Values of `run_times`: whether the scheduler takes declared run times as they are, or predicts
+/// run times from them and from ended runs.
+constexpr std::string_view kDeclaredRunTimes = "declared";
+constexpr std::string_view kCalibratedRunTimes = "calibrated";
+
 /// Reads values of one JSON object and records the first error.
 class settings_reader {
  public:
@@ -142,6 +147,13 @@
   scheduler.max_lease =
       std::min(sched::kMaxWorkerLease, in.Milliseconds("max_lease_ms", scheduler.max_lease));
   scheduler.stop_timeout = in.Milliseconds("stop_timeout_ms", scheduler.stop_timeout);
+  const auto run_times = in.Text("run_times", false);
+  if (!run_times.empty() && run_times != kDeclaredRunTimes && run_times != kCalibratedRunTimes) {
+    return error{error_kind::kInvalidRequest, "run_times is neither declared nor calibrated"};
+  }
+  if (run_times != kCalibratedRunTimes) {
+    scheduler.off.Add(sched::mechanism::kEstimates);
+  }
   for (const auto& name : in.Texts("without")) {
     const auto which = sched::FindMechanism(name);
     if (!which) {
