--- a/src/rosearch/cell/call_intake.cc
+++ b/src/rosearch/cell/call_intake.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
+#include <limits>
 
 namespace rosearch::cell {
 namespace {
@@ -10,16 +12,8 @@
 
 /// @return a number in [0, 1) that depends on the job's id alone, the same at each leader.
 double Jitter(std::string_view job) {
-  // FNV-1a with the finalizer of MurmurHash3: ids that differ in their last character only must
-  // differ in the leading bits.
-  std::uint64_t hash = 0xcbf29ce484222325;
-  for (const char each : job) {
-    hash = (hash ^ static_cast<unsigned char>(each)) * 0x100000001b3;
-  }
-  hash = (hash ^ (hash >> 33U)) * 0xff51afd7ed558ccd;
-  hash = (hash ^ (hash >> 33U)) * 0xc4ceb9fe1a85ec53;
-  hash ^= hash >> 33U;
-  constexpr int kBits = 53;
+  constexpr int kBits = std::numeric_limits<double>::digits;
+  const std::uint64_t hash = std::hash<std::string_view>{}(job);
   return std::ldexp(static_cast<double>(hash >> (64 - kBits)), -kBits);
 }
 
