--- a/src/rosearch/sched/scheduler_incarnations.cc
+++ b/src/rosearch/sched/scheduler_incarnations.cc
@@ -9,7 +9,8 @@
 namespace rosearch::sched {
 namespace {
 
-/// Max time that a start order may be in flight: longer than any order is delayed in the tests.
+/// Max time that a start order may be in flight. A worker may execute an order seconds after it was
+/// sent; the protocol states no bound.
 constexpr duration kMaxOrderDelay = std::chrono::seconds{15};
 
 bool Lists(const worker_report* report, const live_run& run) {
