Review case 4: a shorter cut, in which the old leader starts tasks; status 2 and no process left when a script is ended

With two idle executors in the cut rack the old leader starts the tasks of the executors that it has lost after 6.3 s, while they are at work there. So a cut of 7 s does in place of 12 s, and 11 s in case 6. A script that is ended by SIGTERM, or fails itself, exits with 2 and ends its processes.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -11,7 +11,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(FOLDER))
 PREFIX = "/recon/"
-CUT_S = 12.0
+CUT_S = 7.0
 
 
 async def play(record, folder, trouble):
@@ -31,9 +31,9 @@
             jobs.append(await cell.submit(cell.processes[lead], PREFIX, [
                 {"count": 12, "cpu": 2000, "mem-mb": 1024, "estimate-ms": 28000}]))
         await asyncio.sleep(2)
-        rack = [worker for worker in cell.workers if worker.running][:2]
-        if None in jobs or len(rack) < 2:
-            record.write("the jobs aren't at work")
+        rack = [worker for worker in cell.workers if not worker.running][:2]
+        if None in jobs or sum(len(worker.running) for worker in cell.workers) < 48 or len(rack) < 2:
+            record.write("the jobs aren't at work, or no executor is idle")
             return 2
         island = [("node", lead), ("node", peer)] + [("worker", worker.number) for worker in rack]
         if trouble:
@@ -49,7 +49,7 @@
             record.write(f"caller: GET {PREFIX}{job} -> {status} {body.decode()}")
             if status == 410:
                 record.breaks("LOST", f"{job} was accepted and is unknown")
-        return 1 if record.broken else 0
+        return platform.BROKEN if record.broken else 0
     finally:
         cell.end()
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -73,7 +73,7 @@
         status, body = await platform.call(caller, "GET", PREFIX + job)
         record.write(f"caller: GET {PREFIX}{job} -> {status} {body.decode()}, {time.monotonic() - accepted:.1f} s after "
                      f"its acceptance; longest time with nothing running {longest:.1f} s")
-        return 1 if record.broken else 0
+        return platform.BROKEN if record.broken else 0
     finally:
         cell.end()
 
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -11,7 +11,7 @@
 
 ROOT = os.path.dirname(os.path.dirname(FOLDER))
 PREFIX = "/recon/"
-LONG_CUT_S = 12.0
+LONG_CUT_S = 11.0
 SHORT_CUT_S = 4.0
 
 
@@ -58,7 +58,7 @@
         await asyncio.sleep(4)
         status, body = await platform.call(cell.processes[cell.store.leader], "GET", PREFIX + job)
         record.write(f"caller: GET {PREFIX}{job} -> {status} {body.decode()}")
-        return 1 if record.broken else 0
+        return platform.BROKEN if record.broken else 0
     finally:
         cell.end()
 
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -405,6 +405,8 @@
 class Process:
     """One process of the system, started with the command of the deploy file."""
 
+    started = []  # all of them
+
     def __init__(self, number, nodes, peer_port, store_port, folder, root):
         self.number, self.root = number, root
         host = f"127.0.9.{number}"
@@ -426,6 +428,8 @@
         self.process = subprocess.Popen([os.path.join(self.root, "target/rosearch"), "join"], cwd=self.root,
                                         env={**os.environ, "ROSEARCH_SETTINGS": self.path},
                                         stdout=self.log, stderr=self.log)
+        if self not in Process.started:
+            Process.started.append(self)
 
     def send(self, number):
         if self.process is not None and self.process.poll() is None:
@@ -532,14 +536,14 @@
             process.end()
 
 
+BROKEN = 42  # status for a broken rule; Python itself ends with 1 on an error
+
+
 def run(case, record, folder):
-    """Runs a case, prints what was broken, and ends this program with the status of the case."""
-    async def all_of_it():
-        try:
-            status = await case
-        except Exception as failed:  # the case couldn't run
-            record.write(f"failed: {failed!r}")
-            status = 2
+    """Runs a case, prints what was broken, and ends this program."""
+    def end(status):
+        for process in Process.started:
+            process.end()
         record.write(f"ends with {status}")
         for line in record.broken[:10]:
             print(line)
@@ -547,4 +551,13 @@
         shutil.rmtree(folder, ignore_errors=True)
         os._exit(status)  # open connections of the stand-ins would each end with a traceback
 
-    asyncio.run(all_of_it())
+    async def play():
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, end, 2)
+        try:
+            end(await case)
+        except Exception as failed:  # the case couldn't run
+            record.write(f"failed: {failed!r}")
+            end(2)
+
+    asyncio.run(play())
