--- a/review/6/case.py
+++ b/review/6/case.py
@@ -31,15 +31,16 @@
         if trouble:
             record.write(f"CUT for {LONG_CUT_S} s: no process reaches {executors}")
             cell.network.cut(executors, kept=["store"])
-        restart = asyncio.create_task(cell.restart(cell.store.leader))
+            restart = asyncio.create_task(cell.restart(cell.store.leader))
         await asyncio.sleep(LONG_CUT_S - 1.0)
-        record.write(f"executor {newcomer.number} joins")
-        await cell.join(newcomer)
+        if trouble:
+            record.write(f"executor {newcomer.number} joins")
+            await cell.join(newcomer)
         await asyncio.sleep(1.0)
         if trouble:
             record.write("the cut ends")
             cell.network.heal()
-        await restart
+            await restart
         await asyncio.sleep(2)
         lead = cell.store.leader
         job = await cell.submit(cell.processes[lead], PREFIX, [
