Stalled steps, unconfirmed orders and unanswered advice in logs and metrics (sched, cell)

Change: step_stalled (a failure line, so not dropped first) for a step of a job without a run while workers have room for twice what it wants: how many of these workers each reason keeps from it (reservation, urgent reserve, left alone, not ready, no advice, no ticket), and what its advice waits for. advice_unanswered names the process that brought no answer. Metrics: rosearch_stalled_steps, _oldest_stall_seconds, _oldest_unconfirmed_seconds, _advice_unused_total, _advice_unanswered_total by process. No decision changes.

--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -146,12 +146,27 @@
                            leader& self, const std::vector<sched::advised_worker>* allowed) {
                     self.advice_.ReleaseHelper(asked.helper);
                     self.metrics_.Observe("rosearch_advice_seconds", SteadyNow() - asked_at);
+                    if (allowed == nullptr) {
+                      self.RecordUnansweredAdvice(asked, asked_at);
+                    }
                     self.scheduler_.OnAdvice(asked.query, allowed, Now());
                     self.PostPump();
                   }));
   }
 }
 
+template <typename Ports>
+void leader<Ports>::RecordUnansweredAdvice(const advice_dispatcher::assignment& asked,
+                                           time_point asked_at) {
+  const std::string_view helper = asked.helper.empty() ? "self" : std::string_view{asked.helper};
+  metrics_.Count(Labelled("rosearch_advice_unanswered_total", "helper", helper));
+  log_.Write(event_line{"advice_unanswered", event_weight::kFailure}
+                 .Add("step", asked.query.step)
+                 .Add("helper", helper)
+                 .Add("workers", asked.query.workers.size())
+                 .Add("took_ms", SteadyNow() - asked_at));
+}
+
 template <typename Ports>
 void leader<Ports>::WatchNewWorkers() {
   const auto workers = scheduler_.WatchedWorkers();
--- a/src/rosearch/cell/internal/leader_views.h
+++ b/src/rosearch/cell/internal/leader_views.h
@@ -31,6 +31,12 @@
   set("rosearch_workers_live", counts.workers_live);
   set("rosearch_leases_ending", counts.leases_ending);
   set("rosearch_unsettled_workers", counts.unsettled);
+  set("rosearch_stalled_steps", counts.stalled_steps);
+  metrics_.Set("rosearch_oldest_stall_seconds",
+               std::chrono::duration<double>{counts.oldest_stall}.count());
+  metrics_.Set("rosearch_oldest_unconfirmed_seconds",
+               std::chrono::duration<double>{counts.oldest_unconfirmed}.count());
+  metrics_.SetTotal("rosearch_advice_unused_total", counts.advice_unused);
   set("rosearch_advice_waiting", advice_.CountQueued());
   set("rosearch_callers_waiting", callers_.size());
   set("rosearch_calls_waiting", intake_.CountWaiting());
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -294,6 +294,7 @@
   void Dispatch(sched::pace_order&& decided) { ports_.Pace(decided, epoch_); }
   void Dispatch(sched::advice_query&& decided) { advice_.Add(std::move(decided), SteadyNow()); }
   void AskForAdvice();
+  void RecordUnansweredAdvice(const advice_dispatcher::assignment& asked, time_point asked_at);
   void Watch(const std::string& worker);
   void WatchNewWorkers();
   /// @param late  how late this call runs, which is how long any event waits in this process.
--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -77,6 +77,10 @@
   std::uint64_t blocked_room_version{0};  ///< room version at which no worker had room
   time_point next_placement_at{};         ///< next placement attempt, unless room is freed earlier
   time_point next_waiting_log_at{};       ///< earliest next log line about what it waits for
+  time_point stalled_since{};             ///< since then it has ample room; zero: it isn't stalled
+  time_point next_stall_check_at{};       ///< earliest next check whether it is stalled
+  time_point next_stall_log_at{};         ///< earliest next log line about its stall
+  bool stall_logged{false};               ///< its present stall was logged
   bool awaits_advice_slot{false};         ///< no process could send its advice query
   bool at_limit{false};                   ///< its customer's limit keeps tasks from starting
 
--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -194,6 +194,7 @@
     }
   }
   RefreshStepLists();
+  DetectStalls(now);
   for (auto* const step : open_steps_) {
     // A gang can't make progress if only some of its members are still running after a leader
     // change.
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -24,6 +24,7 @@
 #include "rosearch/sched/order.h"
 #include "rosearch/sched/run_time_model.h"
 #include "rosearch/sched/scheduler_settings.h"
+#include "rosearch/sched/stall_view.h"
 #include "rosearch/sched/worker_facts.h"
 #include "rosearch/sched/worker_state.h"
 
@@ -121,6 +122,10 @@
   std::size_t leases_ending{0};  ///< live workers whose lease ends within `kLeaseEnding`
   std::size_t unsettled{0};      ///< see `scheduler::OldRunsSettled`: workers without an answer yet
   duration oldest_report{};      ///< max age of the newest report over all live workers
+  std::size_t stalled_steps{0};  ///< see `stall_view`
+  duration oldest_stall{};       ///< how long the longest of these has stalled
+  duration oldest_unconfirmed{};   ///< max age of an order that neither answer nor report confirms
+  std::uint64_t advice_unused{0};  ///< answers of advice after which nothing started
   std::uint64_t placement_attempts{0};  ///< attempts to place a waiting step, since the start
   std::uint64_t workers_considered{0};  ///< workers considered for a waiting step, since the start
   std::uint64_t run_times_learned{0};   ///< runs whose run time was learned, since the start
@@ -569,6 +574,18 @@
   [[nodiscard]] std::size_t CountWorkersForGangQuery(const step_state& step);
   void StartGang(step_state& step, const std::vector<worker_state*>& places, const instant& now);
 
+  // scheduler_stalls.cc
+  /// @return whether a step has a task to start, and its job nothing else in progress.
+  [[nodiscard]] bool MayStall(const step_state& step, const instant& now) const;
+  [[nodiscard]] advice_phase AdvicePhaseOf(const step_state& step, const instant& now) const;
+  /// @return how many tasks of a step fit into the free room of a worker that it may run on, also
+  ///         where the scheduler doesn't let them start there.
+  [[nodiscard]] std::size_t CountPlaces(const step_state& step, const worker_state& worker) const;
+  [[nodiscard]] stall_view DiagnoseStall(const step_state& step, const instant& now) const;
+  void DetectStalls(const instant& now);
+  void CheckStall(step_state& step, const instant& now);
+  void EndStall(step_state& step, const instant& now);
+
   // scheduler_views.cc
   [[nodiscard]] wait_view DiagnoseWait(const step_state& step, const instant& now) const;
   void LogWaitingStep(step_state& step, const instant& now);
@@ -627,8 +644,9 @@
   std::uint64_t placement_attempts_{0};
   std::uint64_t workers_considered_{0};
   std::uint64_t worker_restarts_{0};
-  duration newest_delay_{};  ///< last value passed to `RecordLoopDelay`
-  duration loop_delay_{};    ///< smaller of the last two delays: one delayed tick has no effect
+  std::uint64_t advice_unused_{0};  ///< answers of advice after which nothing started
+  duration newest_delay_{};         ///< last value passed to `RecordLoopDelay`
+  duration loop_delay_{};  ///< smaller of the last two delays: one delayed tick has no effect
   std::uint32_t admitted_since_tick_{0};              ///< jobs admitted since the last tick
   std::uint32_t admission_limit_{kNoAdmissionLimit};  ///< max jobs admitted until the next tick
   std::map<std::uint64_t, stored_effects> storing_;
--- a/src/rosearch/sched/scheduler_advice.cc
+++ b/src/rosearch/sched/scheduler_advice.cc
@@ -176,6 +176,7 @@
 void scheduler::SendAdviceQuery(step_state& step, std::vector<std::string> workers,
                                 std::uint32_t tasks, const instant& now) {
   advice_query query{step.Name(), std::move(workers), *step.job->advice, step.job->priority};
+  advice_unused_ += step.advice.HasUnusedAnswer() ? 1 : 0;
   step.advice.RecordQuery(now.steady, now.steady + QueryCost(query) + settings_.advice_timeout);
   log_.Write(event_line{"advice_asked", event_weight::kDetail}
                  .Add("job", step.job->spec->id)
@@ -227,6 +228,7 @@
                    .Add("step", query.step));
     return;
   }
+  step->advice.RecordAnswer();
   auto& share = AdvisedShare(*step);
   const auto answered_share = static_cast<double>(allowed->size()) /
                               static_cast<double>(std::max<std::size_t>(1, query.workers.size()));
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -63,6 +63,7 @@
   }
   ChargeCustomer(*new_run, step.job->customer, step.spec->need);
   new_run->started_at = now.steady;
+  new_run->ordered_at = now.steady;
   new_run->progressed_at = now.steady;
   ++step.tasks[index].live;
   step.tasks[index].wants_copy = false;
@@ -108,6 +109,8 @@
   auto& task = step.tasks[index];
   auto& run = AttachRun(step, index, worker, number, now);
   run.ticket = std::move(ticket);
+  step.advice.RecordUse();
+  EndStall(step, now);
   run.checkpoint = std::move(checkpoint);
   if (run.checkpoint.empty()) {
     run.measured_from = progress_mark{now.steady, 0};
@@ -134,6 +137,7 @@
   run.phase = run_phase::kStopping;
   run.reason = reason;
   run.stop_acknowledged = false;
+  run.ordered_at = now.steady;
   OrderStop(run, now);
   log_.Write(event_line{"run_stopping", reason == stop_reason::kJobOver ? event_weight::kDetail
                                                                         : event_weight::kFailure}
--- a/src/rosearch/sched/scheduler_views.cc
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -44,8 +44,14 @@
   counts.workers_considered = workers_considered_;
   counts.run_times_learned = run_times_learned_;
   counts.worker_restarts = worker_restarts_;
+  counts.advice_unused = advice_unused_;
   for (const auto& [id, worker] : workers_) {
     counts.runs += worker->runs.size();
+    for (const auto& [task, run] : worker->runs) {
+      const bool confirmed = run->phase == run_phase::kRunning;
+      counts.oldest_unconfirmed = std::max(counts.oldest_unconfirmed,
+                                           confirmed ? duration{} : now.steady - run->ordered_at);
+    }
     if (worker->session != session_phase::kLive) {
       continue;
     }
@@ -55,6 +61,10 @@
   }
   for (const auto* const step : open_steps_) {
     counts.waiting_tasks += step->CountIdleTasks();
+    if (step->stalled_since != time_point{}) {
+      ++counts.stalled_steps;
+      counts.oldest_stall = std::max(counts.oldest_stall, now.steady - step->stalled_since);
+    }
   }
   return counts;
 }
--- a/src/rosearch/sched/step_advice.h
+++ b/src/rosearch/sched/step_advice.h
@@ -78,11 +78,18 @@
   /// @return when the newest query was sent.
   [[nodiscard]] time_point query_sent_at() const { return query_sent_at_; }
 
+  /// Records that the step started a run, so that its last answer was of use.
+  void RecordUse() { unused_answer_ = false; }
+  void RecordAnswer() { unused_answer_ = true; }
+  /// @return whether nothing has started since the last answer.
+  [[nodiscard]] bool HasUnusedAnswer() const { return unused_answer_; }
+
   time_point next_query_at{};  ///< earliest time of the next query
 
  private:
   time_point query_sent_at_{};
   time_point answer_deadline_{};  ///< zero: no unanswered query
+  bool unused_answer_{false};
   std::vector<allowance> allowed_;
   std::unordered_set<std::string> refused_;
 };
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -83,6 +83,7 @@
   std::uint32_t load{0};          ///< see `running_row::load`
   /// Copies of the start order that may still be in flight: a restarted worker would execute them.
   std::uint32_t unanswered_starts{0};
+  time_point ordered_at{};     ///< when its start, or later its stop, was first ordered
   time_point start_sent_at{};  ///< when the newest copy of the start order was sent
   bool listed{false};          ///< listed in a report of the worker's incarnation
   bool adopted{false};         ///< found in a report; an earlier leader sent its start order
