--- a/soak/cell/run.py
+++ b/soak/cell/run.py
@@ -110,34 +110,47 @@
         self.options = options
         self.judge = stand_in.Judge()
         self.store = stand_in.Store(self.random)
-        self.advice = stand_in.Advice()
+        self.advice = stand_in.Advice(self.judge, options.one_address)
         self.workers = [stand_in.Worker(n, self.random, self.judge, self.store)
                         for n in range(options.workers)]
+        for number in range(options.accelerator_workers):
+            self.workers.append(stand_in.Worker(options.workers + number, self.random, self.judge,
+                                                self.store))
+            self.workers[-1].service, self.workers[-1].cpu = stand_in.GPU_SERVICE, 64000
+            self.workers[-1].gpu = 8
         self.judge.workers = self.workers
         self.nodes = []
         self.folder = folder
         self.faults = []
+        self.disturbed_at = 0.0
 
     async def begin(self):
         await self.store.http.start()
-        await self.advice.http.start()
+        await self.advice.start()
         for worker in self.workers:
             await worker.http.start()
             worker.register()
         route = {"host": stand_in.HOST, "service": stand_in.SERVICE,
                  "max-attempts": stand_in.ATTEMPTS, "target-latency-ms": 250, "stretch": 1.5}
-        advice = {"decide-ms": 18.0, "period-ms": 0.26, "valid-ms": 2500}
+        advice = {prefix: {key: value for key, value in cost.items() if key != "allowed"}
+                  for prefix, cost in stand_in.ADVICE.items()}
+        on_accelerators = {**route, "service": stand_in.GPU_SERVICE, "stretch": 4.0}
         self.store.put("keyed.op", "config", json.dumps(
             {"version": 1, "routes": [
                 {**route, "name": "q", "path-prefix": stand_in.QUICK, "priority": 0,
-                 "advice": advice},
-                {**route, "name": "l", "path-prefix": stand_in.LONG, "priority": 2}],
-             "services": [{"name": stand_in.SERVICE, "enforces-capacity": False}],
+                 "advice": advice[stand_in.QUICK]},
+                {**route, "name": "l", "path-prefix": stand_in.LONG, "priority": 2},
+                {**on_accelerators, "name": "g", "path-prefix": stand_in.GANG, "priority": 1,
+                 "advice": advice[stand_in.GANG]},
+                {**on_accelerators, "name": "s", "path-prefix": stand_in.SCAN, "priority": 2,
+                 "advice": advice[stand_in.SCAN]}],
+             "services": [{"name": name, "enforces-capacity": False}
+                          for name in (stand_in.SERVICE, stand_in.GPU_SERVICE)],
              "limits": {}}).encode())
         for number in range(self.options.nodes):
             proxy = stand_in.Proxy(self.store.http.port)
             await proxy.start()
-            node = Node(number, self.binaries(number), self.folder, proxy, self.advice.http.port)
+            node = Node(number, self.binaries(number), self.folder, proxy, self.advice.port)
             node.start()
             self.nodes.append(node)
 
@@ -173,6 +186,10 @@
     async def caller(self, number):
         until = time.monotonic() + self.options.seconds
         while time.monotonic() < until:
+            if self.options.accelerator_workers and self.random.random() < 0.1:
+                self.submit_to_accelerators()
+                await asyncio.sleep(self.random.random())
+                continue
             long = self.random.random() < 0.2
             prefix = stand_in.LONG if long else stand_in.QUICK
             steps = [{"count": self.random.randint(1, 5), "cpu": self.random.randint(300, 2000),
@@ -183,7 +200,23 @@
             job_id = f"{self.random.getrandbits(64):016x}"
             self.judge.add(job_id, prefix, steps)
             asyncio.create_task(self.follow(job_id))
-            await asyncio.sleep(self.random.random() * 0.5)
+            await asyncio.sleep(self.random.random() * self.options.pace)
+
+    def submit_to_accelerators(self):
+        gang = self.random.random() < 0.5
+        step = {"cpu": 5600, "gpu": 1, "mem-mb": 64, "estimate-ms": 1500,
+                "count": self.random.randint(2, 9)}
+        if gang:
+            step.update({"cpu": 31000, "gpu": self.random.choice([2, 4, 8, 8]), "count":
+                         self.random.choice([1, 1, 2, 3]), "all-or-nothing": True})
+        job_id = f"{self.random.getrandbits(64):016x}"
+        self.judge.add(job_id, stand_in.GANG if gang else stand_in.SCAN, [step])
+        asyncio.create_task(self.follow(job_id))
+
+    async def watch_standing(self):
+        while True:
+            self.judge.find_standing(self.advice.allows, self.disturbed_at)
+            await asyncio.sleep(0.25)
 
     async def follow(self, job_id):
         job = self.judge.jobs[job_id]
@@ -202,6 +235,13 @@
             if status == 200:
                 job["cancelled"] = time.monotonic()
 
+    async def stop_advice(self):
+        """Stops the advice service halfway, if asked to; calls to it wait."""
+        if self.options.advice_away > 0:
+            await asyncio.sleep(self.options.seconds / 2)
+            self.advice.back_at = time.monotonic() + self.options.advice_away
+            self.disturbed_at = self.advice.back_at
+
     async def trouble(self):
         until = time.monotonic() + self.options.seconds
         await asyncio.sleep(2)
@@ -324,7 +364,11 @@
         await self.begin()
         beat = asyncio.create_task(self.beat())
         await asyncio.sleep(2)
-        changes = self.upgrade() if self.options.upgrade else self.trouble()
+        self.disturbed_at = time.monotonic()
+        if self.options.calm:
+            watch = asyncio.create_task(self.watch_standing())
+        changes = (self.upgrade() if self.options.upgrade else
+                   self.stop_advice() if self.options.calm else self.trouble())
         await asyncio.gather(*(self.caller(n) for n in range(4)), changes)
         await self.settle()
         await self.explain()
@@ -353,6 +397,16 @@
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--workers", type=int, default=9)
+    parser.add_argument("--pace", type=float, default=0.5,
+                        help="largest pause of a caller between two jobs, in seconds")
+    parser.add_argument("--accelerator-workers", type=int, default=0,
+                        help="workers of a second pool, for gangs and scans with slow advice")
+    parser.add_argument("--calm", action="store_true",
+                        help="no faults; no job may stand for 3 s with room for it twice over")
+    parser.add_argument("--advice-away", type=float, default=0, metavar="SECONDS",
+                        help="with --calm: the advice service stops halfway for so long")
+    parser.add_argument("--one-address", action="store_true",
+                        help="the advice service takes all processes for one calling machine")
     parser.add_argument("--logs", help="folder that keeps the processes' logs")
     options = parser.parse_args()
     if options.upgrade and options.also_binary is None:
--- a/soak/cell/stand_in.py
+++ b/soak/cell/stand_in.py
@@ -17,6 +17,17 @@
 HOST = "cell.test"
 QUICK = "/quick/"
 LONG = "/long/"
+# Work on accelerators, in a pool of its own: gangs and single tasks, both with slow advice.
+GPU_SERVICE = "pool-g"
+GANG = "/gang/"
+SCAN = "/scan/"
+GANG_TIMEOUT_MS = 3000
+# What advice costs and whom it allows, for each queue that needs it.
+ADVICE = {QUICK: {"decide-ms": 18.0, "period-ms": 0.26, "valid-ms": 2500, "allowed": 0.7},
+          GANG: {"decide-ms": 560.0, "period-ms": 8.0, "valid-ms": 2000, "allowed": 0.4},
+          SCAN: {"decide-ms": 150.0, "period-ms": 2.2, "valid-ms": 2000, "allowed": 0.5}}
+MAX_WAITING_ADVICE = 32
+MIN_ALLOWED = 4  # workers for each step: as many as the widest gang has members, and one more
 
 
 def now_ms():
@@ -165,6 +176,8 @@
         self.jobs = {}
         self.broken = []
         self.workers = []
+        self.gangs = {}  # members by (step, run)
+        self.stands_since = {}  # jobs that could run and have nothing running
 
     def add(self, job_id, prefix, steps):
         self.jobs[job_id] = {"prefix": prefix, "steps": steps, "accepted": False, "answers": [],
@@ -174,6 +187,44 @@
     def note(self, what):
         self.broken.append(f"{time.monotonic():.3f} {what}")
 
+    def find_standing(self, allows, calm_since):
+        """Notes accepted jobs without a run for 3 s, with room for twice what they want.
+
+        A disruption excuses what stands until 4 s after its end.
+        """
+        moment = time.monotonic()
+        running = set()
+        for worker in self.workers:
+            worker.advance()
+            running |= {task.partition(".")[0] for task in worker.running}
+        for job_id, job in self.jobs.items():
+            open_job = job["accepted"] and not job["cancelled"] and job_id not in running
+            if not open_job or not self.could_run(job_id, job, allows):
+                self.stands_since.pop(job_id, None)
+                continue
+            since = max(self.stands_since.setdefault(job_id, moment), calm_since + 4)
+            if moment - since >= 3 and "stood" not in job:
+                job["stood"] = True
+                self.note(f"stands with room: {job_id} {job['prefix']} since {since:.3f}")
+
+    def could_run(self, job_id, job, allows):
+        """Tells whether a step of a job without a run has room for twice what it wants."""
+        tasks = [(number, f"{job_id}.0.{number}.{index}") for number, step in enumerate(job["steps"])
+                 for index in range(step["count"])]
+        given_up = any(len(runs) >= ATTEMPTS for runs in job["failed"].values())
+        left = {number for number, task in tasks if task not in job["done"]}
+        for number in left if not given_up else ():
+            step = job["steps"][number]
+            if any(before in left for before in step.get("depends-on", [])):
+                continue
+            places = 0
+            for worker in self.workers:
+                if worker.takes(job["prefix"]) and allows(f"{job_id}.0.{number}", worker.id):
+                    places += worker.places(step)
+            if places >= 2 * (step["count"] if step.get("all-or-nothing") else 1):
+                return True
+        return False
+
     def refused_but_ran(self):
         """Call once nobody waits for an answer any more."""
         for job_id, job in self.jobs.items():
@@ -188,9 +239,10 @@
             self.note(f"started what nobody sent: {task}")
             return
         spec = job["steps"][int(step)]
-        used = sum(run["cpu"] for run in worker.running.values()) + spec["cpu"]
-        if used > worker.cpu:
-            self.note(f"overcommitted {worker.id}: {used} of {worker.cpu} with {task}")
+        for kind, held in (("cpu", worker.cpu), ("gpu", worker.gpu)):
+            used = sum(run[kind] for run in worker.running.values()) + spec.get(kind, 0)
+            if used > held:
+                self.note(f"overcommitted {worker.id}: {used} of {held} {kind} with {task}")
         for other in self.workers:
             other.advance()
             if task in other.running:
@@ -214,7 +266,7 @@
     def __init__(self, number, random, judge, store):
         self.random, self.judge, self.store = random, judge, store
         self.number = number
-        self.cpu = 4000 + 4000 * (number % 3)
+        self.service, self.cpu, self.gpu = SERVICE, 4000 + 4000 * (number % 3), 0
         self.fail = 0.05
         self.lose = 0.0
         self.http = HttpServer(self.handle)
@@ -232,6 +284,15 @@
         self.running, self.ended, self.over = {}, [], {}
         self.news = asyncio.Event()
 
+    def takes(self, prefix):
+        return (self.service == GPU_SERVICE) == (prefix in (GANG, SCAN))
+
+    def places(self, step):
+        """Tells how many tasks of a step fit beside what runs."""
+        free = {kind: held - sum(run[kind] for run in self.running.values())
+                for kind, held in (("cpu", self.cpu), ("gpu", self.gpu))}
+        return min(free[kind] // step[kind] for kind in free if step.get(kind, 0) > 0)
+
     def clock_ms(self):
         return now_ms() - self.clock_zero
 
@@ -240,9 +301,9 @@
 
     def register(self, state="ready"):
         self.store.put("keyed.servers", self.id, json.dumps(self.with_born(
-            {"service": SERVICE, "address": f"127.0.0.1:{self.http.port}", "zone": "z",
+            {"service": self.service, "address": f"127.0.0.1:{self.http.port}", "zone": "z",
              "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0,
-             "capacity": {"cpu": self.cpu, "mem-mb": self.cpu * 4, "gpu": 0},
+             "capacity": {"cpu": self.cpu, "mem-mb": self.cpu * 4, "gpu": self.gpu},
              "labels": ["a", f"r{self.number // 4}"], "clock-ms": self.clock_ms(),
              "remaining-ms": 4000, "sequence": 1})).encode())
 
@@ -251,13 +312,31 @@
         for task, run in list(self.running.items()):
             if run["stop_at"] is not None and moment >= run["stop_at"]:
                 self.end(task, "stopped")
-            elif moment >= run["ends"] and run["ends"] < self.deadline:
+            elif run["ends"] is None and moment >= run["began"] + GANG_TIMEOUT_MS:
+                self.end(task, "alone")
+            elif run["ends"] is not None and run["ends"] <= moment and run["ends"] < self.deadline:
                 self.end(task, "failed" if run["fails"] else "done")
             elif moment >= self.deadline:
                 self.end(task, "lapsed")
 
+    def join_gang(self, task, run, size, length):
+        """The members of a gang work from the moment when all of them are there."""
+        members = self.judge.gangs.setdefault((task.rpartition(".")[0], run), {})
+        members[task] = self
+        self.running[task]["gang"], self.running[task]["ends"] = members, None
+        if len(members) == size:
+            for member, worker in members.items():
+                began = worker.clock_ms()
+                worker.running[member].update(began=began, ends=began + length)
+
     def end(self, task, how):
+        if task not in self.running:
+            return
         run = self.running.pop(task)
+        if run["gang"]:
+            run["gang"].pop(task, None)
+            for member, worker in list(run["gang"].items()):
+                worker.end(member, "done" if how == "done" else "broken")
         self.over[task] = max(self.over.get(task, 0), run["run"])
         self.count += 1
         self.ended.append([self.count, task, run["run"], how, ""])
@@ -310,9 +389,12 @@
         length = int(spec["estimate-ms"] * (0.5 + self.random.random()))
         if spec.get("long-running"):
             length = 10**9
-        self.running[task] = {"run": run, "cpu": spec["cpu"], "began": self.clock_ms(),
-                              "ends": self.clock_ms() + length, "stop_at": None,
+        self.running[task] = {"run": run, "cpu": spec["cpu"], "gpu": spec.get("gpu", 0),
+                              "began": self.clock_ms(), "ends": self.clock_ms() + length,
+                              "stop_at": None, "gang": None,
                               "fails": self.random.random() < self.fail}
+        if spec.get("all-or-nothing"):
+            self.join_gang(task, run, spec["count"], length)
         return reply(200, {"clock-ms": self.clock_ms()})
 
     async def stop(self, call):
@@ -335,25 +417,62 @@
         moment = self.clock_ms()
         rows = []
         for task, run in self.running.items():
-            part = min(99, int(100 * (moment - run["began"]) / max(1, run["ends"] - run["began"])))
-            rows.append([task, run["run"], "", 100 if run["ends"] - run["began"] > 10**8 else part,
-                         0])
+            length = (run["ends"] or moment + 10**6) - run["began"]
+            part = min(99, int(100 * (moment - run["began"]) / max(1, length)))
+            rows.append([task, run["run"], "", 100 if length > 10**8 else part, 0])
         return reply(200, self.with_born(
             {"clock-ms": moment, "running": rows, "ended-runs": self.ended[:500]}))
 
 
 class Advice:
-    """Allows seven of ten workers for each step."""
+    """Tells which workers may run a step. Answers one call at a time for each calling machine.
 
-    def __init__(self):
-        self.http = HttpServer(self.handle)
+    A process keeps one connection, so each connection counts as a machine, unless all processes
+    share an address.
+    """
 
-    async def handle(self, method, path, headers, body):
-        call = json.loads(body)
-        await asyncio.sleep(0.018 + 0.00026 * len(call["workers"]))
-        good = [[worker, "ticket"] for worker in call["workers"]
-                if hashlib.md5((call["step"] + worker).encode()).digest()[0] % 10 < 7]
-        return reply(200, {"good": good, "valid-ms": 2500})
+    def __init__(self, judge, one_address):
+        self.judge, self.one_address = judge, one_address
+        self.waiting = {}
+        self.turns = {}
+        self.back_at = 0.0  # until then it answers nothing, and calls wait
+        self.port = 0
+        self.server = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader, writer):
+        machine = None if self.one_address else writer.get_extra_info("peername")
+
+        async def handle(method, path, headers, body):
+            return await self.answer(machine, json.loads(body))
+        await HttpServer(handle).serve(reader, writer)
+
+    def allows(self, step, worker):
+        prefix = self.judge.jobs[step.split(".")[0]]["prefix"]
+        if prefix not in ADVICE:
+            return True
+        # By rank, so that each step may run on some workers; a worker keeps its rank in each life.
+        drawn = {each.id: hashlib.md5(f"{step} {each.number}".encode()).digest()
+                 for each in self.judge.workers if each.takes(prefix)}
+        ranks = sorted(drawn, key=drawn.get)
+        allowed = max(MIN_ALLOWED, round(ADVICE[prefix]["allowed"] * len(ranks)))
+        return worker in ranks[:allowed]
+
+    async def answer(self, machine, call):
+        if self.waiting.get(machine, 0) >= MAX_WAITING_ADVICE:
+            return reply(429)
+        step, workers = call["step"], call["workers"]
+        cost = ADVICE[self.judge.jobs[step.split(".")[0]]["prefix"]]
+        self.waiting[machine] = self.waiting.get(machine, 0) + 1
+        async with self.turns.setdefault(machine, asyncio.Lock()):
+            self.waiting[machine] -= 1
+            await asyncio.sleep(max(0.0, self.back_at - time.monotonic()))
+            await asyncio.sleep((cost["decide-ms"] + cost["period-ms"] * len(workers)) / 1000)
+        good = [[worker, "ticket"] for worker in workers if self.allows(step, worker)]
+        return reply(200, {"good": good, "valid-ms": cost["valid-ms"]})
 
 
 class Proxy:
--- a/test/rosearch/sched/stalls_test.cc
+++ b/test/rosearch/sched/stalls_test.cc
@@ -16,6 +16,24 @@
   return job;
 }
 
+/// A job without advice whose tasks may run only in the first of three racks.
+job_spec InFirstRack(std::uint32_t count, const resources& need, seconds estimate) {
+  job_spec job;
+  job.queue = cell_world::kLongQueue;
+  job.steps.resize(1);
+  job.steps[0].count = count;
+  job.steps[0].need = need;
+  job.steps[0].estimate = estimate;
+  job.steps[0].required_label = "r0";
+  job.objective = seconds{120};
+  return job;
+}
+
+constexpr std::size_t kWorkers = 12;  ///< four in each rack
+constexpr resources kWorker{64'000, 128'000, 8};
+/// A job that could run must not stand for as long as this.
+constexpr duration kMaxStand = seconds{3};
+
 }  // namespace
 
 TEST_CASE("places are limited by the scarcest resource") {
@@ -46,6 +64,54 @@
   CHECK(world.Leader().Counts(world.Now()).stalled_steps == 0);
 }
 
+// Guards against a job that stands beside idle workers, because a gang that waits for its last
+// worker has reserved them.
+TEST_CASE("a reservation that can't be used yet keeps no job standing") {
+  cell_world world{1, {}, kWorkers, {}, {.worker = kWorker, .has_urgent_queue = false}};
+  world.Run(seconds{1});
+  (void)world.Submit(InFirstRack(1, {1'000, 1'000, 1}, seconds{20}));
+  world.Run(milliseconds{100});
+  auto gang = InFirstRack(4, {1'000, 1'000, 8}, seconds{5});
+  gang.steps[0].gang = true;
+  (void)world.Submit(std::move(gang));
+  world.Run(seconds{2});
+  REQUIRE(world.Log().Has("event=worker_reserved"));
+  const auto id = world.Submit(InFirstRack(1, {1'000, 1'000, 1}, seconds{30}));
+  world.Run(kMaxStand);
+  CHECK(world.RunningCount(id) == 1);
+}
+
+// Guards against a job that stands beside room which is reserved for urgent work that doesn't come.
+TEST_CASE("the reserve for urgent work keeps no job standing") {
+  cell_world world{1, {}, kWorkers, {}, {.worker = {10'000, 128'000, 0}}};
+  world.Run(seconds{1});
+  (void)world.Submit(InFirstRack(4, {8'500, 1'000, 0}, seconds{60}));
+  world.Run(milliseconds{500});
+  const auto id = world.Submit(InFirstRack(1, {1'000, 1'000, 0}, seconds{5}));
+  world.Run(kMaxStand);
+  CHECK(world.RunningCount(id) == 1);
+}
+
+// Guards against a job that stands because all workers that may run it were slow before.
+TEST_CASE("workers left alone for slow runs keep no job standing") {
+  scheduler_settings settings;
+  settings.quarantine = seconds{8};
+  cell_world world{1, {}, kWorkers, settings, {.worker = kWorker, .has_urgent_queue = false}};
+  // The first rack holds w1 to w4; the world numbers workers in the order of their ids as texts.
+  for (const std::size_t at : {0, 4, 5, 6}) {
+    world.SetWorkerSlowdown(at, 12);
+  }
+  world.Run(seconds{1});
+  auto wide = InFirstRack(24, {30'000, 1'000, 0}, seconds{2});
+  wide.steps[0].required_label.clear();
+  (void)world.Submit(std::move(wide));
+  world.Run(seconds{3});
+  REQUIRE(world.Log().Has("event=worker_slow"));
+  const auto id = world.Submit(InFirstRack(1, {1'000, 1'000, 0}, seconds{5}));
+  world.Run(kMaxStand);
+  CHECK(world.RunningCount(id) == 1);
+}
+
 // Guards against alarms in a cell that is full.
 TEST_CASE("a step that waits for room is not stalled") {
   cell_world world{1, {}, 1, {}, {.worker = {1'000, 4'000, 0}, .advice_allowed_tenths = 10}};
