Room that is kept back opens to a job that has stalled for 1 s (sched)

What callers saw: an accepted job stayed queued for over 3 s while workers that may run it had room for it twice over.

Cause: three policies keep free room from a step, each without a bound in time: a reservation holds until its step can start, which for a gang is when the last of its workers is free; the reserve for urgent work holds whether urgent work comes or not; a worker that was slow is excluded for up to 8 s. With 13 workers of which advice allows 4 or 5 to a step, one of them is enough to leave a step without any worker. Class: a policy that withholds a resource with no limit on how long others wait for it.

Change: a step that has stalled for 1 s (ample room, nothing of its job running) counts as starved until its next start: reservations of others, the urgent reserve and the exclusion of slow workers don't hold for it, and it is not placed behind others for being late. Workers excluded for failures stay excluded. It can be switched off as mechanism starvation.

Why it works: the bound is on the wait itself, whichever policy causes it, and leaves 2 s for a query of advice. It ends with the first start, so the policies hold for the rest of the step.

--- a/src/rosearch/sched/mechanism.h
+++ b/src/rosearch/sched/mechanism.h
@@ -29,9 +29,10 @@
   kAdviceSlots,        ///< chooses the workers of a long advice query when a process can send it
   kRateOrder,          ///< serves jobs within their customer's rate before others
   kEstimates,          ///< predicts run times from declared estimates and ended runs
+  kStarvation,         ///< opens room that is otherwise kept back to starved steps
 };
 
-inline constexpr std::size_t kMechanismCount = 18;
+inline constexpr std::size_t kMechanismCount = 19;
 
 /// A set of mechanisms.
 class mechanism_set {
--- a/src/rosearch/sched/placement_order.cc
+++ b/src/rosearch/sched/placement_order.cc
@@ -8,7 +8,7 @@
   rank.interruptible = !step.spec->service;
   rank.priority = job.priority;
   rank.finish_by = job.finish_by;
-  if (step.spec->service) {
+  if (step.spec->service || step.starved) {
     return rank;
   }
   rank.hopeless =
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -95,8 +95,9 @@
   if (!worker.MayStart() || facts.pool != step.job->pool) {
     return false;
   }
-  if ((settings_.Uses(mechanism::kHealth) && !worker.health.IsUsable(now.steady)) ||
-      !facts.HasLabel(spec.required_label)) {
+  const bool usable = step.starved ? worker.health.IsUsableIfStarved(now.steady)
+                                   : worker.health.IsUsable(now.steady);
+  if ((settings_.Uses(mechanism::kHealth) && !usable) || !facts.HasLabel(spec.required_label)) {
     return false;
   }
   if (spec.per_worker_limit > 0 && CountRunsOn(step, worker) >= spec.per_worker_limit) {
@@ -125,7 +126,7 @@
   if (!need.FitsIn(free)) {
     return false;
   }
-  if (IsUrgent(step)) {
+  if (IsUrgent(step) || step.starved) {
     return true;
   }
   const auto& capacity = worker.facts.capacity;
--- a/src/rosearch/sched/scheduler_settings.h
+++ b/src/rosearch/sched/scheduler_settings.h
@@ -87,6 +87,10 @@
   duration reservation_interval{std::chrono::milliseconds{200}};
   /// Max share of a pool's workers that is reserved at a time. Twice that brought no benefit.
   double max_reserved_share{0.34};
+  /// A step that has stalled for this long counts as starved: reservations of other steps, the
+  /// reserve for urgent work and the exclusion of slow workers don't keep it from room. Leaves time
+  /// for an advice query, as no accepted job may stand for 3 s beside room for it.
+  duration starvation_timeout{std::chrono::milliseconds{1'000}};
   /// Timeout of an advice query beyond its cost; after it the query counts as lost and is retried.
   /// The slowest of 1,600 answers took 1.7 s; this is about twice that.
   duration advice_timeout{std::chrono::milliseconds{4'000}};
--- a/src/rosearch/sched/scheduler_stalls.cc
+++ b/src/rosearch/sched/scheduler_stalls.cc
@@ -14,9 +14,6 @@
 /// Interval between two checks of one step.
 constexpr duration kCheckInterval = std::chrono::milliseconds{500};
 
-/// A shorter stall isn't logged: an advice query of long work takes that long.
-constexpr duration kLogDelay = std::chrono::milliseconds{1'500};
-
 /// Interval between two log lines about the same stalled step.
 constexpr duration kLogInterval = std::chrono::seconds{2};
 
@@ -120,11 +117,12 @@
   }
   if (step.stalled_since == time_point{}) {
     step.stalled_since = now.steady;
-    step.next_stall_log_at = now.steady + kLogDelay;
+    step.next_stall_log_at = now.steady + settings_.starvation_timeout;
   }
   if (now.steady < step.next_stall_log_at) {
     return;
   }
+  step.starved = settings_.Uses(mechanism::kStarvation);
   step.next_stall_log_at = now.steady + kLogInterval;
   step.stall_logged = true;
   log_.Write(event_line{"step_stalled", event_weight::kFailure}
@@ -154,6 +152,7 @@
                    .Add("runs", step.job->live));
   }
   step.stalled_since = time_point{};
+  step.starved = false;
 }
 
 }  // namespace rosearch::sched
--- a/src/rosearch/sched/worker_state.cc
+++ b/src/rosearch/sched/worker_state.cc
@@ -33,14 +33,14 @@
 duration worker_health::RecordSlowRun(const scheduler_settings& settings, time_point now) {
   const auto doubled = settings.quarantine * (1U << std::min(slow_quarantines_, 10U));
   const auto pause = std::min(doubled, settings.max_quarantine);
-  excluded_until_ = std::max(excluded_until_, now + pause);
+  slow_until_ = std::max(slow_until_, now + pause);
   ++slow_quarantines_;
   return pause;
 }
 
 resources worker_state::FreeFor(const step_state& step) const {
-  const bool not_its =
-      reservation && reservation->step != &step && reservation->priority <= step.job->priority;
+  const bool not_its = reservation && !step.starved && reservation->step != &step &&
+                       reservation->priority <= step.job->priority;
   return not_its ? Free() - reservation->room : Free();
 }
 
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -118,7 +118,11 @@
   /// Excludes the worker from placement until a time, without counting a failure.
   void ExcludeUntil(time_point until) { excluded_until_ = std::max(excluded_until_, until); }
 
-  [[nodiscard]] bool IsUsable(time_point now) const { return now >= excluded_until_; }
+  [[nodiscard]] bool IsUsable(time_point now) const {
+    return now >= excluded_until_ && now >= slow_until_;
+  }
+  /// @return whether a step without any other worker may use it: slow, but it runs what it is told.
+  [[nodiscard]] bool IsUsableIfStarved(time_point now) const { return now >= excluded_until_; }
   /// @return whether a task that has already failed should preferably run elsewhere.
   [[nodiscard]] bool IsSuspect() const {
     return consecutive_failures_ > 0 || quarantines_ > 0 || slow_quarantines_ > 0;
@@ -129,6 +133,7 @@
   std::uint32_t quarantines_{0};
   std::uint32_t slow_quarantines_{0};
   time_point excluded_until_{};
+  time_point slow_until_{};
 };
 
 /// State of the leader's session with a worker.
