Late advice queries stay in flight; another process sends them a second time (cell)

What callers saw: accepted jobs of kinds with slow advice stayed queued for many seconds beside free room, many at a time, and went on doing so when the load was gone.

Cause: an advice query was given up 0.8 s beyond its expected duration and sent again 250 ms later, through the first free process of the list. The service works on one query at a time for each calling machine, in turn, and also on those that were given up. Where answers are late for once (the service stops or slows down, or takes several processes for one machine), each repeat adds work in front of the next query, so answers stay late. A process without a way to the service was free again after each time-out and, being the first of the list, got the next query as well.

Evidence: real processes (soak/cell, 15 s, one calling machine): 158 of 4,415 queries answered; 74 of 225 jobs had not ended 29 s after the callers had stopped. A trial with the former dispatcher in virtual time: 20 steps at once, each process one query at a time, one calling machine: 230 queries in a minute, 18 steps without any answer; a query that got none from process "1" went to "1" again.

Change: a process sends its next query only when the one before has ended, and an answer is waited for 8 s beyond its expected duration. After 0.8 s it is late: if a process that answers in time is free, it sends the query once more, on a new connection; where none does, the service itself is late and a copy would make it later. A process that was late or silent is left out for 2 s to 16 s while others are free. The first answer serves the step; the scheduler isn't told of a copy that failed.

Why it works: the cell has at most one query for each process at the service, so its answers come in at most that many turns and all of them count, while a lost answer costs the same 0.8 s as before.

Tried and not taken: long queries that name as many workers as a quarter of their base cost pays for.

--- a/src/rosearch/cell/cell_metrics.cc
+++ b/src/rosearch/cell/cell_metrics.cc
@@ -12,6 +12,8 @@
 
 constexpr std::array kMetrics{
     metric_help{"rosearch_advice_seconds", "Time from an advice request to its answer."},
+    metric_help{"rosearch_advice_hedged_total",
+                "Late advice requests that another process sent a second time."},
     metric_help{"rosearch_advice_unanswered_total",
                 "Advice requests that got no answer, by the process that sent them."},
     metric_help{"rosearch_advice_unused_total",
--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -141,20 +141,30 @@
   while (auto next = advice_.TakeNext(SteadyNow())) {
     const auto asked_at = SteadyNow();
     const auto& request = *next;
-    ports_.Advise(request.helper, request.query,
+    if (request.hedge) {
+      metrics_.Count("rosearch_advice_hedged_total");
+    }
+    ports_.Advise({request.helper, request.hedge}, request.query,
                   Bind([asked = request, asked_at](
                            leader& self, const std::vector<sched::advised_worker>* allowed) {
-                    self.advice_.ReleaseHelper(asked.helper);
-                    self.metrics_.Observe("rosearch_advice_seconds", SteadyNow() - asked_at);
-                    if (allowed == nullptr) {
-                      self.RecordUnansweredAdvice(asked, asked_at);
-                    }
-                    self.scheduler_.OnAdvice(asked.query, allowed, Now());
-                    self.PostPump();
+                    self.OnAdviceEnd(asked, asked_at, allowed);
                   }));
   }
 }
 
+template <typename Ports>
+void leader<Ports>::OnAdviceEnd(const advice_dispatcher::assignment& asked, time_point asked_at,
+                                const std::vector<sched::advised_worker>* allowed) {
+  metrics_.Observe("rosearch_advice_seconds", SteadyNow() - asked_at);
+  if (allowed == nullptr) {
+    RecordUnansweredAdvice(asked, asked_at);
+  }
+  if (advice_.OnEnd(asked, allowed != nullptr, SteadyNow())) {
+    scheduler_.OnAdvice(asked.query, allowed, Now());
+  }
+  PostPump();
+}
+
 template <typename Ports>
 void leader<Ports>::RecordUnansweredAdvice(const advice_dispatcher::assignment& asked,
                                            time_point asked_at) {
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -294,6 +294,9 @@
   void Dispatch(sched::pace_order&& decided) { ports_.Pace(decided, epoch_); }
   void Dispatch(sched::advice_query&& decided) { advice_.Add(std::move(decided), SteadyNow()); }
   void AskForAdvice();
+  /// @param allowed  null if the service didn't answer.
+  void OnAdviceEnd(const advice_dispatcher::assignment& asked, time_point asked_at,
+                   const std::vector<sched::advised_worker>* allowed);
   void RecordUnansweredAdvice(const advice_dispatcher::assignment& asked, time_point asked_at);
   void Watch(const std::string& worker);
   void WatchNewWorkers();
--- a/src/rosearch/cell/ports.h
+++ b/src/rosearch/cell/ports.h
@@ -61,6 +61,13 @@
 /// is older than that of a newer leader.
 using stop_callback = std::function<void(bool acknowledged, bool stale_fence)>;
 using watch_callback = std::function<void(watch_answer)>;
+/// How an advice query is sent.
+struct advice_route {
+  std::string helper;            ///< peer that sends it; empty: this process does
+  bool fresh_connection{false};  ///< a kept connection may have gone silent
+
+  friend bool operator==(const advice_route&, const advice_route&) = default;
+};
 using advice_callback = std::function<void(const std::vector<sched::advised_worker>*)>;
 
 /// Access of a cell's processes to the store, the workers and the formats of stored records, in the
@@ -73,7 +80,8 @@
                               const std::string& text, duration wait,
                               const sched::start_order& start, const sched::stop_order& stop,
                               const sched::pace_order& pace, const sched::watch_request& watch,
-                              const sched::advice_query& query, std::uint64_t fence) {
+                              const advice_route& route, const sched::advice_query& query,
+                              std::uint64_t fence) {
   ports.Append(which, records, proof, at, append_callback{});
   ports.Read(which, from, wait, log_callback{});
   ports.ReadNewest(which, text, newest_callback{});
@@ -81,7 +89,7 @@
   ports.Stop(stop, fence, stop_callback{});
   ports.Pace(pace, fence);
   ports.Watch(watch, fence, watch_callback{});
-  ports.Advise(text, query, advice_callback{});
+  ports.Advise(route, query, advice_callback{});
   { Ports::DecodeConfiguration(text) } -> std::same_as<result<sched::cell_configuration>>;
   { Ports::ConfigurationKey() } -> std::convertible_to<std::string_view>;
   { Ports::DecodeWorker(text, text) } -> std::same_as<result<sched::worker_facts>>;
--- a/src/rosearch/sched/order.h
+++ b/src/rosearch/sched/order.h
@@ -55,6 +55,7 @@
   std::vector<std::string> workers;
   advice_cost cost;
   std::uint32_t priority{0};
+  time_point asked_at{};  ///< when the scheduler decided to send it
 
   friend bool operator==(const advice_query&, const advice_query&) = default;
 };
@@ -64,6 +65,11 @@
   return query.cost.base + query.cost.per_worker * static_cast<int>(query.workers.size());
 }
 
+/// Beyond its expected duration, the answer to a query is waited for this long. An advice service
+/// that is slow for a while, or that takes several processes for one caller, still answers in this
+/// time; given up earlier, its answers would be lost and its queries repeated for nothing.
+inline constexpr duration kMaxAdviceDelay = std::chrono::milliseconds{8'000};
+
 /// Base cost above which queries are long. Lies between those of urgent work (40 ms) and of long
 /// work (150 ms and more).
 inline constexpr duration kLongQueryCost = std::chrono::milliseconds{100};
--- a/src/rosearch/sched/scheduler_advice.cc
+++ b/src/rosearch/sched/scheduler_advice.cc
@@ -175,7 +175,8 @@
 
 void scheduler::SendAdviceQuery(step_state& step, std::vector<std::string> workers,
                                 std::uint32_t tasks, const instant& now) {
-  advice_query query{step.Name(), std::move(workers), *step.job->advice, step.job->priority};
+  advice_query query{step.Name(), std::move(workers), *step.job->advice, step.job->priority,
+                     now.steady};
   advice_unused_ += step.advice.HasUnusedAnswer() ? 1 : 0;
   step.advice.RecordQuery(now.steady, now.steady + QueryCost(query) + settings_.advice_timeout);
   log_.Write(event_line{"advice_asked", event_weight::kDetail}
@@ -235,8 +236,7 @@
   share += kAdvisedShareWeight * (answered_share - share);
   for (const auto& worker : query.workers) {
     const auto restarted = workers_.find(worker);
-    if (restarted != workers_.end() &&
-        restarted->second->born_known_at > step->advice.query_sent_at()) {
+    if (restarted != workers_.end() && restarted->second->born_known_at > query.asked_at) {
       continue;  // the advice is about the former incarnation
     }
     const auto given = std::ranges::find(*allowed, worker, &advised_worker::worker);
@@ -251,7 +251,7 @@
                  .Add("step", query.step)
                  .Add("asked", query.workers.size())
                  .Add("allowed", allowed->size())
-                 .Add("took_ms", now.steady - step->advice.query_sent_at()));
+                 .Add("took_ms", now.steady - query.asked_at));
 }
 
 }  // namespace rosearch::sched
--- a/src/rosearch/sched/scheduler_settings.h
+++ b/src/rosearch/sched/scheduler_settings.h
@@ -92,8 +92,9 @@
   /// for an advice query, as no accepted job may stand for 3 s beside room for it.
   duration starvation_timeout{std::chrono::milliseconds{1'000}};
   /// Timeout of an advice query beyond its cost; after it the query counts as lost and is retried.
-  /// The slowest of 1,600 answers took 1.7 s; this is about twice that.
-  duration advice_timeout{std::chrono::milliseconds{4'000}};
+  /// Longer than `kMaxAdviceDelay`, after which the process that sent it reports that it has no
+  /// answer.
+  duration advice_timeout{std::chrono::milliseconds{10'000}};
   /// Share of the slack in a job's objective that the expected waiting time may use; a job that
   /// would wait longer is refused.
   double admission_slack{0.9};
--- a/test/rosearch/cell/fake_ports.h
+++ b/test/rosearch/cell/fake_ports.h
@@ -104,7 +104,7 @@
       done(answer);
     });
   }
-  void Advise(const std::string&, const sched::advice_query&, const advice_callback&) {}
+  void Advise(const advice_route&, const sched::advice_query&, const advice_callback&) {}
 
   static result<sched::cell_configuration> DecodeConfiguration(const std::string& text) {
     sched::cell_configuration decoded;
--- a/test/rosearch/sched/stalls_test.cc
+++ b/test/rosearch/sched/stalls_test.cc
@@ -59,7 +59,7 @@
   CHECK(world.Log().Has("event=step_stalled job=" + id));
   CHECK(world.Log().Has("advice=in_flight"));
   world.ClearFaults();
-  world.Run(seconds{5});
+  world.Run(scheduler_settings{}.advice_timeout);
   CHECK(world.Log().Has("event=step_stall_ended job=" + id));
   CHECK(world.Leader().Counts(world.Now()).stalled_steps == 0);
 }
