Gangs that need more accelerators than the pool has are refused at once (sched)

What callers saw: a job whose gang can never fit was accepted and stayed queued for ever.

Cause: admission counted how many members fit on a worker by processors and memory alone. A gang of 3 members with 8 accelerators each passed in a pool of two workers with 8.

Change: admission counts with resources::CountIn, which knows all three kinds of resources; the function of its own is gone.

--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -40,15 +40,6 @@
 /// any size.
 constexpr duration kMinMeasureIntervalPerWorker = std::chrono::microseconds{50};
 
-/// @return number of tasks with this need that fit by processors and memory; negative if `room` is
-///         overcommitted.
-std::int64_t CountFitting(const resources& need, const resources& room) {
-  const auto by_processor =
-      room.processors_milli / std::max<std::int64_t>(1, need.processors_milli);
-  const auto by_memory = room.memory_mb / std::max<std::int64_t>(1, need.memory_mb);
-  return std::min(by_processor, by_memory);
-}
-
 }  // namespace
 
 job_state* scheduler::FindJob(std::string_view id) {
@@ -127,11 +118,11 @@
       const auto& facts = worker->facts;
       if (facts.pool == job.pool && facts.HasLabel(step.required_label) &&
           step.need.FitsIn(facts.capacity)) {
-        auto max_tasks = static_cast<std::uint32_t>(CountFitting(step.need, facts.capacity));
+        auto max_tasks = std::min<std::int64_t>(step.need.CountIn(facts.capacity), step.count);
         if (step.per_worker_limit > 0) {
-          max_tasks = std::min(max_tasks, step.per_worker_limit);
+          max_tasks = std::min<std::int64_t>(max_tasks, step.per_worker_limit);
         }
-        fitting += std::max(1U, max_tasks);
+        fitting += static_cast<std::uint32_t>(max_tasks);
       }
     }
     if (fitting < wanted) {
@@ -166,7 +157,7 @@
     auto room = worker->Free();
     room.processors_milli -= static_cast<std::int64_t>(
         reserved_share * static_cast<double>(facts.capacity.processors_milli));
-    fitting += std::max<std::int64_t>(0, CountFitting(step.need, room));
+    fitting += std::min<std::int64_t>(step.need.CountIn(room), step.count);
   }
   return fitting >= static_cast<std::int64_t>(step.count);
 }
--- a/test/rosearch/sched/stalls_test.cc
+++ b/test/rosearch/sched/stalls_test.cc
@@ -112,6 +112,20 @@
   CHECK(world.RunningCount(id) == 1);
 }
 
+// Guards against an accepted job that can never run, since its gang needs more accelerators than
+// all workers have.
+TEST_CASE("a gang with too many accelerators for the pool is refused") {
+  cell_world world{1, {}, 2, {}, {.worker = kWorker, .has_urgent_queue = false}};
+  world.Run(seconds{1});
+  const auto gang = [](std::uint32_t members) {
+    auto job = InFirstRack(members, {1'000, 1'000, 8}, seconds{5});
+    job.steps[0].gang = true;
+    return job;
+  };
+  CHECK_FALSE(world.Refused(world.Submit(gang(2))));
+  CHECK(world.Refused(world.Submit(gang(3))));
+}
+
 // Guards against alarms in a cell that is full.
 TEST_CASE("a step that waits for room is not stalled") {
   cell_world world{1, {}, 1, {}, {.worker = {1'000, 4'000, 0}, .advice_allowed_tenths = 10}};
