A signal to the thread that waits for peers ends nothing (net)

Cause: zmq::poll throws where a signal interrupts it, and nobody caught that in the thread of the peer transport. Class: an interrupted system call taken for a failure. The other waits of the program are Asio's, which repeats them.

--- a/src/rosearch/net/peer_transport.cc
+++ b/src/rosearch/net/peer_transport.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <atomic>
+#include <cerrno>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -106,7 +107,7 @@
       if (events_) {
         items.push_back({events_.handle(), 0, ZMQ_POLLIN, 0});
       }
-      zmq::poll(items, std::chrono::milliseconds{-1});
+      WaitForMessages(items);
       ReceiveAll();
       Watch();
       ReceiveEvents();
@@ -115,6 +116,18 @@
     }
   }
 
+  /// Waits until a socket has a message, or a signal interrupts the thread: the kernel also does so
+  /// when a stopped process goes on.
+  static void WaitForMessages(std::vector<zmq::pollitem_t>& items) {
+    try {
+      zmq::poll(items, std::chrono::milliseconds{-1});
+    } catch (const zmq::error_t& failed) {
+      if (failed.num() != EINTR) {
+        throw;
+      }
+    }
+  }
+
   /// Follows `WatchConnection`, on the thread that owns the sockets.
   void Watch() {
     std::string wanted;
--- a/test/rosearch/net/peer_transport_test.cc
+++ b/test/rosearch/net/peer_transport_test.cc
@@ -1,5 +1,9 @@
 #include "rosearch/net/peer_transport.h"
 
+#include <pthread.h>
+#include <signal.h>
+#include <unistd.h>
+
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -77,4 +81,34 @@
   CHECK(HoldsSoon(from, 2));
 }
 
+// Guards against a process that aborts when a signal interrupts the thread which waits for peers,
+// as when a stopped process goes on.
+TEST_CASE("a signal to the thread of a transport ends nothing") {
+  struct sigaction former {};
+  struct sigaction quiet {};
+  quiet.sa_handler = [](int) {};
+  REQUIRE(sigaction(SIGUSR1, &quiet, &former) == 0);
+  std::atomic<int> received{0};
+  peer_transport transport{"127.0.0.1:0", [&received](const std::string&) { ++received; }};
+  sigset_t signals;
+  sigset_t former_mask;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGUSR1);
+  // Blocked here, so that the transport's thread gets it.
+  REQUIRE(pthread_sigmask(SIG_BLOCK, &signals, &former_mask) == 0);
+  constexpr int kSignals = 20;
+  for (int at = 0; at < kSignals; ++at) {
+    std::this_thread::sleep_for(milliseconds{5});
+    REQUIRE(kill(getpid(), SIGUSR1) == 0);
+  }
+  const auto until = std::chrono::steady_clock::now() + std::chrono::seconds{3};
+  while (received == 0 && std::chrono::steady_clock::now() < until) {
+    transport.Send(transport.address(), "hello");
+    std::this_thread::sleep_for(milliseconds{10});
+  }
+  CHECK(received > 0);
+  REQUIRE(pthread_sigmask(SIG_SETMASK, &former_mask, nullptr) == 0);
+  REQUIRE(sigaction(SIGUSR1, &former, nullptr) == 0);
+}
+
 }  // namespace rosearch
