The bound on stalls holds for every step, and for gangs whose room is used (sched)

Cause, each shown by a case of the review: the check ran out of its budget at the first 30 steps of the list in each tick, so in a cell of 760 workers a step behind 40 others was never checked; the first start of a service ended the stall of all its tasks; tasks on leftover processors weren't checked; workers excluded for failures stayed closed, though jobs that fail by their own fault exclude sound workers, too.

Change: the check goes on where the last tick stopped. The stall of a service ends when no task of it waits. A starved step may use a worker that is excluded for failures if each of its tasks may fail once more without failing the job. A reservation yields to one starved step, then it is firm for twice the time of that step's run and 2 s.

Why it works: a step with ample room is checked within a second in any cell, and nothing but its own last attempt keeps it from that room; a gang gets at least half of the time to find all its workers free.

--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -80,6 +80,9 @@
   time_point stalled_since{};             ///< since then it has ample room; zero: it isn't stalled
   time_point next_stall_check_at{};       ///< earliest next check whether it is stalled
   time_point next_stall_log_at{};         ///< earliest next log line about its stall
+  /// Until then no starved step but `yielded_to` may use the workers that this step has reserved.
+  time_point reservations_firm_until{};
+  const step_state* yielded_to{nullptr};  ///< identity only; never dereferenced
   bool starved{false};                    ///< see `scheduler_settings::starvation_timeout`
   bool stall_logged{false};               ///< its present stall was logged
   bool awaits_advice_slot{false};         ///< no process could send its advice query
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -486,6 +486,9 @@
   void PlaceTasks(step_state& step, const instant& now);
   [[nodiscard]] bool IsEligible(const step_state& step, const task_state* task,
                                 const worker_state& worker, const instant& now) const;
+  /// @return whether each task of a step may fail once more without failing the job. Only then may
+  ///         a starved step use a worker that is excluded for failures.
+  [[nodiscard]] static bool HasSpareAttempt(const step_state& step);
   /// @return the share of each worker of a pool that is reserved for urgent work. Zero if no queue
   ///         of the pool is urgent: a reserve would then only waste room, such as every second
   ///         place for tasks that need half of a worker's processors.
@@ -585,6 +588,8 @@
   void DetectStalls(const instant& now);
   void CheckStall(step_state& step, const instant& now);
   void EndStall(step_state& step, const instant& now);
+  /// Records that a starved step starts a run on a worker, which another step may have reserved.
+  void RecordUseOfReservation(const worker_state& worker, const step_state& by, const instant& now);
 
   // scheduler_views.cc
   [[nodiscard]] wait_view DiagnoseWait(const step_state& step, const instant& now) const;
@@ -652,6 +657,8 @@
   std::map<std::uint64_t, stored_effects> storing_;
   time_point next_forget_{};
   time_point restored_at_{};
+  std::size_t stall_cursor_{
+      0};  ///< index in `waiting_steps_` of the next step to check for a stall
   bool has_unread_usage_{false};  ///< `EstimateUnreadUsage` found some
 };
 
--- a/src/rosearch/sched/scheduler_placement.cc
+++ b/src/rosearch/sched/scheduler_placement.cc
@@ -95,8 +95,9 @@
   if (!worker.MayStart() || facts.pool != step.job->pool) {
     return false;
   }
-  const bool usable = step.starved ? worker.health.IsUsableIfStarved(now.steady)
-                                   : worker.health.IsUsable(now.steady);
+  const bool usable =
+      worker.health.IsUsable(now.steady) ||
+      (step.starved && (!worker.health.IsFailing(now.steady) || HasSpareAttempt(step)));
   if ((settings_.Uses(mechanism::kHealth) && !usable) || !facts.HasLabel(spec.required_label)) {
     return false;
   }
@@ -111,6 +112,12 @@
       step.runs, [&](const auto* run) { return run->worker == &worker && run->index == index; });
 }
 
+bool scheduler::HasSpareAttempt(const step_state& step) {
+  return std::ranges::all_of(step.tasks, [&](const auto& task) {
+    return task.failed_runs.size() + 1 < step.job->max_attempts;
+  });
+}
+
 double scheduler::UrgentReserveShare(const std::string& pool) const {
   const bool reserved = settings_.Uses(mechanism::kReserve) && urgent_pools_.contains(pool);
   return reserved ? settings_.urgent_reserve : 0.0;
--- a/src/rosearch/sched/scheduler_reservations.cc
+++ b/src/rosearch/sched/scheduler_reservations.cc
@@ -142,8 +142,12 @@
   }
   step.reserves_room = true;
   for (auto* const worker : chosen) {
-    worker->reservation = room_reservation{&step, step.job->priority, step.spec->need,
-                                           now.steady + 2 * settings_.reservation_interval};
+    worker->reservation = room_reservation{&step,
+                                           step.job->priority,
+                                           step.spec->need,
+                                           now.steady + 2 * settings_.reservation_interval,
+                                           now.steady < step.reservations_firm_until,
+                                           step.yielded_to};
     const bool stops = !step.spec->need.FitsIn(worker->FreeFor(step)) &&
                        settings_.Uses(mechanism::kPreemption) &&
                        PreemptOnWorker(step, *worker, now);
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -110,7 +110,11 @@
   auto& run = AttachRun(step, index, worker, number, now);
   run.ticket = std::move(ticket);
   step.advice.RecordUse();
-  EndStall(step, now);
+  RecordUseOfReservation(worker, step, now);
+  // Each task of a service is restarted by itself, so the others of the step go on waiting.
+  if (!step.spec->service || step.CountIdleTasks() == 0) {
+    EndStall(step, now);
+  }
   run.checkpoint = std::move(checkpoint);
   if (run.checkpoint.empty()) {
     run.measured_from = progress_mark{now.steady, 0};
--- a/src/rosearch/sched/scheduler_stalls.cc
+++ b/src/rosearch/sched/scheduler_stalls.cc
@@ -18,15 +18,20 @@
 constexpr duration kLogInterval = std::chrono::seconds{2};
 
 /// Max workers that are considered per tick, so that the check costs the same in cells of any size;
-/// in a large cell with many waiting steps some steps are checked less often.
-constexpr std::size_t kMaxWorkersPerTick = 2'000;
+/// in a large cell with many waiting steps each is checked less often.
+constexpr std::size_t kMaxWorkersPerTick = 4'000;
+
+/// After a starved step has used a reserved worker, the reservation holds against others for twice
+/// the time of its run and this long. Otherwise a gang whose workers are used again and again would
+/// never find all of them free.
+constexpr duration kFirmMargin = std::chrono::seconds{2};
 
 }  // namespace
 
 bool scheduler::MayStall(const step_state& step, const instant& now) const {
   const auto& job = *step.job;
   const bool runs = !step.spec->service && job.live > 0;
-  if (runs || step.spec->uses_leftover || step.at_limit || !IsStartable(step)) {
+  if (runs || step.at_limit || !IsStartable(step)) {
     return false;
   }
   return std::ranges::any_of(step.tasks, [&](const auto& task) {
@@ -58,7 +63,9 @@
   if (!open) {
     return 0;
   }
-  auto places = static_cast<std::size_t>(step.spec->need.CountIn(worker.Free()));
+  auto need = step.spec->need;
+  need.processors_milli = RequiredProcessorsMilli(step);
+  auto places = static_cast<std::size_t>(need.CountIn(worker.Free()));
   if (step.spec->per_worker_limit > 0) {
     const auto runs = CountRunsOn(step, worker);
     const auto left = step.spec->per_worker_limit - std::min(step.spec->per_worker_limit, runs);
@@ -97,14 +104,20 @@
 }
 
 void scheduler::DetectStalls(const instant& now) {
+  // Starts where the last tick ran out of its budget, so that each step has its turn.
+  const auto count = waiting_steps_.size();
+  const auto first = stall_cursor_;
   std::size_t considered = 0;
-  for (auto* const step : waiting_steps_) {
-    if (!MayStall(*step, now)) {
-      EndStall(*step, now);
-    } else if (now.steady >= step->next_stall_check_at && considered < kMaxWorkersPerTick) {
+  for (std::size_t at = 0; at < count; ++at) {
+    const auto index = (first + at) % count;
+    auto& step = *waiting_steps_[index];
+    if (!MayStall(step, now)) {
+      EndStall(step, now);
+    } else if (now.steady >= step.next_stall_check_at && considered < kMaxWorkersPerTick) {
       considered += workers_.size();
-      step->next_stall_check_at = now.steady + kCheckInterval;
-      CheckStall(*step, now);
+      step.next_stall_check_at = now.steady + kCheckInterval;
+      CheckStall(step, now);
+      stall_cursor_ = index + 1;
     }
   }
 }
@@ -143,6 +156,25 @@
                  .Add("asked_ms_ago", view.asked_ago));
 }
 
+void scheduler::RecordUseOfReservation(const worker_state& worker, const step_state& by,
+                                       const instant& now) {
+  if (!worker.reservation || worker.reservation->step == &by || !by.starved) {
+    return;
+  }
+  const auto* const holder = worker.reservation->step;
+  const auto found = std::ranges::find(open_steps_, holder);
+  if (found != open_steps_.end()) {
+    (*found)->reservations_firm_until = now.steady + 2 * by.RunTime() + kFirmMargin;
+    (*found)->yielded_to = &by;
+  }
+  for (const auto& [id, each] : workers_) {
+    if (each->reservation && each->reservation->step == holder) {
+      each->reservation->firm = true;
+      each->reservation->yielded_to = &by;
+    }
+  }
+}
+
 void scheduler::EndStall(step_state& step, const instant& now) {
   if (std::exchange(step.stall_logged, false)) {
     log_.Write(event_line{"step_stall_ended", event_weight::kFailure}
--- a/src/rosearch/sched/worker_state.cc
+++ b/src/rosearch/sched/worker_state.cc
@@ -39,8 +39,9 @@
 }
 
 resources worker_state::FreeFor(const step_state& step) const {
-  const bool not_its = reservation && !step.starved && reservation->step != &step &&
-                       reservation->priority <= step.job->priority;
+  const bool not_its = reservation && reservation->step != &step &&
+                       reservation->priority <= step.job->priority &&
+                       (!step.starved || (reservation->firm && reservation->yielded_to != &step));
   return not_its ? Free() - reservation->room : Free();
 }
 
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -121,8 +121,8 @@
   [[nodiscard]] bool IsUsable(time_point now) const {
     return now >= excluded_until_ && now >= slow_until_;
   }
-  /// @return whether a step without any other worker may use it: slow, but it runs what it is told.
-  [[nodiscard]] bool IsUsableIfStarved(time_point now) const { return now >= excluded_until_; }
+  /// @return whether it is excluded for failures or refusals, not only for slow runs.
+  [[nodiscard]] bool IsFailing(time_point now) const { return now < excluded_until_; }
   /// @return whether a task that has already failed should preferably run elsewhere.
   [[nodiscard]] bool IsSuspect() const {
     return consecutive_failures_ > 0 || quarantines_ > 0 || slow_quarantines_ > 0;
@@ -150,6 +150,8 @@
   std::uint32_t priority{0};
   resources room{};
   time_point until{};  ///< when the reservation expires
+  bool firm{false};    ///< holds against starved steps, too, but for `yielded_to`
+  const step_state* yielded_to{nullptr};  ///< identity only; never dereferenced
 
   friend bool operator==(const room_reservation&, const room_reservation&) = default;
 };
--- a/test/rosearch/sched/stalls_test.cc
+++ b/test/rosearch/sched/stalls_test.cc
@@ -1,4 +1,7 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
+#include <string>
 
 #include "rosearch/sched/cell_world.h"
 
@@ -17,7 +20,7 @@
 }
 
 /// A job without advice whose tasks may run only in the first of three racks.
-job_spec InFirstRack(std::uint32_t count, const resources& need, seconds estimate) {
+job_spec InFirstRack(std::uint32_t count, const resources& need, milliseconds estimate) {
   job_spec job;
   job.queue = cell_world::kLongQueue;
   job.steps.resize(1);
@@ -34,6 +37,31 @@
 /// A job that could run must not stand for as long as this.
 constexpr duration kMaxStand = seconds{3};
 
+/// A gang that needs all workers of the first rack whole.
+job_spec WholeRackGang() {
+  auto job = InFirstRack(4, {1'000, 1'000, 8}, seconds{5});
+  job.steps[0].gang = true;
+  return job;
+}
+
+/// Occupies one worker of the first rack, so that a gang which needs all of them reserves the rest.
+void ReserveFirstRack(cell_world& world, seconds for_time) {
+  world.Run(seconds{1});
+  (void)world.Submit(InFirstRack(1, {1'000, 1'000, 1}, for_time));
+  world.Run(milliseconds{100});
+  (void)world.Submit(WholeRackGang());
+  world.Run(seconds{2});
+  REQUIRE(world.Log().Has("event=worker_reserved"));
+}
+
+/// @return whether a job was reported as stalled with this part in the line.
+bool Stalled(const cell_world& world, const std::string& id, const std::string& part) {
+  return std::ranges::any_of(world.Log().lines, [&](const std::string& line) {
+    return line.find("event=step_stalled job=" + id + ' ') != std::string::npos &&
+           line.find(part) != std::string::npos;
+  });
+}
+
 }  // namespace
 
 TEST_CASE("places are limited by the scarcest resource") {
@@ -67,18 +95,96 @@
 // Guards against a job that stands beside idle workers, because a gang that waits for its last
 // worker has reserved them.
 TEST_CASE("a reservation that can't be used yet keeps no job standing") {
+  cell_world world{1, {}, kWorkers, {}, {.worker = kWorker, .has_urgent_queue = false}};
+  ReserveFirstRack(world, seconds{20});
+  const auto id = world.Submit(InFirstRack(1, {1'000, 1'000, 1}, seconds{30}));
+  world.Run(kMaxStand);
+  CHECK(world.RunningCount(id) == 1);
+  CHECK(Stalled(world, id, " workers=4 reserved=4 "));
+}
+
+// Guards against a service of which most tasks stand, because one of them has started.
+TEST_CASE("a reservation that can't be used yet keeps no task of a service standing") {
+  cell_world world{1, {}, kWorkers, {}, {.worker = kWorker, .has_urgent_queue = false}};
+  ReserveFirstRack(world, seconds{40});
+  auto service = InFirstRack(8, {1'000, 1'000, 1}, seconds{30});
+  service.steps[0].service = true;
+  const auto id = world.Submit(std::move(service));
+  world.Run(kMaxStand);
+  CHECK(world.RunningCount(id) == 8);
+}
+
+TEST_CASE("a reservation that can't be used yet keeps no task on leftover processors standing") {
+  cell_world world{1, {}, kWorkers, {}, {.worker = kWorker, .has_urgent_queue = false}};
+  ReserveFirstRack(world, seconds{40});
+  auto job = InFirstRack(1, {1'000, 1'000, 1}, seconds{30});
+  job.steps[0].uses_leftover = true;
+  const auto id = world.Submit(std::move(job));
+  world.Run(kMaxStand);
+  CHECK(world.RunningCount(id) == 1);
+}
+
+// Guards against a gang whose reserved workers are used by one small job after the other.
+TEST_CASE("small jobs that stall one after the other keep no gang from its workers") {
   cell_world world{1, {}, kWorkers, {}, {.worker = kWorker, .has_urgent_queue = false}};
   world.Run(seconds{1});
-  (void)world.Submit(InFirstRack(1, {1'000, 1'000, 1}, seconds{20}));
+  (void)world.Submit(InFirstRack(1, {1'000, 1'000, 1}, seconds{4}));
   world.Run(milliseconds{100});
-  auto gang = InFirstRack(4, {1'000, 1'000, 8}, seconds{5});
-  gang.steps[0].gang = true;
-  (void)world.Submit(std::move(gang));
-  world.Run(seconds{2});
-  REQUIRE(world.Log().Has("event=worker_reserved"));
-  const auto id = world.Submit(InFirstRack(1, {1'000, 1'000, 1}, seconds{30}));
+  const auto gang = world.Submit(WholeRackGang());
+  for (int at = 0; at < 40 && world.RunningCount(gang) == 0; ++at) {
+    (void)world.Submit(InFirstRack(1, {1'000, 1'000, 1}, seconds{4}));
+    world.Run(milliseconds{500});
+  }
+  CHECK(world.RunningCount(gang) == 4);
+}
+
+// Guards against steps that are never checked, because too many others wait before them.
+TEST_CASE("a stalled step is found behind many that wait for room") {
+  constexpr std::size_t kManyWorkers = 760;
+  cell_world world{1, {}, kManyWorkers, {}, {.worker = {10'000, 128'000, 0}}};
+  world.Run(seconds{1});
+  (void)world.Submit(InFirstRack(4, {8'500, 1'000, 0}, seconds{60}));
+  world.Run(milliseconds{500});
+  for (int at = 0; at < 40; ++at) {
+    (void)world.Submit(InFirstRack(1, {9'000, 1'000, 0}, seconds{5}));
+  }
+  const auto id = world.Submit(InFirstRack(1, {1'000, 1'000, 0}, seconds{5}));
+  world.Run(kMaxStand);
+  CHECK(world.RunningCount(id) == 1);
+}
+
+// Guards against a job that stands because jobs which fail by their own fault ran before it.
+TEST_CASE("workers left alone for failures keep no job standing") {
+  cell_world world{1, {}, kWorkers, {}, {.worker = kWorker, .has_urgent_queue = false}};
+  world.Run(seconds{1});
+  world.SetFaults({.run_fails = 1});
+  for (int at = 0; at < 12; ++at) {
+    (void)world.Submit(InFirstRack(4, {8'000, 1'000, 0}, seconds{1}));
+  }
+  world.Run(seconds{4});
+  world.ClearFaults();
+  const auto id = world.Submit(InFirstRack(1, {1'000, 1'000, 0}, seconds{5}));
   world.Run(kMaxStand);
   CHECK(world.RunningCount(id) == 1);
+  CHECK(Stalled(world, id, " left_alone=4 "));
+}
+
+// Guards against a job that fails for good, because it was sent to workers which fail everything.
+TEST_CASE("a starved task doesn't risk its last attempt on a failing worker") {
+  scheduler_settings settings;
+  settings.quarantine = seconds{8};
+  cell_world world{1, {}, kWorkers, settings, {.worker = kWorker, .has_urgent_queue = false}};
+  for (const std::size_t at : {0, 4, 5, 6}) {
+    world.MakeWorkerFail(at);
+  }
+  world.Run(seconds{1});
+  for (int at = 0; at < 4; ++at) {
+    (void)world.Submit(InFirstRack(4, {8'000, 1'000, 0}, milliseconds{500}));
+  }
+  world.Run(seconds{2});
+  const auto id = world.Submit(InFirstRack(1, {1'000, 1'000, 0}, milliseconds{300}));
+  world.Run(seconds{5});
+  CHECK(world.Phase(id) != job_phase::kFailed);
 }
 
 // Guards against a job that stands beside room which is reserved for urgent work that doesn't come.
@@ -90,6 +196,7 @@
   const auto id = world.Submit(InFirstRack(1, {1'000, 1'000, 0}, seconds{5}));
   world.Run(kMaxStand);
   CHECK(world.RunningCount(id) == 1);
+  CHECK(Stalled(world, id, " workers=4 reserved=0 urgent_reserve=4 "));
 }
 
 // Guards against a job that stands because all workers that may run it were slow before.
@@ -110,6 +217,7 @@
   const auto id = world.Submit(InFirstRack(1, {1'000, 1'000, 0}, seconds{5}));
   world.Run(kMaxStand);
   CHECK(world.RunningCount(id) == 1);
+  CHECK(Stalled(world, id, " workers=4 reserved=0 urgent_reserve=0 left_alone=4 "));
 }
 
 // Guards against an accepted job that can never run, since its gang needs more accelerators than
