A task whose order a worker never answers is ordered from another one (sched)

What callers saw: a job shown as running of which nothing ran, while workers were idle.

Cause: after three attempts without an answer the run is stopped, and its end counted neither against the worker nor as the task's last failure, so the same worker was chosen again. Class: no memory of who failed, as in the advice queries.

Change: the worker is recorded as failing, as for a run without progress, and the task prefers another.

Evidence: 'a task whose order a worker never answers goes to another worker' fails before (one worker) and passes now; test_sched: 140 cases pass. What stays: such a job has an order in progress, so step_stalled doesn't report it; rosearch_oldest_unconfirmed_seconds does.

--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -376,6 +376,11 @@
       OrderStop(*run, now);
       LogRepeatedOrder(*run, "stop");
     } else if (run->phase == run_phase::kUnsure && run->tries >= settings_.max_start_attempts) {
+      // Without this the next run of the task would be ordered from the same worker again.
+      worker.health.RecordFailure(settings_, now.steady);
+      if (run->step != nullptr) {
+        run->step->tasks[run->index].failed_on = worker.facts.id;
+      }
       StopRun(*run, stop_reason::kUnanswered, now);
     } else if (run->phase == run_phase::kUnsure) {
       ++run->tries;
--- a/test/rosearch/sched/stalls_test.cc
+++ b/test/rosearch/sched/stalls_test.cc
@@ -220,6 +220,23 @@
   CHECK(Stalled(world, id, " workers=4 reserved=0 urgent_reserve=0 left_alone=4 "));
 }
 
+// Guards against a task that is ordered from one worker again and again, while others are idle.
+TEST_CASE("a task whose order a worker never answers goes to another worker") {
+  cell_world world{1, {}, kWorkers, {}, {.worker = kWorker, .has_urgent_queue = false}};
+  world.Run(seconds{1});
+  world.SetFaults({.order_delayed = 1});
+  (void)world.Submit(InFirstRack(1, {1'000, 1'000, 0}, seconds{5}));
+  world.Run(seconds{6});
+  std::set<std::string> workers;
+  for (const auto& line : world.Log().lines) {
+    const auto at = line.find(" worker=");
+    if (line.find("event=run_ordered ") != std::string::npos && at != std::string::npos) {
+      workers.insert(line.substr(at + 8, line.find(' ', at + 8) - at - 8));
+    }
+  }
+  CHECK(workers.size() > 1);
+}
+
 // Guards against an accepted job that can never run, since its gang needs more accelerators than
 // all workers have.
 TEST_CASE("a gang with too many accelerators for the pool is refused") {
