--- a/src/rosearch/cell/cell_metrics.cc
+++ b/src/rosearch/cell/cell_metrics.cc
@@ -46,6 +46,8 @@
                 "How long the longest stalled step has had room for all it needs."},
     metric_help{"rosearch_oldest_unconfirmed_seconds",
                 "Largest age of an order to start or stop a run that is not confirmed."},
+    metric_help{"rosearch_order_delay_seconds",
+                "Time from a scheduling pass until one of its start orders is sent."},
     metric_help{"rosearch_peer_round_trip_seconds",
                 "Time from a ping to the leader until its answer."},
     metric_help{"rosearch_peers", "Known other processes of the cell."},
--- a/src/rosearch/cell/internal/leader_orders.h
+++ b/src/rosearch/cell/internal/leader_orders.h
@@ -112,6 +112,7 @@
     return;
   }
   const auto sent_at = SteadyNow();
+  metrics_.Observe("rosearch_order_delay_seconds", sent_at - last_pass_at_);
   ports_.Start(decided, epoch_,
                Bind([decided, sent_at](leader& self, sched::start_outcome outcome) {
                  self.metrics_.Observe("rosearch_start_seconds", SteadyNow() - sent_at);
--- a/src/rosearch/cell/internal/leader_store.h
+++ b/src/rosearch/cell/internal/leader_store.h
@@ -100,7 +100,21 @@
 }
 
 template <typename Ports>
-void leader<Ports>::SendBatch(const batch_in_flight& batch) {
+void leader<Ports>::LogBatch(std::string_view outcome, const batch_in_flight& batch) {
+  log_.Write(event_line{"append_unanswered", event_weight::kFailure}
+                 .Add("epoch", epoch_)
+                 .Add("outcome", outcome)
+                 .Add("batch", batch.number)
+                 .Add("sequence", batch.sequence)
+                 .Add("copies", batch.copies)
+                 .Add("unanswered", batch.unanswered)
+                 .Add("age_ms", SteadyNow() - batch.sent_at));
+}
+
+template <typename Ports>
+void leader<Ports>::SendBatch(batch_in_flight& batch) {
+  ++batch.copies;
+  ++batch.unanswered;
   const auto asked_at = SteadyNow();
   ports_.Append(stream::kState, batch.records, writer_proof{"scheduler", epoch_, batch.sequence},
                 std::nullopt,
@@ -116,9 +130,10 @@
 void leader<Ports>::ResendBatches() {
   resent_at_ = SteadyNow();
   // In sequence: the store accepts a batch only after its predecessor.
-  for (const auto& batch : batches_) {
+  for (auto& batch : batches_) {
     if (!batch.stored) {
       SendBatch(batch);
+      LogBatch("repeated", batch);
     }
   }
 }
@@ -167,6 +182,9 @@
   if (batch == batches_.end() || batch->stored) {
     return;
   }
+  if (answer.outcome != append_outcome::kUnknown) {
+    --batch->unanswered;
+  }
   if (answer.outcome == append_outcome::kStored ||
       answer.outcome == append_outcome::kOutOfSequence) {
     RecordAppendAnswered();
@@ -202,6 +220,7 @@
   if (answer.outcome == append_outcome::kNotStored && !batch->may_be_stored &&
       batches_.size() == 1) {
     // Definitely not stored: callers are told at once that their jobs were not accepted.
+    LogBatch("given_up", *batch);
     batches_.clear();
     --next_sequence_;
     scheduler_.OnNotStored(number);
--- a/src/rosearch/cell/internal/leader_takeover.h
+++ b/src/rosearch/cell/internal/leader_takeover.h
@@ -195,7 +195,12 @@
   const auto proven_until =
       stopped ? std::max(fenced_at_, predecessors_stopped_at_) + settings_.proof.timeout
               : fenced_at_ + settings_.proof.max_unconfirmed;
-  scheduler_.SetFormerLeadersSendUntil(proven_until + settings_.order_delivery_time);
+  const auto send_until = proven_until + settings_.order_delivery_time;
+  log_.Write(event_line{"former_leaders_limited", event_weight::kStateChange}
+                 .Add("epoch", epoch_)
+                 .Add("stopped", static_cast<int>(stopped))
+                 .Add("send_for_ms", send_until - SteadyNow()));
+  scheduler_.SetFormerLeadersSendUntil(send_until);
 }
 
 template <typename Ports>
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -225,9 +225,11 @@
     time_point sent_at{};
     loop_mark sent_mark{};
     bool stored{false};
-    bool out_of_order{false};   ///< arrived before its predecessor: the store refused it
-    bool may_be_stored{false};  ///< an attempt remained unanswered
-    std::uint32_t failures{0};  ///< failed attempts
+    bool out_of_order{false};     ///< arrived before its predecessor: the store refused it
+    bool may_be_stored{false};    ///< an attempt remained unanswered
+    std::uint32_t failures{0};    ///< failed attempts
+    std::uint32_t copies{0};      ///< how often it was sent
+    std::uint32_t unanswered{0};  ///< copies that may still be executed
   };
 
   [[nodiscard]] static sched::instant Now() {
@@ -310,7 +312,9 @@
   void WatchAfter(const std::string& worker, duration pause);
 
   void StoreRecords();
-  void SendBatch(const batch_in_flight& batch);
+  void SendBatch(batch_in_flight& batch);
+  /// Logs a decision on a batch with what is known of its copies.
+  void LogBatch(std::string_view outcome, const batch_in_flight& batch);
   void ResendBatches();
   void ProbeStore();
   void OnBatchAnswer(std::uint64_t number, const append_answer& answer);
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -257,6 +257,8 @@
   void RefuseNewJob(const std::string& id, std::string_view reason);
   void RestoreJob(const std::string& id, const std::string& job_text,
                   const std::string& progress_text, const instant& now);
+  /// Logs how much of a job the store has as done.
+  void LogRestoredJob(const job_state& job);
   void AckEndsWithoutRecords();
   /// A worker and its incarnation.
   using worker_incarnation = std::pair<std::string, std::int64_t>;
@@ -278,6 +280,10 @@
   [[nodiscard]] time_point LeaseClock(const instant& now) const {
     return std::min(now.steady, proven_at_);
   }
+  /// @return how long ago this leader was certainly the only one; zero if nothing has to be proven.
+  [[nodiscard]] duration ProofAge(const instant& now) const {
+    return std::max(duration{}, now.steady - proven_at_);
+  }
   /// @return whether neither a backoff nor a lease under which it may still run holds a task back.
   [[nodiscard]] bool IsDue(const task_state& task, const instant& now) const {
     return task.not_before <= now.steady && task.held_until <= LeaseClock(now);
--- a/src/rosearch/sched/scheduler_reports.cc
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -40,6 +40,7 @@
                  .Add("task", row.task)
                  .Add("run", row.run)
                  .Add("worker", worker.facts.id)
+                 .Add("epoch", epoch_)
                  .Add("how", EndKindName(row.how)));
   if (step->spec->gang) {
     ApplyGangEnd(*step, row.run, row.how, worker.facts.id, row.checkpoint, now);
@@ -89,7 +90,9 @@
   log_.Write(event_line{"run_adopted", event_weight::kDetail}
                  .Add("task", row.task)
                  .Add("run", row.run)
-                 .Add("worker", worker.facts.id));
+                 .Add("worker", worker.facts.id)
+                 .Add("epoch", epoch_)
+                 .Add("percent", row.percent));
 }
 
 void scheduler::EndMissingRuns(worker_state& worker, time_point sent_at,
@@ -199,7 +202,11 @@
     log_.Write(event_line{"runs_lost", event_weight::kStateChange}
                    .Add("worker", worker.facts.id)
                    .Add("runs", worker.runs.size())
-                   .Add("cause", cause));
+                   .Add("cause", cause)
+                   .Add("epoch", epoch_)
+                   .Add("lease_over_ms", now.steady - worker.lease_until)
+                   .Add("report_age_ms", now.steady - worker.report_sent_at)
+                   .Add("proof_age_ms", ProofAge(now)));
   }
   while (!worker.runs.empty()) {
     EndRun(*worker.runs.begin()->second, end_kind::kLost, {}, now);
@@ -251,6 +258,8 @@
     log_.Write(event_line{"old_worker_settled", event_weight::kStateChange}
                    .Add("worker", id)
                    .Add("how", how)
+                   .Add("epoch", epoch_)
+                   .Add("proof_age_ms", ProofAge(now))
                    .Add("left", unsettled_.size()));
   }
   if (unsettled_.empty()) {
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -310,6 +310,7 @@
                  .Add("run", run->run)
                  .Add("worker", sent.worker)
                  .Add("outcome", OutcomeName(outcome))
+                 .Add("took_ms", now.steady - run->start_sent_at)
                  .Add("tries", run->tries));
   if (outcome == start_outcome::kStaleRun) {
     // The worker already executed another copy of this order, and that run has ended. A later
--- a/src/rosearch/sched/scheduler_store.cc
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -104,6 +104,7 @@
   AssignCustomer(*job);
   ApplyProgress(progress, *job);
   auto& restored_job = *(jobs_[id] = std::move(job));
+  LogRestoredJob(restored_job);
   for (auto& occurrence : restored_job.occurrences) {
     if (!occurrence->done) {
       OpenSteps(restored_job, *occurrence, now);
@@ -112,6 +113,23 @@
   OpenDueOccurrences(restored_job, now);
 }
 
+void scheduler::LogRestoredJob(const job_state& job) {
+  std::size_t tasks = 0;
+  std::size_t done = 0;
+  for (const auto& occurrence : job.occurrences) {
+    for (const auto& step : occurrence->steps) {
+      tasks += step->tasks.size();
+      done += step->done;
+    }
+  }
+  log_.Write(event_line{"job_restored", event_weight::kDetail}
+                 .Add("job", job.spec->id)
+                 .Add("epoch", epoch_)
+                 .Add("occurrences", job.occurrences.size())
+                 .Add("tasks", tasks)
+                 .Add("done", done));
+}
+
 void scheduler::FinishRestore(const instant& now) {
   std::map<std::string, std::pair<std::string, std::string>> texts;
   for (auto& record : restoring_) {
