--- a/test/rosearch/cell/fake_ports.h
+++ b/test/rosearch/cell/fake_ports.h
@@ -47,7 +47,9 @@
     }
     append_answer answer;
     answer.outcome = append_outcome::kStored;
-    if (refuse_appends || (!records.empty() && appends_to_lose > 0)) {
+    if (!records.empty() && refuse_records) {
+      answer.outcome = append_outcome::kNotStored;
+    } else if (refuse_appends || (!records.empty() && appends_to_lose > 0)) {
       answer.outcome = refuse_appends ? append_outcome::kNotStored : append_outcome::kUnknown;
       appends_to_lose -= refuse_appends ? 0 : 1;
     } else if (fence_appends) {
@@ -175,6 +177,7 @@
   int watch_count{0};
   int appends_to_lose{0};
   bool refuse_appends{false};
+  bool refuse_records{false};  ///< refuses appends, but no probe without records
   bool drop_appends{false};
   bool fence_appends{false};
   bool reorder_appends{false};
