A batch counts as refused only once every copy of it was refused (cell)

What callers saw: a job answered with 503 was stored and ran; a job answered with 200, or the ends of tasks that were acknowledged at the workers, were not in the store, so the next leader didn't know the job or ran the tasks again. Cause: when an append hung, the leader sent its batch a second time and took the refusal of that copy for the outcome of the batch, although the first copy was still on its way. It gave up the batch and its sequence number; the first copy arrived, and the store took the next batch with that number for a repeat. Why this works: each batch counts the copies that were not refused. Only with none left is the sequence number used again, so no copy can arrive under it; else the same bytes go out until the store tells their outcome. The flag may_be_stored, which knew of answers only, is gone.

--- a/src/rosearch/cell/internal/leader_store.h
+++ b/src/rosearch/cell/internal/leader_store.h
@@ -182,7 +182,7 @@
   if (batch == batches_.end() || batch->stored) {
     return;
   }
-  if (answer.outcome != append_outcome::kUnknown) {
+  if (answer.outcome == append_outcome::kNotStored) {
     --batch->unanswered;
   }
   if (answer.outcome == append_outcome::kStored ||
@@ -217,9 +217,8 @@
   RecordStoreAnswer(false);
   intake_.OnStoreAway(batches_.front().sent_at, SteadyNow());
   metrics_.Count("rosearch_appends_failed_total");
-  if (answer.outcome == append_outcome::kNotStored && !batch->may_be_stored &&
-      batches_.size() == 1) {
-    // Definitely not stored: callers are told at once that their jobs were not accepted.
+  if (batch->unanswered == 0 && batches_.size() == 1) {
+    // Every copy was refused: callers are told at once that their jobs were not accepted.
     LogBatch("given_up", *batch);
     batches_.clear();
     --next_sequence_;
@@ -228,9 +227,8 @@
     After(writer_timer_, settings_.store_retry_interval, [](leader& self) { self.StoreRecords(); });
     return;
   }
-  // This batch or a later one may be stored. An append is idempotent for the same bytes and
-  // sequence number, so all batches are retried until the store reports their outcome.
-  batch->may_be_stored = batch->may_be_stored || answer.outcome == append_outcome::kUnknown;
+  // This batch or a later one may be stored, now or later. An append is idempotent for the same
+  // bytes and sequence number, so all batches are retried until the store reports their outcome.
   ++batches_.front().failures;
   scheduler_.RefuseUnsentJobs();
   AnswerSettledCallers();
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -226,10 +226,9 @@
     loop_mark sent_mark{};
     bool stored{false};
     bool out_of_order{false};     ///< arrived before its predecessor: the store refused it
-    bool may_be_stored{false};    ///< an attempt remained unanswered
     std::uint32_t failures{0};    ///< failed attempts
     std::uint32_t copies{0};      ///< how often it was sent
-    std::uint32_t unanswered{0};  ///< copies that may still be executed
+    std::uint32_t unanswered{0};  ///< copies that weren't refused: they may be executed at any time
   };
 
   [[nodiscard]] static sched::instant Now() {
