A row that can't be read no longer ends the watches of its worker (platform, sched)

What callers saw: none of their tasks ran on a worker that had listed one odd row, and no line in any log said so. Cause: the number of an end was read by a call that throws for a fraction or a negative number. The exception left the callback within a detached coroutine, which drops it, so the next watch was never sent. Other numbers were cast from a double of any size. A report with such a row counts for what could be read, is logged as report_unreadable, and no run is taken for missing by it: the row may have been its end.

--- a/src/rosearch/sched/scheduler_reports.cc
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -97,7 +97,7 @@
 
 void scheduler::EndMissingRuns(worker_state& worker, time_point sent_at,
                                const worker_report& report, const instant& now) {
-  if (report.ended.size() >= kMaxListedEnds) {
+  if (report.ended.size() >= kMaxListedEnds || !report.whole) {
     return;
   }
   std::vector<live_run*> ended_runs;
@@ -147,6 +147,12 @@
     RecordFreedRoom(worker);
     workers_dirty_ = workers_dirty_ || !worker.records.NewestIsOpen(worker.born);
   }
+  if (std::exchange(worker.report_whole, report.whole) != report.whole && !report.whole) {
+    log_.Write(event_line{"report_unreadable", event_weight::kFailure}
+                   .Add("worker", worker_id)
+                   .Add("running", report.running.size())
+                   .Add("ended", report.ended.size()));
+  }
   for (const auto& row : report.ended) {
     if (row.number > worker.seen_end) {
       worker.seen_end = row.number;
--- a/test/adapter/odd_entries_test.cc
+++ b/test/adapter/odd_entries_test.cc
@@ -233,4 +233,24 @@
   CHECK_FALSE(cell.ended);
 }
 
+// A worker lists one odd row: the leader never hears of that worker again, without a line in any
+// log.
+TEST_CASE("an odd row in a report doesn't end the watches of its worker", "[odd-entries]") {
+  const auto* const row = GENERATE(
+      R"("running":[],"ended-runs":[[1.5,"x.0.0.0",1,"done",""]])",
+      R"("running":[],"ended-runs":[[-1,"x.0.0.0",1,"done",""]])",
+      R"("running":[],"ended-runs":[[1e300,"x.0.0.0",1,"done",""]])",
+      R"("running":[],"ended-runs":[[2,"x.0.0.0",1e99,"done",""],[3,5,1,"odd",""],7,[]])",
+      R"("running":[["x.0.0.0",-1,"",0,0],["x.0.0.1",1e300,"",1e300,-1],[5,1,"",0],3],"ended-runs":3)",
+      R"("running":{},"ended-runs":[],"born":1e400)",
+      R"("running":[],"ended-runs":[[18446744073709551616,"x.0.0.0",1,"done",""]],"clock-ms":-3)");
+  odd_platform cell;
+  REQUIRE(cell.leading->Serving());
+  cell.reported = row;
+  REQUIRE(cell.RunUntil([&] { return cell.log.Count("report_unreadable worker=good ") > 0; }));
+  cell.reported = R"("running":[],"ended-runs":[])";
+  CHECK(cell.RunsJob("0123456789abcdef"));
+  CHECK_FALSE(cell.ended);
+}
+
 }  // namespace rosearch::platform
