--- a/test/rosearch/cell/busy_leader_test.cc
+++ b/test/rosearch/cell/busy_leader_test.cc
@@ -92,6 +92,7 @@
 
  private:
   int unanswered_;
+  port_claim ports_claimed_;
   boost::asio::io_context io_;
   peer_link link_{io_, "127.0.0.1:47313", 77, [](const wire::peer_frame&) {}};
 };
--- a/test/rosearch/cell/cell_of_three.h
+++ b/test/rosearch/cell/cell_of_three.h
@@ -1,6 +1,10 @@
 #ifndef ROSEARCH_TEST_CELL_CELL_OF_THREE_H_
 #define ROSEARCH_TEST_CELL_CELL_OF_THREE_H_
 
+#include <fcntl.h>
+#include <sys/file.h>
+#include <sys/stat.h>
+
 #include <algorithm>
 #include <array>
 #include <atomic>
@@ -9,10 +13,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstddef>
 #include <cstdint>
+#include <filesystem>
 #include <future>
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -20,13 +26,29 @@
 #include "rosearch/cell/fake_ports.h"
 #include "rosearch/cell/node.h"
 
-// Processes of one cell that talk over loopback and share a claim log. Their ports are fixed, so
-// only one test program of this module may run at a time.
+// Processes of one cell that talk over loopback and share a claim log. Their ports are fixed; of
+// several test programs one has them at a time.
 
 namespace rosearch::cell {
 
 using std::chrono::seconds;
 
+/// Keeps the fixed ports for this test program until it ends. Another program on the machine, such
+/// as that of a sanitizer, waits for them.
+class port_claim {
+ public:
+  port_claim() {
+    static const int file = [] {
+      const auto path = std::filesystem::temp_directory_path() / "rosearch-test-cell-ports";
+      const int opened = open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, S_IRUSR | S_IWUSR);
+      return flock(opened, LOCK_EX) == 0 ? opened : -1;
+    }();
+    if (file < 0) {
+      throw std::runtime_error{"the ports of the test can't be claimed"};
+    }
+  }
+};
+
 /// The stream of leadership claims, shared by all processes of a cell.
 class claims_log {
  public:
@@ -201,6 +223,7 @@
   }
 
  private:
+  port_claim ports_claimed_;
   template <typename Predicate>
   bool OnThread(Predicate predicate) {
     std::promise<bool> outcome;
