--- a/test/rosearch/cell/walks_test.cc
+++ b/test/rosearch/cell/walks_test.cc
@@ -97,4 +97,25 @@
   CHECK(output.find("event=leader_serves") != std::string::npos);
 }
 
+// A worker is cut off for longer than its lease, and its task starts elsewhere.
+TEST_CASE("from a task's second run to the lease that had lapsed") {
+  sched::cell_world world{3, {}, 4};
+  world.Run(std::chrono::seconds{1});
+  sched::job_spec job;
+  job.steps.resize(1);
+  job.steps[0].count = 3;
+  job.steps[0].need = {6'000, 10, 0};
+  job.steps[0].estimate = std::chrono::seconds{30};
+  const auto id = world.Submit(job);
+  world.Run(std::chrono::seconds{2});
+  for (std::size_t worker = 0; worker < 3; ++worker) {
+    world.DisconnectWorker(worker, std::chrono::seconds{10});
+  }
+  world.Run(std::chrono::seconds{15});
+  const auto output = RunWalk("walk-twice", world.Log().lines, id);
+  CHECK(output.find("how=lost") != std::string::npos);
+  CHECK(output.find("cause=lease_lapsed epoch=") != std::string::npos);
+  CHECK(output.find("proof_age_ms=") != std::string::npos);
+}
+
 }  // namespace rosearch::cell
