--- a/test/rosearch/sched/stored_workers_test.cc
+++ b/test/rosearch/sched/stored_workers_test.cc
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "rosearch/core/random_source.h"
-#include "rosearch/sched/scheduler_fixture.h"
+#include "rosearch/sched/restart_fixture.h"
 #include "rosearch/wire/cell.pb.h"
 
 // What the store says of each worker, judged by what the next leader would read.
@@ -288,6 +288,20 @@
   }
 }
 
+/// Rewrites the stored record of the workers: the named ones are closed, and a task may run there.
+void StoreAsClosed(scheduler_fixture& former, const std::set<std::string>& closed,
+                   const std::string& task) {
+  wire::stored_workers workers;
+  REQUIRE(workers.ParseFromString(former.saved["w"]));
+  for (auto& each : *workers.mutable_workers()) {
+    each.set_closed(closed.contains(each.id()));
+    if (each.closed()) {
+      each.add_tasks(task);
+    }
+  }
+  former.saved["w"] = workers.SerializeAsString();
+}
+
 }  // namespace
 
 // Guards against a task that runs twice after the next change of leader: a worker whose lease had
@@ -305,8 +319,7 @@
           submit_verdict::kPending);
   next.Store();
   CHECK(next.Started().size() == 4);
-  next.leader.ObserveWorker(
-      {"w0", "10.0.0.1:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, false, {}}, next.now);
+  next.leader.ObserveWorker(Facts("w0", 0), next.now);
   (void)next.leader.NextWatch("w0", next.now);
   next.leader.OnReport("w0", next.now.steady, {}, next.now);
   CHECK(next.Started().empty());
@@ -320,15 +333,7 @@
   scheduler_fixture former{3};
   (void)former.Submit("a", 1);
   former.SaveRecords();
-  wire::stored_workers workers;
-  REQUIRE(workers.ParseFromString(former.saved["w"]));
-  for (auto& each : *workers.mutable_workers()) {
-    if (each.id() != "w2") {
-      each.set_closed(true);
-      each.add_tasks("a.0.0.0");
-    }
-  }
-  former.saved["w"] = workers.SerializeAsString();
+  StoreAsClosed(former, {"w0", "w1"}, "a.0.0.0");
   new_leader next{former};
   next.AddWorker("w2");
   next.AddWorker("w0");
@@ -344,20 +349,12 @@
   scheduler_fixture former{2};
   (void)former.Submit("a", 1);
   former.SaveRecords();
-  wire::stored_workers workers;
-  REQUIRE(workers.ParseFromString(former.saved["w"]));
-  for (auto& each : *workers.mutable_workers()) {
-    each.set_closed(each.id() == "w0");
-    if (each.closed()) {
-      each.add_tasks("a.0.0.0");
-    }
-  }
-  former.saved["w"] = workers.SerializeAsString();
+  StoreAsClosed(former, {"w0"}, "a.0.0.0");
   new_leader next{former};
   next.now.steady += seconds{9};
   next.leader.Tick(next.now);
-  next.leader.ObserveWorker(
-      {"w9", "10.0.0.1:80", "pool", "", "", "", {}, {4'000, 8'000, 0}, false, {}}, next.now);
+  next.leader.ObserveWorker(Facts("w9", 0), next.now);
+  wire::stored_workers workers;
   for (const auto& record : next.leader.TakeBatch().records) {
     if (record.key == "w") {
       REQUIRE(workers.ParseFromString(record.value));
