An append isn't refused while another copy of its exchange may be executed (cell)

What callers saw: a job answered with 503 was stored and ran, or a batch with ends counted as stored and wasn't (its sequence number was used again). Cause: relayed_client sends an append by up to three routes. An answer other than 429 or 503 (507, 404, 403) of one copy ended the exchange at once, and the store's adapter takes each such status for 'nothing was appended', although the copy on another route was still on its way. Evidence: 'the refusal of one copy isn't taken for that of the others', red on the code without the fix (507: the exchange ended with the status). Why this works: for a request that isn't idempotent, a status of 400 or above except 409 and 412 concerns its copy only. It ends the exchange only where no other copy is in flight or may have arrived; else the exchange ends by another copy's answer or as one without an answer. So the leader's count of unanswered copies, one for each exchange, is right: an exchange is refused only if all its copies were. 409 and 412 tell the log's state, thus of all copies. Run: 38 cases of test_cell on requests, routes, relays and peers green.

--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -52,6 +52,16 @@
   return answer.has_value() && (answer.value().status == 429 || answer.value().status == 503);
 }
 
+/// @return whether the target did nothing for the copy that it answered. A conflict or a failed
+///         condition tells what became of the others, too.
+bool ConcernsOneCopy(const result<http_reply>& answer) {
+  constexpr unsigned kFirstFailure = 400;
+  constexpr unsigned kConflict = 409;
+  constexpr unsigned kConditionFailed = 412;
+  const auto status = answer.has_value() ? answer.value().status : 0U;
+  return status >= kFirstFailure && status != kConflict && status != kConditionFailed;
+}
+
 result<http_reply> FromWire(const wire::relay_answer& answer) {
   if (answer.error_kind() != 0) {
     return error{static_cast<error_kind>(answer.error_kind() - 1), answer.detail()};
@@ -115,6 +125,13 @@
     return options.allow_peer && options.answer_timeout > duration{};
   }
 
+  /// @return whether the answer that has just arrived is a refusal that says nothing about the
+  ///         other copies, of which one may still be executed.
+  [[nodiscard]] bool LeavesOtherCopies(const result<http_reply>& answer) const {
+    return options.retry_refusal_by_peer && !request.idempotent && ConcernsOneCopy(answer) &&
+           (in_flight > 0 || may_have_arrived);
+  }
+
   /// Records the answer of a failed attempt.
   void RecordFailedAttempt(result<http_reply> answer) {
     may_have_arrived = may_have_arrived || (answer.has_error() && !WasNotSent(answer.error()));
@@ -259,6 +276,17 @@
   }
 }
 
+void relayed_client::OnAnswer(const std::shared_ptr<exchange>& sent, result<http_reply> answer) {
+  if (sent->ended || !sent->LeavesOtherCopies(answer)) {
+    sent->Finish(std::move(answer));
+    return;
+  }
+  sent->RecordFailedAttempt(std::move(answer));
+  if (sent->in_flight == 0) {
+    sent->FinishFailed();
+  }
+}
+
 void relayed_client::OnFailure(const std::shared_ptr<exchange>& sent, result<http_reply> answer) {
   if (sent->ended) {
     return;
@@ -284,7 +312,7 @@
       // Also if a peer answered first: the direct route is slow, but works.
       direct_retry_at_.erase(address);
       RecordAnswerTime(*sent, sent_at);
-      sent->Finish(std::move(answer));
+      OnAnswer(sent, std::move(answer));
       return;
     }
     direct_retry_at_[address] = SteadyNow() + kDirectRetryInterval;
@@ -410,7 +438,7 @@
         // delay every batch of records.
         direct_retry_at_.try_emplace(address, SteadyNow() + kDirectRetryInterval);
       }
-      sent->Finish(std::move(answer));
+      OnAnswer(sent, std::move(answer));
       return;
     }
     const auto known = preferred_peer_.find(address);
--- a/src/rosearch/cell/relayed_client.h
+++ b/src/rosearch/cell/relayed_client.h
@@ -24,6 +24,8 @@
   /// with an `answer_timeout` of zero.
   bool allow_peer{true};
   /// Whether an answer of 429 or 503 may concern this process alone, so that a peer tries as well.
+  /// Any refusal of a request that isn't idempotent then ends the exchange only if no other copy of
+  /// it may be executed.
   bool retry_refusal_by_peer{false};
   /// Time without an answer, beyond `wait`, after which the request is also sent by the next route
   /// (a hedged request). Zero: the next route is tried only if the request was certainly not sent
@@ -99,6 +101,9 @@
   [[nodiscard]] std::string SelectRelay(const exchange& sent) const;
   /// Temporarily excludes a relay that did not answer, and ends all requests pending there.
   void ExcludeRelay(const std::string& relay);
+  /// Ends an exchange by an answer of its target, unless that is the refusal of one copy while
+  /// another may still be executed.
+  void OnAnswer(const std::shared_ptr<exchange>& sent, result<http_reply> answer);
   void OnFailure(const std::shared_ptr<exchange>& sent, result<http_reply> answer);
   [[nodiscard]] duration AnswerTimeout(const exchange& sent) const;
   void RecordAnswerTime(const exchange& sent, time_point sent_at);
--- a/test/rosearch/cell/relayed_client_test.cc
+++ b/test/rosearch/cell/relayed_client_test.cc
@@ -380,4 +380,34 @@
   CHECK(fixture.calls == 1);
 }
 
+// A store that is full refuses the second copy of an append while the first is on its way: callers
+// were told that their jobs were rejected, but these were stored and ran.
+TEST_CASE("the refusal of one copy isn't taken for that of the others", "[at-most-once]") {
+  for (const unsigned refusal : {507U, 404U, 403U, 503U}) {
+    CAPTURE(refusal);
+    client_fixture fixture{refusal};
+    fixture.ConnectTo(fixture.peers.address());
+    fixture.unanswered_call = 1;
+    fixture.client.SetPeers({fixture.peers.address()});
+    const auto got = fixture.Send({true, true, milliseconds{80}}, milliseconds{900});
+    REQUIRE(got);
+    REQUIRE(got->has_error());
+    CHECK_FALSE(WasNotSent(got->error()));
+  }
+}
+
+// An append whose first copy is unanswered has an outcome once the store says that it has it.
+TEST_CASE("a conflict tells the outcome of all copies") {
+  for (const unsigned outcome : {409U, 412U}) {
+    client_fixture fixture{outcome};
+    fixture.ConnectTo(fixture.peers.address());
+    fixture.unanswered_call = 1;
+    fixture.client.SetPeers({fixture.peers.address()});
+    const auto got = fixture.Send({true, true, milliseconds{80}}, milliseconds{900});
+    REQUIRE(got);
+    REQUIRE(got->has_value());
+    CHECK(got->value().status == outcome);
+  }
+}
+
 }  // namespace rosearch::cell
