An order goes through a peer as one message (cell)

What users saw: a task ran twice: its start was carried out by a peer on the leader's behalf, the peer died without an answer, and its next process got the repeat of the message. Its answer, a refusal, was taken for that of the order, and the task was started elsewhere. Cause: a message to a peer is repeated after 0.15 s until it is answered, and only one life of the peer knows what it has done. Evidence: 'an order through a peer that restarts is sent once', red on the code without the fix (carried out twice, the answer is the second one's). Why this works: an exchange that may have one copy only (orders) is sent to a peer once, as relays were already. A lost message is an order without an answer, which the scheduler repeats.

--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -425,7 +425,7 @@
   sent->peers_tried.push_back(peer);
   ++sent->in_flight;
   const auto sent_at = SteadyNow();
-  SendThroughPeer(peer, sent->request, [this, sent, peer, sent_at](result<http_reply> answer) {
+  const auto on_answer = [this, sent, peer, sent_at](result<http_reply> answer) {
     --sent->in_flight;
     const auto& address = sent->request.address;
     const bool refused = sent->options.retry_refusal_by_peer && IsRefusal(answer);
@@ -446,21 +446,31 @@
       preferred_peer_.erase(known);
     }
     OnFailure(sent, std::move(answer));
-  });
+  };
+  Forward(peer, sent->request, !sent->MayHedge(), on_answer);
 }
 
 void relayed_client::SendThroughPeer(const std::string& peer, const http_request& request,
                                      http_callback done) {
+  Forward(peer, request, false, std::move(done));
+}
+
+void relayed_client::Forward(const std::string& peer, const http_request& request, bool once,
+                             http_callback done) {
   ++relayed_;
-  peers_.SendRequest(
-      peer, ToWire(request), request.answer_by + kPeerForwardingMargin,
-      [done = std::move(done)](const wire::peer_frame* frame) {
-        if (frame == nullptr) {
-          done(error{error_kind::kTimeout, "peer did not answer a forwarded request"});
-          return;
-        }
-        done(FromWire(frame->relayed()));
-      });
+  const auto deadline = request.answer_by + kPeerForwardingMargin;
+  auto on_answer = [done = std::move(done)](const wire::peer_frame* frame) {
+    if (frame == nullptr) {
+      done(error{error_kind::kTimeout, "peer did not answer a forwarded request"});
+      return;
+    }
+    done(FromWire(frame->relayed()));
+  };
+  if (once) {
+    peers_.SendRequestOnce(peer, ToWire(request), deadline, std::move(on_answer));
+  } else {
+    peers_.SendRequest(peer, ToWire(request), deadline, std::move(on_answer));
+  }
 }
 
 void relayed_client::ServeRelayCall(const wire::peer_frame& relay_request) {
--- a/src/rosearch/cell/relayed_client.h
+++ b/src/rosearch/cell/relayed_client.h
@@ -95,6 +95,9 @@
   void TryNextUnlessSlow(const std::shared_ptr<exchange>& sent);
   void TryDirect(const std::shared_ptr<exchange>& sent);
   void TryPeer(const std::shared_ptr<exchange>& sent, const std::string& peer);
+  /// @param once  whether the message to the peer is sent once only, so that a peer that restarts
+  ///              can't make the exchange a second time.
+  void Forward(const std::string& peer, const http_request& request, bool once, http_callback done);
   void TryRelay(const std::shared_ptr<exchange>& sent, const std::string& relay);
   /// @return the relay for exchanges with an address, stable while the set of relays is, or the
   ///         next best if that one was tried; empty if none is available.
--- a/test/rosearch/cell/relayed_client_test.cc
+++ b/test/rosearch/cell/relayed_client_test.cc
@@ -134,6 +134,54 @@
   relayed_client other{io, other_direct, other_peers};
 };
 
+/// A client whose peer executes what it receives, dies without an answer, and starts again at its
+/// address.
+class restarting_peer : public client_fixture {
+ public:
+  explicit restarting_peer(unsigned status) : client_fixture{status} {
+    StartPeer("127.0.0.1:0");
+    ConnectTo(peer->address());
+    client.SetPeers({peer->address()});
+  }
+
+  /// Sends a request; the peer restarts before its answer is due.
+  std::optional<result<http_reply>> SendAcrossRestart(const route_options& how) {
+    http_request request;
+    request.address = "127.0.0.1:" + std::to_string(server.port());
+    request.method = "POST";
+    request.answer_by = SteadyNow() + milliseconds{600};
+    peer_answers = false;
+    executed = 0;
+    std::optional<result<http_reply>> got;
+    client.Send(request, how, [&got](result<http_reply> answer) { got = std::move(answer); });
+    RunFor(milliseconds{80});
+    StartPeer(std::string{peer->address()});
+    peer_answers = true;
+    RunFor(milliseconds{900});
+    return got;
+  }
+
+  void RunFor(milliseconds time) {
+    io.restart();
+    io.run_for(time);
+  }
+
+  void StartPeer(const std::string& at) {
+    peer.reset();
+    peer = std::make_unique<peer_link>(io, at, ++incarnation, [this](const wire::peer_frame& call) {
+      ++executed;
+      if (peer_answers) {
+        client.ServeRelayCall(call);
+      }
+    });
+  }
+
+  std::uint64_t incarnation{100};
+  bool peer_answers{true};
+  int executed{0};  ///< exchanges that the peer made in all its incarnations
+  std::unique_ptr<peer_link> peer;
+};
+
 }  // namespace
 
 TEST_CASE("a direct answer needs no peer") {
@@ -396,6 +444,18 @@
   }
 }
 
+// A peer that restarted carried out an order for the second time; the answer to that one told
+// nothing of the first, and the task was started elsewhere, too.
+TEST_CASE("an order through a peer that restarts is sent once", "[at-most-once]") {
+  restarting_peer fixture{503};
+  (void)fixture.Send({true, true, milliseconds{100}}, milliseconds{600});  // the direct way fails
+  const auto got = fixture.SendAcrossRestart({.answer_timeout = {}});
+  CHECK(fixture.executed == 1);
+  REQUIRE(got);
+  REQUIRE(got->has_error());
+  CHECK_FALSE(WasNotSent(got->error()));
+}
+
 // An append whose first copy is unanswered has an outcome once the store says that it has it.
 TEST_CASE("a conflict tells the outcome of all copies") {
   for (const unsigned outcome : {409U, 412U}) {
