An acknowledging hold has one copy, sent soon after a report or not at all (platform)

Cause: a hold names the worker's id alone. A hold with the ack-cursor of the former incarnation was repeated by another route after 0.2 s beyond its wait, or waited for a connection in the leader or in a peer, and reached the new incarnation, which counts its ends from 1 and forgot ends that nobody had stored. Why this works: to a worker with born > 0 an end is acknowledged once, by one copy, written within 0.2 s and within 0.6 s of the last report of that incarnation (send_within_ms carries that to peers, which may ignore it if they are older). All other holds carry 0 and go out twice as before. Nothing changes for born = 0.

--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -86,6 +86,12 @@
   const auto left =
       std::chrono::duration_cast<std::chrono::milliseconds>(request.answer_by - SteadyNow());
   call.set_time_left_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count())));
+  if (request.valid_until < request.answer_by) {
+    const auto until_invalid =
+        std::chrono::duration_cast<std::chrono::milliseconds>(request.valid_until - SteadyNow());
+    call.set_send_within_ms(
+        static_cast<std::uint32_t>(std::max<std::int64_t>(1, until_invalid.count())));
+  }
   return frame;
 }
 
@@ -210,6 +216,9 @@
   const auto direct_retry = direct_retry_at_.find(sent->request.address);
   const bool first = sent->IsFirstAttempt();
   sent->last_tried_at = SteadyNow();
+  if (!first && sent->last_tried_at >= sent->request.valid_until) {
+    sent->routes.clear();
+  }
   while (!sent->routes.empty()) {
     const auto chosen = sent->routes.front();
     sent->routes.pop_front();
@@ -487,6 +496,9 @@
   }
   request.answer_by = SteadyNow() + std::chrono::milliseconds{call.time_left_ms()};
   request.valid_until = request.answer_by;
+  if (call.send_within_ms() > 0) {
+    request.valid_until = SteadyNow() + std::chrono::milliseconds{call.send_within_ms()};
+  }
   wire::peer_frame asker;
   asker.set_exchange(relay_request.exchange());
   asker.set_from(relay_request.from());
