A refusal by a restarted peer isn't that of its predecessor's exchange (cell)

What callers saw: a job answered with 503 was stored and ran. Cause: the message to a peer that appends on the leader's behalf is repeated; a peer that died after its append and was started again at its address got the repeat, was refused by the store, and its answer was taken for that of the whole exchange. Evidence: 'the answer of a restarted peer isn't taken for that of its predecessor', red on the code without the fix (ended with 503). Why this works: an answer tells how long its process has been up. A refusal, or 'not sent', from one that may have started after the first copy was sent counts as no answer. Processes of an older build tell nothing and count as such after 0.15 s.

--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -15,6 +15,7 @@
 
 #include "rosearch/core/time.h"
 #include "rosearch/net/peer_transport.h"
+#include "rosearch/platform/clock.h"
 #include "rosearch/wire/cell.pb.h"
 
 namespace rosearch::cell {
@@ -102,6 +103,9 @@
   /// @return the bound host:port.
   [[nodiscard]] const std::string& address() const;
 
+  /// @return the time since which requests are deduplicated.
+  [[nodiscard]] time_point began_at() const { return began_at_; }
+
   /// Pause before an unanswered request is sent again. Three times a slow round trip across failure
   /// domains, so that requests with an answer in flight are rarely repeated.
   static constexpr duration kFirstRetryDelay = std::chrono::milliseconds{150};
@@ -149,6 +153,7 @@
   [[nodiscard]] bool CheckDuplicate(const wire::peer_frame& request);
 
   boost::asio::io_context& io_;
+  time_point began_at_{SteadyNow()};
   message_callback on_message_;
   connection_lost_callback on_connection_lost_;
   std::uint64_t next_exchange_;
--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -52,6 +52,17 @@
   return answer.has_value() && (answer.value().status == 429 || answer.value().status == 503);
 }
 
+/// Less than any process takes to end and start again.
+constexpr duration kMinProcessStart = std::chrono::milliseconds{10};
+
+/// @return whether another process than the one that answered may have received a message to the
+///         same address, which was first sent at a given time and repeated since.
+bool MayHaveReachedPredecessor(const wire::relay_answer& answer, time_point sent_at) {
+  const auto elapsed = SteadyNow() - sent_at;
+  return elapsed >= peer_link::kFirstRetryDelay &&
+         std::chrono::milliseconds{answer.up_ms()} + kMinProcessStart < elapsed;
+}
+
 /// @return whether the target did nothing for the copy that it answered. A conflict or a failed
 ///         condition tells what became of the others, too.
 bool ConcernsOneCopy(const result<http_reply>& answer) {
@@ -468,12 +479,20 @@
                              http_callback done) {
   ++relayed_;
   const auto deadline = request.answer_by + kPeerForwardingMargin;
-  auto on_answer = [done = std::move(done)](const wire::peer_frame* frame) {
+  auto on_answer = [sent_at = SteadyNow(), once,
+                    done = std::move(done)](const wire::peer_frame* frame) {
     if (frame == nullptr) {
       done(error{error_kind::kTimeout, "peer did not answer a forwarded request"});
       return;
     }
-    done(FromWire(frame->relayed()));
+    auto answer = FromWire(frame->relayed());
+    const bool nothing_done =
+        answer.has_error() ? WasNotSent(answer.error()) : ConcernsOneCopy(answer);
+    if (!once && nothing_done && MayHaveReachedPredecessor(frame->relayed(), sent_at)) {
+      done(error{error_kind::kTimeout, "a predecessor of the peer may have made the exchange"});
+      return;
+    }
+    done(std::move(answer));
   };
   if (once) {
     peers_.SendRequestOnce(peer, ToWire(request), deadline, std::move(on_answer));
@@ -506,6 +525,9 @@
   direct_.Send(std::move(request), [this, asker](result<http_reply> answer) {
     wire::peer_frame frame;
     auto& relayed = *frame.mutable_relayed();
+    const auto up = SteadyNow() - peers_.began_at();
+    relayed.set_up_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(up).count()));
     if (answer.has_error()) {
       relayed.set_error_kind(static_cast<std::uint32_t>(answer.error().kind) + 1);
       relayed.set_detail(answer.error().detail);
--- a/test/rosearch/cell/relayed_client_test.cc
+++ b/test/rosearch/cell/relayed_client_test.cc
@@ -167,19 +167,22 @@
   }
 
   void StartPeer(const std::string& at) {
+    serving.reset();
     peer.reset();
     peer = std::make_unique<peer_link>(io, at, ++incarnation, [this](const wire::peer_frame& call) {
       ++executed;
       if (peer_answers) {
-        client.ServeRelayCall(call);
+        serving->ServeRelayCall(call);
       }
     });
+    serving = std::make_unique<relayed_client>(io, direct, *peer);
   }
 
   std::uint64_t incarnation{100};
   bool peer_answers{true};
   int executed{0};  ///< exchanges that the peer made in all its incarnations
   std::unique_ptr<peer_link> peer;
+  std::unique_ptr<relayed_client> serving;
 };
 
 }  // namespace
@@ -444,6 +447,19 @@
   }
 }
 
+// A peer appends records for its leader, dies, and its successor at the same address gets the
+// repeat of the message and is refused by the store: callers were told that their stored jobs were
+// rejected.
+TEST_CASE("the answer of a restarted peer isn't taken for that of its predecessor",
+          "[at-most-once]") {
+  restarting_peer fixture{503};
+  const auto got = fixture.SendAcrossRestart({true, true, milliseconds{700}});
+  CHECK(fixture.executed == 2);
+  REQUIRE(got);
+  REQUIRE(got->has_error());
+  CHECK_FALSE(WasNotSent(got->error()));
+}
+
 // A peer that restarted carried out an order for the second time; the answer to that one told
 // nothing of the first, and the task was started elsewhere, too.
 TEST_CASE("an order through a peer that restarts is sent once", "[at-most-once]") {
