--- a/src/rosearch/cell/relayed_client.cc
+++ b/src/rosearch/cell/relayed_client.cc
@@ -52,6 +52,27 @@
   return answer.has_value() && (answer.value().status == 429 || answer.value().status == 503);
 }
 
+/// Less than any process takes to end and start again.
+constexpr duration kMinProcessStart = std::chrono::milliseconds{10};
+
+/// @return whether another process than the one that answered may have received a message to the
+///         same address, which was first sent at a given time and repeated since.
+bool MayHaveReachedPredecessor(const wire::relay_answer& answer, time_point sent_at) {
+  const auto elapsed = SteadyNow() - sent_at;
+  return elapsed >= peer_link::kFirstRetryDelay &&
+         std::chrono::milliseconds{answer.up_ms()} + kMinProcessStart < elapsed;
+}
+
+/// @return whether the target did nothing for the copy that it answered. A conflict or a failed
+///         condition tells what became of the others, too.
+bool ConcernsOneCopy(const result<http_reply>& answer) {
+  constexpr unsigned kFirstFailure = 400;
+  constexpr unsigned kConflict = 409;
+  constexpr unsigned kConditionFailed = 412;
+  const auto status = answer.has_value() ? answer.value().status : 0U;
+  return status >= kFirstFailure && status != kConflict && status != kConditionFailed;
+}
+
 result<http_reply> FromWire(const wire::relay_answer& answer) {
   if (answer.error_kind() != 0) {
     return error{static_cast<error_kind>(answer.error_kind() - 1), answer.detail()};
@@ -76,6 +97,12 @@
   const auto left =
       std::chrono::duration_cast<std::chrono::milliseconds>(request.answer_by - SteadyNow());
   call.set_time_left_ms(static_cast<std::uint32_t>(std::max<std::int64_t>(1, left.count())));
+  if (request.valid_until < request.answer_by) {
+    const auto until_invalid =
+        std::chrono::duration_cast<std::chrono::milliseconds>(request.valid_until - SteadyNow());
+    call.set_send_within_ms(
+        static_cast<std::uint32_t>(std::max<std::int64_t>(1, until_invalid.count())));
+  }
   return frame;
 }
 
@@ -115,6 +142,13 @@
     return options.allow_peer && options.answer_timeout > duration{};
   }
 
+  /// @return whether the answer that has just arrived is a refusal that says nothing about the
+  ///         other copies, of which one may still be executed.
+  [[nodiscard]] bool LeavesOtherCopies(const result<http_reply>& answer) const {
+    return options.retry_refusal_by_peer && !request.idempotent && ConcernsOneCopy(answer) &&
+           (in_flight > 0 || may_have_arrived);
+  }
+
   /// Records the answer of a failed attempt.
   void RecordFailedAttempt(result<http_reply> answer) {
     may_have_arrived = may_have_arrived || (answer.has_error() && !WasNotSent(answer.error()));
@@ -193,6 +227,9 @@
   const auto direct_retry = direct_retry_at_.find(sent->request.address);
   const bool first = sent->IsFirstAttempt();
   sent->last_tried_at = SteadyNow();
+  if (!first && sent->last_tried_at >= sent->request.valid_until) {
+    sent->routes.clear();
+  }
   while (!sent->routes.empty()) {
     const auto chosen = sent->routes.front();
     sent->routes.pop_front();
@@ -259,6 +296,17 @@
   }
 }
 
+void relayed_client::OnAnswer(const std::shared_ptr<exchange>& sent, result<http_reply> answer) {
+  if (sent->ended || !sent->LeavesOtherCopies(answer)) {
+    sent->Finish(std::move(answer));
+    return;
+  }
+  sent->RecordFailedAttempt(std::move(answer));
+  if (sent->in_flight == 0) {
+    sent->FinishFailed();
+  }
+}
+
 void relayed_client::OnFailure(const std::shared_ptr<exchange>& sent, result<http_reply> answer) {
   if (sent->ended) {
     return;
@@ -284,7 +332,7 @@
       // Also if a peer answered first: the direct route is slow, but works.
       direct_retry_at_.erase(address);
       RecordAnswerTime(*sent, sent_at);
-      sent->Finish(std::move(answer));
+      OnAnswer(sent, std::move(answer));
       return;
     }
     direct_retry_at_[address] = SteadyNow() + kDirectRetryInterval;
@@ -397,7 +445,7 @@
   sent->peers_tried.push_back(peer);
   ++sent->in_flight;
   const auto sent_at = SteadyNow();
-  SendThroughPeer(peer, sent->request, [this, sent, peer, sent_at](result<http_reply> answer) {
+  const auto on_answer = [this, sent, peer, sent_at](result<http_reply> answer) {
     --sent->in_flight;
     const auto& address = sent->request.address;
     const bool refused = sent->options.retry_refusal_by_peer && IsRefusal(answer);
@@ -410,7 +458,7 @@
         // delay every batch of records.
         direct_retry_at_.try_emplace(address, SteadyNow() + kDirectRetryInterval);
       }
-      sent->Finish(std::move(answer));
+      OnAnswer(sent, std::move(answer));
       return;
     }
     const auto known = preferred_peer_.find(address);
@@ -418,21 +466,39 @@
       preferred_peer_.erase(known);
     }
     OnFailure(sent, std::move(answer));
-  });
+  };
+  Forward(peer, sent->request, !sent->MayHedge(), on_answer);
 }
 
 void relayed_client::SendThroughPeer(const std::string& peer, const http_request& request,
                                      http_callback done) {
+  Forward(peer, request, false, std::move(done));
+}
+
+void relayed_client::Forward(const std::string& peer, const http_request& request, bool once,
+                             http_callback done) {
   ++relayed_;
-  peers_.SendRequest(
-      peer, ToWire(request), request.answer_by + kPeerForwardingMargin,
-      [done = std::move(done)](const wire::peer_frame* frame) {
-        if (frame == nullptr) {
-          done(error{error_kind::kTimeout, "peer did not answer a forwarded request"});
-          return;
-        }
-        done(FromWire(frame->relayed()));
-      });
+  const auto deadline = request.answer_by + kPeerForwardingMargin;
+  auto on_answer = [sent_at = SteadyNow(), once,
+                    done = std::move(done)](const wire::peer_frame* frame) {
+    if (frame == nullptr) {
+      done(error{error_kind::kTimeout, "peer did not answer a forwarded request"});
+      return;
+    }
+    auto answer = FromWire(frame->relayed());
+    const bool nothing_done =
+        answer.has_error() ? WasNotSent(answer.error()) : ConcernsOneCopy(answer);
+    if (!once && nothing_done && MayHaveReachedPredecessor(frame->relayed(), sent_at)) {
+      done(error{error_kind::kTimeout, "a predecessor of the peer may have made the exchange"});
+      return;
+    }
+    done(std::move(answer));
+  };
+  if (once) {
+    peers_.SendRequestOnce(peer, ToWire(request), deadline, std::move(on_answer));
+  } else {
+    peers_.SendRequest(peer, ToWire(request), deadline, std::move(on_answer));
+  }
 }
 
 void relayed_client::ServeRelayCall(const wire::peer_frame& relay_request) {
@@ -449,6 +515,9 @@
   }
   request.answer_by = SteadyNow() + std::chrono::milliseconds{call.time_left_ms()};
   request.valid_until = request.answer_by;
+  if (call.send_within_ms() > 0) {
+    request.valid_until = SteadyNow() + std::chrono::milliseconds{call.send_within_ms()};
+  }
   wire::peer_frame asker;
   asker.set_exchange(relay_request.exchange());
   asker.set_from(relay_request.from());
@@ -456,6 +525,9 @@
   direct_.Send(std::move(request), [this, asker](result<http_reply> answer) {
     wire::peer_frame frame;
     auto& relayed = *frame.mutable_relayed();
+    const auto up = SteadyNow() - peers_.began_at();
+    relayed.set_up_ms(static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(up).count()));
     if (answer.has_error()) {
       relayed.set_error_kind(static_cast<std::uint32_t>(answer.error().kind) + 1);
       relayed.set_detail(answer.error().detail);
