The end of a lease is decided once, and sent as such (sched, platform)

Cause: the scheduler counted a lease from the pass that decided the order, and worker_client wrote an end counted from the sending. A process that stood still between the two for more than the margin (0.2 s; a pause is noticed from 0.4 s on) granted more than it counted, and took the lease for expired while the task still ran. The fakes of the scheduler's tests now grant what the order says instead of 6 s of their own.

--- a/src/rosearch/sched/order.h
+++ b/src/rosearch/sched/order.h
@@ -23,6 +23,7 @@
   std::string checkpoint;  ///< checkpoint to resume from; empty: start from the beginning
   std::string ticket;      ///< proof of the advice that allows it; empty: none needed
   std::int64_t born{0};    ///< incarnation that it is sent to; see `worker_facts::born`
+  time_point lease_end{};  ///< of the lease that it grants, by the leader's clock
 
   friend bool operator==(const start_order&, const start_order&) = default;
 };
--- a/src/rosearch/sched/scheduler.cc
+++ b/src/rosearch/sched/scheduler.cc
@@ -126,7 +126,7 @@
   // A restart breaks the watch in flight. The next one may reach an incarnation that counts its
   // ends from 1 again, so it must not acknowledge them.
   const auto acked_end = answers || worker.born == 0 ? worker.acked_end : 0;
-  watch_request watch{id, worker.facts.address, acked_end, answers, duration{}, worker.born};
+  watch_request watch{id, worker.facts.address, acked_end, duration{}, worker.born, {}};
   if (answers && worker.seen_end == worker.acked_end) {
     watch.wait =
         worker.runs.empty() || IsOverloaded()
@@ -134,7 +134,7 @@
             : std::clamp(MinWatchInterval(workers_.size()), kBusyWatchTimeout, kIdleWatchTimeout);
   }
   if (answers) {
-    worker.lease_until = std::max(worker.lease_until, now.steady + MaxLeaseDuration());
+    watch.lease_end = GrantLease(worker, now);
   }
   return watch;
 }
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -326,6 +326,10 @@
   void DropWorker(const std::string& id);
   void SettleWorker(const std::string& id, std::string_view how, const instant& now);
   [[nodiscard]] duration MaxLeaseDuration() const;
+  /// Records that a worker is sent a lease. Its end is decided here alone: if it were counted from
+  /// the sending, a process that stood still before that would grant more than it recorded.
+  /// @return the end of the lease, to be sent as such.
+  [[nodiscard]] time_point GrantLease(worker_state& worker, const instant& now) const;
   /// @return the run number for a task's `count`-th run under this leadership.
   [[nodiscard]] std::uint32_t RunNumber(std::uint32_t count) const;
 
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -35,6 +35,11 @@
   return std::chrono::duration_cast<duration>(lease_bound) + settings_.lease_expiry_margin;
 }
 
+time_point scheduler::GrantLease(worker_state& worker, const instant& now) const {
+  worker.lease_until = std::max(worker.lease_until, now.steady + MaxLeaseDuration());
+  return now.steady + settings_.max_lease;
+}
+
 live_run* scheduler::FindRun(const std::string& worker, const std::string& task,
                              std::uint32_t run) {
   const auto holder = workers_.find(worker);
@@ -81,9 +86,9 @@
 
 void scheduler::OrderStart(live_run& run, const instant& now) {
   auto& worker = *run.worker;
-  worker.lease_until = std::max(worker.lease_until, now.steady + MaxLeaseDuration());
   orders_.emplace_back(start_order{worker.facts.id, worker.facts.address, run.task, run.run,
-                                   run.step->job->spec, run.checkpoint, run.ticket, worker.born});
+                                   run.step->job->spec, run.checkpoint, run.ticket, worker.born,
+                                   GrantLease(worker, now)});
   ++run.unanswered_starts;
   run.start_sent_at = now.steady;
 }
--- a/src/rosearch/sched/watch_request.h
+++ b/src/rosearch/sched/watch_request.h
@@ -2,6 +2,7 @@
 #define ROSEARCH_SCHED_WATCH_REQUEST_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include "rosearch/core/time.h"
@@ -13,9 +14,10 @@
   std::string worker;
   std::string address;
   std::uint64_t acked_end{0};  ///< ends up to this number are stored; the worker may discard them
-  bool extend_lease{false};
   duration wait{};  ///< how long the worker may delay its answer until a run ends (long polling)
   std::int64_t born{0};  ///< incarnation that it is sent to; see `worker_facts::born`
+  /// The end of the lease that it grants, by the leader's clock; nothing: it grants none.
+  std::optional<time_point> lease_end{};
 
   friend bool operator==(const watch_request&, const watch_request&) = default;
 };
--- a/test/adapter/odd_entries_test.cc
+++ b/test/adapter/odd_entries_test.cc
@@ -108,8 +108,7 @@
   http_client http{io};
   cell::peer_link peers{io, "127.0.0.1:0", 7, [](const wire::peer_frame&) {}};
   cell::relayed_client client{io, http, peers};
-  platform_ports ports{client, "127.0.0.1:" + std::to_string(store.port()), "",
-                       std::chrono::seconds{6}, metrics};
+  platform_ports ports{io, client, "127.0.0.1:" + std::to_string(store.port()), "", metrics};
   std::shared_ptr<cell::leader<platform_ports>> leading;
 
  private:
--- a/test/rosearch/sched/cell_world.cc
+++ b/test/rosearch/sched/cell_world.cc
@@ -364,8 +364,7 @@
   }
 }
 
-start_outcome cell_world::Apply(const start_order& order, std::uint64_t fence,
-                                time_point lease_end) {
+start_outcome cell_world::Apply(const start_order& order, std::uint64_t fence) {
   auto* const worker = FindWorker(order.worker);
   if (worker == nullptr) {
     return start_outcome::kOtherIncarnation;
@@ -375,10 +374,10 @@
     return start_outcome::kStaleFence;
   }
   worker->fence = fence;
-  if (now_ >= lease_end) {
+  if (now_ >= order.lease_end) {
     return start_outcome::kTooLate;
   }
-  worker->lease_until = std::max(worker->lease_until, lease_end);
+  worker->lease_until = std::max(worker->lease_until, order.lease_end);
   const auto known = worker->running.find(order.task);
   if (known != worker->running.end() && known->second.run == order.run) {
     return start_outcome::kStarted;
@@ -433,23 +432,23 @@
 void cell_world::Execute(const start_order& decided) {
   const bool late = random_.Chance(faults_.order_delayed);
   const bool lost = random_.Chance(faults_.order_answer_lost);
-  ScheduleAfter(
-      late ? std::chrono::milliseconds{random_.Between(2'000, 12'000)} : kNetworkDelay,
-      [this, decided, late, lost, fence = epoch_, lease_end = now_ + kMaxLease] {
-        auto* const worker = FindWorker(decided.worker);
-        const bool cut = worker != nullptr && !Reachable(*worker);
-        const auto outcome = cut ? start_outcome::kUnknown : Apply(decided, fence, lease_end);
-        const bool answered = !cut && !late && !lost;
-        ScheduleAfter(answered ? kNetworkDelay : kAnswerTimeout, [this, decided, outcome, answered,
-                                                                  late, fence] {
-          EnqueueForLeader([this, decided, outcome, answered, late, fence] {
-            if (fence == epoch_ && !late) {
-              leader_->OnStartAnswer(decided, answered ? outcome : start_outcome::kUnknown, Now());
-              RequestPass();
-            }
-          });
-        });
-      });
+  ScheduleAfter(late ? std::chrono::milliseconds{random_.Between(2'000, 12'000)} : kNetworkDelay,
+                [this, decided, late, lost, fence = epoch_] {
+                  auto* const worker = FindWorker(decided.worker);
+                  const bool cut = worker != nullptr && !Reachable(*worker);
+                  const auto outcome = cut ? start_outcome::kUnknown : Apply(decided, fence);
+                  const bool answered = !cut && !late && !lost;
+                  ScheduleAfter(answered ? kNetworkDelay : kAnswerTimeout, [this, decided, outcome,
+                                                                            answered, late, fence] {
+                    EnqueueForLeader([this, decided, outcome, answered, late, fence] {
+                      if (fence == epoch_ && !late) {
+                        leader_->OnStartAnswer(decided,
+                                               answered ? outcome : start_outcome::kUnknown, Now());
+                        RequestPass();
+                      }
+                    });
+                  });
+                });
   if (late) {
     ScheduleAfter(kAnswerTimeout, [this, decided, fence = epoch_] {
       EnqueueForLeader([this, decided, fence] {
@@ -552,8 +551,8 @@
   }
   worker->fence = epoch;
   AdvanceWorker(*worker);
-  if (watch.extend_lease) {
-    worker->lease_until = std::max(worker->lease_until, sent_at + kMaxLease);
+  if (watch.lease_end) {
+    worker->lease_until = std::max(worker->lease_until, *watch.lease_end);
   }
   if (!asked) {
     AckEnds(*worker, watch.acked_end);
--- a/test/rosearch/sched/cell_world.h
+++ b/test/rosearch/sched/cell_world.h
@@ -169,7 +169,7 @@
   void Execute(const stop_order& decided);
   void Execute(const pace_order&) {}
   void Execute(const advice_query& decided);
-  start_outcome Apply(const start_order& order, std::uint64_t fence, time_point lease_end);
+  start_outcome Apply(const start_order& order, std::uint64_t fence);
   bool Apply(const stop_order& order, std::uint64_t fence);
   void CheckStart(const fake_worker& worker, const start_order& order);
   void EndRun(fake_worker& worker, const std::string& key, end_kind how);
--- a/test/rosearch/sched/leases_test.cc
+++ b/test/rosearch/sched/leases_test.cc
@@ -83,4 +83,35 @@
   CHECK(next.leader.OldRunsSettled());
 }
 
+// Guards against a task that runs twice: a lease that lasts longer at the worker than the leader
+// counts.
+TEST_CASE("a lease is over at the slowest worker before the leader takes it for expired") {
+  scheduler_fixture cell{2};
+  (void)cell.Submit("a", 1);
+  (void)cell.Store();
+  const auto first = cell.Starts();
+  REQUIRE(first.size() == 1);
+  cell.leader.OnStartAnswer(first[0], start_outcome::kStarted, cell.now);
+  auto lease_end = first[0].lease_end;
+  SECTION("of a start") {}
+  SECTION("of a watch") {
+    cell.AdvanceTime(seconds{2});
+    const auto watch = cell.leader.NextWatch(first[0].worker, cell.now);
+    REQUIRE((watch && watch->lease_end));
+    CHECK(*watch->lease_end > lease_end);
+    lease_end = *watch->lease_end;
+  }
+  Silence(cell, first[0].worker);
+  CHECK_FALSE(cell.leader.NextWatch(first[0].worker, cell.now)->lease_end);
+  const scheduler_settings settings;
+  const auto drift =
+      std::chrono::duration_cast<duration>(settings.max_lease * settings.max_clock_drift);
+  cell.now.steady = lease_end + drift + settings.lease_expiry_margin - milliseconds{1};
+  cell.leader.Tick(cell.now);
+  CHECK(cell.Starts().empty());
+  cell.now.steady += milliseconds{1};
+  cell.leader.Tick(cell.now);
+  CHECK(cell.Starts().size() == 1);
+}
+
 }  // namespace rosearch::sched
--- a/test/rosearch/sched/stored_workers_test.cc
+++ b/test/rosearch/sched/stored_workers_test.cc
@@ -20,7 +20,6 @@
 using std::chrono::seconds;
 
 constexpr duration kStep = milliseconds{100};
-constexpr duration kLease = seconds{6};
 constexpr duration kStopTakes = milliseconds{300};
 
 using records = std::map<std::string, std::string>;
@@ -151,8 +150,8 @@
         leader_->OnWatchFailed(id, watch_failure::kNoAnswer, now_);
         continue;
       }
-      if (watch->extend_lease) {
-        each.lease_until = now_.steady + kLease;
+      if (watch->lease_end) {
+        each.lease_until = *watch->lease_end;
       }
       std::erase_if(each.ended, [&](const auto& row) { return row.number <= watch->acked_end; });
       worker_report report;
@@ -191,7 +190,7 @@
         wrong_ = order.task + " starts at " + order.worker + " while it runs at " + id;
       }
     }
-    each.lease_until = now_.steady + kLease;
+    each.lease_until = order.lease_end;
     each.running[order.task] = {order.run,
                                 now_.steady + milliseconds{random_.Between(500, 40'000)}};
     leader_->OnStartAnswer(order, start_outcome::kStarted, now_);
