Lint: the odd entries of the registry's test are made by a function (adapter)

clang-tidy took the literals in two parts for missing commas (bugprone-suspicious-missing-comma). The bytes of the entries are the same.

--- a/test/adapter/odd_entries_test.cc
+++ b/test/adapter/odd_entries_test.cc
@@ -165,6 +165,11 @@
   return BigEndian(key.size(), 1) + key + value;
 }
 
+std::string Entry(const std::string& port, const std::string& processors) {
+  return R"({"service":"s","address":"127.0.0.1:)" + port +
+         R"(","state":"ready","capacity":{"cpu":)" + processors + R"(,"mem-mb":1},"labels":[]})";
+}
+
 /// Entries of the registry as another writer may leave them.
 std::vector<std::string> OddValues() {
   const std::string begin = R"({"service":"s","address":"127.0.0.1:1","state":"ready",)"
@@ -176,16 +181,11 @@
           begin + R"("remaining-ms":)" + std::string(5'000, '9') + "}",
           begin + R"("born":18446744073709551616})",
           begin + R"("born":-9223372036854775809})",
-          R"({"service":"s","address":"127.0.0.1:65536","state":"ready",)"
-          R"("capacity":{"cpu":1,"mem-mb":1},"labels":[]})",
-          R"({"service":"s","address":"127.0.0.1:-1","state":"ready",)"
-          R"("capacity":{"cpu":1,"mem-mb":1},"labels":[]})",
-          R"({"service":"s","address":"127.0.0.1:99999999999999999999","state":"ready",)"
-          R"("capacity":{"cpu":1,"mem-mb":1},"labels":[]})",
-          R"({"service":"s","address":"127.0.0.1:1","state":"ready",)"
-          R"("capacity":{"cpu":1e308,"mem-mb":1},"labels":[]})",
-          R"({"service":"s","address":"127.0.0.1:1","state":"ready",)"
-          R"("capacity":{"cpu":18446744073709551615,"mem-mb":1},"labels":[]})",
+          Entry("65536", "1"),
+          Entry("-1", "1"),
+          Entry("99999999999999999999", "1"),
+          Entry("1", "1e308"),
+          Entry("1", "18446744073709551615"),
           std::string{"\0\xff\xfe", 3},
           "null",
           "1e999"};
