An end counts in an occurrence that this leader hasn't opened (sched)

What callers saw: none shown; a task of a repeated job could run again after it had ended as done. Cause: HandleEnd looked for the step among opened occurrences only, ignored the end where it found none, and the end was acknowledged with the next batch. A new leader whose wall clock is behind hasn't opened what its predecessor opened and ran; it starts the task when the occurrence is due for it. AdoptRun opened the occurrence, HandleEnd didn't. Why this works: one function, FindOrOpenStep, finds the step for both. It opens occurrences only up to a task that exists, of a job that is accepted and hasn't ended. Where an end is still ignored and acknowledged: - A job that isn't accepted: a run starts only once the record is stored, and each later leader restores that record as accepted or ended. So the end is of no run of this job. - A job that has ended here: its tasks start no more. Its last record is in the batch of the acknowledgement or before, and the store takes batches in sequence, so no later leader reads the job as open with the end gone. - A job that isn't known: ended and forgotten, or refused and never started. A record that this build can't read (record_unreadable) is the exception: a later build that can read it wouldn't know the end. Not changed here. - An end without a result (stopped, lapsed, lost, of a gang): the task is to run again.

--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -228,6 +228,11 @@
   job_state* FindJob(std::string_view id);
   /// @return the step of a task; null if it is unknown or its occurrence is not active.
   step_state* FindStep(const task_name& name);
+  /// Opens the occurrence of a task that a worker lists, if this leader hasn't: an earlier one
+  /// whose clock was ahead has.
+  /// @return the step of the task; null if there is no such task, or if its job isn't accepted or
+  ///         has ended.
+  step_state* FindOrOpenStep(const task_name& name, const instant& now);
   void RecordTiming(const job_state& job, bool ended, const instant& now);
   void OpenDueOccurrences(job_state& job, const instant& now);
   void OpenSteps(job_state& job, occurrence_state& occurrence, const instant& now);
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -53,6 +53,23 @@
   return step != nullptr && name.index < step->tasks.size() ? step : nullptr;
 }
 
+step_state* scheduler::FindOrOpenStep(const task_name& name, const instant& now) {
+  auto* const job = FindJob(name.job);
+  // A job that isn't accepted may yet be refused and removed with its steps.
+  if (job == nullptr || !job->accepted || IsTerminal(job->phase)) {
+    return nullptr;
+  }
+  const auto& steps = job->spec->steps;
+  if (name.occurrence >= job->Occurrences() || name.step >= steps.size() ||
+      name.index >= steps[name.step].count) {
+    return nullptr;
+  }
+  while (name.occurrence >= job->occurrences.size()) {
+    OpenSteps(*job, AddOccurrence(*job), now);
+  }
+  return FindStep(name);
+}
+
 void scheduler::RecordTiming(const job_state& job, bool ended, const instant& now) {
   // The duration of recurring jobs and services is set by their callers, so it says nothing about
   // the cell's performance.
--- a/src/rosearch/sched/scheduler_reports.cc
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -31,9 +31,9 @@
   }
   // The run was started by an earlier leader or has already been ended as lost.
   const auto name = task_name::Parse(row.task);
-  auto* const step = name ? FindStep(*name) : nullptr;
   const bool has_result = row.how == end_kind::kDone || row.how == end_kind::kFailed;
-  if (step == nullptr || IsTerminal(step->job->phase) || !has_result) {
+  auto* const step = name && has_result ? FindOrOpenStep(*name, now) : nullptr;
+  if (step == nullptr) {
     return;
   }
   log_.Write(event_line{"old_run_ended", event_weight::kDetail}
@@ -68,13 +68,7 @@
 
 void scheduler::AdoptRun(worker_state& worker, const running_row& row, const instant& now) {
   const auto name = task_name::Parse(row.task);
-  auto* const job = name ? FindJob(name->job) : nullptr;
-  const bool wanted = job != nullptr && !IsTerminal(job->phase);
-  while (wanted && name->occurrence >= job->occurrences.size() &&
-         job->occurrences.size() < job->Occurrences()) {
-    OpenSteps(*job, AddOccurrence(*job), now);
-  }
-  auto* const step = wanted ? FindStep(*name) : nullptr;
+  auto* const step = name ? FindOrOpenStep(*name, now) : nullptr;
   const bool known = step != nullptr && !step->tasks[name->index].done;
   if (!known || (step->tasks[name->index].live > 0 && !step->spec->may_duplicate)) {
     StopUnknownRun(worker, row, now);
