--- a/test/adapter/hold_copies_test.cc
+++ b/test/adapter/hold_copies_test.cc
@@ -37,7 +37,7 @@
   std::shared_ptr<std::optional<cell::watch_answer>> Hold(std::uint64_t acked_end,
                                                           duration wait = {}) {
     auto got = std::make_shared<std::optional<cell::watch_answer>>();
-    workers.Watch({"w", address, acked_end, true, wait, born}, 1,
+    workers.Watch({"w", address, acked_end, wait, born, SteadyNow() + seconds{6}}, 1,
                   [got](cell::watch_answer answer) { *got = std::move(answer); });
     return got;
   }
@@ -84,7 +84,7 @@
   cell::peer_link peers{io, "127.0.0.1:0", 7,
                         [this](const wire::peer_frame& frame) { client.ServeRelayCall(frame); }};
   cell::relayed_client client{io, http, peers};
-  worker_client workers{client, seconds{6}};
+  worker_client workers{io, client};
 };
 
 }  // namespace
