An exception that leaves a handler ends the process, with a line that says so (platform, serve)

What callers saw: none shown for a fault of our own. With odd bytes, before they were refused: a worker got no more work, and no log said why. Cause: http_client ran its coroutines detached; Asio drops an exception that leaves such a coroutine, and with it what the callback should have caused, e.g. the next watch. Why this works: the completion of the coroutine rethrows, so the exception leaves io_context::run (the connection's slot is given back before the callback). join catches it there, writes handler_failed with at most 256 bytes of detail, flushes the log and ends with code 1; the platform starts it again. serve does the same on each of its threads: the first failure stops the io_context, the others are joined, and the code is 1. An exception that isn't a std::exception ends the process by std::terminate. No test of the two catch blocks themselves: no input is known that makes a handler throw.

--- a/src/rosearch/platform/http_client.cc
+++ b/src/rosearch/platform/http_client.cc
@@ -8,7 +8,6 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -18,6 +17,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <exception>
 #include <list>
 #include <map>
 #include <mutex>
@@ -38,6 +38,14 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+/// Ends a coroutine that nothing waits for: its exception leaves `io_context::run`. Dropped there,
+/// it would end without a trace all that its callback would have caused.
+void RethrowFailure(const std::exception_ptr& failure) {
+  if (failure) {
+    std::rethrow_exception(failure);
+  }
+}
+
 /// Asio's clock counts nanoseconds, so the latest moments of ours would overflow it.
 std::chrono::steady_clock::time_point ToSteady(time_point moment) {
   constexpr auto kLatest = std::chrono::duration_cast<duration>(
@@ -122,7 +130,7 @@
 
   void Send(http_request request, http_callback done) {
     asio::co_spawn(strand_, Run(shared_from_this(), std::move(request), std::move(done)),
-                   asio::detached);
+                   RethrowFailure);
   }
 
   /// Closes idle connections now, and others as soon as their requests end.
@@ -243,7 +251,7 @@
     idle_.push_back(std::move(open));
     if (!sweeping_) {
       sweeping_ = true;
-      asio::co_spawn(strand_, Sweep(shared_from_this()), asio::detached);
+      asio::co_spawn(strand_, Sweep(shared_from_this()), RethrowFailure);
     }
   }
 
--- a/src/rosearch/serve/serve.cc
+++ b/src/rosearch/serve/serve.cc
@@ -9,10 +9,12 @@
 #include <boost/asio/strand.hpp>
 #include <chrono>
 #include <csignal>
+#include <exception>
 #include <filesystem>
 #include <fstream>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -36,7 +38,10 @@
 constexpr milliseconds kTrafficInterval{200};
 constexpr std::int64_t kMillion = 1'000'000;
 
+constexpr std::size_t kMaxDetailBytes = 256;
+
 constexpr int kExitStopped = 0;
+constexpr int kExitFailed = 1;
 constexpr int kExitHistoryLost = 3;
 constexpr int kExitGracePassed = 4;
 
@@ -141,17 +146,30 @@
     Schedule();
     std::vector<std::thread> threads;
     for (std::uint32_t at = 1; at < settings_.http.threads; ++at) {
-      threads.emplace_back([this] { io_.run(); });
+      threads.emplace_back([this] { RunHandlers(); });
     }
-    io_.run();
+    RunHandlers();
     for (auto& thread : threads) {
       thread.join();
     }
-    LOG(INFO) << "event=stopped code=" << exit_code_;
-    return exit_code_;
+    const int code = handler_failed_ ? kExitFailed : exit_code_;
+    LOG(INFO) << "event=stopped code=" << code;
+    return code;
   }
 
  private:
+  /// A handler that failed hasn't caused all that it should have, so the process ends.
+  void RunHandlers() {
+    try {
+      io_.run();
+    } catch (const std::exception& failed) {
+      LOG(ERROR) << "event=handler_failed detail="
+                 << std::string_view{failed.what()}.substr(0, kMaxDetailBytes);
+      handler_failed_ = true;
+      io_.stop();
+    }
+  }
+
   static http_options HttpOptions(const config::settings& settings) {
     http_options options;
     options.connect_timeout = settings.platform.connect_timeout;
@@ -304,6 +322,7 @@
   std::unique_ptr<peer_transport> transport_;
   std::atomic<bool> node_ready_{false};
   std::atomic<bool> leaving_{false};
+  std::atomic<bool> handler_failed_{false};
   bool stopping_{false};
   time_point traffic_at_{};
   time_point stop_at_{};
--- a/test/rosearch/platform/http_client_test.cc
+++ b/test/rosearch/platform/http_client_test.cc
@@ -12,7 +12,9 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
+#include <utility>
 
 #include "rosearch/platform/clock.h"
 
@@ -66,13 +68,16 @@
   explicit calls(std::size_t most) : client_{io, http_options{most}} {}
 
   std::shared_ptr<std::optional<result<http_reply>>> Send(duration patience, bool fresh = false) {
+    auto got = std::make_shared<std::optional<result<http_reply>>>();
+    Send(patience, fresh, [got](result<http_reply> answer) { *got = std::move(answer); });
+    return got;
+  }
+  void Send(duration patience, bool fresh, http_callback done) {
     http_request request;
     request.address = server.address();
     request.answer_by = SteadyNow() + patience;
     request.fresh_connection = fresh;
-    auto got = std::make_shared<std::optional<result<http_reply>>>();
-    client_.Send(request, [got](result<http_reply> answer) { *got = std::move(answer); });
-    return got;
+    client_.Send(request, std::move(done));
   }
   void Run(duration span) {
     io.restart();
@@ -109,6 +114,19 @@
   CHECK(Answered(*next));
 }
 
+// A fault of our own in a handler ended what its answer would have caused, such as all further
+// watches of a worker, without a line in any log.
+TEST_CASE("an exception that leaves a callback reaches whoever runs the io_context") {
+  const bool fresh = GENERATE(false, true);
+  calls made{1};
+  made.Send(milliseconds{500}, fresh,
+            [](const result<http_reply>&) { throw std::runtime_error{"odd"}; });
+  CHECK_THROWS_AS(made.Run(milliseconds{500}), std::runtime_error);
+  const auto next = made.Send(milliseconds{500});
+  made.Run(milliseconds{100});
+  CHECK(Answered(*next));
+}
+
 // All connections that are allowed wait for answers that never come. What is sent to find out
 // whether the store is back must not wait for them.
 TEST_CASE("a request that wants a fresh connection waits for no other") {
