A new leader asks all former leaders that may still act, not those alone that it saw replaced (cell)

Callers could see a task run twice: a leader that was replaced, but is still followed by a majority while the store is away for it, may extend leases for 10 s after it was fenced. Its successor counted on its stop at once in three cases, and then waited only the short time for workers that it doesn't reach: - a process that has just started reads the newest claim alone and didn't know the leaders before that one; - a claim that was read after a newer one was adopted (by a notice) was refused, so its leader was never recorded; - a former leader was forgotten 10 s after its replacement was read. Only a fence limits it, and the claimer after it may have ended before it fenced the store.

Claims and renewals now name the leaders before them that may still act; a claimer has read all claims before its own, so the newest record is enough. A leader is left out 10 s after a later one was heard to serve (a new flag in its ping replies). A claim of an older build or an unreadable one counts as an unknown former leader that never answers. Workers that answer are taken over as before.

--- a/src/rosearch/cell/fwd.h
+++ b/src/rosearch/cell/fwd.h
@@ -6,6 +6,7 @@
 class advice_dispatcher;
 class call_intake;
 class election;
+class former_leaders;
 class leadership_proof;
 class peer_link;
 class predecessor_watch;
--- a/src/rosearch/cell/internal/node_claims.h
+++ b/src/rosearch/cell/internal/node_claims.h
@@ -11,15 +11,12 @@
 template <typename Ports>
 void node<Ports>::AdoptLeadership(const leadership& claimed) {
   const auto former = election_.KnownLeader().address;
-  const auto now = SteadyNow();
-  if (!election_.OnLeadership(claimed, now)) {
+  former_leaders_.OnClaim(claimed.epoch, claimed.address);
+  if (!election_.OnLeadership(claimed, SteadyNow())) {
     return;
   }
   leader_stamp_ = 0;
   claims_stamp_ = 0;
-  if (!former.empty()) {
-    superseded_at_[former] = now;
-  }
   log_.Write(event_line{"leader_known", event_weight::kStateChange}
                  .Add("epoch", claimed.epoch)
                  .Add("leader", claimed.address)
@@ -115,6 +112,7 @@
   } else if (parsed && !record.member().address().empty()) {
     OnClaim(record, offset, asked_at);
   } else {
+    former_leaders_.OnClaim(offset + 1, former_leaders::kUnknown);
     log_.Write(event_line{"claim_unreadable", event_weight::kFailure}.Add("offset", offset));
   }
 }
@@ -124,11 +122,33 @@
   const auto& renewal = record.renewal();
   const leadership renewed{renewal.epoch(), renewal.leader().address(), renewal.leader().name(),
                            record.incarnation()};
+  RecordFormerLeaders(record, renewed.epoch);
   AdoptLeadership(renewed);
   election_.OnClaimRenewed(renewed.epoch, SteadyNow());
   CheckFormerRun(renewed);
 }
 
+template <typename Ports>
+void node<Ports>::RecordFormerLeaders(const wire::leader_claim& record, std::uint64_t epoch) {
+  if (epoch <= 1) {
+    return;
+  }
+  if (!record.has_former()) {
+    former_leaders_.OnClaim(epoch - 1, former_leaders::kUnknown);
+  }
+  for (const auto& address : record.former().addresses()) {
+    former_leaders_.OnClaim(epoch - 1, address);
+  }
+}
+
+template <typename Ports>
+void node<Ports>::NameFormerLeaders(wire::leader_claim& record, std::uint64_t epoch) const {
+  auto& former = *record.mutable_former();
+  for (const auto& address : former_leaders_.Before(epoch, SteadyNow())) {
+    former.add_addresses(address);
+  }
+}
+
 template <typename Ports>
 void node<Ports>::CheckFormerRun(const leadership& claimed) {
   if (claimed.address == peers_.address() && claimed.incarnation != incarnation_) {
@@ -143,6 +163,7 @@
                            claim.incarnation()};
   const bool own = claim.incarnation() == incarnation_ && claimed.address == peers_.address();
   const bool is_newer = claimed.epoch > election_.KnownLeader().epoch;
+  RecordFormerLeaders(claim, claimed.epoch);
   AdoptLeadership(claimed);
   if (own && is_newer && !stopping_) {
     StartLeading(claimed.epoch, asked_at);
@@ -238,6 +259,7 @@
   wire::leader_claim claim;
   *claim.mutable_member() = Self();
   claim.set_incarnation(incarnation_);
+  NameFormerLeaders(claim, next_claim_offset_ + 1);
   log_.Write(event_line{"leadership_claimed", event_weight::kStateChange}
                  .Add("at", next_claim_offset_)
                  .Add("known_epoch", election_.KnownLeader().epoch)
@@ -264,6 +286,7 @@
   record.set_incarnation(incarnation_);
   record.mutable_renewal()->set_epoch(leader_->epoch());
   *record.mutable_renewal()->mutable_leader() = Self();
+  NameFormerLeaders(record, leader_->epoch());
   log_.Write(event_line{"claim_renewed", event_weight::kStateChange}
                  .Add("epoch", leader_->epoch())
                  .Add("at", next_claim_offset_)
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -19,6 +19,7 @@
   }
   if (IsLeading()) {
     if (leader_->Serving()) {
+      former_leaders_.OnFenced(leader_->epoch(), now);
       last_leader_answer_at_ = now;
       limits_ = leader_->configuration().limits;
       limits_known_ = leader_->configuration().version > 0;
@@ -276,15 +277,8 @@
 template <typename Ports>
 void node<Ports>::WatchPredecessors(time_point now) {
   constexpr duration kMaxListAge = std::chrono::seconds{5};
-  std::erase_if(superseded_at_, [&](const auto& each) {
-    return now - each.second >= settings_.leading.proof.max_unconfirmed;
-  });
-  std::vector<std::string> predecessors;
-  for (const auto& [address, at] : superseded_at_) {
-    if (address != peers_.address()) {
-      predecessors.push_back(address);
-    }
-  }
+  auto predecessors = former_leaders_.Before(leader_->epoch(), now);
+  std::erase(predecessors, peers_.address());
   const bool is_current = !members_.empty() && now - last_leader_answer_at_ < kMaxListAge;
   predecessors_ = predecessor_watch{
       predecessors, MembersWhere([](const std::string&, const member&) { return true; }),
--- a/src/rosearch/cell/internal/node_pings.h
+++ b/src/rosearch/cell/internal/node_pings.h
@@ -78,6 +78,9 @@
   election_.OnLeaderAnswer(frame.epoch(), now);
   last_leader_answer_at_ = now;
   leader_stamp_ = std::max(leader_stamp_, pong.stamp());
+  if (pong.serving()) {
+    former_leaders_.OnFenced(frame.epoch(), now);
+  }
   if (pong.members_size() > 0) {
     members_.clear();
     for (const auto& each : pong.members()) {
@@ -112,6 +115,7 @@
   frame.set_epoch(election_.KnownLeader().epoch);
   auto& pong = *frame.mutable_pong();
   pong.set_stamp(StampOf(SteadyNow()));
+  pong.set_serving(leader_->Serving());
   pong.set_leading(leader_->Serving() || !stopping_);
   pong.set_resigning(stopping_);
   const auto& configuration = leader_->configuration();
--- a/src/rosearch/cell/node.h
+++ b/src/rosearch/cell/node.h
@@ -17,6 +17,7 @@
 #include "rosearch/cell/cell_metrics.h"
 #include "rosearch/cell/cell_settings.h"
 #include "rosearch/cell/election.h"
+#include "rosearch/cell/former_leaders.h"
 #include "rosearch/cell/leader.h"
 #include "rosearch/cell/leader_fitness.h"
 #include "rosearch/cell/peer_choice.h"
@@ -52,6 +53,7 @@
         log_{log},
         metrics_{metrics},
         election_{settings_.electing, IsSmall(), jitter, SteadyNow()},
+        former_leaders_{settings_.leading.proof.max_unconfirmed},
         tick_timer_{io},
         claims_timer_{io},
         handover_timer_{io} {
@@ -271,6 +273,11 @@
   /// @param asked_at  when the claim, or the read that found it, was sent.
   void OnClaim(const wire::leader_claim& claim, std::uint64_t offset, time_point asked_at);
   void OnClaimRenewal(const wire::leader_claim& record);
+  /// Records who led before a claim.
+  /// @param epoch  of the claim, or of the claim that the record renews.
+  void RecordFormerLeaders(const wire::leader_claim& record, std::uint64_t epoch);
+  /// Names in a record of the claim log the leaders before an epoch that may still act.
+  void NameFormerLeaders(wire::leader_claim& record, std::uint64_t epoch) const;
   /// Ends the known leadership if a former run of this process held it.
   void CheckFormerRun(const leadership& claimed);
   void AdoptLeadership(const leadership& claimed);
@@ -330,6 +337,7 @@
   event_sink& log_;
   metric_set& metrics_;
   election election_;
+  former_leaders former_leaders_;
   boost::asio::steady_timer tick_timer_;
   boost::asio::steady_timer claims_timer_;
   boost::asio::steady_timer handover_timer_;
@@ -354,11 +362,10 @@
   time_point next_tick_at_{};
   time_point peers_queried_at_{};
   time_point claims_read_at_{};
-  std::uint64_t leader_stamp_{0};  ///< newest received from the known leader; 0: none
-  std::uint64_t claims_stamp_{0};  ///< `leader_stamp_` when the last read of the claims was sent
-  duration claims_waited_{};       ///< how long after that the read was still true
-  std::map<std::string, time_point> superseded_at_;  ///< former leaders, by address
-  predecessor_watch predecessors_;                   ///< of the present leadership
+  std::uint64_t leader_stamp_{0};   ///< newest received from the known leader; 0: none
+  std::uint64_t claims_stamp_{0};   ///< `leader_stamp_` when the last read of the claims was sent
+  duration claims_waited_{};        ///< how long after that the read was still true
+  predecessor_watch predecessors_;  ///< of the present leadership
   time_point predecessors_probed_at_{};
   time_point offered_at_{};           ///< when leadership was last offered to larger processes
   std::uint64_t suspected_epoch_{0};  ///< the newest epoch for which `leader_doubted` was logged
--- a/test/rosearch/cell/cell_of_three.h
+++ b/test/rosearch/cell/cell_of_three.h
@@ -116,7 +116,7 @@
  public:
   process(claims_log& claims, const std::string& address, const std::vector<std::string>& seeds,
           std::uint64_t incarnation, std::uint32_t processor_milli = 1'000, int workers = 1,
-          std::uint32_t link_mbps = 0)
+          std::uint32_t link_mbps = 0, const leadership_proof_settings& proof = {})
       : ports_{io_, claims},
         peers_{io_, address, incarnation,
                [this](const wire::peer_frame& frame) { node_->Receive(frame); },
@@ -128,6 +128,7 @@
     settings.seeds = seeds;
     settings.processor_milli = processor_milli;
     settings.link_mbps = link_mbps;
+    settings.leading.proof = proof;
     node_ = std::make_unique<node<claiming_ports>>(io_, settings, ports_, peers_, client_,
                                                    incarnation, 0.0, log_, metrics_);
     node_->Begin();
@@ -166,6 +167,13 @@
   [[nodiscard]] bool HasRelays() {
     return OnThread([this] { return client_.HasRelays(); });
   }
+  /// Delivers a message of a peer.
+  void Deliver(const wire::peer_frame& frame) {
+    (void)OnThread([this, frame] {
+      node_->Receive(frame);
+      return true;
+    });
+  }
   /// Begins a planned stop; the process goes on until its callers are served.
   void BeginStop() {
     boost::asio::post(io_, [this] { node_->Stop(); });
