All processes that may claim vouch for a leader, not those alone that pinged it within 60 s (cell)

Callers could see a task run twice, without any majority and without an end: a leader counts as proven while all processes that it expects vouch for it. It expected only those that had pinged it, and within 60 s. So - a new leader that is cut off from the store with one follower, before the others have joined it, was proven by that follower for good, beside the leader that the others then elect; - a leader that is cut off with one follower stopped after 10 s, and acted again after 60 s, when the process that had replaced it was no longer expected. In both it took the leases of workers on the other side for expired and started their tasks again.

A leader now expects all processes and former leaders that it knows when it begins, and leaves one out only once the store has shown no newer claim for 60 s after its last ping. Cost: with the store away and a process ended, a cell stands after 10 s until the store is back (before: from 10 s to 60 s).

Red before: the two new cases of leadership_model_test.cc.

Not run: sanitizers, soaks, test_process.

--- a/src/rosearch/cell/internal/leader_takeover.h
+++ b/src/rosearch/cell/internal/leader_takeover.h
@@ -218,7 +218,7 @@
 template <typename Ports>
 void leader<Ports>::RenewProof() {
   const auto now = SteadyNow();
-  const auto proven_at = proof_.ProvenAt(now);
+  const auto proven_at = proof_.ProvenAt();
   scheduler_.SetProvenAt(proven_at);
   const bool may_act = MayAct();
   if (std::exchange(may_act_logged_, may_act) != may_act) {
--- a/src/rosearch/cell/internal/node_leadership.h
+++ b/src/rosearch/cell/internal/node_leadership.h
@@ -284,6 +284,9 @@
       predecessors, MembersWhere([](const std::string&, const member&) { return true; }),
       is_current};
   predecessors_probed_at_ = now;
+  for (const auto& address : predecessors_.Missing()) {
+    leader_->ExpectPeer(address);
+  }
   if (predecessors_.HaveStopped()) {
     leader_->OnPredecessorsStopped();
   }
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -165,6 +165,9 @@
     proof_.OnPing(process, heard_at >= resumed_at_ ? heard_at : time_point{}, now);
   }
 
+  /// Records a process that may claim leadership and hasn't pinged this leader yet.
+  void ExpectPeer(const std::string& process) { proof_.Expect(process, SteadyNow()); }
+
   /// Records that the former leaders have lost their proof of leadership.
   void OnPredecessorsStopped();
 
--- a/src/rosearch/cell/leadership_proof.h
+++ b/src/rosearch/cell/leadership_proof.h
@@ -16,7 +16,8 @@
   /// Max time for which a majority of the processes stands in for news of the claims, as while the
   /// store is unavailable to all of them.
   duration max_unconfirmed{std::chrono::seconds{10}};
-  /// A process that has been silent for this long is no longer expected to vouch.
+  /// A process that has been silent for this long is no longer expected to vouch, if the store
+  /// held no newer claim after that time. A silent process may have claimed instead.
   duration voter_timeout{std::chrono::seconds{60}};
 
   friend bool operator==(const leadership_proof_settings&,
@@ -33,7 +34,8 @@
 /// by the store's answers, passed on by peers or not, and by all processes together: none of them
 /// had claimed. A majority of the processes doesn't prove it, but a claimer that can't rule out
 /// that a majority follows its predecessor waits for longer than `max_unconfirmed`, see
-/// `predecessor_watch`.
+/// `predecessor_watch`. All processes are those that the leader knew when it began and those that
+/// it has heard since.
 class leadership_proof {
  public:
   explicit leadership_proof(const leadership_proof_settings& settings = {}) : settings_{settings} {}
@@ -44,13 +46,15 @@
   /// @param heard_at  date of the leader's newest answer that it had received and that it follows;
   ///                  zero: none.
   void OnPing(const std::string& process, time_point heard_at, time_point now);
+  /// Records a process that may claim leadership and that the leader hasn't heard yet.
+  void Expect(const std::string& process, time_point now);
   /// Forgets all dates, as after a time in which the leader's clock may have stood still.
   void Discard();
 
   /// @return whether the leader may act.
   [[nodiscard]] bool Holds(time_point now) const;
   /// @return the date up to which no newer claim was stored.
-  [[nodiscard]] time_point ProvenAt(time_point now) const;
+  [[nodiscard]] time_point ProvenAt() const;
   /// @return the date up to which the store is known to have held no newer claim.
   [[nodiscard]] time_point NoNewerClaimAt() const { return no_newer_claim_at_; }
 
@@ -61,8 +65,8 @@
     time_point seen_at{};   ///< arrival of its last ping
   };
 
-  [[nodiscard]] bool IsExpected(const voter& process, time_point now) const {
-    return now - process.seen_at < settings_.voter_timeout;
+  [[nodiscard]] bool IsExpected(const voter& process) const {
+    return no_newer_claim_at_ - process.seen_at < settings_.voter_timeout;
   }
   /// @return whether more than half of the processes, the leader included, vouch for the leader.
   [[nodiscard]] bool HasMajority(time_point now) const;
--- a/test/rosearch/cell/leadership_model_test.cc
+++ b/test/rosearch/cell/leadership_model_test.cc
@@ -49,6 +49,8 @@
   std::size_t processes{2};
   paths cut = AllOpen();
   time_point heals_at{};
+  std::optional<paths> later{};  ///< replaces `cut` from `changes_at` on
+  time_point changes_at{};
   bool keeps_messages{false};           ///< messages on a cut path arrive once it is open
   std::optional<std::size_t> frozen{};  ///< process that stands still until `thaws_at`
   time_point thaws_at{};
@@ -59,12 +61,11 @@
 struct any_ping_proof {
   void OnNoNewerClaim(time_point at) { confirmed_at = std::max(confirmed_at, at); }
   void OnPing(const std::string&, time_point, time_point now) { confirmed_at = now; }
+  void Expect(const std::string&, time_point) {}
   [[nodiscard]] bool Holds(time_point now) const {
     return now - confirmed_at < milliseconds{1'500};
   }
-  [[nodiscard]] time_point ProvenAt(time_point now) const {
-    return Holds(now) ? now : confirmed_at;
-  }
+  [[nodiscard]] time_point ProvenAt() const { return time_point::max(); }
 
   time_point confirmed_at{};
 };
@@ -136,9 +137,12 @@
 
   [[nodiscard]] bool Cut() const { return now_ >= kCutAt && now_ < played_.heals_at; }
   [[nodiscard]] bool Passes(std::size_t from, std::size_t to) const {
-    return !Cut() || played_.cut.peers[from][to];
+    return !Cut() || Paths().peers[from][to];
+  }
+  [[nodiscard]] bool ReachesStore(std::size_t id) const { return !Cut() || Paths().store[id]; }
+  [[nodiscard]] const paths& Paths() const {
+    return played_.later && now_ >= played_.changes_at ? *played_.later : played_.cut;
   }
-  [[nodiscard]] bool ReachesStore(std::size_t id) const { return !Cut() || played_.cut.store[id]; }
   static std::string Name(std::size_t id) { return std::to_string(id); }
 
   void Step(std::size_t id) {
@@ -275,6 +279,7 @@
     for (std::size_t other = 0; other < played_.processes; ++other) {
       if (other != id) {
         others.push_back(Name(other));
+        self.proof.Expect(Name(other), now_);
       }
     }
     self.watch = Watch{predecessors, others, is_current};
@@ -299,7 +304,7 @@
   }
 
   void JudgeReplaced(const process& old, time_point claimed_at) {
-    if (old.proof.Holds(now_) && old.proof.ProvenAt(now_) > claimed_at) {
+    if (old.proof.Holds(now_) && old.proof.ProvenAt() > claimed_at) {
       ++violations_;  // it could start tasks again whose workers the newer leader has reached
     }
     for (std::size_t epoch = old.epoch + 1; epoch <= claims_.size(); ++epoch) {
@@ -403,6 +408,47 @@
   CHECK(PlayAll<former_rule>(3, false) > 0);
 }
 
+// Guards against a leader that counts only processes that it has heard. Its predecessor is lost, it
+// claims, and is cut off from the store with one follower before it has heard the others.
+TEST_CASE(
+    "a new leader that is cut off before all have joined it doesn't act beside its successor") {
+  scenario played;
+  played.processes = 4;
+  played.heals_at = kCutAt + milliseconds{11'500};
+  played.cut.store[0] = false;
+  for (std::size_t other = 1; other < 4; ++other) {
+    played.cut.peers[0][other] = played.cut.peers[other][0] = false;
+  }
+  for (std::size_t other = 1; other < 3; ++other) {
+    played.cut.peers[3][other] = played.cut.peers[other][3] = false;
+  }
+  played.later = played.cut;
+  played.later->store[1] = played.later->store[2] = false;
+  for (const int after : {900, 1'000, 1'200, 1'500}) {
+    played.changes_at = kCutAt + milliseconds{after};
+    present_rule cell{played};
+    CHECK(cell.Play() == 0);
+    CHECK(cell.Claims() == 3);
+  }
+}
+
+// Guards against a leader that is cut off from the store and acts again once it has forgotten the
+// process that replaced it.
+TEST_CASE(
+    "a process that fell silent counts until the store has shown for long that it leads not") {
+  const leadership_proof_settings settings;
+  leadership_proof proof{settings};
+  proof.OnNoNewerClaim(kStart);
+  proof.OnPing("successor", kStart, kStart);
+  const auto late = kStart + settings.voter_timeout + milliseconds{1'000};
+  proof.OnPing("follower", late, late);
+  CHECK_FALSE(proof.Holds(late));
+  CHECK(proof.ProvenAt() == kStart);
+  proof.OnNoNewerClaim(late);
+  proof.OnPing("follower", late + milliseconds{3'000}, late + milliseconds{3'000});
+  CHECK(proof.Holds(late + milliseconds{3'000}));
+}
+
 // Guards against a process that was frozen just after its proof, and goes on with what it knew.
 TEST_CASE("a leader that was frozen while it was replaced doesn't act") {
   for (std::uint32_t pattern = 0; pattern < (1U << 6U); ++pattern) {
