A batch that is refused beside a hung copy goes out ever more rarely (cell)

Refused calls are priced and count against the limit. Cause: both the retry timer (0.1 s) and each answered probe (0.15 s) sent all batches again. Change: the pause of the timer doubles up to 0.8 s, and after a refusal a probe sends again after 0.4 s at the earliest.

--- a/src/rosearch/cell/internal/leader_store.h
+++ b/src/rosearch/cell/internal/leader_store.h
@@ -138,6 +138,13 @@
   }
 }
 
+template <typename Ports>
+duration leader<Ports>::RefusedPause(std::uint32_t failures) const {
+  constexpr std::uint32_t kMaxDoublings = 8;
+  const auto doubled = settings_.store_retry_interval * (1 << std::min(failures, kMaxDoublings));
+  return std::min<duration>(doubled / 2, settings_.max_refused_pause);
+}
+
 template <typename Ports>
 void leader<Ports>::ProbeStore() {
   const auto now = SteadyNow();
@@ -149,7 +156,9 @@
     if (stored) {
       self.RecordAppendAnswered();
     }
-    if (stored && self.resent_at_ < asked_at) {
+    const bool refused = !self.batches_.empty() && self.batches_.front().failures > 0;
+    const auto pause = refused ? self.settings_.max_refused_pause / 2 : duration{};
+    if (stored && self.resent_at_ < asked_at && SteadyNow() - self.resent_at_ >= pause) {
       self.ResendBatches();
     }
   });
@@ -232,7 +241,8 @@
   ++batches_.front().failures;
   scheduler_.RefuseUnsentJobs();
   AnswerSettledCallers();
-  After(writer_timer_, settings_.store_retry_interval, [](leader& self) { self.ResendBatches(); });
+  After(writer_timer_, RefusedPause(batches_.front().failures),
+        [](leader& self) { self.ResendBatches(); });
 }
 
 }  // namespace rosearch::cell
--- a/src/rosearch/cell/leader.h
+++ b/src/rosearch/cell/leader.h
@@ -53,6 +53,9 @@
   duration min_batch_interval{std::chrono::milliseconds{12}};
   /// Delay before an unanswered or refused append is retried.
   duration store_retry_interval{std::chrono::milliseconds{100}};
+  /// Upper limit of that delay, which doubles with each failure, while copies of a batch may still
+  /// be executed.
+  duration max_refused_pause{std::chrono::milliseconds{800}};
   /// Interval between probes of an unavailable store. Pending calls time out only after seconds, so
   /// without probes its recovery would be noticed late.
   duration store_probe_interval{std::chrono::milliseconds{150}};
@@ -318,6 +321,8 @@
   /// Logs a decision on a batch with what is known of its copies.
   void LogBatch(std::string_view outcome, const batch_in_flight& batch);
   void ResendBatches();
+  /// @return the pause before batches are sent again after some failures of the oldest.
+  [[nodiscard]] duration RefusedPause(std::uint32_t failures) const;
   void ProbeStore();
   void OnBatchAnswer(std::uint64_t number, const append_answer& answer);
   void CompleteStoredBatches();
--- a/test/rosearch/cell/append_copies_test.cc
+++ b/test/rosearch/cell/append_copies_test.cc
@@ -59,4 +59,18 @@
   CHECK(cell.IsStored("b"));
 }
 
+// While one copy hangs and the store refuses the others, copies were sent 16 times a second. Each
+// is paid for, and refused ones count against the store's limit.
+TEST_CASE("a batch that is refused beside a hung copy is sent again ever more rarely") {
+  busy_store_fixture cell;
+  const auto before = cell.ports.record_append_count;
+  cell.ports.first_append_delay = milliseconds{3'000};
+  cell.ports.refuse_records = true;
+  (void)cell.SendCall("POST", "a", "job");
+  cell.Run(milliseconds{2'800});
+  constexpr int kMaxCopies = 8;
+  CHECK(cell.ports.record_append_count - before <= kMaxCopies);
+  CHECK(cell.ports.record_append_count - before >= 3);
+}
+
 }  // namespace rosearch::cell
--- a/test/rosearch/cell/fake_ports.h
+++ b/test/rosearch/cell/fake_ports.h
@@ -35,6 +35,7 @@
               const std::optional<writer_proof>& proof, const std::optional<std::uint64_t>&,
               const append_callback& done) {
     ++append_count;
+    record_append_count += records.empty() ? 0 : 1;
     if (drop_appends) {
       return;
     }
@@ -172,6 +173,7 @@
   duration watch_cost{};  ///< time for which a worker's first answer blocks the leader
   static inline duration decode_cost{};  ///< time for which reading a job blocks the leader
   int append_count{0};
+  int record_append_count{0};  ///< of those with records
   int record_appends{0};
   int workers{1};
   int watch_count{0};
