--- a/src/rosearch/cell/internal/leader_inputs.h
+++ b/src/rosearch/cell/internal/leader_inputs.h
@@ -65,6 +65,13 @@
     ReportUnusableRecord(record, facts.error().detail);
     return;
   }
+  // Would shut out the worker's real records, which are of an earlier time. The platform's clocks
+  // may differ from this one by seconds.
+  constexpr std::chrono::milliseconds kMaxClockDifference = std::chrono::hours{1};
+  if (facts.value().born > Now().wall_ms + kMaxClockDifference.count()) {
+    ReportUnusableRecord(record, "born");
+    return;
+  }
   const auto& pools = scheduler_.configuration().pools;
   if (std::ranges::find(pools, facts.value().pool, &sched::pool_rules::name) == pools.end()) {
     ReportUnusableRecord(record, "pool");
--- a/test/adapter/odd_entries_test.cc
+++ b/test/adapter/odd_entries_test.cc
@@ -177,8 +177,8 @@
   return {std::string(200'000, '['),
           R"({"a":)" + std::string(100'000, '[') + std::string(100'000, ']') + "}",
           std::string(5'000, '{'),
-          begin + R"("remaining-ms":1e999})",
-          begin + R"("remaining-ms":)" + std::string(5'000, '9') + "}",
+          begin + R"("remaining-ms":"1"})",
+          begin + R"("born":4102444799999})",
           begin + R"("born":18446744073709551616})",
           begin + R"("born":-9223372036854775809})",
           Entry("65536", "1"),
@@ -239,6 +239,8 @@
       R"("running":[],"ended-runs":[[1.5,"x.0.0.0",1,"done",""]])",
       R"("running":[],"ended-runs":[[-1,"x.0.0.0",1,"done",""]])",
       R"("running":[],"ended-runs":[[1e300,"x.0.0.0",1,"done",""]])",
+      R"("running":[],"ended-runs":[[8999999999999999,"x.0.0.0",1,"done",""]])",
+      R"("running":[],"ended-runs":[[1,"x.0.0.0",1.5,"done",""]])",
       R"("running":[],"ended-runs":[[2,"x.0.0.0",1e99,"done",""],[3,5,1,"odd",""],7,[]])",
       R"("running":[["x.0.0.0",-1,"",0,0],["x.0.0.1",1e300,"",1e300,-1],[5,1,"",0],3],"ended-runs":3)",
       R"("running":{},"ended-runs":[],"born":1e400)",
@@ -252,4 +254,17 @@
   CHECK_FALSE(cell.ended);
 }
 
+// A worker that leaves with an odd time left is kept in use, and starts are refused there.
+TEST_CASE("a departure with an unreadable time left counts as one at once", "[odd-entries]") {
+  const auto left = GENERATE(std::string{"1e999"}, std::string{"1e16"}, std::string(5'000, '9'),
+                             std::string{"-1"});
+  const auto read =
+      DecodeWorker("w", R"({"service":"s","address":"127.0.0.1:1","state":"draining",)"
+                        R"("capacity":{"cpu":1,"mem-mb":1},"labels":[],"remaining-ms":)" +
+                            left + '}');
+  REQUIRE(read.has_value());
+  CHECK(read.value().draining);
+  CHECK(read.value().min_time_left == duration{});
+}
+
 }  // namespace rosearch::platform
