An unreadable list of workers is waited for until all leases have ended (sched)

What callers could see: a task runs twice. The stored list of workers tells a new leader whom to wait for; where it couldn't be read, one line was logged, and the leader started all old tasks at once, while they ran on workers that it didn't know of. Cause: no list counted as an empty one. Why this works: a worker that never answers stands for those that aren't known; its lease ends when the last that a former leader can have granted does.

--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -262,6 +262,9 @@
   void RefuseNewJob(const std::string& id, std::string_view reason);
   void RestoreJob(const std::string& id, const std::string& job_text,
                   const std::string& progress_text, const instant& now);
+  /// Waits as for a worker that never answers until all leases of former leaders have ended: which
+  /// workers they used isn't known.
+  void WaitForUnknownWorkers(const instant& now);
   /// Logs how much of a job the store has as done.
   void LogRestoredJob(const job_state& job);
   void AckEndsWithoutRecords();
--- a/src/rosearch/sched/scheduler_store.cc
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -37,6 +37,7 @@
   if (record.key == kWorkersKey) {
     wire::stored_workers workers;
     if (!workers.ParseFromString(record.value)) {
+      WaitForUnknownWorkers(now);
       return false;
     }
     for (const auto& stored : workers.workers()) {
@@ -71,6 +72,15 @@
   return true;
 }
 
+void scheduler::WaitForUnknownWorkers(const instant& now) {
+  auto& worker = workers_["?"];
+  worker = std::make_unique<worker_state>();
+  worker->facts.id = "?";
+  worker->listed = false;
+  worker->lease_until = FormerLeaseEnd(now);
+  unsettled_[worker->facts.id] = worker->lease_until;
+}
+
 void scheduler::RestoreJob(const std::string& id, const std::string& job_text,
                            const std::string& progress_text, const instant& now) {
   wire::stored_progress progress;
--- a/test/rosearch/sched/scheduler_fixture.h
+++ b/test/rosearch/sched/scheduler_fixture.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -111,6 +112,7 @@
 
   std::string workers_record;                ///< newest that was stored
   std::map<std::string, std::string> saved;  ///< newest record per key, see `SaveRecords`
+  std::set<std::string> unreadable;          ///< keys of saved records that can't be read
   recording_sink log;
   instant now{time_point{std::chrono::seconds{1'000}}, 1'000'000};
   sched::scheduler leader;
@@ -124,7 +126,7 @@
       : now{former.now}, leader{scheduler_settings{}, 2, log} {
     leader.Configure(former.leader.configuration(), now);
     for (const auto& [key, value] : former.saved) {
-      REQUIRE(leader.Restore({key, value}, now));
+      REQUIRE(leader.Restore({key, value}, now) != former.unreadable.contains(key));
     }
     leader.FinishRestore(now);
   }
--- a/test/rosearch/sched/stored_workers_test.cc
+++ b/test/rosearch/sched/stored_workers_test.cc
@@ -342,6 +342,25 @@
   CHECK(next.Started().size() == 1);
 }
 
+// Guards against tasks that run twice: the stored list of workers can't be read, and the next
+// leader waited for nobody.
+TEST_CASE("an unreadable list of workers is waited for until all leases have ended") {
+  scheduler_fixture former{2};
+  (void)former.Submit("a", 1);
+  former.SaveRecords();
+  former.saved["w"] = "\xff\xfe";
+  former.unreadable = {"w"};
+  new_leader next{former};
+  next.AddWorker("w1");
+  next.now.steady += seconds{5};
+  next.leader.Tick(next.now);
+  CHECK(next.Started().empty());
+  next.now.steady += seconds{5};
+  next.leader.Tick(next.now);
+  next.Store();
+  CHECK(next.Started().size() == 1);
+}
+
 // Guards against a task that runs twice after two more changes of leader: a lease that had lapsed
 // was still in the record of its worker, beside that of the worker where the task ran then.
 TEST_CASE("a task is no longer held for a worker whose lease has lapsed") {
