A report with a row that can't be read is no answer (platform, sched)

What users could see: a task runs twice, or never ends. Cause: a report that is only partly known was used for what is known. Why this works: such a report counts as no answer. The worker turns silent, gets no lease and no acknowledgement; its lease ends, and its tasks go on elsewhere.

--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -319,6 +319,8 @@
                     const std::string& checkpoint, const instant& now);
   void AdoptRun(worker_state& worker, const running_row& row, const instant& now);
   void HandleEnd(worker_state& worker, const ended_row& row, const instant& now);
+  /// Logs a report with rows that can't be read, once until one is whole again.
+  void LogUnreadableReport(worker_state& worker, const worker_report& report);
   void EndMissingRuns(worker_state& worker, time_point sent_at, const worker_report& report,
                       const instant& now);
   void StopGang(step_state& step, const instant& now);
--- a/src/rosearch/sched/scheduler_reports.cc
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -91,7 +91,7 @@
 
 void scheduler::EndMissingRuns(worker_state& worker, time_point sent_at,
                                const worker_report& report, const instant& now) {
-  if (report.ended.size() >= kMaxListedEnds || !report.whole) {
+  if (report.ended.size() >= kMaxListedEnds) {
     return;
   }
   std::vector<live_run*> ended_runs;
@@ -118,6 +118,15 @@
   }
 }
 
+void scheduler::LogUnreadableReport(worker_state& worker, const worker_report& report) {
+  if (std::exchange(worker.report_whole, report.whole) != report.whole && !report.whole) {
+    log_.Write(event_line{"report_unreadable", event_weight::kFailure}
+                   .Add("worker", worker.facts.id)
+                   .Add("running", report.running.size())
+                   .Add("ended", report.ended.size()));
+  }
+}
+
 void scheduler::OnReport(const std::string& worker_id, time_point sent_at,
                          const worker_report& report, const instant& now) {
   const auto found = workers_.find(worker_id);
@@ -129,6 +138,13 @@
     IgnoreReport(worker, report.born, sent_at, now);
     return;
   }
+  LogUnreadableReport(worker, report);
+  if (!report.whole) {
+    // What can't be read may be a run, or an end that the acknowledgement of a later one would
+    // discard. Without answers the worker's lease ends, and its tasks go on elsewhere.
+    OnWatchFailed(worker_id, watch_failure::kNoAnswer, now);
+    return;
+  }
   if (report.born > worker.born) {
     BeginIncarnation(worker, report.born, &report, sent_at, now);
   }
@@ -141,12 +157,6 @@
     RecordFreedRoom(worker);
     workers_dirty_ = workers_dirty_ || !worker.records.NewestIsOpen(worker.born);
   }
-  if (std::exchange(worker.report_whole, report.whole) != report.whole && !report.whole) {
-    log_.Write(event_line{"report_unreadable", event_weight::kFailure}
-                   .Add("worker", worker_id)
-                   .Add("running", report.running.size())
-                   .Add("ended", report.ended.size()));
-  }
   for (const auto& row : report.ended) {
     if (row.number > worker.seen_end) {
       worker.seen_end = row.number;
--- a/src/rosearch/sched/worker_facts.h
+++ b/src/rosearch/sched/worker_facts.h
@@ -75,7 +75,7 @@
   std::vector<running_row> running;
   std::vector<ended_row> ended;
   std::int64_t born{0};  ///< see `worker_facts::born`
-  bool whole{true};      ///< every row could be read; if not, a run may be there that isn't listed
+  bool whole{true};      ///< every row could be read; if not, the report can't be relied on
 
   friend bool operator==(const worker_report&, const worker_report&) = default;
 };
--- a/src/rosearch/sched/worker_state.h
+++ b/src/rosearch/sched/worker_state.h
@@ -193,7 +193,7 @@
   std::uint64_t acked_end{0};   ///< newest end that is stored
   time_point report_sent_at{};  ///< when the watch that brought the newest report was sent
   std::uint32_t silent_watches{0};
-  bool report_whole{true};  ///< see `worker_report::whole`, of the newest report
+  bool report_whole{true};  ///< whether all rows of the newest report could be read
   worker_health health;
   double slowness{1.0};         ///< smoothed ratio of run times to those of siblings elsewhere
   std::uint32_t speed_runs{0};  ///< number of runs in `slowness`
--- a/test/rosearch/sched/stored_workers_test.cc
+++ b/test/rosearch/sched/stored_workers_test.cc
@@ -361,6 +361,27 @@
   CHECK(next.Started().size() == 1);
 }
 
+// Guards against a task that runs twice: the worker that runs it listed it in a row that couldn't
+// be read, and its answer let the task start elsewhere.
+TEST_CASE("a report with an unreadable run releases no task") {
+  scheduler_fixture former{2};
+  (void)former.Submit("a", 1);
+  former.SaveRecords();
+  StoreAsClosed(former, {"w0"}, "a.0.0.0");
+  new_leader next{former};
+  next.AddWorker("w1");
+  next.leader.ObserveWorker(Facts("w0", 0), next.now);
+  (void)next.leader.NextWatch("w0", next.now);
+  worker_report report;
+  report.whole = false;
+  next.leader.OnReport("w0", next.now.steady, report, next.now);
+  next.now.steady += milliseconds{100};
+  CHECK(next.Started().empty());
+  next.leader.OnReport("w0", next.now.steady, {}, next.now);
+  next.now.steady += milliseconds{100};
+  CHECK(next.Started().size() == 1);
+}
+
 // Guards against a task that runs twice after two more changes of leader: a lease that had lapsed
 // was still in the record of its worker, beside that of the worker where the task ran then.
 TEST_CASE("a task is no longer held for a worker whose lease has lapsed") {
