--- a/soak/cell/run.py
+++ b/soak/cell/run.py
@@ -130,7 +130,7 @@
 
     async def begin(self):
         await self.store.http.start()
-        await self.advice.start()
+        await self.advice.http.start()
         for worker in self.workers:
             await worker.http.start()
             worker.register()
@@ -154,7 +154,7 @@
         for number in range(self.options.nodes):
             proxy = stand_in.Proxy(self.store.http.port)
             await proxy.start()
-            node = Node(number, self.binaries(number), self.folder, proxy, self.advice.port)
+            node = Node(number, self.binaries(number), self.folder, proxy, self.advice.http.port)
             node.start()
             self.nodes.append(node)
 
--- a/soak/cell/stand_in.py
+++ b/soak/cell/stand_in.py
@@ -427,31 +427,34 @@
             {"clock-ms": moment, "running": rows, "ended-runs": self.ended[:500]}))
 
 
+class AdviceServer(HttpServer):
+    """Serves calls for advice, each with the machine that it comes from."""
+
+    def __init__(self, advice):
+        super().__init__(None)
+        self.advice = advice
+
+    async def serve(self, reader, writer):
+        machine = None if self.advice.one_address else writer.get_extra_info("peername")
+
+        async def handle(method, path, headers, body):
+            return await self.advice.answer(machine, json.loads(body))
+        await HttpServer(handle).serve(reader, writer)
+
+
 class Advice:
     """Tells which workers may run a step. Answers one call at a time for each calling machine.
 
     A process keeps one connection, so each connection counts as a machine, unless all processes
-    share an address.
+    share an address. Without a judge it knows no jobs, and serves routes without advice only.
     """
 
-    def __init__(self, judge, one_address):
-        self.judge, self.one_address = judge, one_address
+    def __init__(self, judge=None, one_address=False):
+        self.judge, self.one_address = judge or Judge(), one_address
         self.waiting = {}
         self.turns = {}
         self.back_at = 0.0  # until then it answers nothing, and calls wait
-        self.port = 0
-        self.server = None
-
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.port = self.server.sockets[0].getsockname()[1]
-
-    async def serve(self, reader, writer):
-        machine = None if self.one_address else writer.get_extra_info("peername")
-
-        async def handle(method, path, headers, body):
-            return await self.answer(machine, json.loads(body))
-        await HttpServer(handle).serve(reader, writer)
+        self.http = AdviceServer(self)
 
     def allows(self, step, worker):
         prefix = self.judge.jobs[step.split(".")[0]]["prefix"]
