A proxy for the way between any two machines, that cuts one direction and keeps what it holds up (soak)

A process is told the addresses of the others by the log and by peers. So each process sees each other machine at an address of its own on loopback (127.j.9.k is process k as process j reaches it, 127.j.8.k worker k): Store.seen_by rewrites them in the log, the proxy in the frames between processes. The addresses are of one length, so no frame changes its length.

Proxy.cut(mode, ways) cuts one direction or both: silent loses what is sent, held keeps it until heal(), also when the sender has closed meanwhile; delay, reset and one_way are as before. A connection that is made across a cut reaches its target at the end of the cut only. A worker that is cut off from the platform writes no entry, and after 4 s its entry is removed. The judge keeps a record of starts, ends and acknowledged ends with the fence.

--- a/soak/cell/run.py
+++ b/soak/cell/run.py
@@ -183,7 +183,7 @@
             for worker in self.workers:
                 worker.advance()
                 if not getattr(worker, "leaving", False):
-                    worker.register()
+                    worker.beat()
             await self.store.wake()
             await asyncio.sleep(1.0)
 
@@ -348,9 +348,9 @@
         self.store.lose = 0.0
 
     async def do_way(self, node, span):
-        node.proxy.mode = self.random.choice(["delay", "silent", "one_way", "reset"])
+        node.proxy.cut(self.random.choice(["delay", "silent", "one_way", "reset"]))
         await asyncio.sleep(span)
-        node.proxy.mode = "pass"
+        node.proxy.heal()
         node.proxy.reset()
 
     async def do_reset(self, node, span):
@@ -373,7 +373,7 @@
         """Heals everything, then asks for every accepted job until it has ended."""
         self.store.refuse, self.store.lose, self.store.slow = False, 0.0, 0.004
         for node in self.nodes:
-            node.proxy.mode = "pass"
+            node.proxy.heal()
             node.signal(signal.SIGCONT)
         await asyncio.sleep(4)
         until = time.monotonic() + DRAIN_SECONDS
--- a/soak/cell/stand_in.py
+++ b/soak/cell/stand_in.py
@@ -8,6 +8,7 @@
 import base64
 import hashlib
 import json
+import re
 import time
 
 MAX_LEASE_MS = 3000
@@ -27,6 +28,10 @@
           GANG: {"decide-ms": 560.0, "period-ms": 8.0, "valid-ms": 2000, "allowed": 0.4},
           SCAN: {"decide-ms": 150.0, "period-ms": 2.2, "valid-ms": 2000, "allowed": 0.5}}
 MAX_WAITING_ADVICE = 32
+# Process k is bound at 127.0.9.k and worker k at 127.0.8.k; process j reaches them at 127.j.9.k and
+# 127.j.8.k, so that each way can be cut by itself. All of these addresses are of one length.
+ADDRESS = re.compile(rb"127\.\d\.([89])\.(\d+)")
+EXPIRY_S = 4.0  # the platform removes a worker's entry after such a silence
 MIN_ALLOWED = 4  # workers for each step: as many as the widest gang has members, and one more
 
 
@@ -34,6 +39,14 @@
     return int(time.monotonic() * 1000)
 
 
+def translate(data, viewer):
+    """Writes addresses as process `viewer` reaches them; 0: as bound, None: unchanged."""
+    def one(found):
+        own = found[1] == b"9" and int(found[2]) == viewer
+        return b"127.%d.%s.%s" % (0 if own else viewer, found[1], found[2])
+    return data if viewer is None else ADDRESS.sub(one, data)
+
+
 async def read_request(reader):
     """Reads one HTTP request; returns (method, target, headers, body) or None at the end."""
     head = await reader.readuntil(b"\r\n\r\n")
@@ -63,8 +76,8 @@
         self.port = 0
         self.server = None
 
-    async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+    async def start(self, host="127.0.0.1"):
+        self.server = await asyncio.start_server(self.serve, host, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def serve(self, reader, writer):
@@ -105,7 +118,13 @@
         async with self.news:
             self.news.notify_all()
 
-    async def handle(self, method, target, headers, body):
+    def seen_by(self, viewer):
+        """A server of the log for one process, with addresses as that process reaches them."""
+        async def handle(*request):
+            return await self.handle(*request, viewer=viewer)
+        return HttpServer(handle)
+
+    async def handle(self, method, target, headers, body, viewer=None):
         path, _, query = target.partition("?")
         args = dict(pair.split("=", 1) for pair in query.split("&") if "=" in pair)
         await asyncio.sleep(self.slow)
@@ -114,7 +133,7 @@
         topic = args["topic"]
         records = self.parts.setdefault(topic, [])
         if path == "/log-append":
-            answer = self.append(topic, records, args, body)
+            answer = self.append(topic, records, args, translate(body, viewer and 0))
             await self.wake()
             return None if self.random.random() < self.lose else answer
         if path == "/log-newest":
@@ -124,7 +143,7 @@
                 key, value = record[1:1 + length].decode(), record[1 + length:]
                 newest.pop(key, None)
                 if value:
-                    newest[key] = (value, offset)
+                    newest[key] = (translate(value, viewer), offset)
             items = [{"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
                      for key, (value, offset) in newest.items()]
             return reply(200, {"items": items, "has-more": False, "end": len(records)})
@@ -138,7 +157,7 @@
                     break
         out = len(records).to_bytes(8, "big") + bytes(8)
         for record in records[start:]:
-            out += len(record).to_bytes(4, "big") + record
+            out += len(record).to_bytes(4, "big") + translate(record, viewer)
         return reply(200, out, "application/octet-stream")
 
     def append(self, topic, records, args, body):
@@ -177,6 +196,7 @@
         self.broken = []
         self.workers = []
         self.gangs = {}  # members by (step, run)
+        self.record = []  # every start, end and acknowledged end
         self.stands_since = {}  # jobs that could run and have nothing running
 
     def add(self, job_id, prefix, steps):
@@ -184,7 +204,11 @@
                              "done": set(), "noted": set(), "failed": {}, "cancelled": None,
                              "phase": None, "started": False}
 
+    def tell(self, what):
+        self.record.append(f"{time.time():.3f} {what}")
+
     def note(self, what):
+        self.tell(f"BROKEN {what}")
         self.broken.append(f"{time.monotonic():.3f} {what}")
 
     def find_standing(self, allows, calm_since):
@@ -270,6 +294,8 @@
         self.fail = 0.05
         self.lose = 0.0
         self.dark = False  # cut off from all processes; what runs goes on under its lease
+        self.unlisted_since = None  # since then it is cut off from the platform
+        self.host = "127.0.0.1"
         self.http = HttpServer(self.handle)
         self.id, self.life = None, 0
         self.reborn()
@@ -302,12 +328,19 @@
 
     def register(self, state="ready"):
         self.store.put("keyed.servers", self.id, json.dumps(self.with_born(
-            {"service": self.service, "address": f"127.0.0.1:{self.http.port}", "zone": "z",
+            {"service": self.service, "address": f"{self.host}:{self.http.port}", "zone": "z",
              "version": "v1", "slots": 8, "state": state, "cold-remaining-ms": 0,
              "capacity": {"cpu": self.cpu, "mem-mb": self.cpu * 4, "gpu": self.gpu},
              "labels": ["a", f"r{self.number // 4}"], "clock-ms": self.clock_ms(),
              "remaining-ms": 4000, "sequence": 1})).encode())
 
+    def beat(self):
+        """Writes the worker's entry. The platform removes that of a worker that is silent to it."""
+        if self.unlisted_since is None:
+            self.register()
+        elif time.monotonic() - self.unlisted_since > EXPIRY_S:
+            self.store.put("keyed.servers", self.id, b"")
+
     def advance(self):
         moment = self.clock_ms()
         for task, run in list(self.running.items()):
@@ -341,6 +374,7 @@
         self.over[task] = max(self.over.get(task, 0), run["run"])
         self.count += 1
         self.ended.append([self.count, task, run["run"], how, ""])
+        self.judge.tell(f"end {task} run={run['run']} {how} worker={self.number} {self.id}")
         if how == "done":
             self.judge.jobs[task.split(".")[0]]["done"].add(task)
         self.news.set()
@@ -348,6 +382,8 @@
     def acknowledge(self, cursor):
         for number, task, run, how, _ in self.ended:
             if number <= cursor:
+                self.judge.tell(f"noted {task} run={run} {how} worker={self.number} "
+                                f"fence={self.fence}")
                 job = self.judge.jobs[task.split(".")[0]]
                 if how == "done":
                     job["noted"].add(task)
@@ -386,6 +422,7 @@
             return reply(200, {"clock-ms": self.clock_ms()})
         if run <= self.over.get(task, 0):
             return reply(409, {"clock-ms": self.clock_ms(), "reason": "old"})
+        self.judge.tell(f"start {task} run={run} worker={self.number} {self.id} fence={self.fence}")
         self.judge.started(self, task)
         job_id, _, step, _ = task.split(".")
         spec = self.judge.jobs[job_id]["steps"][int(step)]
@@ -481,20 +518,55 @@
         return reply(200, {"good": good, "valid-ms": cost["valid-ms"]})
 
 
+async def read_pieces(reader, viewer):
+    """Yields what is read; with a viewer messages of processes (ZMTP: a greeting, then frames)."""
+    while viewer is None and (data := await reader.read(65536)):
+        yield data
+    greeting = 0 if viewer is None else 64
+    while greeting > 0 and (data := await reader.read(greeting)):
+        greeting -= len(data)
+        yield data
+    while viewer is not None:
+        head = await reader.readexactly(2)
+        if head[0] & 2:
+            head += await reader.readexactly(7)
+        yield head + translate(await reader.readexactly(int.from_bytes(head[1:], "big")), viewer)
+
+
 class Proxy:
-    """A way to the store that can be slowed, cut one way or both, silenced or reset."""
+    """A way between two machines that can be slowed (delay), cut or reset.
 
-    def __init__(self, target):
-        self.target = target
-        self.mode = "pass"
+    What is sent on a cut way is lost (silent, and one_way for what comes back), or kept until the
+    cut ends, also when its sender has closed meanwhile (held). A cut may be of one direction.
+    """
+
+    def __init__(self, target, host="127.0.0.1", port=0, viewers=(None, None)):
+        self.target = ("127.0.0.1", target) if isinstance(target, int) else target
+        self.host, self.port = host, port
+        self.viewers = viewers  # of a way between processes: who reads there, and who reads back
+        self.mode, self.cut_ways = "pass", (False, True)
+        self.passes = asyncio.Event()
+        self.passes.set()
         self.writers = set()
-        self.port = 0
         self.server = None
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self.serve, self.host, self.port)
         self.port = self.server.sockets[0].getsockname()[1]
 
+    def cut(self, mode, ways=(False, True)):
+        """Changes the mode; `ways` are the directions that are cut: False there, True back."""
+        self.mode, self.cut_ways = mode, (True,) if mode == "one_way" else ways
+        if mode in ("silent", "one_way", "held"):
+            self.passes.clear()
+
+    def heal(self):
+        self.mode = "pass"
+        self.passes.set()
+
+    def is_cut(self, back):
+        return not self.passes.is_set() and back in self.cut_ways
+
     def reset(self):
         for writer in list(self.writers):
             writer.transport.abort()
@@ -503,22 +575,46 @@
         if self.mode == "reset":
             writer.transport.abort()
             return
-        there_reader, there_writer = await asyncio.open_connection("127.0.0.1", self.target)
-        self.writers |= {writer, there_writer}
-        await asyncio.gather(self.pump(reader, there_writer, False),
-                             self.pump(there_reader, writer, True))
-        self.writers -= {writer, there_writer}
+        opened = {writer}
+        self.writers |= opened
+        try:
+            if self.is_cut(False):
+                await self.passes.wait()
+            there_reader, there_writer = await asyncio.open_connection(*self.target)
+            opened.add(there_writer)
+            self.writers |= opened
+            await asyncio.gather(self.pump(reader, there_writer, False),
+                                 self.pump(there_reader, writer, True))
+        except ConnectionError:
+            writer.close()
+        finally:
+            self.writers -= opened
 
     async def pump(self, reader, writer, back):
+        pieces = asyncio.Queue()
+        delivery = asyncio.create_task(self.deliver(pieces, writer, back))
+        try:
+            async for data in read_pieces(reader, self.viewers[back]):
+                pieces.put_nowait(data)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        pieces.put_nowait(b"")
+        await delivery
+
+    async def deliver(self, pieces, writer, back):
         try:
-            while data := await reader.read(65536):
+            while data := await pieces.get():
                 if self.mode == "delay":
                     await asyncio.sleep(0.15)
-                if self.mode == "silent" or (self.mode == "one_way" and back):
+                if self.mode == "held" and self.is_cut(back):
+                    await self.passes.wait()
+                if self.is_cut(back):
                     continue
                 writer.write(data)
                 await writer.drain()
-        except (ConnectionError, asyncio.CancelledError):
+            if self.is_cut(back):
+                await self.passes.wait()
+        except ConnectionError:
             pass
         finally:
             writer.close()
