A mode of the soak that leaves leaders with a follower and a worker or two (soak)

Twice a leader is left with one other process and one worker or two, without the store, for 1.1 leases and 3 s up to 12 s, while long tasks are at work everywhere. What is sent across is lost, reset, or arrives at the end of the cut, in both directions or one; in some draws other ways are slow, processes stand still for 50 to 400 ms, and the old leader or the new one is killed.

--- a/soak/cell/run.py
+++ b/soak/cell/run.py
@@ -17,10 +17,17 @@
 With --overlap the faults come in series that meet on the same workers and leader: two workers are
 cut off past their leases while the leader is replaced and a worker joins, then again with the next
 leader; in some seeds the leader is replaced before, with the first tasks of a wide step at work.
+
+With --islands every process has a way of its own to each other process, to each worker and to the
+store. Twice a leader is cut off with another process and one worker or two, from the store as well,
+for longer than a lease, while long tasks are at work everywhere. What is sent on a cut way is lost,
+arrives at the end, or is answered by a reset, in both directions or one; meanwhile processes stand
+still for moments, and in some draws the old leader or the new one is killed.
 """
 
 import argparse
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -34,6 +41,20 @@
 import stand_in
 
 DRAIN_SECONDS = 25
+LONG_DRAIN_SECONDS = 60  # with long tasks, of which many are lost and start again
+
+
+def free_port_on(hosts):
+    """A port that is free at all of some addresses."""
+    while True:
+        port = random.SystemRandom().randint(20000, 32000)
+        with contextlib.ExitStack() as probes:
+            try:
+                for host in hosts:
+                    probes.enter_context(socket.socket()).bind((host, port))
+                return port
+            except OSError:
+                continue
 
 
 def free_port():
@@ -45,7 +66,7 @@
 class Node:
     """One process of the cell, started and ended by its own id."""
 
-    def __init__(self, number, binaries, folder, proxy, advice_port):
+    def __init__(self, number, binaries, folder, proxy, advice_port, **others):
         self.binaries, self.proxy = binaries, proxy  # the first one is started next
         self.port, self.ready, self.peer = free_port(), free_port(), free_port()
         self.metrics = free_port()
@@ -58,7 +79,7 @@
             "store_address": f"127.0.0.1:{proxy.port}",
             "advice_address": f"127.0.0.1:{advice_port}", "processors": 0.25,
             "file_descriptors": 1024, "grace_s": 4, "max_lease_ms": stand_in.MAX_LEASE_MS,
-            "stop_timeout_ms": stand_in.STOP_MS}
+            "stop_timeout_ms": stand_in.STOP_MS, **others}
         with open(self.path, "w") as out:
             json.dump(self.settings, out)
         self.process = None
@@ -124,6 +145,7 @@
             self.workers[-1].gpu = 8
         self.judge.workers = self.workers
         self.nodes = []
+        self.ways = {}  # with --islands, by the kinds and numbers of the two machines
         self.folder = folder
         self.faults = []
         self.disturbed_at = 0.0
@@ -132,7 +154,9 @@
         await self.store.http.start()
         await self.advice.http.start()
         for worker in self.workers:
-            await worker.http.start()
+            if self.options.islands:
+                worker.host = f"127.0.8.{worker.number + 1}"
+            await worker.http.start(worker.host)
             worker.register()
         route = {"host": stand_in.HOST, "service": stand_in.SERVICE,
                  "max-attempts": stand_in.ATTEMPTS, "target-latency-ms": 250, "stretch": 1.5}
@@ -151,13 +175,39 @@
              "services": [{"name": name, "enforces-capacity": False}
                           for name in (stand_in.SERVICE, stand_in.GPU_SERVICE)],
              "limits": {}}).encode())
+        others = await self.join_by_ways() if self.options.islands else {}
         for number in range(self.options.nodes):
-            proxy = stand_in.Proxy(self.store.http.port)
+            store = self.store.http
+            if self.options.islands:
+                store = self.store.seen_by(number + 1)
+                await store.start()
+            proxy = stand_in.Proxy(store.port)
             await proxy.start()
-            node = Node(number, self.binaries(number), self.folder, proxy, self.advice.http.port)
+            node = Node(number, self.binaries(number), self.folder, proxy, self.advice.http.port,
+                        **others.get(number, {}))
             node.start()
             self.nodes.append(node)
 
+    async def join_by_ways(self):
+        """Makes a way for each process to each other one and to each worker; returns settings."""
+        nodes = range(self.options.nodes)
+        bound = [f"127.0.9.{to + 1}" for to in nodes]
+        port = free_port_on(bound + [f"127.{one + 1}.9.{to + 1}" for one in nodes for to in nodes])
+        for one in nodes:
+            for to in nodes:
+                self.ways["node", one, "node", to] = stand_in.Proxy(
+                    (bound[to], port), f"127.{one + 1}.9.{to + 1}", port, (to + 1, one + 1))
+            for worker in self.workers:
+                self.ways["node", one, "worker", worker.number] = stand_in.Proxy(
+                    (worker.host, worker.http.port), f"127.{one + 1}.8.{worker.number + 1}",
+                    worker.http.port)
+        for way in self.ways.values():
+            await way.start()
+        return {one: {"peer_address": f"{bound[one]}:{port}",
+                      "seeds": [f"127.{one + 1}.9.{to + 1}:{port}"
+                                for to in nodes[:3] if to != one]}
+                for one in nodes}
+
     def binaries(self, number):
         """The builds of a process, in the order in which its restarts use them."""
         options = self.options
@@ -263,12 +313,14 @@
             await self.replace_during_wide_step()
         await self.lapse_with_newcomer()
 
-    async def leading(self):
-        """The process that leads, as its commands tell; any where none says so."""
-        for node in self.nodes:
+    async def leading(self, nodes=None):
+        """The process that leads, as its commands tell, else the last claimer, else any."""
+        nodes = nodes or self.nodes
+        for node in nodes:
             if " leading=1 " in await self.ask(node, "dump"):
                 return node
-        return self.random.choice(self.nodes)
+        claimer = self.nodes[self.store.claimer - 1] if self.store.claimer else None
+        return claimer if claimer in nodes else self.random.choice(nodes)
 
     def submit_long(self, count, cpu, estimate_ms):
         job_id = f"{self.random.getrandbits(64):016x}"
@@ -305,6 +357,100 @@
         await self.do_kill(await self.leading(), 0.3)
         await again
 
+    async def islands(self):
+        """Twice cuts a leader off with another process and one worker or two, amid long tasks."""
+        for _ in range(2):
+            await self.work_everywhere()
+            lead, numbers = await self.leading(), list(range(self.options.nodes))
+            numbers.remove(self.nodes.index(lead))
+            processes = [lead, self.nodes[self.random.choice(numbers)]]
+            workers = list(self.workers)
+            self.random.shuffle(workers)
+            if self.random.random() < 0.5:  # the idlest
+                workers.sort(key=lambda worker: -worker.places({"cpu": 1}))
+            workers = workers[:self.random.choice([1, 1, 2])]
+            span = self.random.uniform(1.1 * stand_in.MAX_LEASE_MS / 1000 + 3, 12)
+            others = [asyncio.create_task(self.kill_a_leader(lead, span))]
+            if self.random.random() < 0.7:
+                others.append(asyncio.create_task(self.stand_still(span)))
+            await self.cut_island(processes, workers, span)
+            await asyncio.gather(*others)
+            await asyncio.sleep(self.random.uniform(1, 4))
+
+    async def work_everywhere(self):
+        cpu, tasks = 1000, 0
+        room = sum(worker.cpu for worker in self.workers)
+        wanted = int(self.random.uniform(0.5, 1.0) * room / cpu)
+        while tasks < wanted:
+            self.submit_long(12, cpu, self.random.randint(5000, 8000))
+            tasks += 12
+        until = time.monotonic() + 4
+        while (time.monotonic() < until
+               and sum(len(worker.running) for worker in self.workers) < 0.8 * wanted):
+            await asyncio.sleep(0.1)
+
+    async def cut_island(self, processes, workers, span):
+        """Cuts some machines off from all others, in both directions or one, and from the store."""
+        mode = self.random.choice(["silent", "held", "held", "reset"])
+        lost = self.random.choice(["both", "both", "out", "in"])
+        island = ({("node", self.nodes.index(node)) for node in processes}
+                  | {("worker", worker.number) for worker in workers})
+        ways = [(way, ends[:2] in island) for ends, way in self.ways.items()
+                if (ends[:2] in island) != (ends[2:] in island)]
+        store_mode = self.random.choice(["silent", "held", "reset"])
+        self.faults.append(f"{time.monotonic():.3f} cut {sorted(island)} {mode} {lost}, "
+                           f"store {store_mode}, {span:.1f} s")
+        self.judge.tell(f"CUT {self.faults[-1]}")
+        for way, there_leaves in ways:
+            way.cut(mode, (False, True) if lost == "both" else ((lost == "out") != there_leaves,))
+        if self.random.random() < 0.3:
+            slow = self.random.sample([way for way in self.ways.values() if way.mode == "pass"], 10)
+            self.judge.tell("10 other ways are slow")
+            for way in slow:
+                way.cut("delay")
+                ways.append((way, True))
+        for node in processes:
+            node.proxy.cut(store_mode)
+            ways.append((node.proxy, True))
+        for worker in workers:
+            worker.unlisted_since = time.monotonic()
+        for way, _ in ways:
+            if way.mode == "reset":
+                way.reset()
+        await asyncio.sleep(span)
+        self.judge.tell("CUT ends")
+        self.random.shuffle(ways)
+        at_once = self.random.random() < 0.5
+        for way, _ in ways:
+            loses = way.mode == "silent"
+            way.heal()
+            if loses:
+                way.reset()
+            if not at_once:
+                await asyncio.sleep(self.random.uniform(0, 0.05))
+        for worker in workers:
+            worker.unlisted_since = None
+
+    async def kill_a_leader(self, lead, span):
+        """In some draws: kills the leader that is cut off, or the one that the others have now."""
+        kind, at = self.random.choice(["none", "none", "old", "new"]), self.random.uniform(0.1, 0.9)
+        await asyncio.sleep(at * span)
+        if kind == "new":
+            rest = [node for node in self.nodes if node is not lead]
+            lead = await self.leading(rest)
+        if kind != "none":
+            self.faults.append(f"{time.monotonic():.3f} kill of the {kind} leader")
+            self.judge.tell(self.faults[-1])
+            await self.do_kill(lead, self.random.uniform(0.3, 6))
+
+    async def stand_still(self, span):
+        """Processes stand still for a moment, as with a small share of a processor."""
+        until = time.monotonic() + span
+        while time.monotonic() < until:
+            node = self.random.choice(self.nodes)
+            asyncio.create_task(self.do_freeze(node, self.random.uniform(0.05, 0.4)))
+            await asyncio.sleep(self.random.uniform(0.05, 0.4))
+
     async def replace_during_wide_step(self):
         room = sum(worker.cpu for worker in self.workers[:self.options.workers])
         cpu = 2000
@@ -376,7 +522,7 @@
             node.proxy.heal()
             node.signal(signal.SIGCONT)
         await asyncio.sleep(4)
-        until = time.monotonic() + DRAIN_SECONDS
+        until = time.monotonic() + (LONG_DRAIN_SECONDS if self.options.islands else DRAIN_SECONDS)
         open_jobs = [job_id for job_id, job in self.judge.jobs.items() if job["accepted"]]
         while open_jobs and time.monotonic() < until:
             still = []
@@ -429,8 +575,10 @@
             watch = asyncio.create_task(self.watch_standing())
         changes = (self.upgrade() if self.options.upgrade else
                    self.stop_advice() if self.options.calm else
-                   self.overlapping_trouble() if self.options.overlap else self.trouble())
-        await asyncio.gather(*(self.caller(n) for n in range(4)), changes)
+                   self.overlapping_trouble() if self.options.overlap else
+                   self.islands() if self.options.islands else self.trouble())
+        callers = 1 if self.options.islands else 4
+        await asyncio.gather(*(self.caller(n) for n in range(callers)), changes)
         await self.settle()
         await self.explain()
         beat.cancel()
@@ -439,6 +587,9 @@
         accepted = sum(job["accepted"] for job in self.judge.jobs.values())
         print(f"seed={self.options.seed} jobs={len(self.judge.jobs)} accepted={accepted} "
               f"faults={len(self.faults)} broken={len(self.judge.broken)}", flush=True)
+        if self.options.logs:
+            with open(os.path.join(self.folder, "record.txt"), "w") as out:
+                out.write("\n".join(self.judge.record) + "\n")
         for line in self.judge.broken[:20]:
             print("  " + line)
         if self.judge.broken:
@@ -464,6 +615,9 @@
                         help="workers of a second pool, for gangs and scans with slow advice")
     parser.add_argument("--overlap", action="store_true",
                         help="faults in series that meet on the same workers and leader")
+    parser.add_argument("--islands", action="store_true",
+                        help="a leader is cut off with another process and one worker or two; the "
+                             "seed draws 5 to 7 processes and 9 to 12 workers")
     parser.add_argument("--calm", action="store_true",
                         help="no faults; no job may stand for 3 s with room for it twice over")
     parser.add_argument("--advice-away", type=float, default=0, metavar="SECONDS",
@@ -474,6 +628,9 @@
     options = parser.parse_args()
     if options.upgrade and options.also_binary is None:
         parser.error("--upgrade needs --also-binary")
+    if options.islands:
+        sizes = random.Random(options.seed)
+        options.nodes, options.workers = sizes.randint(5, 7), sizes.randint(9, 12)
     with tempfile.TemporaryDirectory() as made:
         folder = options.logs or made
         os.makedirs(folder, exist_ok=True)
--- a/soak/cell/stand_in.py
+++ b/soak/cell/stand_in.py
@@ -104,6 +104,7 @@
         self.parts = {}
         self.writers = {}
         self.news = asyncio.Condition()
+        self.claimer = None  # the viewer whose claim to lead was stored last
         self.lose = 0.0
         self.refuse = False
         self.slow = 0.004
@@ -133,7 +134,10 @@
         topic = args["topic"]
         records = self.parts.setdefault(topic, [])
         if path == "/log-append":
+            length = len(records)
             answer = self.append(topic, records, args, translate(body, viewer and 0))
+            if topic == "keyed.rosearch-leader" and len(records) > length:
+                self.claimer = viewer
             await self.wake()
             return None if self.random.random() < self.lose else answer
         if path == "/log-newest":
