A proof that was dropped has no age in the log (cell, sched)

What a reader of the log saw: leadership_unproven with a proof_age_ms of 2,814,311, the time since boot, right after stood_still, as the proof had been dropped. It says -1 now. Run: 31 cases of test_cell on leaders and walks green.

--- a/src/rosearch/cell/internal/leader_takeover.h
+++ b/src/rosearch/cell/internal/leader_takeover.h
@@ -225,8 +225,8 @@
     log_.Write(event_line{may_act ? "leadership_proven" : "leadership_unproven",
                           event_weight::kStateChange}
                    .Add("epoch", epoch_)
-                   .Add("proof_age_ms", now - proven_at)
-                   .Add("claims_age_ms", now - proof_.NoNewerClaimAt()));
+                   .Add("proof_age_ms", AgeForLog(proven_at, now))
+                   .Add("claims_age_ms", AgeForLog(proof_.NoNewerClaimAt(), now)));
   }
   const bool wanted = now - proven_at >= settings_.proof_renewal_age || scheduler_.AwaitsProof();
   if (wanted && now - proof_asked_at_ >= settings_.proof_renewal_interval) {
--- a/src/rosearch/log/event_line.h
+++ b/src/rosearch/log/event_line.h
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <utility>
 
+#include "rosearch/core/time.h"
+
 namespace rosearch {
 
 /// Category of a log line. `bounded_log` limits details and requests separately from the other
@@ -19,6 +21,11 @@
   kStateChange,  ///< a state change that the process detected, its start or stop
 };
 
+/// @return the time since a date; -1 ms, which no age has, if there is no date.
+[[nodiscard]] constexpr duration AgeForLog(time_point at, time_point now) {
+  return at == time_point{} ? duration{std::chrono::milliseconds{-1}} : now - at;
+}
+
 /// An event, formatted as a line of key=value pairs.
 class event_line {
  public:
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -288,9 +288,10 @@
   [[nodiscard]] time_point LeaseClock(const instant& now) const {
     return std::min(now.steady, proven_at_);
   }
-  /// @return how long ago this leader was certainly the only one; zero if nothing has to be proven.
+  /// @return how long ago this leader was certainly the only one, for the log; zero if nothing has
+  ///         to be proven.
   [[nodiscard]] duration ProofAge(const instant& now) const {
-    return std::max(duration{}, now.steady - proven_at_);
+    return proven_at_ == kNever ? duration{} : AgeForLog(proven_at_, now.steady);
   }
   /// @return whether neither a backoff nor a lease under which it may still run holds a task back.
   [[nodiscard]] bool IsDue(const task_state& task, const instant& now) const {
