--- a/test/rosearch/sched/leases_test.cc
+++ b/test/rosearch/sched/leases_test.cc
@@ -13,19 +13,25 @@
   }
 }
 
+/// Starts the only task of a job. @return its order, which the worker has confirmed.
+start_order RunFirstTask(scheduler_fixture& cell) {
+  (void)cell.Submit("a", 1);
+  (void)cell.Store();
+  const auto starts = cell.Starts();
+  REQUIRE(starts.size() == 1);
+  cell.leader.OnStartAnswer(starts[0], start_outcome::kStarted, cell.now);
+  return starts[0];
+}
+
 }  // namespace
 
 // Guards against a task that runs twice: a leader that was replaced without knowing it takes the
 // lease of a worker that it doesn't reach for expired, though its successor has extended it.
 TEST_CASE("a lease that a newer leader may have extended doesn't count as expired") {
   scheduler_fixture cell{2};
-  (void)cell.Submit("a", 1);
-  (void)cell.Store();
-  const auto first = cell.Starts();
-  REQUIRE(first.size() == 1);
-  cell.leader.OnStartAnswer(first[0], start_outcome::kStarted, cell.now);
+  const auto first = RunFirstTask(cell);
   const auto replaced_at = cell.now.steady + seconds{1};
-  Silence(cell, first[0].worker);
+  Silence(cell, first.worker);
   cell.AdvanceTime(seconds{9});
   cell.leader.SetProvenAt(replaced_at);
   cell.leader.Tick(cell.now);
@@ -36,7 +42,7 @@
   CHECK_FALSE(cell.leader.AwaitsProof());
   const auto again = cell.Starts();
   REQUIRE(again.size() == 1);
-  CHECK(again[0].worker != first[0].worker);
+  CHECK(again[0].worker != first.worker);
 }
 
 // Guards against a task that runs twice: a leader that restored a worker as closed starts what may
@@ -87,22 +93,18 @@
 // counts.
 TEST_CASE("a lease is over at the slowest worker before the leader takes it for expired") {
   scheduler_fixture cell{2};
-  (void)cell.Submit("a", 1);
-  (void)cell.Store();
-  const auto first = cell.Starts();
-  REQUIRE(first.size() == 1);
-  cell.leader.OnStartAnswer(first[0], start_outcome::kStarted, cell.now);
-  auto lease_end = first[0].lease_end;
+  const auto first = RunFirstTask(cell);
+  auto lease_end = first.lease_end;
   SECTION("of a start") {}
   SECTION("of a watch") {
     cell.AdvanceTime(seconds{2});
-    const auto watch = cell.leader.NextWatch(first[0].worker, cell.now);
+    const auto watch = cell.leader.NextWatch(first.worker, cell.now);
     REQUIRE((watch && watch->lease_end));
     CHECK(*watch->lease_end > lease_end);
     lease_end = *watch->lease_end;
   }
-  Silence(cell, first[0].worker);
-  CHECK_FALSE(cell.leader.NextWatch(first[0].worker, cell.now)->lease_end);
+  Silence(cell, first.worker);
+  CHECK_FALSE(cell.leader.NextWatch(first.worker, cell.now)->lease_end);
   const scheduler_settings settings;
   const auto drift =
       std::chrono::duration_cast<duration>(settings.max_lease * settings.max_clock_drift);
