What frames a request's body has a bound, and a trailer is no field of the head (net)

Callers saw processes end out of memory: 20 clients with trailers, or one chunk's extension, without end made an entry hold 392 to 415 MB in seconds, wherever the server stands (callers, ready, `serve`); and a trailer `Host:` chose the queue of a job.

Cause: the parser asks for more until a chunk's line, or all trailers, are in the buffer at once; the buffer had no bound, and the limits of head and body hold for neither. Trailers are inserted among the fields of the head, which were read only when all had arrived.

Change: a request is read by `request_reader`, without a connection. What waits in the buffer is bounded by the limit of a head; so is all framing together, beyond 16 bytes for each byte of the body, so that a body in chunks of one byte with padded sizes is still read. The head is copied when it is whole; later fields are dropped. The body grows with what arrives; that of Beast reserved what was announced.

In test/crowd the entry of `serve` is told its machine's memory under the key's full name.

--- a/src/rosearch/net/http_server.cc
+++ b/src/rosearch/net/http_server.cc
@@ -6,15 +6,14 @@
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <cctype>
-#include <charconv>
+#include <map>
 #include <mutex>
 #include <optional>
-#include <set>
-#include <string_view>
 #include <utility>
 #include <vector>
 
+#include "rosearch/net/internal/request_reader.h"
+
 namespace rosearch {
 namespace {
 
@@ -23,59 +22,18 @@
 namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
-constexpr std::size_t kFirstRead = 4096;
-constexpr std::size_t kLingerRead = 65'536;
+using internal::read_progress;
+using internal::request_limits;
+using internal::request_reader;
 
+constexpr std::size_t kFirstRead = 4096;
+constexpr std::size_t kLargestRead = 16'384;
 /// So much is read and thrown away behind a last answer.
 constexpr std::size_t kLingerBytes = std::size_t{16} << 20U;
 
-std::string PercentDecoded(std::string_view text) {
-  std::string decoded;
-  for (std::size_t at = 0; at < text.size(); ++at) {
-    unsigned value = 0;
-    if (text[at] == '%' && at + 2 < text.size() &&
-        std::from_chars(text.data() + at + 1, text.data() + at + 3, value, 16).ptr ==
-            text.data() + at + 3) {
-      decoded.push_back(static_cast<char>(value));
-      at += 2;
-    } else {
-      decoded.push_back(text[at] == '+' ? ' ' : text[at]);
-    }
-  }
-  return decoded;
-}
-
-std::map<std::string, std::string> QueryOf(std::string_view text) {
-  std::map<std::string, std::string> query;
-  while (!text.empty()) {
-    const auto end = text.find('&');
-    const auto pair = text.substr(0, end);
-    const auto equals = pair.find('=');
-    const auto value = equals == std::string_view::npos ? "" : pair.substr(equals + 1);
-    query[PercentDecoded(pair.substr(0, equals))] = PercentDecoded(value);
-    text = end == std::string_view::npos ? "" : text.substr(end + 1);
-  }
-  return query;
-}
-
-http_call CallOf(http::request<http::string_body>&& request) {
-  http_call call;
-  call.method = std::string{request.method_string()};
-  const std::string_view target{request.target().data(), request.target().size()};
-  const auto mark = target.find('?');
-  call.path = PercentDecoded(target.substr(0, mark));
-  if (mark != std::string_view::npos) {
-    call.query = QueryOf(target.substr(mark + 1));
-  }
-  for (const auto& field : request) {
-    std::string name{field.name_string()};
-    for (auto& c : name) {
-      c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
-    }
-    call.headers[std::move(name)] = std::string{field.value()};
-  }
-  call.body = std::move(request.body());
-  return call;
+http_response TooLarge(unsigned status) {
+  return {status,
+          R"({"error":{"kind":"invalid_request","outcome":"not_run","detail":"too large"}})"};
 }
 
 }  // namespace
@@ -163,7 +121,7 @@
     /// Gives a request that may be on its way a little time, where none has begun.
     void EndSoon() {
       asio::post(stream_.get_executor(), [self = shared_from_this()] {
-        if (self->waiting_) {
+        if (self->phase_ == phase::kIdle) {
           // A deadline can't be changed under a read: it is ended, and begun again with another.
           self->stream_.cancel();
         }
@@ -171,52 +129,94 @@
     }
 
    private:
+    enum class phase : std::uint8_t {
+      kIdle,       ///< waits for the first byte of a request
+      kArriving,   ///< reads a request
+      kCalled,     ///< waits for the answer of the handler
+      kAnswering,  ///< writes the answer
+      kFinished,   ///< has written its last answer
+    };
+
     void Read() {
       limits_ = server_->Settings();
-      parser_.emplace();
-      parser_->body_limit(limits_.max_body_bytes);
-      parser_->header_limit(limits_.max_header_bytes);
+      reader_.emplace(request_limits{limits_.max_header_bytes, limits_.max_body_bytes});
+      next_read_ = kFirstRead;
       if (buffer_.size() > 0) {
-        ReadHead();
+        BeginRequest();
         return;
       }
-      waiting_ = true;
+      if (buffer_.capacity() > kFirstRead) {
+        buffer_ = beast::flat_buffer{};
+      }
+      phase_ = phase::kIdle;
       stream_.expires_after(server_->draining_ ? limits_.drain_idle : limits_.idle);
+      ReadSome();
+    }
+
+    void ReadSome() {
       stream_.async_read_some(
-          buffer_.prepare(kFirstRead),
+          buffer_.prepare(next_read_),
           [self = shared_from_this()](beast::error_code failed, std::size_t count) {
-            self->waiting_ = false;
-            self->buffer_.commit(count);
-            if (failed == asio::error::operation_aborted && self->server_->draining_) {
-              self->Read();
-            } else if (failed) {
-              self->Close();
-            } else {
-              self->ReadHead();
-            }
+            self->OnRead(failed, count);
           });
     }
 
+    void OnRead(beast::error_code failed, std::size_t count) {
+      buffer_.commit(count);
+      if (phase_ == phase::kIdle && failed == asio::error::operation_aborted &&
+          server_->draining_) {
+        Read();
+      } else if (failed) {
+        Close();
+      } else if (phase_ == phase::kIdle) {
+        BeginRequest();
+      } else {
+        next_read_ = count == next_read_ ? std::min(2 * next_read_, kLargestRead) : next_read_;
+        Parse();
+      }
+    }
+
     // Head and body have a bound each: a client that sends a byte now and then would otherwise keep
     // its connection, and enough of them all connections that the server has.
-    void ReadHead() {
+    void BeginRequest() {
+      phase_ = phase::kArriving;
       stream_.expires_after(limits_.header_timeout);
-      http::async_read_header(stream_, buffer_, *parser_,
-                              [self = shared_from_this()](beast::error_code failed, std::size_t) {
-                                self->OnHead(failed);
-                              });
+      Parse();
     }
 
-    void OnHead(beast::error_code failed) {
-      if (failed) {
-        OnRead(failed);
-        return;
+    void Parse() {
+      switch (reader_->Read(buffer_)) {
+        case read_progress::kNeedsMore:
+          ReadSome();
+          return;
+        case read_progress::kHead:
+          OnHead();
+          return;
+        case read_progress::kWhole:
+          OnWhole();
+          return;
+        case read_progress::kHeadTooLarge:
+          Refuse(TooLarge(431));
+          return;
+        case read_progress::kBodyTooLarge:
+          Refuse(TooLarge(413));
+          return;
+        case read_progress::kFramingTooLarge:
+          Refuse(TooLarge(431));
+          return;
+        case read_progress::kMalformed:
+          Close();
+          return;
       }
-      if (beast::iequals(parser_->get()[http::field::expect], "100-continue")) {
+    }
+
+    void OnHead() {
+      stream_.expires_after(limits_.body_timeout);
+      if (reader_->ExpectsContinue()) {
         Continue();
-        return;
+      } else {
+        Parse();
       }
-      ReadBody();
     }
 
     /// A client that asks before it sends a body waits for this.
@@ -227,33 +227,14 @@
                           if (failed) {
                             self->Close();
                           } else {
-                            self->ReadBody();
+                            self->Parse();
                           }
                         });
     }
 
-    void ReadBody() {
-      stream_.expires_after(limits_.body_timeout);
-      http::async_read(stream_, buffer_, *parser_,
-                       [self = shared_from_this()](beast::error_code failed, std::size_t) {
-                         self->OnRead(failed);
-                       });
-    }
-
-    void OnRead(beast::error_code failed) {
-      if (failed == http::error::body_limit || failed == http::error::header_limit) {
-        keep_alive_ = false;
-        const unsigned status = failed == http::error::body_limit ? 413 : 431;
-        Write({status,
-               R"({"error":{"kind":"invalid_request","outcome":"not_run","detail":"too large"}})"});
-        return;
-      }
-      if (failed) {
-        Close();
-        return;
-      }
-      keep_alive_ = parser_->get().keep_alive();
-      in_call_ = true;
+    void OnWhole() {
+      keep_alive_ = reader_->KeepsAlive();
+      phase_ = phase::kCalled;
       ++server_->busy_;
       auto respond = [self = shared_from_this(),
                       once = std::make_shared<std::atomic_flag>()](http_response response) {
@@ -261,14 +242,22 @@
           return;
         }
         asio::post(self->stream_.get_executor(), [self, response = std::move(response)]() mutable {
-          self->Write(std::move(response));
+          self->Answer(std::move(response));
         });
       };
       stream_.expires_never();
-      server_->handler_(CallOf(parser_->release()), std::move(respond));
+      auto call = reader_->TakeCall();
+      reader_.reset();
+      server_->handler_(std::move(call), std::move(respond));
+    }
+
+    void Answer(http_response response) {
+      --server_->busy_;
+      Write(std::move(response));
     }
 
     void Write(http_response response) {
+      phase_ = phase::kAnswering;
       response_.emplace(static_cast<http::status>(response.status), 11);
       response_->set(http::field::content_type, response.content_type);
       for (const auto& [name, value] : response.headers) {
@@ -285,32 +274,41 @@
     }
 
     void OnWritten(beast::error_code failed) {
-      if (std::exchange(in_call_, false)) {
-        --server_->busy_;
-      }
+      const bool keeps_alive = response_->keep_alive();
+      response_.reset();
       if (failed) {
         Close();
-      } else if (!response_->keep_alive()) {
+      } else if (!keeps_alive) {
         Linger();
       } else {
         Read();
       }
     }
 
+    /// Answers a client whose request isn't handled, and lets it go.
+    void Refuse(http_response why) {
+      keep_alive_ = false;
+      reader_.reset();
+      buffer_ = beast::flat_buffer{};
+      Write(std::move(why));
+    }
+
     /// Ends the answer and takes in what the client still sends, up to a bound. Closing with bytes
     /// unread resets the connection, and the reset destroys the answer at a client that has not
     /// read it: one that sent too large a body would never learn so.
     void Linger() {
+      phase_ = phase::kFinished;
       beast::error_code ignored;
       stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
       stream_.expires_after(limits_.linger);
+      buffer_ = beast::flat_buffer{};
       LingerOn(kLingerBytes);
     }
 
     void LingerOn(std::size_t left) {
       buffer_.clear();
       stream_.async_read_some(
-          buffer_.prepare(kLingerRead),
+          buffer_.prepare(kFirstRead),
           [self = shared_from_this(), left](beast::error_code failed, std::size_t count) {
             if (failed || count >= left) {
               self->Close();
@@ -330,11 +328,11 @@
     http_server_settings limits_;  ///< of the request at hand
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
-    std::optional<http::request_parser<http::string_body>> parser_;
+    std::optional<request_reader> reader_;
     std::optional<http::response<http::string_body>> response_;
+    std::size_t next_read_{kFirstRead};
+    phase phase_{phase::kIdle};
     bool keep_alive_{false};
-    bool in_call_{false};
-    bool waiting_{false};  ///< for the first byte of a request
   };
 
   /// Clients whose connections wait in the kernel's queue may have sent their requests already.
--- a/src/rosearch/net/http_server.h
+++ b/src/rosearch/net/http_server.h
@@ -5,11 +5,10 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <functional>
-#include <map>
 #include <memory>
 #include <string>
-#include <vector>
+
+#include "rosearch/net/http_call.h"
 
 namespace rosearch {
 
@@ -35,29 +34,6 @@
   std::chrono::milliseconds linger{std::chrono::seconds{1}};
 };
 
-/// An answer to one HTTP request.
-struct http_response {
-  unsigned status{200};
-  std::string body;
-  std::string content_type{"application/json"};
-  std::map<std::string, std::string> headers{};
-};
-
-/// One request from a client.
-struct http_call {
-  std::string method;
-  std::string path;                            ///< without the query
-  std::map<std::string, std::string> query;    ///< percent-decoded
-  std::map<std::string, std::string> headers;  ///< names in lower case
-  std::string body;
-};
-
-/// Answers one call; called once, from any thread.
-using http_respond = std::function<void(http_response)>;
-
-/// Takes one call; called on a thread of the server's io_context.
-using http_handler = std::function<void(http_call, http_respond)>;
-
 /// An HTTP/1.1 server with keep-alive.
 class http_server {
  public:
--- a/test/crowd/cell.py
+++ b/test/crowd/cell.py
@@ -255,7 +255,7 @@
                                  "log_poll_ms": 300, "vm_list_poll_ms": 500,
                                  "vm_list_lag_ms": 1000},
                     "cell": {"regions": [{"name": "r", "shards": 2}]}}
-        if not self.knows("memory_mb"):
+        if not self.knows("http.memory_mb"):
             del settings["http"]["memory_mb"]
         path, ports = self.folder / "entry.json", self.folder / "entry.port"
         path.write_text(json.dumps(settings))
