One account of all that clients make a process hold, from the first byte to the closed socket (net, join, serve)

Callers saw entries end out of memory under clients that each stayed within the limits: 400 bodies that stop just short of their end made an entry of 64 MB hold 122 MB, 200 clients that are refused by 413 and come back 294 MB, heads of many fields 91 MB; idle connections took all places, so that nobody else got an answer.

Cause: head, body and the number of connections had a bound each, and nothing bounded their product; the three servers of a process had all its descriptors each; a refused client kept a buffer of 64 KB for what it still sent; what the kernel receives for a connection had the system's bound; a connection that couldn't be accepted was tried again at once.

Change: `client_memory` counts, over all servers of the process, what each connection holds as it grows: its floor with the kernel's receive buffer (16 KB now, set before the first byte), head and fields as they cost in memory, the body, a call under way with its copies, the answer. When it is reached, connections go that held most for longest without a whole request: 503 with Retry-After, never run; a call under way never goes.

--- a/src/rosearch/cell/cell_settings.cc
+++ b/src/rosearch/cell/cell_settings.cc
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <string_view>
 
+#include "rosearch/net/memory_limit.h"
+
 namespace rosearch::cell {
 namespace {
 
@@ -113,6 +115,15 @@
   std::string first_error_;
 };
 
+void ReadMemory(settings_reader& in, cell_settings& settings) {
+  constexpr double kLeastMb = 32;
+  constexpr double kMostMb = 1'000'000;
+  settings.memory_mb =
+      static_cast<std::uint32_t>(in.Number("memory_mb", MachineMemoryMb(), kLeastMb, kMostMb));
+  settings.client_memory_mb = ClientMemoryMb(
+      settings.memory_mb, static_cast<std::uint32_t>(in.Number("client_memory_mb", 0, 0, kMostMb)));
+}
+
 }  // namespace
 
 result<cell_settings> ParseCellSettings(const std::string& text) {
@@ -141,6 +152,7 @@
   settings.link_mbps = static_cast<std::uint32_t>(in.Number("link_mbps", 0, 0, 1'000'000));
   settings.file_descriptors =
       static_cast<std::uint32_t>(in.Number("file_descriptors", 1024, 64, 1'000'000));
+  ReadMemory(in, settings);
   settings.grace = std::chrono::milliseconds{
       static_cast<std::int64_t>(in.Number("grace_s", 6, 0.5, 3'600) * 1000)};
   auto& scheduler = settings.leading.scheduler;
--- a/src/rosearch/cell/cell_settings.h
+++ b/src/rosearch/cell/cell_settings.h
@@ -25,6 +25,8 @@
   std::uint32_t processor_milli{1000};  ///< processor limit in thousandths of a processor
   std::uint32_t link_mbps{0};           ///< rate of the network link in Mbit/s; 0: not known
   std::uint32_t file_descriptors{1024};
+  std::uint32_t memory_mb{0};               ///< memory that the process may use
+  std::uint32_t client_memory_mb{0};        ///< of it, what clients may make the process hold
   duration grace{std::chrono::seconds{6}};  ///< time from a stop order until the process is killed
   leader_settings leading{};
   election_settings electing{};
--- a/src/rosearch/config/settings.h
+++ b/src/rosearch/config/settings.h
@@ -29,6 +29,8 @@
   std::string advertised_host;  ///< told to others; `host` where the document gives none
   std::uint32_t threads{0};
   std::uint32_t max_connections{0};
+  std::uint32_t memory_mb{0};         ///< that the process may use; 0: that of the machine
+  std::uint32_t client_memory_mb{0};  ///< of it, what clients may make it hold; 0: a fifth
   std::uint32_t max_header_bytes{0};
   std::uint32_t max_body_bytes{0};
   duration idle{};            ///< a connection without a request is closed after this
--- a/src/rosearch/net/http_server.cc
+++ b/src/rosearch/net/http_server.cc
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -28,23 +29,59 @@
 
 constexpr std::size_t kFirstRead = 4096;
 constexpr std::size_t kLargestRead = 16'384;
+/// Of a connection beside what it receives: its objects, and the buffer of the first read.
+constexpr std::size_t kConnectionBytes = 8192;
+/// A call's body lives in the request, in the message to another process and in that message as it
+/// is sent.
+constexpr std::size_t kCallCopies = 3;
+/// So long a client may leave its answer unread when others need the memory.
+constexpr std::chrono::seconds kUnreadAnswer{1};
+constexpr std::chrono::seconds kRetryAfter{1};
+/// Beyond `max_connections`, while those that gave way are being closed.
+constexpr std::size_t kClosingConnections = 16;
+/// Pause after a connection couldn't be accepted, as when no descriptor is free.
+constexpr std::chrono::milliseconds kAcceptPause{50};
+
 /// So much is read and thrown away behind a last answer.
 constexpr std::size_t kLingerBytes = std::size_t{16} << 20U;
 
-http_response TooLarge(unsigned status) {
-  return {status,
-          R"({"error":{"kind":"invalid_request","outcome":"not_run","detail":"too large"}})"};
+http_response Refusal(client_refusal reason) {
+  switch (reason) {
+    case client_refusal::kHeadTooLarge:
+    case client_refusal::kFraming:
+      return {431,
+              R"({"error":{"kind":"invalid_request","outcome":"not_run","detail":"too large"}})"};
+    case client_refusal::kBodyTooLarge:
+      return {413,
+              R"({"error":{"kind":"invalid_request","outcome":"not_run","detail":"too large"}})"};
+    default:
+      return {
+          503,
+          R"({"error":{"kind":"overloaded","outcome":"not_run","detail":"memory for clients"}})",
+          "application/json",
+          {{"Retry-After", std::to_string(kRetryAfter.count())}}};
+  }
 }
 
 }  // namespace
 
 class http_server::impl : public std::enable_shared_from_this<impl> {
  public:
-  impl(asio::io_context& io, http_server_settings settings, http_handler handler)
-      : io_{io}, settings_{std::move(settings)}, handler_{std::move(handler)}, acceptor_{io} {
+  impl(asio::io_context& io, http_server_settings settings, http_handler handler,
+       std::shared_ptr<client_memory> memory)
+      : io_{io},
+        settings_{std::move(settings)},
+        handler_{std::move(handler)},
+        memory_{std::move(memory)},
+        acceptor_{io},
+        accept_timer_{io} {
     const tcp::endpoint endpoint{asio::ip::make_address(settings_.host), settings_.port};
     acceptor_.open(endpoint.protocol());
     acceptor_.set_option(asio::socket_base::reuse_address{true});
+    if (settings_.receive_buffer_bytes > 0) {
+      // Accepted sockets inherit it, before their first bytes arrive.
+      acceptor_.set_option(asio::socket_base::receive_buffer_size{settings_.receive_buffer_bytes});
+    }
     acceptor_.bind(endpoint);
     acceptor_.listen(asio::socket_base::max_listen_connections);
     port_ = acceptor_.local_endpoint().port();
@@ -57,7 +94,12 @@
           if (!failed) {
             self->Begin(std::move(socket));
           }
-          if (!self->draining_) {
+          if (self->draining_) {
+            return;
+          }
+          if (failed) {
+            self->AcceptLater();
+          } else {
             self->Accept();
           }
         });
@@ -107,6 +149,7 @@
     }
 
     ~session() {
+      share_.reset();
       const std::scoped_lock lock{server_->mutex_};
       server_->sessions_.erase(this);
     }
@@ -115,6 +158,11 @@
     session& operator=(const session&) = delete;
 
     void Start() {
+      share_.emplace(server_->memory_, server_.get(), [weak = weak_from_this()] {
+        if (const auto self = weak.lock()) {
+          asio::post(self->stream_.get_executor(), [self] { self->Shed(); });
+        }
+      });
       asio::dispatch(stream_.get_executor(), [self = shared_from_this()] { self->Read(); });
     }
 
@@ -141,6 +189,7 @@
       limits_ = server_->Settings();
       reader_.emplace(request_limits{limits_.max_header_bytes, limits_.max_body_bytes});
       next_read_ = kFirstRead;
+      began_at_ = SteadyNow();
       if (buffer_.size() > 0) {
         BeginRequest();
         return;
@@ -149,6 +198,10 @@
         buffer_ = beast::flat_buffer{};
       }
       phase_ = phase::kIdle;
+      if (!HoldBytes()) {
+        Close();
+        return;
+      }
       stream_.expires_after(server_->draining_ ? limits_.drain_idle : limits_.idle);
       ReadSome();
     }
@@ -163,8 +216,10 @@
 
     void OnRead(beast::error_code failed, std::size_t count) {
       buffer_.commit(count);
-      if (phase_ == phase::kIdle && failed == asio::error::operation_aborted &&
-          server_->draining_) {
+      if (shed_) {
+        EndShed();
+      } else if (phase_ == phase::kIdle && failed == asio::error::operation_aborted &&
+                 server_->draining_) {
         Read();
       } else if (failed) {
         Close();
@@ -180,6 +235,7 @@
     // its connection, and enough of them all connections that the server has.
     void BeginRequest() {
       phase_ = phase::kArriving;
+      began_at_ = SteadyNow();
       stream_.expires_after(limits_.header_timeout);
       Parse();
     }
@@ -187,7 +243,7 @@
     void Parse() {
       switch (reader_->Read(buffer_)) {
         case read_progress::kNeedsMore:
-          ReadSome();
+          ReadMore();
           return;
         case read_progress::kHead:
           OnHead();
@@ -196,20 +252,29 @@
           OnWhole();
           return;
         case read_progress::kHeadTooLarge:
-          Refuse(TooLarge(431));
+          Refuse(client_refusal::kHeadTooLarge);
           return;
         case read_progress::kBodyTooLarge:
-          Refuse(TooLarge(413));
+          Refuse(client_refusal::kBodyTooLarge);
           return;
         case read_progress::kFramingTooLarge:
-          Refuse(TooLarge(431));
+          Refuse(client_refusal::kFraming);
           return;
         case read_progress::kMalformed:
+          server_->memory_->Count(client_refusal::kMalformed);
           Close();
           return;
       }
     }
 
+    void ReadMore() {
+      if (HoldBytes()) {
+        ReadSome();
+      } else {
+        EndShed();
+      }
+    }
+
     void OnHead() {
       stream_.expires_after(limits_.body_timeout);
       if (reader_->ExpectsContinue()) {
@@ -224,7 +289,9 @@
       response_.emplace(http::status::continue_, 11);
       http::async_write(stream_, *response_,
                         [self = shared_from_this()](beast::error_code failed, std::size_t) {
-                          if (failed) {
+                          if (self->shed_) {
+                            self->EndShed();
+                          } else if (failed) {
                             self->Close();
                           } else {
                             self->Parse();
@@ -233,6 +300,12 @@
     }
 
     void OnWhole() {
+      const auto copies = (kCallCopies - 1) * reader_->BodyBytes();
+      if (!share_->BeginCall(CountBytes() + copies, SteadyNow())) {
+        server_->memory_->Count(client_refusal::kCalls);
+        WriteRefusal(client_refusal::kCalls);
+        return;
+      }
       keep_alive_ = reader_->KeepsAlive();
       phase_ = phase::kCalled;
       ++server_->busy_;
@@ -247,12 +320,18 @@
       };
       stream_.expires_never();
       auto call = reader_->TakeCall();
+      is_query_ = call.method == "GET";
       reader_.reset();
       server_->handler_(std::move(call), std::move(respond));
     }
 
     void Answer(http_response response) {
       --server_->busy_;
+      // A question can be put again: its answer says so where there is no room for it.
+      if (is_query_ && !share_->HasRoomForAnswer(response.body.size())) {
+        server_->memory_->Count(client_refusal::kMemory);
+        response = Refusal(client_refusal::kMemory);
+      }
       Write(std::move(response));
     }
 
@@ -266,6 +345,8 @@
       response_->keep_alive(keep_alive_ && !server_->letting_go_);
       response_->body() = std::move(response.body);
       response_->prepare_payload();
+      const auto now = SteadyNow();
+      share_->HoldAnswer(CountBytes(), now + kUnreadAnswer, now);
       stream_.expires_after(limits_.write);
       http::async_write(stream_, *response_,
                         [self = shared_from_this()](beast::error_code failed, std::size_t) {
@@ -276,7 +357,7 @@
     void OnWritten(beast::error_code failed) {
       const bool keeps_alive = response_->keep_alive();
       response_.reset();
-      if (failed) {
+      if (failed || shed_) {
         Close();
       } else if (!keeps_alive) {
         Linger();
@@ -286,11 +367,39 @@
     }
 
     /// Answers a client whose request isn't handled, and lets it go.
-    void Refuse(http_response why) {
+    void Refuse(client_refusal reason) {
+      server_->memory_->Count(reason);
+      WriteRefusal(reason);
+    }
+
+    void WriteRefusal(client_refusal reason) {
       keep_alive_ = false;
+      shed_ = false;
       reader_.reset();
       buffer_ = beast::flat_buffer{};
-      Write(std::move(why));
+      Write(Refusal(reason));
+    }
+
+    /// Gives back what this connection holds, as the memory for clients is full.
+    void Shed() {
+      if (phase_ == phase::kCalled || shed_ || told_) {
+        return;
+      }
+      if (phase_ == phase::kAnswering || phase_ == phase::kFinished) {
+        Close();
+        return;
+      }
+      shed_ = true;
+      stream_.cancel();  // the read under way ends with `EndShed`
+    }
+
+    void EndShed() {
+      told_ = true;
+      if (phase_ == phase::kIdle && buffer_.size() == 0) {
+        Close();
+      } else {
+        WriteRefusal(client_refusal::kMemory);
+      }
     }
 
     /// Ends the answer and takes in what the client still sends, up to a bound. Closing with bytes
@@ -302,6 +411,7 @@
       stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
       stream_.expires_after(limits_.linger);
       buffer_ = beast::flat_buffer{};
+      share_->Finish(CountBytes(), SteadyNow());
       LingerOn(kLingerBytes);
     }
 
@@ -324,17 +434,44 @@
       stream_.close();
     }
 
+    [[nodiscard]] std::size_t CountBytes() const {
+      const auto extra = buffer_.capacity() > kFirstRead ? buffer_.capacity() : 0;
+      return kConnectionBytes + static_cast<std::size_t>(limits_.receive_buffer_bytes) + extra +
+             (reader_ ? reader_->HeldBytes() : 0) + (response_ ? response_->body().capacity() : 0);
+    }
+
+    /// @return false if this connection is to go.
+    [[nodiscard]] bool HoldBytes() { return share_->Hold(CountBytes(), began_at_, SteadyNow()); }
+
+    static client_memory::time_point SteadyNow() { return std::chrono::steady_clock::now(); }
+
     std::shared_ptr<impl> server_;
     http_server_settings limits_;  ///< of the request at hand
     beast::tcp_stream stream_;
     beast::flat_buffer buffer_;
+    std::optional<client_memory::share> share_;
     std::optional<request_reader> reader_;
     std::optional<http::response<http::string_body>> response_;
+    client_memory::time_point began_at_{};  ///< the request at hand, or the wait for it
     std::size_t next_read_{kFirstRead};
     phase phase_{phase::kIdle};
     bool keep_alive_{false};
+    bool is_query_{false};  ///< the request at hand has no effect
+    bool shed_{false};      ///< it is to go as soon as the operation under way has ended
+    bool told_{false};      ///< its client was refused, as it had to go
   };
 
+  /// Begins again after a pause: an error that lasts would take all of the processor.
+  void AcceptLater() {
+    memory_->ShedOne(this, std::chrono::steady_clock::now());
+    accept_timer_.expires_after(kAcceptPause);
+    accept_timer_.async_wait([self = shared_from_this()](const beast::error_code& failed) {
+      if (!failed && !self->draining_) {
+        self->Accept();
+      }
+    });
+  }
+
   /// Clients whose connections wait in the kernel's queue may have sent their requests already.
   void AcceptWaiting() {
     beast::error_code failed;
@@ -363,12 +500,19 @@
 
   void Begin(tcp::socket socket) {
     const auto made = std::make_shared<session>(shared_from_this(), std::move(socket));
+    bool is_full = false;
+    bool has_room = false;
     {
       const std::scoped_lock lock{mutex_};
-      if (sessions_.size() >= settings_.max_connections) {
-        return;
+      is_full = sessions_.size() >= settings_.max_connections;
+      // The one that gives way is closed a moment later.
+      has_room = sessions_.size() < settings_.max_connections + kClosingConnections;
+      if (has_room) {
+        sessions_[made.get()] = made;
       }
-      sessions_[made.get()] = made;
+    }
+    if (is_full && !(memory_->ShedOne(this, std::chrono::steady_clock::now()) && has_room)) {
+      return;
     }
     made->Start();
   }
@@ -376,7 +520,9 @@
   asio::io_context& io_;
   http_server_settings settings_;
   http_handler handler_;
+  std::shared_ptr<client_memory> memory_;
   tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
   std::uint16_t port_{0};
   std::atomic<bool> draining_{false};
   std::atomic<bool> letting_go_{false};
@@ -385,8 +531,10 @@
   std::map<session*, std::weak_ptr<session>> sessions_;
 };
 
-http_server::http_server(asio::io_context& io, http_server_settings settings, http_handler handler)
-    : impl_{std::make_shared<impl>(io, std::move(settings), std::move(handler))} {
+http_server::http_server(asio::io_context& io, http_server_settings settings, http_handler handler,
+                         std::shared_ptr<client_memory> memory)
+    : impl_{
+          std::make_shared<impl>(io, std::move(settings), std::move(handler), std::move(memory))} {
   impl_->Accept();
 }
 
--- a/src/rosearch/net/http_server.h
+++ b/src/rosearch/net/http_server.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <string>
 
+#include "rosearch/net/client_memory.h"
 #include "rosearch/net/http_call.h"
 
 namespace rosearch {
@@ -30,16 +31,27 @@
   /// Once draining, a connection without a request is closed after this: a request that its client
   /// sent at that moment is still on its way.
   std::chrono::milliseconds drain_idle{500};
+  /// What the kernel receives for a connection before it is read, in bytes; 0: the system's
+  /// default.
+  int receive_buffer_bytes{16 << 10};
   /// After the last answer of a connection, what its client still sends is read for so long.
   std::chrono::milliseconds linger{std::chrono::seconds{1}};
 };
 
-/// An HTTP/1.1 server with keep-alive.
+/// Of the memory for clients, where a server has none that it shares with others.
+inline constexpr std::size_t kDefaultClientMemoryBytes = std::size_t{64} << 20U;
+
+/// An HTTP/1.1 server with keep-alive. A new connection beyond `max_connections` takes the place of
+/// the one that is worth least. A client that can't be served is told so at once: 503 with when to
+/// come back, 413, 431.
 class http_server {
  public:
   /// Binds and begins to accept.
+  /// @param memory  what all clients of the process together may make it hold.
   /// @throws boost::system::system_error where the address can't be bound.
-  http_server(boost::asio::io_context& io, http_server_settings settings, http_handler handler);
+  http_server(boost::asio::io_context& io, http_server_settings settings, http_handler handler,
+              std::shared_ptr<client_memory> memory =
+                  std::make_shared<client_memory>(kDefaultClientMemoryBytes));
   ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
--- a/src/rosearch/serve/serve.cc
+++ b/src/rosearch/serve/serve.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -21,7 +22,9 @@
 
 #include "rosearch/api/service.h"
 #include "rosearch/metrics/metric_set.h"
+#include "rosearch/net/client_memory.h"
 #include "rosearch/net/http_server.h"
+#include "rosearch/net/memory_limit.h"
 #include "rosearch/net/peer_transport.h"
 #include "rosearch/platform/clock.h"
 #include "rosearch/platform/http_client.h"
@@ -36,6 +39,7 @@
 constexpr milliseconds kTick{20};
 /// The totals of traffic in the metrics are so old at most.
 constexpr milliseconds kTrafficInterval{200};
+constexpr std::chrono::seconds kRefusalLogInterval{1};
 constexpr std::int64_t kMillion = 1'000'000;
 
 constexpr std::size_t kMaxDetailBytes = 256;
@@ -109,15 +113,18 @@
         ports_{settings_, http_},
         api_{access_, metrics_},
         signals_{io_, SIGTERM, SIGINT},
-        timer_{asio::make_strand(io_)} {
+        timer_{asio::make_strand(io_)},
+        client_memory_{MakeClientMemory(settings.http)} {
     // The transport's thread may hand in a message before the node stands; it is dropped.
     transport_ = std::make_unique<peer_transport>(
         settings.peer.host + ':' + std::to_string(settings.peer.port),
         [this](const std::string& bytes) { OnPeerBytes(bytes); });
-    server_ = std::make_unique<http_server>(io_, ServerSettings(settings),
-                                            [this](const http_call& call, http_respond respond) {
-                                              api_.Handle(call, std::move(respond));
-                                            });
+    server_ = std::make_unique<http_server>(
+        io_, ServerSettings(settings),
+        [this](const http_call& call, http_respond respond) {
+          api_.Handle(call, std::move(respond));
+        },
+        client_memory_);
     node_ = std::make_unique<entry_node>(
         NodeSettings(settings, incarnation, transport_->address(), server_->port()), ports_);
     ports_.Connect(*node_, *transport_);
@@ -176,6 +183,12 @@
     return options;
   }
 
+  static std::shared_ptr<client_memory> MakeClientMemory(const config::http_settings& http) {
+    const auto memory_mb = http.memory_mb > 0 ? http.memory_mb : MachineMemoryMb();
+    return std::make_shared<client_memory>(ClientMemoryMb(memory_mb, http.client_memory_mb) *
+                                           kBytesPerMb);
+  }
+
   static http_server_settings ServerSettings(const config::settings& settings) {
     http_server_settings server;
     server.host = settings.http.host;
@@ -235,6 +248,7 @@
     gauges["rosearch_log_waiting_bytes"] = static_cast<double>(figures.log_waiting_bytes);
     gauges["rosearch_configuration_version"] = static_cast<double>(figures.version);
     gauges["rosearch_http_busy_connections"] = static_cast<double>(server_->Busy());
+    gauges.merge(ClientGauges(client_memory_->Figures()));
     gauges["rosearch_peer_messages_sent_total"] = static_cast<double>(peers.messages_sent);
     gauges["rosearch_peer_bytes_sent_total"] = static_cast<double>(peers.bytes_sent);
     gauges["rosearch_peer_messages_received_total"] = static_cast<double>(peers.messages_received);
@@ -243,6 +257,38 @@
     return gauges;
   }
 
+  static std::map<std::string, double> ClientGauges(const client_memory_figures& figures) {
+    std::map<std::string, double> gauges{
+        {"rosearch_client_memory_limit_bytes", static_cast<double>(figures.limit_bytes)},
+        {"rosearch_client_memory_bytes", static_cast<double>(figures.held_bytes)},
+        {"rosearch_client_call_bytes", static_cast<double>(figures.call_bytes)},
+        {"rosearch_client_connections", static_cast<double>(figures.connections)}};
+    for (std::size_t at = 0; at < kClientRefusals; ++at) {
+      const std::string reason{ToText(static_cast<client_refusal>(at))};
+      gauges["rosearch_client_refusals_total{reason=\"" + reason + "\"}"] =
+          static_cast<double>(figures.refused.at(at));
+    }
+    return gauges;
+  }
+
+  /// A crowd that is refused gets one line a second, not one for each client.
+  void LogRefusals(time_point now) {
+    const auto figures = client_memory_->Figures();
+    if (now < refusals_logged_at_ + kRefusalLogInterval || figures.refused == refused_) {
+      return;
+    }
+    std::string counts;
+    for (std::size_t at = 0; at < kClientRefusals; ++at) {
+      counts += ' ' + std::string{ToText(static_cast<client_refusal>(at))} + '=' +
+                std::to_string(figures.refused.at(at) - refused_.at(at));
+    }
+    LOG(WARNING) << "event=clients_refused held_bytes=" << figures.held_bytes
+                 << " limit_bytes=" << figures.limit_bytes << " connections=" << figures.connections
+                 << counts;
+    refused_ = figures.refused;
+    refusals_logged_at_ = now;
+  }
+
   void OnPeerBytes(const std::string& bytes) {
     wire::peer_message message;
     if (!message.ParseFromString(bytes)) {
@@ -269,6 +315,7 @@
     const auto at = StepNow();
     node_->Tick(at);
     api_.Tick(at.now);
+    LogRefusals(at.now);
     if (at.now >= traffic_at_) {
       traffic_at_ = at.now + kTrafficInterval;
       ports_.WriteTraffic(metrics_);
@@ -318,7 +365,10 @@
   asio::signal_set signals_;
   asio::steady_timer timer_;
   std::unique_ptr<entry_node> node_;
+  std::shared_ptr<client_memory> client_memory_;
   std::unique_ptr<http_server> server_;
+  std::array<std::uint64_t, kClientRefusals> refused_{};  ///< as logged last
+  time_point refusals_logged_at_{};
   std::unique_ptr<peer_transport> transport_;
   std::atomic<bool> node_ready_{false};
   std::atomic<bool> leaving_{false};
--- a/test/rosearch/cell/cell_settings_test.cc
+++ b/test/rosearch/cell/cell_settings_test.cc
@@ -26,6 +26,14 @@
   CHECK(read.value().leading.max_batches_in_flight > 1);
 }
 
+TEST_CASE("the memory for clients comes from the memory of the machine") {
+  CHECK(ParseCellSettings(Settings(R"(,"memory_mb":260)")).value().client_memory_mb == 52);
+  CHECK(ParseCellSettings(Settings(R"(,"client_memory_mb":9)")).value().client_memory_mb == 9);
+  CHECK(ParseCellSettings(Settings(R"(,"memory_mb":31)")).has_error());
+  CHECK(ParseCellSettings(Settings(R"(,"client_memory_mb":-1)")).has_error());
+  CHECK(ParseCellSettings(Settings("")).value().memory_mb > 0);
+}
+
 TEST_CASE("settings switch mechanisms off by name") {
   const auto read =
       ParseCellSettings(Settings(R"(,"without":["rescue","batches_beside","early_election"])"));
