The jobs that a leader keeps have a bound in bytes, each and together (sched)

Callers saw the whole cell end: one submission of 4 KB that asks for a million tasks, or for a million occurrences that are all due, made the leader run out of memory; its successor restored the job from the store and ended too, and so did the next. Valid jobs of 261 KB whose work lasts are admitted whatever the load, and made a leader of 64 MB hold 295 MB.

Cause: a job costs memory by its steps, tasks and open occurrences, not by its bytes on the wire; admission counts waiting work only, lasting work not at all; all due occurrences were opened at once.

Change: `job_memory` estimates what each job holds and bounds the sum: half of the memory beyond 24 MB, at most 64 MB (`job_memory_mb`), since a successor may have less. Beyond it a job is refused with 429 `job_memory` and when to come back, jobs over 64 KB from three quarters on; one that alone would fill half is refused as `job_too_large` without a time. A further occurrence opens beside others of its job only while there is room. `rosearch_job_memory_bytes` and its limit are on the metrics address.

A restored job is counted and never refused.

--- a/src/rosearch/cell/cell_settings.cc
+++ b/src/rosearch/cell/cell_settings.cc
@@ -115,6 +115,16 @@
   std::string first_error_;
 };
 
+/// What a process holds beside its clients and its jobs.
+constexpr std::uint32_t kOwnMemoryMb = 24;
+/// A leader's successor may have less memory, and restores all jobs.
+constexpr std::uint32_t kMostJobMemoryMb = 64;
+
+std::uint32_t DefaultJobMemoryMb(std::uint32_t memory_mb) {
+  const auto rest = memory_mb - std::min(memory_mb, kOwnMemoryMb);
+  return std::clamp(rest / 2, 4U, kMostJobMemoryMb);
+}
+
 void ReadMemory(settings_reader& in, cell_settings& settings) {
   constexpr double kLeastMb = 32;
   constexpr double kMostMb = 1'000'000;
@@ -122,6 +132,9 @@
       static_cast<std::uint32_t>(in.Number("memory_mb", MachineMemoryMb(), kLeastMb, kMostMb));
   settings.client_memory_mb = ClientMemoryMb(
       settings.memory_mb, static_cast<std::uint32_t>(in.Number("client_memory_mb", 0, 0, kMostMb)));
+  const auto job_memory_mb = static_cast<std::uint32_t>(in.Number("job_memory_mb", 0, 0, kMostMb));
+  settings.leading.scheduler.max_job_bytes =
+      kBytesPerMb * (job_memory_mb > 0 ? job_memory_mb : DefaultJobMemoryMb(settings.memory_mb));
 }
 
 }  // namespace
--- a/src/rosearch/cell/internal/leader_views.h
+++ b/src/rosearch/cell/internal/leader_views.h
@@ -26,6 +26,8 @@
     metrics_.Set(name, static_cast<double>(value));
   };
   set("rosearch_jobs", counts.jobs);
+  set("rosearch_job_memory_bytes", counts.job_bytes);
+  set("rosearch_job_memory_limit_bytes", counts.max_job_bytes);
   set("rosearch_waiting_tasks", counts.waiting_tasks);
   set("rosearch_runs", counts.runs);
   set("rosearch_workers_live", counts.workers_live);
--- a/src/rosearch/sched/cell_counts.h
+++ b/src/rosearch/sched/cell_counts.h
@@ -21,6 +21,8 @@
   duration oldest_report{};      ///< max age of the newest report over all live workers
   std::size_t stalled_steps{0};  ///< see `stall_view`
   duration oldest_stall{};       ///< how long the longest of these has stalled
+  std::size_t job_bytes{0};      ///< memory of all jobs, as counted against its limit
+  std::size_t max_job_bytes{0};  ///< that limit
   duration oldest_unconfirmed{};   ///< max age of an order that neither answer nor report confirms
   std::uint64_t advice_unused{0};  ///< answers of advice after which nothing started
   std::uint64_t placement_attempts{0};  ///< attempts to place a waiting step, since the start
--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -137,6 +137,7 @@
   time_point finish_by{};  ///< deadline from its predicted objective
   std::int64_t ended_ms{0};
   std::vector<std::unique_ptr<occurrence_state>> occurrences;  ///< all that have become due
+  std::size_t bytes{0};  ///< as entered in the memory for jobs
 
   /// @return the total number of occurrences of the job.
   [[nodiscard]] std::uint32_t Occurrences() const {
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -20,6 +20,7 @@
 #include "rosearch/sched/customer_accounts.h"
 #include "rosearch/sched/fill_index.h"
 #include "rosearch/sched/instant.h"
+#include "rosearch/sched/job_memory.h"
 #include "rosearch/sched/job_scope.h"
 #include "rosearch/sched/job_spec.h"
 #include "rosearch/sched/job_state.h"
@@ -235,6 +236,10 @@
   step_state* FindOrOpenStep(const task_name& name, const instant& now);
   void RecordTiming(const job_state& job, bool ended, const instant& now);
   void OpenDueOccurrences(job_state& job, const instant& now);
+  [[nodiscard]] occurrence_state& OpenOccurrence(job_state& job);
+  /// Enters bytes of a job in the memory for jobs.
+  void CountBytes(job_state& job, std::size_t bytes);
+  void EraseJob(const std::string& id);
   void OpenSteps(job_state& job, occurrence_state& occurrence, const instant& now);
   void FinishTask(step_state& step, std::uint32_t index, const instant& now);
   void FinishStep(step_state& step, const instant& now);
@@ -556,6 +561,7 @@
   customer_accounts customers_;
   std::set<std::string> urgent_pools_;  ///< pools with an urgent queue
   std::unordered_map<std::string, std::unique_ptr<job_state>> jobs_;
+  job_memory job_memory_{settings_.max_job_bytes};  ///< of `jobs_`
   std::unordered_map<std::string, ended_job> ended_;
   std::map<std::string, std::unique_ptr<worker_state>> workers_;  ///< in a fixed order
   fill_index fill_;                                               ///< indexes `workers_`
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -32,6 +32,8 @@
 /// serving it.
 constexpr duration kMinRetryAfter = std::chrono::seconds{1};
 constexpr duration kMaxRetryAfter = std::chrono::seconds{20};
+/// Jobs that fill the memory for jobs end in seconds, or last.
+constexpr duration kMemoryRetryAfter = std::chrono::seconds{5};
 
 /// Minimum interval between two measurements of a pool's load. At hundreds of jobs per second,
 /// visiting all runs and waiting tasks for each job would cost more than placing the jobs.
@@ -65,7 +67,7 @@
     return nullptr;
   }
   while (name.occurrence >= job->occurrences.size()) {
-    OpenSteps(*job, AddOccurrence(*job), now);
+    OpenSteps(*job, OpenOccurrence(*job), now);
   }
   return FindStep(name);
 }
@@ -285,6 +287,17 @@
                    .Add("customer", job.customer));
     return {submit_verdict::kRefused, {}, "exceeds_limit"};
   }
+  const auto bytes = job_memory::SpecBytes(job) + job_memory::OccurrenceBytes(job);
+  if (const auto room = job_memory_.Check(bytes); room != job_room::kRoom) {
+    const bool never = room == job_room::kNever;
+    const std::string_view reason = never ? "job_too_large" : "job_memory";
+    log_.Write(event_line{"job_refused", event_weight::kFailure}
+                   .Add("job", job.id)
+                   .Add("reason", reason)
+                   .Add("bytes", bytes)
+                   .Add("held_bytes", job_memory_.held()));
+    return {submit_verdict::kRefused, never ? duration{} : duration{kMemoryRetryAfter}, reason};
+  }
   auto predicted = PredictJob(job);
   const bool exempt = job.steps.front().service || !settings_.Uses(mechanism::kAdmission);
   const auto admitted =
@@ -316,6 +329,7 @@
   new_job->spec = std::make_shared<const job_spec>(std::move(job));
   ResolveRules(*new_job);
   AssignCustomer(*new_job);
+  CountBytes(*new_job, bytes);
   auto& added_job = *(jobs_[new_job->spec->id] = std::move(new_job));
   MarkDirty(added_job, true);
   return {submit_verdict::kPending, {}, "new"};
@@ -373,8 +387,36 @@
     if (job.spec->occurrences > 0 && now.wall_ms < due + margin.count()) {
       return;
     }
-    OpenSteps(job, AddOccurrence(job), now);
+    // A job's next occurrence waits while others of it are at work, not for ever.
+    if (!job.occurrences.empty() && !job.occurrences.back()->done &&
+        !job_memory_.HasRoom(job_memory::OccurrenceBytes(*job.spec))) {
+      return;
+    }
+    OpenSteps(job, OpenOccurrence(job), now);
+  }
+}
+
+occurrence_state& scheduler::OpenOccurrence(job_state& job) {
+  auto& opened = AddOccurrence(job);
+  // The first one was counted with the job.
+  if (job.occurrences.size() > 1) {
+    CountBytes(job, job_memory::OccurrenceBytes(*job.spec));
+  }
+  return opened;
+}
+
+void scheduler::CountBytes(job_state& job, std::size_t bytes) {
+  job.bytes += bytes;
+  job_memory_.Add(bytes);
+}
+
+void scheduler::EraseJob(const std::string& id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) {
+    return;
   }
+  job_memory_.Remove(found->second->bytes);
+  jobs_.erase(found);
 }
 
 void scheduler::OpenSteps(job_state& job, occurrence_state& occurrence, const instant& now) {
@@ -512,7 +554,7 @@
     DropSteps(*job);
     ended_[id] = ended_job{job->spec->queue, job->phase, job->ended_ms, job->spec->customer,
                            has_unread_usage_ ? UnreadUsage(*job, now) : resources{}};
-    jobs_.erase(id);
+    EraseJob(id);
   }
 }
 
--- a/src/rosearch/sched/scheduler_settings.h
+++ b/src/rosearch/sched/scheduler_settings.h
@@ -40,6 +40,8 @@
   /// Delay of an occurrence after its due time, so that it never starts early where clocks differ
   /// by a few milliseconds.
   duration due_margin{std::chrono::milliseconds{30}};
+  /// Limit of what all jobs that haven't ended may hold in memory.
+  std::size_t max_job_bytes{std::size_t{64} << 20U};
   /// Share of every worker that only urgent work may use. A burst that doubles the urgent load then
   /// finds room while other runs end, at the cost of that share of utilization.
   double urgent_reserve{0.10};
--- a/src/rosearch/sched/scheduler_store.cc
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -113,6 +113,10 @@
   ApplyPrediction(*job, PredictJob(*job->spec));
   AssignCustomer(*job);
   ApplyProgress(progress, *job);
+  const auto occurrences = std::max<std::size_t>(1, job->occurrences.size());
+  EraseJob(id);
+  CountBytes(*job, job_memory::SpecBytes(*job->spec) +
+                       occurrences * job_memory::OccurrenceBytes(*job->spec));
   auto& restored_job = *(jobs_[id] = std::move(job));
   LogRestoredJob(restored_job);
   for (auto& occurrence : restored_job.occurrences) {
@@ -283,7 +287,7 @@
   }
   // The job was never accepted, so none of its tasks has started. Its caller gets the refusal.
   std::erase(dirty_, id);
-  jobs_.erase(id);
+  EraseJob(id);
   settled_.push_back({id, false, false, reason});
   log_.Write(
       event_line{"job_refused", event_weight::kFailure}.Add("job", id).Add("reason", reason));
--- a/src/rosearch/sched/scheduler_views.cc
+++ b/src/rosearch/sched/scheduler_views.cc
@@ -38,6 +38,8 @@
 cell_counts scheduler::Counts(const instant& now) const {
   cell_counts counts;
   counts.jobs = jobs_.size();
+  counts.job_bytes = job_memory_.held();
+  counts.max_job_bytes = job_memory_.limit();
   counts.workers = workers_.size();
   counts.unsettled = unsettled_.size();
   counts.placement_attempts = placement_attempts_;
--- a/test/crowd/clients.py
+++ b/test/crowd/clients.py
@@ -110,6 +110,21 @@
     return [head("POST", "/long/" + new_id(), f"Content-Length: {len(body)}"), body]
 
 
+def submission(job):
+    body = json.dumps({"spec": "x", **job}).encode()
+    return [head("POST", "/long/" + new_id(), f"Content-Length: {len(body)}"), body]
+
+
+def small_job_of_a_million_tasks():
+    return submission({"steps": [{"count": 10_000, "cpu": 100, "mem-mb": 16,
+                                  "long-running": True}] * 100})
+
+
+def small_job_of_due_occurrences():
+    return submission({"repeat-count": 1_000_000, "start-at-ms": 1, "interval-ms": 0,
+                       "steps": [{"count": 100, "cpu": 100, "mem-mb": 16, "estimate-ms": 200}]})
+
+
 def valid_padded():
     body = json.dumps({"spec": "x", "steps": [
         {"count": 1, "cpu": 100, "mem-mb": 16, "estimate-ms": 200}]}).encode()
--- a/test/crowd/crowd_test.py
+++ b/test/crowd/crowd_test.py
@@ -54,7 +54,12 @@
     "valid requests of the largest size": CROWDS["valid requests of the largest size"],
     "valid jobs of very many steps": CROWDS["valid jobs of very many steps"],
     "several kinds at once": CROWDS["several kinds at once"],
+    "small jobs of a million tasks": [Crowd("small_job_of_a_million_tasks", 20)],
+    "small jobs whose occurrences are all due": [Crowd("small_job_of_due_occurrences", 20)],
 }
+# Work that may fill the workers, so that an ordinary job is rightly refused for want of room.
+WORK_WITHOUT_END = ("valid_of_many_steps", "small_job_of_a_million_tasks",
+                    "small_job_of_due_occurrences")
 SERVE_CROWDS = ["trailers without end", "large chunks that stop just short of the end",
                 "chunks without end, refused and back again",
                 "announced bodies that stop just short of the end",
@@ -65,7 +70,7 @@
     """Lets each crowd at one port or at several; returns what broke."""
     ports = (ports,) if isinstance(ports, int) else ports
     played = [clients.Played(crowd, ("127.0.0.1", port)) for crowd in crowds for port in ports]
-    room = all(crowd.kind != "valid_of_many_steps" for crowd in crowds)
+    room = all(crowd.kind not in WORK_WITHOUT_END for crowd in crowds)
     try:
         await asyncio.gather(asyncio.sleep(max(crowd.seconds for crowd in crowds)), *([meanwhile] if meanwhile else []))
         for each in played:
--- a/test/rosearch/cell/cell_settings_test.cc
+++ b/test/rosearch/cell/cell_settings_test.cc
@@ -26,9 +26,18 @@
   CHECK(read.value().leading.max_batches_in_flight > 1);
 }
 
-TEST_CASE("the memory for clients comes from the memory of the machine") {
-  CHECK(ParseCellSettings(Settings(R"(,"memory_mb":260)")).value().client_memory_mb == 52);
-  CHECK(ParseCellSettings(Settings(R"(,"client_memory_mb":9)")).value().client_memory_mb == 9);
+TEST_CASE("the memory for clients and jobs comes from the memory of the machine") {
+  const auto read = ParseCellSettings(Settings(R"(,"memory_mb":260)"));
+  REQUIRE(read.has_value());
+  CHECK(read.value().client_memory_mb == 52);
+  CHECK(read.value().leading.scheduler.max_job_bytes == 64'000'000);
+  const auto small = ParseCellSettings(Settings(R"(,"memory_mb":64)"));
+  CHECK(small.value().client_memory_mb == 12);
+  CHECK(small.value().leading.scheduler.max_job_bytes == 20'000'000);
+  const auto named =
+      ParseCellSettings(Settings(R"(,"memory_mb":260,"client_memory_mb":9,"job_memory_mb":7)"));
+  CHECK(named.value().client_memory_mb == 9);
+  CHECK(named.value().leading.scheduler.max_job_bytes == 7'000'000);
   CHECK(ParseCellSettings(Settings(R"(,"memory_mb":31)")).has_error());
   CHECK(ParseCellSettings(Settings(R"(,"client_memory_mb":-1)")).has_error());
   CHECK(ParseCellSettings(Settings("")).value().memory_mb > 0);
