An answer's framing has a bound, and its body costs what has arrived (platform)

What operators saw: an executor whose answer had a chunk's extension without end made every process of the cell hold 87 to 106 MB within 6 s, until the machine's memory was gone; an answer that announced 16 MB reserved them.

Cause: the same as behind a request's trailers: the read buffer had no bound, and the body was reserved as announced. Answers of workers, store, advice and executors are read by one client, so one place mends them.

Change: the buffer of a connection holds 64 KB at most, more than any head; the body is the server's `growing_body`, which moves out of `internal`. The sum over answers that arrive at the same time has no bound of its own: 16 MB each at most, as before.

--- a/src/rosearch/net/internal/growing_body.h
+++ b/src/rosearch/net/growing_body.h
@@ -1,5 +1,5 @@
-#ifndef ROSEARCH_NET_INTERNAL_GROWING_BODY_H_
-#define ROSEARCH_NET_INTERNAL_GROWING_BODY_H_
+#ifndef ROSEARCH_NET_GROWING_BODY_H_
+#define ROSEARCH_NET_GROWING_BODY_H_
 
 #include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/error.hpp>
@@ -9,7 +9,7 @@
 #include <cstdint>
 #include <string>
 
-namespace rosearch::internal {
+namespace rosearch {
 
 /// A body in a string that grows with what arrives. That of Beast reserves what is announced, so
 /// that a head alone would cost the largest body.
@@ -45,6 +45,6 @@
   };
 };
 
-}  // namespace rosearch::internal
+}  // namespace rosearch
 
-#endif  // ROSEARCH_NET_INTERNAL_GROWING_BODY_H_
+#endif  // ROSEARCH_NET_GROWING_BODY_H_
--- a/src/rosearch/net/internal/request_reader.h
+++ b/src/rosearch/net/internal/request_reader.h
@@ -6,8 +6,8 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "rosearch/net/growing_body.h"
 #include "rosearch/net/http_call.h"
-#include "rosearch/net/internal/growing_body.h"
 
 namespace rosearch::internal {
 
--- a/src/rosearch/platform/http_client.cc
+++ b/src/rosearch/platform/http_client.cc
@@ -24,6 +24,7 @@
 #include <optional>
 #include <utility>
 
+#include "rosearch/net/growing_body.h"
 #include "rosearch/platform/address.h"
 #include "rosearch/platform/clock.h"
 
@@ -58,12 +59,16 @@
                request.method + " " + request.address + request.target + ": " + std::string{cause}};
 }
 
+/// What waits for its end in the buffer: a head, a chunk's line, or all trailers together. Without
+/// a bound an answer with one of these without end took all of the memory.
+constexpr std::size_t kMostUnreadBytes = 65'536;
+
 /// An open connection; its buffer holds what was read past the end of an answer.
 struct connection {
   explicit connection(const asio::any_io_executor& executor) : stream{executor} {}
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer{};
+  beast::flat_buffer buffer{kMostUnreadBytes};
   time_point idle_since{};
   bool reused{false};
 };
@@ -106,7 +111,7 @@
   return message;
 }
 
-http_reply FromBeast(http::response<http::string_body>&& message) {
+http_reply FromBeast(http::response<growing_body>&& message) {
   http_reply reply{message.result_int(), std::move(message.body()), {}};
   for (const auto& field : message) {
     reply.headers.push_back({std::string{field.name_string()}, std::string{field.value()}});
@@ -335,7 +340,7 @@
   }
 
   static asio::awaitable<attempt> ReadOne(connection& open, const http_request& request) {
-    http::response_parser<http::string_body> parser;
+    http::response_parser<growing_body> parser;
     parser.body_limit(request.max_answer_bytes);
     parser.skip(request.method == "HEAD");
     const auto [failed, bytes] =
