Callers' requests from peers that wait for a late event loop have a bound (cell)

The transport's own thread takes in what peers send and hands it to the event loop through a list without a bound. A leader that is late, as on a machine that turned slow, would keep every large request that all followers forward, and their repeats: 100 followers with a few calls of 261 KB each are more than its memory.

Cause found by reading, shown by a test: with an event loop that doesn't run, a peer that sends 256 KB again and again made the list grow without end. Now callers' requests beyond 8 MB of waiting messages are dropped like messages that are lost, which their sender repeats; pings, orders and answers never are. `rosearch_peer_calls_dropped_total` counts them.

--- a/src/rosearch/cell/cell_metrics.cc
+++ b/src/rosearch/cell/cell_metrics.cc
@@ -63,6 +63,8 @@
                 "Time from a scheduling pass until one of its start orders is sent."},
     metric_help{"rosearch_peer_round_trip_seconds",
                 "Time from a ping to the leader until its answer."},
+    metric_help{"rosearch_peer_calls_dropped_total",
+                "Callers' requests from peers that were dropped as too many bytes waited."},
     metric_help{"rosearch_peers", "Known other processes of the cell."},
     metric_help{"rosearch_placement_attempts_total",
                 "Attempts to place a waiting step; measures the cost of scheduling."},
--- a/src/rosearch/cell/internal/node_views.h
+++ b/src/rosearch/cell/internal/node_views.h
@@ -27,6 +27,7 @@
   metrics_.Set("rosearch_leading", leader_ ? 1 : 0);
   metrics_.Set("rosearch_peers", static_cast<double>(members_.size()));
   metrics_.SetTotal("rosearch_relayed_total", outside_.CountRelayedExchanges());
+  metrics_.SetTotal("rosearch_peer_calls_dropped_total", peers_.CountDropped());
   if (leader_) {
     leader_->FillMetrics();
   }
--- a/src/rosearch/cell/peer_link.cc
+++ b/src/rosearch/cell/peer_link.cc
@@ -257,6 +257,11 @@
   }
   {
     const std::scoped_lock lock{received_mutex_};
+    if (frame->has_call() && received_bytes_ + bytes.size() > kMaxWaitingBytes) {
+      ++dropped_;
+      return;
+    }
+    received_bytes_ += bytes.size();
     received_.push_back(std::move(frame));
     if (received_.size() > 1) {
       return;  // the event loop has been woken for those before it
@@ -274,6 +279,7 @@
   {
     const std::scoped_lock lock{received_mutex_};
     frames.swap(received_);
+    received_bytes_ = 0;
   }
   for (const auto& frame : frames) {
     if (alive.expired()) {
--- a/src/rosearch/cell/peer_link.h
+++ b/src/rosearch/cell/peer_link.h
@@ -95,6 +95,12 @@
   /// @return the number of received requests kept for deduplication.
   [[nodiscard]] std::size_t CountStoredRequests() const { return received_requests_.size(); }
 
+  /// @return the number of callers' requests that were dropped as too many bytes waited.
+  [[nodiscard]] std::uint64_t CountDropped() const {
+    const std::scoped_lock lock{received_mutex_};
+    return dropped_;
+  }
+
   /// @return the number of messages received, repeats included.
   [[nodiscard]] std::uint64_t CountReceived() const {
     return transport_->Counters().messages_received;
@@ -110,6 +116,10 @@
   /// domains, so that requests with an answer in flight are rarely repeated.
   static constexpr duration kFirstRetryDelay = std::chrono::milliseconds{150};
 
+  /// Bytes of received messages that wait for the event loop. Beyond it callers' requests are
+  /// dropped like messages that are lost: peers together send more than a late event loop can keep.
+  static constexpr std::size_t kMaxWaitingBytes = std::size_t{8} << 20U;
+
   /// Delay for which messages to the same peer are collected into one bundle.
   static constexpr duration kBundleDelay = std::chrono::milliseconds{4};
 
@@ -166,10 +176,12 @@
   std::unordered_map<std::string, wire::peer_frame> bundles_;  ///< by peer
   boost::asio::steady_timer bundle_timer_;
   std::shared_ptr<bool> alive_{std::make_shared<bool>(true)};
-  std::mutex received_mutex_;
+  mutable std::mutex received_mutex_;
   /// Received and not handled yet, oldest first; guarded by `received_mutex_`. One wake-up of the
   /// event loop handles all of them.
   std::vector<std::unique_ptr<wire::peer_frame>> received_;
+  std::size_t received_bytes_{0};  ///< of `received_`; guarded as it, and the next
+  std::uint64_t dropped_{0};
   mutable std::mutex reply_mutex_;
   /// The member list as it is appended to a serialized ping reply.
   struct serialized_members {
--- a/test/rosearch/cell/peer_link_test.cc
+++ b/test/rosearch/cell/peer_link_test.cc
@@ -55,6 +55,28 @@
   CHECK(link.CountStoredRequests() == 1);
 }
 
+// Peers forward more large requests than a leader whose event loop is late can keep in memory.
+TEST_CASE("callers' requests from peers are dropped when too many bytes wait") {
+  boost::asio::io_context late;
+  std::size_t received = 0;
+  peer_link leader{late, "127.0.0.1:0", 1, [&received](const wire::peer_frame& frame) {
+                     received += frame.call().body().size();
+                   }};
+  boost::asio::io_context io;
+  peer_link peer{io, "127.0.0.1:0", 2, [](const wire::peer_frame&) {}};
+  wire::peer_frame call;
+  call.mutable_call()->set_body(std::string(256U << 10U, 'x'));
+  const auto until = SteadyNow() + std::chrono::seconds{20};
+  while (leader.CountDropped() < 20 && SteadyNow() < until) {
+    peer.SendMessage(leader.address(), call);
+    std::this_thread::sleep_for(std::chrono::milliseconds{2});
+  }
+  CHECK(leader.CountDropped() >= 20);
+  late.poll();
+  CHECK(received <= peer_link::kMaxWaitingBytes);
+  CHECK(received > peer_link::kMaxWaitingBytes / 2);
+}
+
 // Guards against one wake-up of the event loop for each message of a burst, and against a changed
 // order of messages.
 TEST_CASE("messages received together are handled together and in order") {
