A refused client counts until it is gone, and gets its refusal whole (net)

Found by tests of the server with real connections. A connection that had been told to go was taken out of the account at once, though it stays for up to a second so that its client can read why: 30 refused connections held 1.1 MB where the limit was 0.4 MB, as many as there are descriptors. And one whose request had been refused for want of room among the calls could be closed while that refusal was being written.

Now its bytes count again when it has had its last answer, and it goes before all others; a refusal that is being written is never cut short by the account.

--- a/src/rosearch/net/client_memory.cc
+++ b/src/rosearch/net/client_memory.cc
@@ -163,6 +163,8 @@
 void client_memory::share::Finish(std::size_t bytes, time_point now) {
   const std::scoped_lock lock{account_->mutex_};
   EnterLocked(bytes, false);
+  // It was told to go, and stays until its client has read that: its bytes count again.
+  account_->leaving_ -= std::exchange(leaving_, false) ? bytes_ : 0;
   since_ = now;
   finished_ = true;
 }
--- a/src/rosearch/net/client_memory.h
+++ b/src/rosearch/net/client_memory.h
@@ -90,7 +90,8 @@
  public:
   /// @param account  of the whole process.
   /// @param server   groups the connections of one server for `ShedOne`.
-  /// @param shed     ends the connection; called at most once, from any thread.
+  /// @param shed     ends the connection; called from any thread, once and once more after
+  /// `Finish`.
   share(std::shared_ptr<client_memory> account, const void* server, std::function<void()> shed);
   ~share();
   share(const share&) = delete;
@@ -115,7 +116,7 @@
   /// @return whether there is room for an answer of that size.
   [[nodiscard]] bool HasRoomForAnswer(std::size_t bytes) const;
 
-  /// Marks a connection that has had its last answer: it goes before all others.
+  /// Marks a connection that has had its last answer, a refusal too: it goes before all others.
   void Finish(std::size_t bytes, time_point now);
 
  private:
--- a/src/rosearch/net/http_server.cc
+++ b/src/rosearch/net/http_server.cc
@@ -375,6 +375,7 @@
     void WriteRefusal(client_refusal reason) {
       keep_alive_ = false;
       shed_ = false;
+      refused_ = true;
       reader_.reset();
       buffer_ = beast::flat_buffer{};
       Write(Refusal(reason));
@@ -382,7 +383,8 @@
 
     /// Gives back what this connection holds, as the memory for clients is full.
     void Shed() {
-      if (phase_ == phase::kCalled || shed_ || told_) {
+      const bool writes_refusal = phase_ == phase::kAnswering && refused_;
+      if (phase_ == phase::kCalled || writes_refusal || shed_) {
         return;
       }
       if (phase_ == phase::kAnswering || phase_ == phase::kFinished) {
@@ -394,7 +396,6 @@
     }
 
     void EndShed() {
-      told_ = true;
       if (phase_ == phase::kIdle && buffer_.size() == 0) {
         Close();
       } else {
@@ -458,7 +459,7 @@
     bool keep_alive_{false};
     bool is_query_{false};  ///< the request at hand has no effect
     bool shed_{false};      ///< it is to go as soon as the operation under way has ended
-    bool told_{false};      ///< its client was refused, as it had to go
+    bool refused_{false};   ///< its last answer is a refusal of this server
   };
 
   /// Begins again after a pause: an error that lasts would take all of the processor.
--- a/test/rosearch/net/client_memory_test.cc
+++ b/test/rosearch/net/client_memory_test.cc
@@ -132,6 +132,18 @@
   CHECK_FALSE(elsewhere.shed);
 }
 
+// Refused clients that stay count until they are gone, or as many as there are descriptors would.
+TEST_CASE("a refused connection that lingers counts again, and goes first") {
+  fixture doors;
+  auto& refused = doors.Arriving(1'000'001, seconds{5});
+  CHECK(refused.shed);
+  refused.shed = false;
+  refused.share->Finish(300'000, doors.now - milliseconds{1});
+  auto& other = doors.Arriving(800'000, seconds{5});
+  CHECK(refused.shed);
+  CHECK_FALSE(other.shed);
+}
+
 TEST_CASE("a closed connection gives back all that it held") {
   fixture doors;
   {
