Lines about a caller's request have a bound (cell)

The path stands twice in each line and may be as long as a head, 16 KB: a crowd with long paths would fill the log's buffer with eight of its lines, and every other line would be dropped. Cut at 160 bytes, far above any job's path. Found by reading; no test of its own beyond those of the lines' keys.

--- a/src/rosearch/cell/internal/node_callers.h
+++ b/src/rosearch/cell/internal/node_callers.h
@@ -40,9 +40,10 @@
 template <typename Ports>
 event_line node<Ports>::LineAbout(const forwarded_call& call, std::string_view event,
                                   event_weight weight) {
-  const auto& path = call.request.path;
+  constexpr std::size_t kMaxPathBytes = 160;  // far above any job's; a head may hold much more
+  const auto path = std::string_view{call.request.path}.substr(0, kMaxPathBytes);
   event_line line{event, weight};
-  line.Add("job", std::string_view{path}.substr(path.rfind('/') + 1))
+  line.Add("job", path.substr(path.rfind('/') + 1))
       .Add("method", MethodLabel(call.request.method))
       .Add("path", path);
   return line;
