--- a/test/crowd/crowd_test.py
+++ b/test/crowd/crowd_test.py
@@ -157,6 +157,19 @@
     return await play(cell, crowds, node.port, node, kill())
 
 
+# The leader stands still, so that what goes to it waits in the followers' transport.
+async def frozen(cell, crowds):
+    leading = await cell.leader()
+    node = await cell.follower()
+
+    async def freeze():
+        await asyncio.sleep(1)
+        leading.signal(signal.SIGSTOP)
+        await asyncio.sleep(4)
+        leading.signal(signal.SIGCONT)
+    return await play(cell, crowds, node.port, node, freeze())
+
+
 # A process that is stopped amid a crowd ends by itself, and isn't killed for it.
 async def stopped(cell, crowds):
     node = await cell.follower()
@@ -286,6 +299,8 @@
             (store_away, CROWDS["valid requests of the largest size"]),
         "the leader is killed amid a crowd":
             (takeover, CROWDS["valid requests of the largest size"]),
+        "the leader stands still amid a crowd":
+            (frozen, CROWDS["valid requests of the largest size"]),
         "a stop amid a crowd": (stopped, CROWDS["several kinds at once"]),
         "a trailer is no header": (trailer_as_header, None),
         "an answer without end": (answer_without_end, None),
