A job waits until a worker says that a task of it has started (sched)

Operators saw GET of a queue give 0 as waiting while jobs, accepted over 5 s before, had been ordered to a worker that had gone dark. Cause: the count left a job out at the order. Now a job has begun when a worker says so, by its answer, a report or an end; the four places that note this are one function.

--- a/src/rosearch/sched/job_state.cc
+++ b/src/rosearch/sched/job_state.cc
@@ -65,6 +65,12 @@
   return occurrences[occurrence]->steps[step].get();
 }
 
+bool HasDoneTasks(const job_state& job) {
+  return std::ranges::any_of(job.occurrences, [](const auto& occurrence) {
+    return std::ranges::any_of(occurrence->steps, [](const auto& step) { return step->done > 0; });
+  });
+}
+
 occurrence_state& AddOccurrence(job_state& job) {
   auto made = std::make_unique<occurrence_state>();
   made->number = static_cast<std::uint32_t>(job.occurrences.size());
--- a/src/rosearch/sched/job_state.h
+++ b/src/rosearch/sched/job_state.h
@@ -129,6 +129,7 @@
   job_phase stored_phase{job_phase::kQueued};  ///< the phase that callers see
   bool accepted{false};                        ///< its record is stored: it must be run to an end
   bool restored{false};                        ///< accepted under an earlier leadership
+  bool begun{false};                           ///< a worker has said that a task of it started
   bool new_record{true};                       ///< its specification has yet to be stored
   bool dirty{false};                           ///< its progress has yet to be stored
   std::uint32_t live{0};                       ///< runs that may be active
@@ -151,6 +152,9 @@
 /// @return the new occurrence.
 occurrence_state& AddOccurrence(job_state& job);
 
+/// @return whether a task of the job has ended as done.
+[[nodiscard]] bool HasDoneTasks(const job_state& job);
+
 /// @return the length of the critical path through the steps, by their estimates.
 [[nodiscard]] duration CriticalPath(const std::vector<step_spec>& steps);
 /// @param run_times  of a task of each step.
--- a/src/rosearch/sched/scheduler.h
+++ b/src/rosearch/sched/scheduler.h
@@ -331,6 +331,8 @@
                       const instant& now);
   void StopGang(step_state& step, const instant& now);
   void StopUnknownRun(worker_state& worker, const running_row& row, const instant& now);
+  /// Records that a worker has said that a run started.
+  void ConfirmRun(live_run& run, const instant& now);
   void HandleRefusedStart(live_run& run, start_outcome outcome, const instant& now);
   /// Ends the runs of a worker that doesn't answer, if its lease has certainly expired.
   void EndExpiredLease(worker_state& worker, const instant& now);
--- a/src/rosearch/sched/scheduler_jobs.cc
+++ b/src/rosearch/sched/scheduler_jobs.cc
@@ -374,7 +374,8 @@
 std::size_t scheduler::CountWaitingJobs(std::string_view queue) const {
   std::size_t waiting = 0;
   for (const auto& [id, job] : jobs_) {
-    waiting += job->phase == job_phase::kQueued && job->accepted && job->spec->queue == queue;
+    // An order is no start: its worker may be silent, or refuse it.
+    waiting += !job->begun && !IsTerminal(job->phase) && job->accepted && job->spec->queue == queue;
   }
   return waiting;
 }
@@ -449,6 +450,7 @@
   }
   task.done = true;
   ++step.done;
+  step.job->begun = true;
   MarkDirty(*step.job, false);
   const auto runs = step.runs;
   for (auto* const run : runs) {
@@ -486,6 +488,7 @@
   if (std::ranges::find(task.failed_runs, run) != task.failed_runs.end()) {
     return;
   }
+  step.job->begun = true;
   task.failed_on = worker;
   if (step.spec->service) {
     // A service has no maximum number of attempts. The backoff prevents a restart loop when its
--- a/src/rosearch/sched/scheduler_reports.cc
+++ b/src/rosearch/sched/scheduler_reports.cc
@@ -75,12 +75,11 @@
     return;
   }
   auto& run = AttachRun(*step, name->index, worker, row.run, now);
-  run.phase = run_phase::kRunning;
+  ConfirmRun(run, now);
   run.listed = true;
   run.adopted = true;
   run.checkpoint = row.checkpoint;
   run.percent = row.percent;
-  run.confirmed_at = now.steady;
   log_.Write(event_line{"run_adopted", event_weight::kDetail}
                  .Add("task", row.task)
                  .Add("run", row.run)
@@ -180,8 +179,7 @@
     }
     run.listed = true;
     if (run.phase == run_phase::kStarting || run.phase == run_phase::kUnsure) {
-      run.phase = run_phase::kRunning;
-      run.confirmed_at = now.steady;
+      ConfirmRun(run, now);
     }
     if (!row.checkpoint.empty()) {
       run.checkpoint = row.checkpoint;
--- a/src/rosearch/sched/scheduler_runs.cc
+++ b/src/rosearch/sched/scheduler_runs.cc
@@ -306,8 +306,7 @@
     return;
   }
   if (outcome == start_outcome::kStarted) {
-    run->phase = run_phase::kRunning;
-    run->confirmed_at = now.steady;
+    ConfirmRun(*run, now);
     return;
   }
   log_.Write(event_line{"start_unanswered", event_weight::kFailure}
@@ -320,8 +319,7 @@
   if (outcome == start_outcome::kStaleRun) {
     // The worker already executed another copy of this order, and that run has ended. A later
     // report will contain its end; if the start were handled as refused, the task would run twice.
-    run->phase = run_phase::kRunning;
-    run->confirmed_at = now.steady;
+    ConfirmRun(*run, now);
     return;
   }
   if (outcome == start_outcome::kUnknown) {
@@ -332,6 +330,14 @@
   HandleRefusedStart(*run, outcome, now);
 }
 
+void scheduler::ConfirmRun(live_run& run, const instant& now) {
+  run.phase = run_phase::kRunning;
+  run.confirmed_at = now.steady;
+  if (run.step != nullptr) {
+    run.step->job->begun = true;
+  }
+}
+
 void scheduler::HandleRefusedStart(live_run& run, start_outcome outcome, const instant& now) {
   auto& worker = *run.worker;
   if (outcome == start_outcome::kUnhealthy) {
--- a/src/rosearch/sched/scheduler_store.cc
+++ b/src/rosearch/sched/scheduler_store.cc
@@ -113,6 +113,7 @@
   ApplyPrediction(*job, PredictJob(*job->spec));
   AssignCustomer(*job);
   ApplyProgress(progress, *job);
+  job->begun = HasDoneTasks(*job);
   const auto occurrences = std::max<std::size_t>(1, job->occurrences.size());
   EraseJob(id);
   CountBytes(*job, job_memory::SpecBytes(*job->spec) +
--- a/test/rosearch/sched/scheduler_test.cc
+++ b/test/rosearch/sched/scheduler_test.cc
@@ -35,6 +35,31 @@
   CHECK(fixture.Starts().size() == 1);
 }
 
+// Jobs that were ordered to a worker that has gone dark haven't begun, and their callers were told
+// that nothing waits.
+TEST_CASE("a job waits until a worker says that a task of it has started") {
+  scheduler_fixture fixture;
+  (void)fixture.Submit("a", 2);
+  (void)fixture.Store();
+  const auto starts = fixture.Starts();
+  REQUIRE(starts.size() == 2);
+  CHECK(fixture.leader.CountWaitingJobs(kQueue) == 1);
+  fixture.leader.OnStartAnswer(starts[0], start_outcome::kUnknown, fixture.now);
+  CHECK(fixture.leader.CountWaitingJobs(kQueue) == 1);
+  fixture.leader.OnStartAnswer(starts[1], start_outcome::kStarted, fixture.now);
+  CHECK(fixture.leader.CountWaitingJobs(kQueue) == 0);
+}
+
+TEST_CASE("a job that a former leader ordered waits until it is seen to run") {
+  scheduler_fixture fixture;
+  (void)fixture.Submit("a", 1);
+  fixture.SaveRecords();
+  REQUIRE(fixture.Starts().size() == 1);
+  fixture.SaveRecords();
+  new_leader successor{fixture};
+  CHECK(successor.leader.CountWaitingJobs(kQueue) == 1);
+}
+
 TEST_CASE("a job that fits no worker is refused at once, without a retry time") {
   scheduler_fixture fixture;
   const auto answer = fixture.Submit("a", 1, 9'000);
