An answer finds room always only if it costs no more than its connection (net)

Questions with answers of up to 64 KB, whose clients don't read, had no bound but the number of connections for a second: 60 MB with 1,000 connections. Also the bodies of refusals stand once, and the new names are in fwd.h.

--- a/src/rosearch/net/client_memory.cc
+++ b/src/rosearch/net/client_memory.cc
@@ -11,6 +11,8 @@
 constexpr std::size_t kFreedShare = 8;
 /// Requests whose calls cost no more find room when those of larger ones don't.
 constexpr std::size_t kSmallCallBytes = 64U << 10U;
+/// Answers that find room always: they cost no more than their connection.
+constexpr std::size_t kSmallAnswerBytes = 4096;
 
 }  // namespace
 
--- a/src/rosearch/net/fwd.h
+++ b/src/rosearch/net/fwd.h
@@ -3,8 +3,10 @@
 
 namespace rosearch {
 
+class client_memory;
 class http_server;
 class peer_transport;
+struct client_memory_figures;
 struct http_call;
 struct http_response;
 struct http_server_settings;
--- a/src/rosearch/net/internal/http_session.cc
+++ b/src/rosearch/net/internal/http_session.cc
@@ -29,21 +29,23 @@
 /// So much is read and thrown away behind a last answer.
 constexpr std::size_t kLingerBytes = std::size_t{16} << 20U;
 
+constexpr const char* kTooLargeBody =
+    R"({"error":{"kind":"invalid_request","outcome":"not_run","detail":"too large"}})";
+constexpr const char* kNoRoomBody =
+    R"({"error":{"kind":"overloaded","outcome":"not_run","detail":"memory for clients"}})";
+
 http_response Refusal(client_refusal reason) {
   switch (reason) {
     case client_refusal::kHeadTooLarge:
     case client_refusal::kFraming:
-      return {431,
-              R"({"error":{"kind":"invalid_request","outcome":"not_run","detail":"too large"}})"};
+      return {431, kTooLargeBody};
     case client_refusal::kBodyTooLarge:
-      return {413,
-              R"({"error":{"kind":"invalid_request","outcome":"not_run","detail":"too large"}})"};
+      return {413, kTooLargeBody};
     default:
-      return {
-          503,
-          R"({"error":{"kind":"overloaded","outcome":"not_run","detail":"memory for clients"}})",
-          "application/json",
-          {{"Retry-After", std::to_string(kRetryAfter.count())}}};
+      return {503,
+              kNoRoomBody,
+              "application/json",
+              {{"Retry-After", std::to_string(kRetryAfter.count())}}};
   }
 }
 
