The bound of middle-sized answers, which only announced (net)

 says that an answer finds room always only up to 4 KB. So questions with answers of up to 64 KB whose clients don't read still held one each for a second.

Now the line says so. The test was red before (room for 60 KB in a full account), test_net is green.

--- a/src/rosearch/net/client_memory.cc
+++ b/src/rosearch/net/client_memory.cc
@@ -158,7 +158,7 @@
 
 bool client_memory::share::HasRoomForAnswer(std::size_t bytes) const {
   const std::scoped_lock lock{account_->mutex_};
-  return bytes <= kSmallCallBytes ||
+  return bytes <= kSmallAnswerBytes ||
          account_->held_ - account_->leaving_ + bytes <= account_->limit_;
 }
 
--- a/test/rosearch/net/client_memory_test.cc
+++ b/test/rosearch/net/client_memory_test.cc
@@ -144,6 +144,15 @@
   CHECK_FALSE(other.shed);
 }
 
+// Answers of up to 64 KB found room always, so that clients that don't read held one each.
+TEST_CASE("an answer of a middle size finds no room when the memory is full") {
+  fixture doors;
+  REQUIRE(doors.Connect().share->BeginCall(kLimit, doors.now));
+  const auto& other = doors.Connect();
+  CHECK_FALSE(other.share->HasRoomForAnswer(60'000));
+  CHECK(other.share->HasRoomForAnswer(4'096));
+}
+
 TEST_CASE("a closed connection gives back all that it held") {
   fixture doors;
   {
