--- a/src/rosearch/net/client_memory.cc
+++ b/src/rosearch/net/client_memory.cc
@@ -14,6 +14,12 @@
 /// Answers that find room always: they cost no more than their connection.
 constexpr std::size_t kSmallAnswerBytes = 4096;
 
+void CallAll(const std::vector<std::function<void()>>& calls) {
+  for (const auto& each : calls) {
+    each();
+  }
+}
+
 }  // namespace
 
 std::string_view ToText(client_refusal reason) noexcept {
@@ -118,9 +124,7 @@
     shed = account_->MakeRoomLocked(now);
     stays = !leaving_;
   }
-  for (const auto& each : shed) {
-    each();
-  }
+  CallAll(shed);
   return stays;
 }
 
@@ -137,9 +141,7 @@
     EnterLocked(bytes, true);
     shed = account_->MakeRoomLocked(now);
   }
-  for (const auto& each : shed) {
-    each();
-  }
+  CallAll(shed);
   return true;
 }
 
@@ -151,9 +153,7 @@
     since_ = shed_from;
     shed = account_->MakeRoomLocked(now);
   }
-  for (const auto& each : shed) {
-    each();
-  }
+  CallAll(shed);
 }
 
 bool client_memory::share::HasRoomForAnswer(std::size_t bytes) const {
--- a/src/rosearch/net/internal/http_session.cc
+++ b/src/rosearch/net/internal/http_session.cc
@@ -242,8 +242,7 @@
 void http_session::OnWhole() {
   const auto copies = (kCallCopies - 1) * reader_->BodyBytes();
   if (!share_->BeginCall(CountBytes() + copies, SteadyNow())) {
-    server_->memory->Count(client_refusal::kCalls);
-    WriteRefusal(client_refusal::kCalls);
+    Refuse(client_refusal::kCalls);
     return;
   }
   keep_alive_ = reader_->KeepsAlive();
@@ -297,7 +296,7 @@
 void http_session::OnWritten(beast::error_code failed) {
   const bool keeps_alive = response_->keep_alive();
   response_.reset();
-  if (failed || shed_) {
+  if (failed) {
     Close();
   } else if (!keeps_alive) {
     Linger();
--- a/src/rosearch/net/internal/http_session.h
+++ b/src/rosearch/net/internal/http_session.h
@@ -99,8 +99,9 @@
   void Write(http_response response);
   void OnWritten(boost::beast::error_code failed);
 
-  /// Answers a client whose request isn't handled, and lets it go.
+  /// Counts and answers a client whose request isn't handled, and lets it go.
   void Refuse(client_refusal reason);
+  /// As above, for a refusal that the account has counted.
   void WriteRefusal(client_refusal reason);
 
   /// Gives back what this connection holds, as the memory for clients is full.
@@ -122,6 +123,7 @@
   std::shared_ptr<server_state> server_;
   http_server_settings limits_;  ///< of the request at hand
   boost::beast::tcp_stream stream_;
+  /// Unread bytes: the reader refuses more than a head, and one read adds little.
   boost::beast::flat_buffer buffer_;
   std::optional<client_memory::share> share_;
   std::optional<request_reader> reader_;
--- a/test/crowd/crowd_test.py
+++ b/test/crowd/crowd_test.py
@@ -72,7 +72,8 @@
     played = [clients.Played(crowd, ("127.0.0.1", port)) for crowd in crowds for port in ports]
     room = all(crowd.kind not in WORK_WITHOUT_END for crowd in crowds)
     try:
-        await asyncio.gather(asyncio.sleep(max(crowd.seconds for crowd in crowds)), *([meanwhile] if meanwhile else []))
+        sending = asyncio.sleep(max(crowd.seconds for crowd in crowds))
+        await asyncio.gather(sending, *([meanwhile] if meanwhile else []))
         for each in played:
             each.quiet()
         found = []
@@ -88,9 +89,9 @@
     return [fault for fault in found if fault]
 
 
-async def at_follower(cell, crowds):
+async def at_follower(cell, crowds, meanwhile=None):
     node = await cell.follower()
-    return await play(cell, crowds, node.port, node)
+    return await play(cell, crowds, node.port, node, meanwhile)
 
 
 async def at_leader(cell, crowds):
@@ -126,8 +127,7 @@
             await asyncio.sleep(1.5)
             cell.configure({"max-body-bytes": limit})
             await cell.store.wake()
-    node = await cell.follower()
-    return await play(cell, crowds, node.port, node, change())
+    return await at_follower(cell, crowds, change())
 
 
 # The store is away, so that calls that have arrived wait at the leader.
@@ -137,14 +137,12 @@
         cell.store.refuse = True
         await asyncio.sleep(4)
         cell.store.refuse = False
-    node = await cell.follower()
-    return await play(cell, crowds, node.port, node, away())
+    return await at_follower(cell, crowds, away())
 
 
 # The leader is killed, so that the calls that a follower has taken wait for the next one.
 async def takeover(cell, crowds):
     leading = await cell.leader()
-    node = await cell.follower()
 
     async def kill():
         await asyncio.sleep(2)
@@ -154,20 +152,19 @@
         number = cell.nodes.index(leading)
         cell.watches[number] = cells.Watch(leading.process,
                                            (leading.port, leading.ready, leading.metrics))
-    return await play(cell, crowds, node.port, node, kill())
+    return await at_follower(cell, crowds, kill())
 
 
 # The leader stands still, so that what goes to it waits in the followers' transport.
 async def frozen(cell, crowds):
     leading = await cell.leader()
-    node = await cell.follower()
 
     async def freeze():
         await asyncio.sleep(1)
         leading.signal(signal.SIGSTOP)
         await asyncio.sleep(4)
         leading.signal(signal.SIGCONT)
-    return await play(cell, crowds, node.port, node, freeze())
+    return await at_follower(cell, crowds, freeze())
 
 
 # A process that is stopped amid a crowd ends by itself, and isn't killed for it.
@@ -187,7 +184,7 @@
 
 
 async def single_request(cell, body, pieces):
-    """Sends one submission in pieces; returns None if it was accepted."""
+    """Sends one submission in pieces; returns what broke."""
     node = await cell.follower()
     reader, writer = await asyncio.open_connection("127.0.0.1", node.port)
     for piece in pieces(body):
