The reason of a connection that gave way has one name (net)

The line clients_refused of `serve` had the key `connections` twice, once for how many there are and once for how many gave way; the log of `join` called the latter gave_way, the metric connections.

--- a/src/rosearch/net/client_memory.cc
+++ b/src/rosearch/net/client_memory.cc
@@ -24,7 +24,7 @@
 
 std::string_view ToText(client_refusal reason) noexcept {
   constexpr std::array<std::string_view, kClientRefusals> kNames{
-      "memory", "calls", "connections", "head_too_large", "body_too_large", "framing", "malformed"};
+      "memory", "calls", "gave_way", "head_too_large", "body_too_large", "framing", "malformed"};
   return kNames.at(static_cast<std::size_t>(reason));
 }
 
